Add the design page, the workspace and the shared crates

Cause: the project starts from an empty repository and every later part needs a common vocabulary. Conclusion: the interfaces are fixed far enough for the parts to be built side by side.

--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,22 @@
+//! The fleet configuration that operators publish, and the settings of single processes.
+//!
+//! Accepting a document is a pure function of its bytes, so that all processes take the same decision without talking
+//! to one another.
+
+pub mod check;
+pub mod fleet;
+pub mod hosts;
+pub mod placement;
+pub mod settings;
+
+pub use crate::{
+    check::{ConfigError, ConfigFault},
+    fleet::{
+        AdapterRecord, DataCentreRecord, FencingMode, FleetConfig, ModelRecord, ModelVersion,
+        PresetModel, PresetName, PresetRule, ServiceRecord, TeamRecord, UpstreamKind,
+        UpstreamRecord,
+    },
+    hosts::{HostList, HostRecord, HostRole, HostState},
+    placement::{WantedModel, wanted_models},
+    settings::{AgentSettings, EntrySettings, SettingsError},
+};
--- /dev/null
+++ b/crates/once/src/lib.rs
@@ -0,0 +1,1 @@
+//! Will hold the area that docs/design.md names.
--- /dev/null
+++ b/crates/wire/src/channel.rs
@@ -0,0 +1,305 @@
+//! Authenticated frames over a byte stream.
+
+use std::{fmt, io, time::Duration};
+
+use bytes::{BufMut, Bytes, BytesMut};
+use futures_util::{SinkExt, StreamExt};
+use prost::Message;
+use snafu::{IntoError, ResultExt, Snafu, ensure};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadHalf, WriteHalf},
+    time::timeout,
+};
+use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
+
+use crate::message::{Envelope, Hello, Payload};
+
+/// Version of the protocol; both sides must have the same.
+pub const PROTOCOL_VERSION: u32 = 1;
+
+const NONCE_BYTES: usize = 32;
+const MAC_BYTES: usize = 16;
+/// A `Hello` is far smaller; a foreign peer can make us buffer no more than this.
+const MAX_HELLO_BYTES: usize = 1 << 10;
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
+const KEY_CONTEXT: &str = "wigeonhaven fleet key v1";
+const CLIENT_CONTEXT: &str = "wigeonhaven frames of the connecting side v1";
+const SERVER_CONTEXT: &str = "wigeonhaven frames of the accepting side v1";
+
+/// Why a channel failed. Every error ends the connection.
+#[derive(Debug, Snafu)]
+pub enum ChannelError {
+    /// The connection broke, or a frame exceeds the size limit.
+    #[snafu(display("connection failed: {source}"))]
+    Connection {
+        /// What the operating system or the codec said.
+        source: io::Error,
+    },
+    /// The peer closed the connection.
+    #[snafu(display("peer closed the connection"))]
+    Closed,
+    /// The frame is no message of this protocol.
+    #[snafu(display("frame cannot be decoded: {source}"))]
+    Decode {
+        /// What the decoder said.
+        source: prost::DecodeError,
+    },
+    /// The frame carries no known message, or one that is not allowed here.
+    #[snafu(display("unexpected message"))]
+    Unexpected,
+    /// The MAC does not fit: a foreign, altered or replayed frame.
+    #[snafu(display("frame is not authentic"))]
+    NotAuthentic,
+    /// The peer speaks another version.
+    #[snafu(display("peer speaks protocol version {version}, expected {PROTOCOL_VERSION}"))]
+    Version {
+        /// Version of the peer.
+        version: u32,
+    },
+    /// The peer did not answer in time.
+    #[snafu(display("handshake timed out"))]
+    HandshakeTimeout,
+}
+
+/// Key that all processes of the fleet share.
+#[derive(Clone)]
+pub struct FleetKey([u8; 32]);
+
+impl FleetKey {
+    /// Derives the key from the secret in the settings.
+    #[must_use]
+    pub fn new(secret: &str) -> Self {
+        Self(blake3::derive_key(KEY_CONTEXT, secret.as_bytes()))
+    }
+
+    /// Derives a key for another purpose, for example for signing request keys.
+    #[must_use]
+    pub fn derive(&self, context: &'static str) -> [u8; 32] {
+        blake3::derive_key(context, &self.0)
+    }
+
+    fn session(&self, context: &'static str, client_nonce: &[u8], server_nonce: &[u8]) -> FrameKey {
+        let mut hasher = blake3::Hasher::new_derive_key(context);
+        hasher.update(&self.0).update(client_nonce).update(server_nonce);
+        FrameKey { key: *hasher.finalize().as_bytes(), sequence: 0 }
+    }
+}
+
+impl fmt::Debug for FleetKey {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("FleetKey(hidden)")
+    }
+}
+
+/// Session key of one direction and the sequence number of its next frame.
+struct FrameKey {
+    key: [u8; 32],
+    sequence: u64,
+}
+
+impl FrameKey {
+    fn next_mac(&mut self, payload: &[u8]) -> blake3::Hash {
+        let mut hasher = blake3::Hasher::new_keyed(&self.key);
+        hasher.update(&self.sequence.to_le_bytes()).update(payload);
+        self.sequence += 1;
+        hasher.finalize()
+    }
+}
+
+/// Size limits of a channel, in bytes.
+#[derive(Clone, Copy, Debug)]
+pub struct ChannelLimits {
+    /// Largest frame.
+    pub max_frame_bytes: usize,
+}
+
+impl Default for ChannelLimits {
+    fn default() -> Self {
+        Self { max_frame_bytes: 8 << 20 }
+    }
+}
+
+/// Sending half of a channel.
+pub struct FrameSender<S> {
+    frames: FramedWrite<WriteHalf<S>, LengthDelimitedCodec>,
+    key: FrameKey,
+}
+
+/// Receiving half of a channel.
+pub struct FrameReceiver<S> {
+    frames: FramedRead<ReadHalf<S>, LengthDelimitedCodec>,
+    key: FrameKey,
+}
+
+/// An authenticated channel.
+pub struct FrameChannel<S> {
+    /// Sending half.
+    pub sender: FrameSender<S>,
+    /// Receiving half.
+    pub receiver: FrameReceiver<S>,
+    /// Id that the peer gave itself.
+    pub peer_host: String,
+}
+
+impl<S: AsyncWrite> FrameSender<S> {
+    /// Sends one message.
+    ///
+    /// # Errors
+    /// Fails if the connection broke or the frame is too large.
+    pub async fn send(&mut self, payload: Payload) -> Result<(), ChannelError> {
+        let envelope = Envelope { payload: Some(payload) };
+        let mut frame = BytesMut::with_capacity(envelope.encoded_len() + MAC_BYTES);
+        envelope.encode(&mut frame).expect("the buffer grows");
+        let mac = self.key.next_mac(&frame);
+        frame.put_slice(&mac.as_bytes()[..MAC_BYTES]);
+        self.frames.send(frame.freeze()).await.context(ConnectionSnafu)
+    }
+}
+
+impl<S: AsyncRead> FrameReceiver<S> {
+    /// Receives the next message. Cancel safe.
+    ///
+    /// # Errors
+    /// Fails if the connection broke or ended, or if the frame is too large, not authentic or not a message.
+    pub async fn receive(&mut self) -> Result<Payload, ChannelError> {
+        let mut frame =
+            self.frames.next().await.ok_or(ChannelError::Closed)?.context(ConnectionSnafu)?;
+        ensure!(frame.len() >= MAC_BYTES, NotAuthenticSnafu);
+        let mac = frame.split_off(frame.len() - MAC_BYTES);
+        let expected = self.key.next_mac(&frame);
+        // Compares whole hashes, because `blake3::Hash` compares in constant time.
+        let mut received = *expected.as_bytes();
+        received[..MAC_BYTES].copy_from_slice(&mac);
+        ensure!(expected == blake3::Hash::from_bytes(received), NotAuthenticSnafu);
+        let envelope = Envelope::decode(frame.freeze()).context(DecodeSnafu)?;
+        envelope.payload.ok_or(ChannelError::Unexpected)
+    }
+}
+
+impl<S: AsyncRead + AsyncWrite> FrameChannel<S> {
+    /// Sends one message and waits for one answer.
+    ///
+    /// # Errors
+    /// Fails as [`FrameSender::send`] and [`FrameReceiver::receive`] do.
+    pub async fn call(&mut self, payload: Payload) -> Result<Payload, ChannelError> {
+        self.sender.send(payload).await?;
+        self.receiver.receive().await
+    }
+}
+
+/// Opens a channel on a stream that this process connected.
+///
+/// # Errors
+/// Fails if the peer does not answer in time or speaks another protocol.
+pub async fn connect<S: AsyncRead + AsyncWrite>(
+    stream: S,
+    key: &FleetKey,
+    host: &str,
+    limits: ChannelLimits,
+) -> Result<FrameChannel<S>, ChannelError> {
+    let (mut reader, mut writer) = split(stream);
+    let own = new_hello(host);
+    let handshake = async {
+        send_hello(&mut writer, &own).await?;
+        receive_hello(&mut reader).await
+    };
+    let peer = timeout(HANDSHAKE_TIMEOUT, handshake)
+        .await
+        .map_err(|_| ChannelError::HandshakeTimeout)??;
+    Ok(FrameChannel {
+        sender: FrameSender {
+            frames: writer,
+            key: key.session(CLIENT_CONTEXT, &own.nonce, &peer.nonce),
+        },
+        receiver: open_receiver(
+            reader,
+            key.session(SERVER_CONTEXT, &own.nonce, &peer.nonce),
+            limits,
+        ),
+        peer_host: peer.host,
+    })
+}
+
+/// Opens a channel on a stream that this process accepted.
+///
+/// # Errors
+/// Fails if the peer does not start the handshake in time or speaks another protocol.
+pub async fn accept<S: AsyncRead + AsyncWrite>(
+    stream: S,
+    key: &FleetKey,
+    host: &str,
+    limits: ChannelLimits,
+) -> Result<FrameChannel<S>, ChannelError> {
+    let (mut reader, mut writer) = split(stream);
+    let own = new_hello(host);
+    let handshake = async {
+        let peer = receive_hello(&mut reader).await?;
+        send_hello(&mut writer, &own).await?;
+        Ok(peer)
+    };
+    let peer = timeout(HANDSHAKE_TIMEOUT, handshake)
+        .await
+        .map_err(|_| ChannelError::HandshakeTimeout)??;
+    Ok(FrameChannel {
+        sender: FrameSender {
+            frames: writer,
+            key: key.session(SERVER_CONTEXT, &peer.nonce, &own.nonce),
+        },
+        receiver: open_receiver(
+            reader,
+            key.session(CLIENT_CONTEXT, &peer.nonce, &own.nonce),
+            limits,
+        ),
+        peer_host: peer.host,
+    })
+}
+
+type HelloReader<S> = FramedRead<ReadHalf<S>, LengthDelimitedCodec>;
+type HelloWriter<S> = FramedWrite<WriteHalf<S>, LengthDelimitedCodec>;
+
+fn split<S: AsyncRead + AsyncWrite>(stream: S) -> (HelloReader<S>, HelloWriter<S>) {
+    let (reader, writer) = tokio::io::split(stream);
+    let hello_codec = LengthDelimitedCodec::builder().max_frame_length(MAX_HELLO_BYTES).new_codec();
+    // Outgoing frames are limited by the receiver; the sender only needs a ceiling above every message.
+    let send_codec =
+        LengthDelimitedCodec::builder().max_frame_length(u32::MAX as usize).new_codec();
+    (FramedRead::new(reader, hello_codec), FramedWrite::new(writer, send_codec))
+}
+
+fn open_receiver<S>(
+    mut frames: HelloReader<S>,
+    key: FrameKey,
+    limits: ChannelLimits,
+) -> FrameReceiver<S> {
+    frames.decoder_mut().set_max_frame_length(limits.max_frame_bytes + MAC_BYTES);
+    FrameReceiver { frames, key }
+}
+
+fn new_hello(host: &str) -> Hello {
+    let nonce: [u8; NONCE_BYTES] = rand::random();
+    Hello {
+        version: PROTOCOL_VERSION,
+        nonce: Bytes::copy_from_slice(&nonce),
+        host: host.to_owned(),
+    }
+}
+
+async fn send_hello<S: AsyncWrite>(
+    writer: &mut HelloWriter<S>,
+    hello: &Hello,
+) -> Result<(), ChannelError> {
+    let envelope = Envelope { payload: Some(Payload::Hello(hello.clone())) };
+    writer.send(Bytes::from(envelope.encode_to_vec())).await.context(ConnectionSnafu)
+}
+
+async fn receive_hello<S: AsyncRead>(reader: &mut HelloReader<S>) -> Result<Hello, ChannelError> {
+    let frame = reader.next().await.ok_or(ChannelError::Closed)?.context(ConnectionSnafu)?;
+    let envelope =
+        Envelope::decode(frame.freeze()).map_err(|source| DecodeSnafu.into_error(source))?;
+    let Some(Payload::Hello(hello)) = envelope.payload else {
+        return Err(ChannelError::Unexpected);
+    };
+    ensure!(hello.version == PROTOCOL_VERSION, VersionSnafu { version: hello.version });
+    ensure!(hello.nonce.len() == NONCE_BYTES, UnexpectedSnafu);
+    Ok(hello)
+}
