Add the platform borders and thin shells of entry and agent

Cause: the parts that are being built side by side need a running process to attach to. Change: crates platform (traits, HTTP adapters) and node (threads, peer channels, frame server, HTTP server, administration API, simple adoption, probing, forwarding and fetch loops), binaries wigeon-entry, wigeon-agent and wigeon with the command check.

--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,1 +1,5 @@
-//! Will hold the area that docs/design.md names.
+//! Command lines of the binaries.
+
+pub mod commands;
+pub mod daemon;
+pub mod output;
--- /dev/null
+++ b/crates/node/src/admin.rs
@@ -0,0 +1,69 @@
+//! The read-only administration API.
+
+use std::sync::Arc;
+
+use futures_util::future::BoxFuture;
+use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use serde_json::{Value, json};
+
+use crate::http::{HttpHandler, ResponseBody, fault_response, json_response};
+
+/// What a part of the process shows in the administration API.
+pub trait AdminSource: Send + Sync {
+    /// True if the process can serve requests.
+    fn is_ready(&self) -> bool;
+
+    /// State for operators.
+    fn status(&self) -> Value;
+
+    /// Service-level burn; `None` if this process has none.
+    fn report(&self) -> Option<Value> {
+        None
+    }
+}
+
+/// Handler of the administration API.
+pub struct AdminApi {
+    source: Arc<dyn AdminSource>,
+}
+
+impl AdminApi {
+    /// Creates the handler.
+    #[must_use]
+    pub fn new(source: Arc<dyn AdminSource>) -> Arc<Self> {
+        Arc::new(Self { source })
+    }
+
+    fn answer(&self, method: &Method, path: &str) -> Response<ResponseBody> {
+        if method != Method::GET {
+            let detail = "the administration API is read-only";
+            return fault_response(StatusCode::METHOD_NOT_ALLOWED, "method_not_allowed", detail);
+        }
+        match path {
+            "/admin/v1/health" => json_response(StatusCode::OK, &json!({"healthy": true})),
+            "/admin/v1/ready" => {
+                let ready = self.source.is_ready();
+                let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+                json_response(status, &json!({"ready": ready}))
+            }
+            "/admin/v1/status" => json_response(StatusCode::OK, &self.source.status()),
+            "/admin/v1/report" => match self.source.report() {
+                Some(report) => json_response(StatusCode::OK, &report),
+                None => {
+                    fault_response(StatusCode::NOT_FOUND, "no_report", "only entries have a report")
+                }
+            },
+            _ => fault_response(
+                StatusCode::NOT_FOUND,
+                "not_found",
+                "see docs/OPERATORS.md for the paths",
+            ),
+        }
+    }
+}
+
+impl HttpHandler for AdminApi {
+    fn handle(&self, request: Request<Incoming>) -> BoxFuture<'_, Response<ResponseBody>> {
+        Box::pin(async move { self.answer(request.method(), request.uri().path()) })
+    }
+}
--- /dev/null
+++ b/crates/node/src/agent/mod.rs
@@ -0,0 +1,118 @@
+//! The agent beside one upstream.
+
+mod forward;
+mod monitor;
+
+use std::sync::Arc;
+
+use config::{AgentSettings, UpstreamKind};
+use log::info;
+use platform::{HttpEngine, HttpService, ModelEngine, PlainService};
+use serde_json::{Value, json};
+use wire::FleetKey;
+
+use self::forward::ForwardHandler;
+pub use self::monitor::{UpstreamMonitor, UpstreamState};
+use crate::{
+    admin::{AdminApi, AdminSource},
+    context::{NodeContext, NodeListeners},
+    control, http,
+    peer::PeerPool,
+    server::FrameServer,
+    view::ViewReader,
+    weights,
+};
+
+/// A running agent.
+pub struct AgentNode {
+    context: NodeContext,
+    forward: Arc<ForwardHandler>,
+    settings: AgentSettings,
+}
+
+impl AgentNode {
+    /// Starts an agent.
+    #[must_use]
+    pub fn start(context: NodeContext, settings: AgentSettings, listeners: NodeListeners) -> Self {
+        let key = FleetKey::new(&settings.common.fleet_key);
+        let pool = PeerPool::new(key.clone(), settings.common.host.clone());
+        let control = control::spawn(&context, &settings.common, &pool);
+        let engine: Arc<dyn ModelEngine> = Arc::new(HttpEngine::new(settings.upstream_address));
+        let service: Arc<dyn PlainService> = Arc::new(HttpService::new(settings.upstream_address));
+        let monitor = UpstreamMonitor::spawn(
+            &context,
+            &settings,
+            control.view.clone(),
+            engine.clone(),
+            service.clone(),
+        );
+        let weights = weights::spawn(&context, &settings, control.view.clone(), engine.clone());
+        let forward = ForwardHandler::new(
+            &context,
+            &settings,
+            control.view.clone(),
+            monitor,
+            engine,
+            service,
+        );
+        let mut handlers = weights.handlers;
+        handlers.push(control.handler);
+        handlers.push(forward.clone());
+        let server = FrameServer::new(key, settings.common.host.clone(), handlers);
+        server.spawn(&context, listeners.peer);
+        let source = Arc::new(AgentStatus { forward: forward.clone(), view: control.view });
+        http::spawn_server(&context, listeners.admin, AdminApi::new(source));
+        info!("event=agent_started host={} upstream={}", settings.common.host, settings.upstream);
+        Self { context, forward, settings }
+    }
+
+    /// Stops gracefully: takes no new work, finishes what runs, at most until the drain timeout.
+    pub async fn drain(self) {
+        self.context.draining.cancel();
+        let held = self.forward.finish(self.settings.common.drain_timeout()).await;
+        info!("event=agent_stopped host={} held={held}", self.settings.common.host);
+        self.context.killed.cancel();
+    }
+
+    /// Stops at once, as a crash would.
+    pub fn kill(&self) {
+        self.context.killed.cancel();
+    }
+}
+
+struct AgentStatus {
+    forward: Arc<ForwardHandler>,
+    view: ViewReader,
+}
+
+impl AdminSource for AgentStatus {
+    fn is_ready(&self) -> bool {
+        self.view.get().is_some()
+    }
+
+    fn status(&self) -> Value {
+        let status = self.forward.status();
+        let view = self.view.get();
+        json!({
+            "role": "agent",
+            "upstream": status.upstream,
+            "revision": status.revision,
+            "config_age_s": view.map(|view| view.adopted_at.elapsed().as_secs()),
+            "incarnation": status.incarnation,
+            "uptime_ms": status.uptime_ms,
+            "draining": status.draining,
+            "upstream_up": status.upstream_up,
+            "limit": status.load.limit,
+            "in_use": status.load.in_use,
+            "queued": status.load.queued,
+            "ready": status.ready.iter().map(|ready| ready.model.as_str()).collect::<Vec<_>>(),
+        })
+    }
+}
+
+/// True if the upstream of these settings is a model engine, as far as the configuration in force tells.
+fn is_model(view: &ViewReader, upstream: &str) -> bool {
+    view.get().is_some_and(|view| {
+        view.config.upstream(upstream).is_some_and(|record| record.kind == UpstreamKind::Model)
+    })
+}
