Add stand-ins of the platform

Cause: entries and agents need a configuration service, weight stores, model engines and plain services to run against.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,21 @@
-//! Will hold the area that docs/design.md names.
+//! Stand-ins of the platform, callers, observers, the demo and the measuring commands.
+//!
+//! The stand-ins speak the HTTP interfaces of the platform on loopback. They record what they really did, so that an
+//! observer can compare it with what callers were told.
+
+pub mod error;
+pub mod http;
+pub mod measure;
+pub mod platform;
+
+pub use crate::{
+    error::StandinError,
+    platform::{
+        catalog::{WeightCatalog, WeightImage},
+        config_service::ConfigService,
+        engine::{EngineOptions, ModelEngine},
+        service::{PlainService, ServiceOptions},
+        weight_store::{StoreFault, StoreOptions, WeightStore},
+        work::{LoadGauge, WorkEnd, WorkLog},
+    },
+};
--- /dev/null
+++ b/crates/standin/src/measure/mod.rs
@@ -0,0 +1,1 @@
+//! Measuring commands, one file per subcommand with `cli()` beside `exec()`.
--- /dev/null
+++ b/crates/standin/src/platform/pace.rs
@@ -0,0 +1,44 @@
+//! Paced link: bytes pass at a fixed rate, shared by everything that uses the link.
+
+use std::{
+    sync::Mutex,
+    time::{Duration, Instant},
+};
+
+use crate::http::lock;
+
+/// A link of fixed rate.
+#[derive(Debug)]
+pub struct PacedLink {
+    bytes_per_second: f64,
+    free_at: Mutex<Option<Instant>>,
+}
+
+impl PacedLink {
+    /// Creates a link with this rate.
+    #[must_use]
+    pub fn new(bytes_per_second: f64) -> Self {
+        Self { bytes_per_second, free_at: Mutex::new(None) }
+    }
+
+    /// Time until bytes that are sent now would start to pass.
+    #[must_use]
+    pub fn backlog(&self) -> Duration {
+        let now = Instant::now();
+        lock(&self.free_at).map_or(Duration::ZERO, |at| at.saturating_duration_since(now))
+    }
+
+    /// Waits until `count` bytes have passed.
+    pub async fn pass(&self, count: usize) {
+        #[expect(clippy::cast_precision_loss, reason = "pieces are far below 2^52 bytes")]
+        let duration = Duration::from_secs_f64(count as f64 / self.bytes_per_second);
+        let end = {
+            let mut free_at = lock(&self.free_at);
+            let now = Instant::now();
+            let end = free_at.map_or(now, |at| at.max(now)) + duration;
+            *free_at = Some(end);
+            end
+        };
+        tokio::time::sleep_until(end.into()).await;
+    }
+}
