--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -1,6 +1,8 @@
 //! Subcommands of `wigeon`, one file each.
 
 mod check;
+pub mod diff;
+pub mod status;
 
 use std::process::ExitCode;
 
@@ -15,6 +17,8 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(check::cli())
+        .subcommand(diff::cli())
+        .subcommand(status::cli())
 }
 
 /// Parses the arguments and runs the subcommand.
@@ -22,6 +26,8 @@
 pub fn run() -> ExitCode {
     match cli().get_matches().subcommand() {
         Some(("check", matches)) => check::exec(matches),
+        Some(("diff", matches)) => diff::exec(matches),
+        Some(("status", matches)) => status::exec(matches),
         _ => unreachable!("clap accepts only known subcommands"),
     }
 }
--- /dev/null
+++ b/crates/cli/tests/output.rs
@@ -0,0 +1,42 @@
+//! Snapshots of what operators see.
+
+use cli::commands::{self, diff, status};
+use config::{ConfigDiff, FleetConfig};
+use insta::assert_snapshot;
+use serde_json::json;
+
+const EXAMPLE: &str = include_str!("../../../examples/fleet.json");
+
+#[test]
+fn help_lists_every_subcommand() {
+    assert_snapshot!(commands::cli().render_help());
+}
+
+#[test]
+fn diff_is_readable() {
+    let old = FleetConfig::parse(EXAMPLE.as_bytes()).unwrap();
+    let mut new = old.clone();
+    new.revision = 2;
+    new.preset = config::PresetName::Peak;
+    new.data_centres[1].out = true;
+    new.services.clear();
+    let text = diff::render(&old, &new, &ConfigDiff::new(&old, &new));
+    assert_snapshot!(text);
+}
+
+#[test]
+fn status_is_readable() {
+    let status = json!({
+        "role": "entry", "revision": 7, "preset": "peak", "config_age_s": 12,
+        "alarms": ["configuration 8 refused: models[0].current"],
+        "data_centres": [{"id": "rajkot-a", "region": "saurashtra", "out": true}],
+        "hosts": [{"id": "entry-1", "role": "entry", "data_centre": "rajkot-a", "state": "live"}],
+        "upstreams": [
+            {"upstream": "engine-1", "data_centre": "rajkot-a", "reachable": true, "draining": true,
+             "upstream_up": true, "revision": 7, "limit": 4, "in_use": 1, "queued": 0,
+             "ready": [{"model": "routes", "manifest": "1111111111111111111111111111"}]},
+            {"upstream": "engine-2", "data_centre": "bannau", "reachable": false}
+        ]
+    });
+    assert_snapshot!(status::render(&status));
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -4,6 +4,7 @@
 //! to one another.
 
 pub mod check;
+pub mod diff;
 pub mod fleet;
 pub mod hosts;
 pub mod placement;
@@ -11,6 +12,7 @@
 
 pub use crate::{
     check::{ConfigError, ConfigFault},
+    diff::{ChangeKind, ConfigDiff, FieldChange, ItemChange},
     fleet::{
         AdapterRecord, DataCentreRecord, FencingMode, FleetConfig, ModelRecord, ModelVersion,
         PresetModel, PresetName, PresetRule, ServiceRecord, TeamRecord, UpstreamKind,
