--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod error;
 pub mod http;
+pub mod http_client;
 pub mod measure;
 pub mod platform;
 
