--- a/crates/cli/tests/exit_status.rs
+++ b/crates/cli/tests/exit_status.rs
@@ -18,12 +18,16 @@
 
 #[test]
 fn check_of_a_faulty_configuration_ends_with_status_2() {
-    let text = include_str!("../../../examples/fleet.json").replace("\"warm_limit\": 8", "\"warm_limit\": 1");
+    let text = include_str!("../../../examples/fleet.json")
+        .replace("\"warm_limit\": 8", "\"warm_limit\": 1");
     let path = write_file("faulty.json", &text);
     let output = run(env!("CARGO_BIN_EXE_wigeon"), &["check", path.to_str().unwrap()]);
     assert_eq!(output.status.code(), Some(2));
     let stderr = String::from_utf8(output.stderr).unwrap();
-    assert!(stderr.contains("upstreams[2].warm_limit: found \"1\"; allowed: at least cold_limit"), "{stderr}");
+    assert!(
+        stderr.contains("upstreams[2].warm_limit: found \"1\"; allowed: at least cold_limit"),
+        "{stderr}"
+    );
 }
 
 #[test]
