--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,1 +1,6 @@
-//! Will hold the area that docs/design.md names.
+//! Command lines of the binaries.
+
+pub mod admin_client;
+pub mod commands;
+pub mod daemon;
+pub mod output;
