--- a/crates/wire/src/channel.rs
+++ b/crates/wire/src/channel.rs
@@ -12,7 +12,7 @@
 };
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
-use crate::message::{Envelope, Hello, Payload};
+use crate::message::{Ack, Envelope, Hello, Payload};
 
 /// Version of the protocol; both sides must have the same.
 pub const PROTOCOL_VERSION: u32 = 1;
@@ -156,6 +156,12 @@
     }
 }
 
+impl<S> FrameReceiver<S> {
+    fn set_limits(&mut self, limits: ChannelLimits) {
+        self.frames.decoder_mut().set_max_frame_length(limits.max_frame_bytes + MAC_BYTES);
+    }
+}
+
 impl<S: AsyncRead> FrameReceiver<S> {
     /// Receives the next message. Cancel safe.
     ///
@@ -201,29 +207,25 @@
     let own = new_hello(host);
     let handshake = async {
         send_hello(&mut writer, &own).await?;
-        receive_hello(&mut reader).await
+        let peer = receive_hello(&mut reader).await?;
+        let session = key.session(CLIENT_CONTEXT, &own.nonce, &peer.nonce);
+        let mut sender = FrameSender { frames: writer, key: session };
+        sender.send(Payload::Ack(Ack {})).await?;
+        Ok((peer, sender))
     };
-    let peer = timeout(HANDSHAKE_TIMEOUT, handshake)
+    let (peer, sender) = timeout(HANDSHAKE_TIMEOUT, handshake)
         .await
         .map_err(|_| ChannelError::HandshakeTimeout)??;
-    Ok(FrameChannel {
-        sender: FrameSender {
-            frames: writer,
-            key: key.session(CLIENT_CONTEXT, &own.nonce, &peer.nonce),
-        },
-        receiver: open_receiver(
-            reader,
-            key.session(SERVER_CONTEXT, &own.nonce, &peer.nonce),
-            limits,
-        ),
-        peer_host: peer.host,
-    })
+    let session = key.session(SERVER_CONTEXT, &own.nonce, &peer.nonce);
+    let mut receiver = FrameReceiver { frames: reader, key: session };
+    receiver.set_limits(limits);
+    Ok(FrameChannel { sender, receiver, peer_host: peer.host })
 }
 
 /// Opens a channel on a stream that this process accepted.
 ///
 /// # Errors
-/// Fails if the peer does not start the handshake in time or speaks another protocol.
+/// Fails if the peer does not finish the handshake in time, speaks another protocol or has another fleet key.
 pub async fn accept<S: AsyncRead + AsyncWrite>(
     stream: S,
     key: &FleetKey,
@@ -235,23 +237,22 @@
     let handshake = async {
         let peer = receive_hello(&mut reader).await?;
         send_hello(&mut writer, &own).await?;
-        Ok(peer)
+        let session = key.session(CLIENT_CONTEXT, &peer.nonce, &own.nonce);
+        let mut receiver = FrameReceiver { frames: reader, key: session };
+        // Proves that the peer holds the fleet key. Until then, frames are limited to the size of a `Hello`, so a
+        // foreign peer cannot make this process buffer a large frame.
+        match receiver.receive().await? {
+            Payload::Ack(_) => Ok((peer, receiver)),
+            _ => Err(ChannelError::Unexpected),
+        }
     };
-    let peer = timeout(HANDSHAKE_TIMEOUT, handshake)
+    let (peer, mut receiver) = timeout(HANDSHAKE_TIMEOUT, handshake)
         .await
         .map_err(|_| ChannelError::HandshakeTimeout)??;
-    Ok(FrameChannel {
-        sender: FrameSender {
-            frames: writer,
-            key: key.session(SERVER_CONTEXT, &peer.nonce, &own.nonce),
-        },
-        receiver: open_receiver(
-            reader,
-            key.session(CLIENT_CONTEXT, &peer.nonce, &own.nonce),
-            limits,
-        ),
-        peer_host: peer.host,
-    })
+    receiver.set_limits(limits);
+    let session = key.session(SERVER_CONTEXT, &peer.nonce, &own.nonce);
+    let sender = FrameSender { frames: writer, key: session };
+    Ok(FrameChannel { sender, receiver, peer_host: peer.host })
 }
 
 type HelloReader<S> = FramedRead<ReadHalf<S>, LengthDelimitedCodec>;
@@ -266,15 +267,6 @@
     (FramedRead::new(reader, hello_codec), FramedWrite::new(writer, send_codec))
 }
 
-fn open_receiver<S>(
-    mut frames: HelloReader<S>,
-    key: FrameKey,
-    limits: ChannelLimits,
-) -> FrameReceiver<S> {
-    frames.decoder_mut().set_max_frame_length(limits.max_frame_bytes + MAC_BYTES);
-    FrameReceiver { frames, key }
-}
-
 fn new_hello(host: &str) -> Hello {
     let nonce: [u8; NONCE_BYTES] = rand::random();
     Hello {
