once: add signed request keys

Cause: a request that is not idempotent has to reach the one agent incarnation that keeps its record, through any entry.

Change: RequestKey names service, owner upstream, owner incarnation, issue time on the owner's uptime clock and 128 random bits. KeySigner writes it as header- safe ASCII with a keyed BLAKE3 signature and verifies it with typed errors. The signing key is derived from the fleet key under KEY_SIGNING_CONTEXT.

--- /dev/null
+++ b/crates/once/src/key.rs
@@ -0,0 +1,200 @@
+//! Request keys and their signed text form.
+
+use std::{fmt, time::Duration};
+
+use base::{Incarnation, ServiceId, UpstreamId};
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+use snafu::{OptionExt, Snafu, ensure};
+
+/// Context under which the signing key is derived from the fleet key; pass it to `wire::FleetKey::derive`.
+pub const KEY_SIGNING_CONTEXT: &str = "wigeonhaven request keys v1";
+
+/// Longest text form that is parsed, in bytes: two ids of 64 bytes, four numbers and the signature.
+pub const MAX_KEY_BYTES: usize = 320;
+
+const VERSION: &str = "k1";
+/// Ids of the configuration never contain this character, and it is allowed in HTTP header values.
+const SEPARATOR: char = '~';
+/// Longest id that the configuration accepts, in bytes.
+const MAX_ID_BYTES: usize = 64;
+
+/// Why the text of a key is rejected.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+pub enum KeyError {
+    /// The text is longer than any key.
+    #[snafu(display("request key has {length} bytes, at most {MAX_KEY_BYTES} are allowed"))]
+    TooLong {
+        /// Length of the text in bytes.
+        length: usize,
+    },
+    /// The text does not have the fields of a key.
+    #[snafu(display("request key is malformed: {field}"))]
+    Malformed {
+        /// The field that is absent or has the wrong form.
+        field: &'static str,
+    },
+    /// The signature is not one of this fleet: the text was altered or made up.
+    #[snafu(display("request key is not signed by this fleet"))]
+    NotAuthentic,
+}
+
+/// The agent incarnation that alone may run the request of a key.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct KeyOwner {
+    /// Upstream beside the agent.
+    pub upstream: UpstreamId,
+    /// Incarnation of the agent.
+    pub incarnation: Incarnation,
+}
+
+impl KeyOwner {
+    /// Names the agent `incarnation` beside `upstream`.
+    #[must_use]
+    pub fn new(upstream: impl Into<UpstreamId>, incarnation: Incarnation) -> Self {
+        Self { upstream: upstream.into(), incarnation }
+    }
+}
+
+/// Position of a key in the order of issue; unique within one owner incarnation.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct KeyIndex {
+    issued_ms: u64,
+    random: u128,
+}
+
+impl KeyIndex {
+    /// Issue time on the owner's uptime clock.
+    #[must_use]
+    pub fn issued(self) -> Duration {
+        Duration::from_millis(self.issued_ms)
+    }
+}
+
+/// Key of one request that must not run twice.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct RequestKey {
+    service: ServiceId,
+    owner: KeyOwner,
+    index: KeyIndex,
+}
+
+impl RequestKey {
+    /// Draws a key for a call of `service`, issued at `issued` on the uptime clock of `owner` (whole milliseconds).
+    #[must_use]
+    pub fn new(
+        service: impl Into<ServiceId>,
+        owner: KeyOwner,
+        issued: Duration,
+        random: &mut impl Rng,
+    ) -> Self {
+        let issued_ms = u64::try_from(issued.as_millis()).unwrap_or(u64::MAX);
+        let random = u128::from(random.next_u64()) << u64::BITS | u128::from(random.next_u64());
+        Self { service: service.into(), owner, index: KeyIndex { issued_ms, random } }
+    }
+
+    /// Service that the key was drawn for.
+    #[must_use]
+    pub fn service(&self) -> &ServiceId {
+        &self.service
+    }
+
+    /// The agent incarnation that alone may run the request.
+    #[must_use]
+    pub fn owner(&self) -> &KeyOwner {
+        &self.owner
+    }
+
+    /// Issue time on the owner's uptime clock.
+    #[must_use]
+    pub fn issued(&self) -> Duration {
+        self.index.issued()
+    }
+
+    /// Position of the key in the order of issue.
+    #[must_use]
+    pub fn index(&self) -> KeyIndex {
+        self.index
+    }
+}
+
+/// Signs keys and verifies their text form.
+#[derive(Clone)]
+pub struct KeySigner {
+    secret: [u8; 32],
+}
+
+impl KeySigner {
+    /// Creates a signer from the key that `wire::FleetKey::derive` yields for [`KEY_SIGNING_CONTEXT`].
+    #[must_use]
+    pub fn new(secret: [u8; 32]) -> Self {
+        Self { secret }
+    }
+
+    /// Signed text form of `key`: printable ASCII without spaces, commas or quotes, at most [`MAX_KEY_BYTES`] long.
+    #[must_use]
+    pub fn sign(&self, key: &RequestKey) -> String {
+        let RequestKey { service, owner, index } = key;
+        let KeyOwner { upstream, incarnation } = owner;
+        let KeyIndex { issued_ms, random } = index;
+        let mut text = format!(
+            "{VERSION}{SEPARATOR}{service}{SEPARATOR}{upstream}{SEPARATOR}{incarnation:x}{SEPARATOR}\
+             {issued_ms:x}{SEPARATOR}{random:x}"
+        );
+        let signature = self.signature(&text);
+        text.push(SEPARATOR);
+        text.push_str(&signature.to_hex());
+        text
+    }
+
+    /// Verifies the signature of `text` and parses the key.
+    ///
+    /// # Errors
+    /// Fails if the text is too long, not a key, or not signed by this fleet.
+    pub fn verify(&self, text: &str) -> Result<RequestKey, KeyError> {
+        ensure!(text.len() <= MAX_KEY_BYTES, TooLongSnafu { length: text.len() });
+        let (signed, signature) =
+            text.rsplit_once(SEPARATOR).context(MalformedSnafu { field: "signature" })?;
+        let signature = blake3::Hash::from_hex(signature)
+            .ok()
+            .context(MalformedSnafu { field: "signature" })?;
+        // `blake3::Hash` compares in constant time.
+        ensure!(signature == self.signature(signed), NotAuthenticSnafu);
+        parse(signed)
+    }
+
+    fn signature(&self, text: &str) -> blake3::Hash {
+        blake3::keyed_hash(&self.secret, text.as_bytes())
+    }
+}
+
+impl fmt::Debug for KeySigner {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("KeySigner(hidden)")
+    }
+}
+
+fn parse(text: &str) -> Result<RequestKey, KeyError> {
+    let fields: Vec<_> = text.split(SEPARATOR).collect();
+    let [version, service, upstream, incarnation, issued, random] = fields[..] else {
+        return MalformedSnafu { field: "number of fields" }.fail();
+    };
+    ensure!(version == VERSION, MalformedSnafu { field: "version" });
+    ensure!(is_id(service), MalformedSnafu { field: "service" });
+    ensure!(is_id(upstream), MalformedSnafu { field: "upstream" });
+    let number = |text| u64::from_str_radix(text, 16).ok();
+    let incarnation = number(incarnation).context(MalformedSnafu { field: "incarnation" })?;
+    let issued_ms = number(issued).context(MalformedSnafu { field: "issue time" })?;
+    let random =
+        u128::from_str_radix(random, 16).ok().context(MalformedSnafu { field: "random part" })?;
+    Ok(RequestKey {
+        service: service.into(),
+        owner: KeyOwner::new(upstream, incarnation),
+        index: KeyIndex { issued_ms, random },
+    })
+}
+
+fn is_id(text: &str) -> bool {
+    (1..=MAX_ID_BYTES).contains(&text.len())
+        && text.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte))
+}
