once: add the owner's record of request keys

Cause: a request that is not idempotent runs at most once, and 'not run' has to be true through any entry and in any attempt.

Change: RequestRecord holds the states queued, sent and settled (answered with the retained answer, not run, unknown). Only a queued key can be sent and only an unsent key can be refused, so the promises follow from the state machine. The oldest settled records are dropped first and raise the floor; requests in progress are never dropped. A key that finds the record full of requests in progress raises the floor to itself and is refused for good. A key used with other content is reported as a mismatch.

Conclusion: a property test over random event orders (512 cases) finds no key that runs twice and no untruthful 'not run'.

--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -5,7 +5,14 @@
 //! processes is needed; if it is gone, the outcome of the key is unknown.
 
 mod key;
+mod record;
 
-pub use crate::key::{
-    KEY_SIGNING_CONTEXT, KeyError, KeyIndex, KeyOwner, KeySigner, MAX_KEY_BYTES, RequestKey,
+pub use crate::{
+    key::{
+        KEY_SIGNING_CONTEXT, KeyError, KeyIndex, KeyOwner, KeySigner, MAX_KEY_BYTES, RequestKey,
+    },
+    record::{
+        AttemptId, BeginVerdict, KeyState, RecordError, RecordOptions, RecordedResult,
+        RequestRecord, RetainedAnswer, SettledKey,
+    },
 };
--- /dev/null
+++ b/crates/once/tests/record.rs
@@ -0,0 +1,257 @@
+//! Guards against a request that runs twice and against untruthful "not run".
+
+use std::{collections::HashMap, time::Duration};
+
+use base::{ContentDigest, RefusalReason};
+use bytes::Bytes;
+use once::{
+    BeginVerdict, KeyOwner, KeyState, RecordError, RecordOptions, RecordedResult, RequestKey,
+    RequestRecord, RetainedAnswer,
+};
+use proptest::prelude::*;
+use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
+
+const VALIDITY: Duration = Duration::from_secs(600);
+
+fn owner() -> KeyOwner {
+    KeyOwner::new("u-1", 42)
+}
+
+fn key_at(issued_s: u64, seed: u64) -> RequestKey {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    RequestKey::new("booking", owner(), Duration::from_secs(issued_s), &mut random)
+}
+
+fn answer(size: usize) -> RetainedAnswer {
+    let body = Bytes::from(vec![b'a'; size]);
+    RetainedAnswer { status: 201, content_type: "t".into(), body }
+}
+
+fn content() -> ContentDigest {
+    ContentDigest::of(b"POST /book")
+}
+
+fn new_record(max_records: usize, max_bytes: usize) -> RequestRecord {
+    let options =
+        RecordOptions { max_records, max_bytes, max_answer_bytes: 64, ..RecordOptions::default() };
+    RequestRecord::new(owner(), options)
+}
+
+fn run_to_end(record: &mut RequestRecord, key: &RequestKey, size: usize) {
+    assert_eq!(record.begin(key, content(), 0, key.issued()), BeginVerdict::Run);
+    record.mark_sent(key).expect("the key is queued");
+    record.finish(key, answer(size)).expect("the key was sent");
+}
+
+/// Guards against a lost answer that makes the caller book twice.
+#[test]
+fn resent_key_gets_the_recorded_answer() {
+    let mut record = new_record(8, 1 << 10);
+    let key = key_at(1, 1);
+    run_to_end(&mut record, &key, 10);
+    let verdict = record.begin(&key, content(), 1, Duration::from_secs(500));
+    assert_eq!(verdict, BeginVerdict::Settled(RecordedResult::Answered(answer(10))));
+}
+
+/// Guards against a duplicate that runs beside the attempt in progress.
+#[test]
+fn duplicate_in_progress_waits_for_the_same_result() {
+    let mut record = new_record(8, 1 << 10);
+    let key = key_at(1, 1);
+    assert_eq!(record.begin(&key, content(), 1, key.issued()), BeginVerdict::Run);
+    assert_eq!(record.begin(&key, content(), 2, key.issued()), BeginVerdict::Wait);
+    record.mark_sent(&key).expect("the key is queued");
+    assert_eq!(record.begin(&key, content(), 3, key.issued()), BeginVerdict::Wait);
+    record.forget_waiting(&key, 2);
+    let settled = record.finish(&key, answer(4)).expect("the key was sent");
+    assert_eq!(settled.waiting, [3]);
+    assert_eq!(settled.result, RecordedResult::Answered(answer(4)));
+}
+
+/// Guards against "not run" about a request that the upstream may have received.
+#[test]
+fn sent_request_is_never_refused_or_sent_again() {
+    let mut record = new_record(8, 1 << 10);
+    let key = key_at(1, 1);
+    record.begin(&key, content(), 1, key.issued());
+    record.mark_sent(&key).expect("the key is queued");
+    assert_eq!(record.mark_sent(&key), Err(RecordError::AlreadySent));
+    assert_eq!(record.refuse(&key, RefusalReason::Draining), Err(RecordError::AlreadySent));
+    record.lose(&key, RefusalReason::ConnectionLost).expect("the key was sent");
+    let lost = RecordedResult::Unknown(RefusalReason::ConnectionLost);
+    assert_eq!(record.begin(&key, content(), 2, key.issued()), BeginVerdict::Settled(lost));
+}
+
+/// Guards against a late duplicate that runs after the caller was told "not run".
+#[test]
+fn refused_key_stays_refused() {
+    let mut record = new_record(8, 1 << 10);
+    let key = key_at(1, 1);
+    record.begin(&key, content(), 1, key.issued());
+    record.refuse(&key, RefusalReason::Overloaded).expect("the key is queued");
+    assert_eq!(record.mark_sent(&key), Err(RecordError::NotInProgress));
+    let refusal = RecordedResult::NotRun(RefusalReason::Overloaded);
+    assert_eq!(record.begin(&key, content(), 2, key.issued()), BeginVerdict::Settled(refusal));
+}
+
+/// Guards against a key that outlives its owner or its validity.
+#[test]
+fn foreign_and_expired_keys_are_unknown() {
+    let mut record = new_record(8, 1 << 10);
+    let mut random = ChaCha8Rng::seed_from_u64(9);
+    let foreign = RequestKey::new("booking", KeyOwner::new("u-1", 41), Duration::ZERO, &mut random);
+    let gone = BeginVerdict::Unknown(RefusalReason::OwnerGone);
+    assert_eq!(record.begin(&foreign, content(), 1, Duration::ZERO), gone);
+    let key = key_at(1, 1);
+    run_to_end(&mut record, &key, 4);
+    let late = key.issued() + VALIDITY + Duration::from_millis(1);
+    let expired = BeginVerdict::Unknown(RefusalReason::KeyExpired);
+    assert_eq!(record.begin(&key, content(), 1, late), expired);
+    assert!(record.is_empty(), "the record of an expired key is dropped");
+}
+
+/// Guards against one caller's answer being handed to another request.
+#[test]
+fn key_with_other_content_is_a_mismatch() {
+    let mut record = new_record(8, 1 << 10);
+    let key = key_at(1, 1);
+    run_to_end(&mut record, &key, 4);
+    let other = ContentDigest::of(b"POST /book other");
+    assert_eq!(record.begin(&key, other, 1, key.issued()), BeginVerdict::ContentMismatch);
+}
+
+/// Guards against a dropped record whose key runs again.
+#[test]
+fn keys_at_or_below_the_floor_are_unknown() {
+    let mut record = new_record(2, 1 << 10);
+    let keys = [key_at(10, 1), key_at(20, 2), key_at(30, 3)];
+    keys.iter().for_each(|key| run_to_end(&mut record, key, 4));
+    assert_eq!(record.floor(), Some(Duration::from_secs(10)));
+    let now = Duration::from_secs(31);
+    let unknown = BeginVerdict::Unknown(RefusalReason::KeyExpired);
+    assert_eq!(record.begin(&keys[0], content(), 1, now), unknown);
+    assert_eq!(record.begin(&key_at(10, 4), content(), 1, now), unknown);
+    assert_eq!(record.begin(&key_at(11, 5), content(), 1, now), BeginVerdict::Run);
+}
+
+/// Guards against waiting forever or running later when nothing can be dropped.
+#[test]
+fn full_of_requests_in_progress_refuses_for_good() {
+    let mut record = new_record(1, 1 << 10);
+    let first = key_at(1, 1);
+    assert_eq!(record.begin(&first, content(), 1, first.issued()), BeginVerdict::Run);
+    let second = key_at(2, 2);
+    let refusal = RecordedResult::NotRun(RefusalReason::Overloaded);
+    assert_eq!(
+        record.begin(&second, content(), 2, second.issued()),
+        BeginVerdict::Settled(refusal)
+    );
+    record.refuse(&first, RefusalReason::Draining).expect("the key is queued");
+    let unknown = BeginVerdict::Unknown(RefusalReason::KeyExpired);
+    assert_eq!(record.begin(&second, content(), 3, second.issued()), unknown);
+}
+
+/// Guards against an answer too large to retain being called not run.
+#[test]
+fn oversize_answer_is_unknown_on_resend() {
+    let mut record = new_record(8, 1 << 10);
+    let key = key_at(1, 1);
+    run_to_end(&mut record, &key, 65);
+    let result = RecordedResult::Unknown(RefusalReason::AnswerNotRetained);
+    assert_eq!(record.lookup(&key, key.issued()), KeyState::Settled(result));
+}
+
+/// Guards against an issue time ahead of the owner's clock that blocks newer keys through the floor.
+#[test]
+fn key_from_the_future_is_unknown() {
+    let mut record = new_record(8, 1 << 10);
+    let unknown = BeginVerdict::Unknown(RefusalReason::Refreshing);
+    assert_eq!(record.begin(&key_at(60, 1), content(), 1, Duration::from_secs(1)), unknown);
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Begin(usize),
+    Send(usize),
+    Finish(usize, usize),
+    Lose(usize),
+    Refuse(usize),
+    Undelivered(usize),
+    Advance(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let key = 0usize..12;
+    prop_oneof![
+        5 => key.clone().prop_map(Step::Begin),
+        3 => key.clone().prop_map(Step::Send),
+        2 => (key.clone(), 0usize..80).prop_map(|(key, size)| Step::Finish(key, size)),
+        1 => key.clone().prop_map(Step::Lose),
+        2 => key.clone().prop_map(Step::Refuse),
+        1 => key.prop_map(Step::Undelivered),
+        1 => (1u64..200).prop_map(Step::Advance),
+    ]
+}
+
+/// What the outside saw of one key.
+#[derive(Clone, Copy, Debug, Default)]
+struct Seen {
+    sends: u32,
+    delivered: bool,
+    not_run: bool,
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(512))]
+
+    /// Guards against a key that runs twice, "not run" about a key that ran or runs later, and unbounded memory, under
+    /// any order of events.
+    #[test]
+    fn any_event_order_keeps_the_promises(steps in prop::collection::vec(step(), 1..200)) {
+        let mut record = new_record(4, 128);
+        let keys: Vec<_> = (0..12).map(|index| key_at(index * 7 % 40, index)).collect();
+        let mut seen: HashMap<usize, Seen> = HashMap::new();
+        let mut uptime = Duration::from_secs(40);
+        for step in steps {
+            match step {
+                Step::Begin(index) => {
+                    let verdict = record.begin(&keys[index], content(), 0, uptime);
+                    let entry = seen.entry(index).or_default();
+                    if let BeginVerdict::Settled(RecordedResult::NotRun(_)) = verdict {
+                        prop_assert!(!entry.delivered, "key {} ran and was called not run", index);
+                        entry.not_run = true;
+                    }
+                }
+                Step::Send(index) => if record.mark_sent(&keys[index]).is_ok() {
+                    let entry = seen.entry(index).or_default();
+                    entry.sends += 1;
+                    entry.delivered = true;
+                    prop_assert_eq!(entry.sends, 1, "key {} ran twice", index);
+                    prop_assert!(!entry.not_run, "key {} ran after it was called not run", index);
+                },
+                Step::Finish(index, size) => { record.finish(&keys[index], answer(size)).ok(); }
+                Step::Lose(index) => {
+                    record.lose(&keys[index], RefusalReason::ConnectionLost).ok();
+                }
+                Step::Refuse(index) => {
+                    if record.refuse(&keys[index], RefusalReason::Overloaded).is_ok() {
+                        let entry = seen.entry(index).or_default();
+                        prop_assert!(!entry.delivered, "key {} ran and was refused", index);
+                        entry.not_run = true;
+                    }
+                }
+                Step::Undelivered(index) => {
+                    // The caller proves that the upstream never saw the request, so it counts as not run.
+                    if record.refuse_undelivered(&keys[index], RefusalReason::NotReady).is_ok() {
+                        let entry = seen.entry(index).or_default();
+                        entry.delivered = false;
+                        entry.not_run = true;
+                    }
+                }
+                Step::Advance(seconds) => uptime += Duration::from_secs(seconds),
+            }
+            prop_assert!(record.len() <= 4);
+            prop_assert!(record.bytes() <= 128);
+        }
+    }
+}
