platform: report 429 and undelimited bodies in the answer

Cause: a plain service that answers 429 reached the agent as status 200 with a broken body, and a body that ends with its connection looked whole when the connection broke.

Change: UpstreamAnswer carries the delay of a 429 and whether the head states where the body ends; collecting callers still get RateLimited.

Conclusion: the agent can pass on 429 as an answer and check completeness.

--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -8,8 +8,8 @@
 use http_body_util::{BodyDataStream, BodyExt, Full, StreamBody, combinators::BoxBody};
 use hyper::{
     Method, Request, Response, StatusCode,
-    body::{Frame, Incoming},
-    header::{CONTENT_TYPE, RETRY_AFTER},
+    body::{Body, Frame, Incoming},
+    header::{CONTENT_TYPE, RETRY_AFTER, TRANSFER_ENCODING},
 };
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
@@ -18,7 +18,7 @@
 use snafu::{OptionExt, ResultExt};
 use tokio::time::timeout;
 
-use crate::error::{MalformedSnafu, PlatformError, RequestSnafu, TooLargeSnafu};
+use crate::error::{MalformedSnafu, PlatformError, RateLimitedSnafu, RequestSnafu, TooLargeSnafu};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -34,6 +34,11 @@
     pub status: u16,
     /// Content type; empty if none was given.
     pub content_type: CompactString,
+    /// Delay that the other side asks for; only with status 429.
+    pub retry_after: Option<Duration>,
+    /// True if the head states where the body ends. Otherwise the end of the connection ends the body, and a broken
+    /// connection looks like a whole answer.
+    pub is_delimited: bool,
     /// Parts of the body; an error means that the answer is incomplete.
     pub body: BoxStream<'static, Result<Bytes, PlatformError>>,
 }
@@ -159,7 +164,10 @@
     answer: UpstreamAnswer,
     limit: usize,
 ) -> Result<(u16, Bytes), PlatformError> {
-    let UpstreamAnswer { status, mut body, .. } = answer;
+    let UpstreamAnswer { status, retry_after, mut body, .. } = answer;
+    if let Some(retry_after) = retry_after {
+        return RateLimitedSnafu { retry_after }.fail();
+    }
     let known = StatusCode::from_u16(status)
         .ok()
         .filter(|code| code.is_success() || *code == StatusCode::NOT_MODIFIED);
@@ -181,25 +189,15 @@
     let status = response.status().as_u16();
     let header = |name: &str| response.headers().get(name).and_then(|value| value.to_str().ok());
     let content_type = header(CONTENT_TYPE.as_str()).unwrap_or_default().into();
-    if response.status() == StatusCode::TOO_MANY_REQUESTS {
-        let millis =
-            header(RETRY_AFTER_MS).and_then(|text| text.parse().ok()).map(Duration::from_millis);
-        let seconds = header(RETRY_AFTER.as_str())
-            .and_then(|text| text.parse().ok())
-            .map(Duration::from_secs);
-        let retry_after = millis.or(seconds).unwrap_or(DEFAULT_RETRY_AFTER);
-        let refusal =
-            futures_util::stream::once(
-                async move { Err(PlatformError::RateLimited { retry_after }) },
-            );
-        // The status is reported as a success so that `collect` reaches the refusal with its delay.
-        return UpstreamAnswer {
-            status: StatusCode::OK.as_u16(),
-            content_type,
-            body: refusal.boxed(),
-        };
-    }
+    let millis =
+        header(RETRY_AFTER_MS).and_then(|text| text.parse().ok()).map(Duration::from_millis);
+    let seconds =
+        header(RETRY_AFTER.as_str()).and_then(|text| text.parse().ok()).map(Duration::from_secs);
+    let retry_after = (response.status() == StatusCode::TOO_MANY_REQUESTS)
+        .then(|| millis.or(seconds).unwrap_or(DEFAULT_RETRY_AFTER));
+    let is_delimited = response.headers().contains_key(TRANSFER_ENCODING)
+        || response.body().size_hint().exact().is_some();
     let parts = BodyDataStream::new(response.into_body());
     let body = parts.map_err(|error| PlatformError::Broken { source: error.into() }).boxed();
-    UpstreamAnswer { status, content_type, body }
+    UpstreamAnswer { status, content_type, retry_after, is_delimited, body }
 }
