Build the entry on the cores of the request path

Cause: the entry of the skeleton picked a random agent, had no retries, no keys, no resume, and cut connections off at a planned stop. Change: the entry reads and checks callers' requests, chooses upstreams by UpstreamBoard, forwards over pooled channels with one exchange each, retries refusals that state "not run" and idempotent requests within the budget, and resumes model streams at the exact offset on the same digest, or ends them in an error line. Keyed calls go only to the owner that the key names; whatever the owner did not say itself is unknown. Crash notices reach the known entries and agents before the caller is answered. The planned stop serves callers for one time to live of address answers before connections close, for which NodeContext has a second signal. A connection that sends nothing is closed after 10 s.

--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -88,6 +88,8 @@
     pub incarnation: Incarnation,
     /// Cancelled when a planned stop begins: no new work from here on.
     pub draining: CancellationToken,
+    /// Cancelled when HTTP connections close as soon as their requests are answered.
+    pub closing: CancellationToken,
     /// Cancelled when every task has to end at once.
     pub killed: CancellationToken,
     control: Handle,
@@ -98,9 +100,15 @@
     /// Creates the context of a node whose control tasks run on `control` and whose traffic runs on `traffic`.
     #[must_use]
     pub fn new(clock: Arc<dyn Clock>, control: Handle, traffic: Handle) -> Self {
-        let draining = CancellationToken::new();
-        let killed = CancellationToken::new();
-        Self { clock, incarnation: rand::random(), draining, killed, control, traffic }
+        Self {
+            clock,
+            incarnation: rand::random(),
+            draining: CancellationToken::new(),
+            closing: CancellationToken::new(),
+            killed: CancellationToken::new(),
+            control,
+            traffic,
+        }
     }
 
     /// Runs a task of control state until it ends or the node is killed.
--- a/crates/node/src/entry/api.rs
+++ b/crates/node/src/entry/api.rs
@@ -1,37 +1,61 @@
 //! The callers' HTTP API.
 
-use std::{io, sync::Arc, time::Duration};
+use std::sync::Arc;
 
-use base::Outcome;
+use base::{Outcome, RefusalReason};
 use bytes::Bytes;
-use config::{EntrySettings, HostState};
-use futures_util::{StreamExt, future::BoxFuture};
-use http_body_util::{BodyExt, Limited, StreamBody};
-use hyper::{
-    Method, Request, Response, StatusCode,
-    body::{Frame, Incoming},
-    header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
-};
+use config::EntrySettings;
+use futures_util::future::BoxFuture;
+use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use once::KeySigner;
+use route::{WorkTarget, answer_addresses};
 use serde_json::json;
-use tokio::time::timeout;
-use wire::{Forward, Payload};
 
-use super::forward::{ForwardRefusal, Forwarder, StartedAnswer};
+use super::{
+    forward::{ForwardRefusal, Forwarder, RequestRun},
+    keys::KeyOrder,
+    request::{
+        CallerError, CallerHeaders, CallerRequest, CallerWork, check_team, fingerprint, model_work,
+        read_body, service_work,
+    },
+    respond::{
+        caller_fault, close_connection, refusal_response, stream_response, whole_response,
+        with_outcome,
+    },
+    service::{call_idempotent, call_keyed},
+    stream::{ModelStart, line_channel, start_model},
+};
 use crate::{
-    context::NodeContext,
-    http::{HttpHandler, ResponseBody, fault_response, json_response},
-    view::ViewReader,
+    http::{HttpHandler, ResponseBody, json_response},
+    view::FleetView,
 };
 
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-const DEFAULT_DEADLINE_MS: u64 = 30_000;
-const DEFAULT_PRIORITY: u32 = 4;
+const SERVICES_PREFIX: &str = "/v1/services/";
+
+/// Why a request has no answer of an upstream.
+enum Failure {
+    Caller(CallerError),
+    Refused(ForwardRefusal),
+}
+
+impl From<CallerError> for Failure {
+    fn from(fault: CallerError) -> Self {
+        Self::Caller(fault)
+    }
+}
+
+impl From<ForwardRefusal> for Failure {
+    fn from(refusal: ForwardRefusal) -> Self {
+        Self::Refused(refusal)
+    }
+}
+
+type Answer = Result<Response<ResponseBody>, Failure>;
 
 /// Handler of the callers' API.
 pub struct CallerApi {
-    context: NodeContext,
     settings: EntrySettings,
-    view: ViewReader,
+    signer: KeySigner,
     forwarder: Arc<Forwarder>,
 }
 
@@ -39,176 +63,171 @@
     /// Creates the handler.
     #[must_use]
     pub fn new(
-        context: &NodeContext,
         settings: &EntrySettings,
-        view: ViewReader,
+        signer: KeySigner,
         forwarder: Arc<Forwarder>,
     ) -> Arc<Self> {
-        Arc::new(Self { context: context.clone(), settings: settings.clone(), view, forwarder })
+        Arc::new(Self { settings: settings.clone(), signer, forwarder })
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Response<ResponseBody> {
+        let (version, keyed) = (request.version(), request.headers().contains_key("x-request-key"));
+        let mut response = match self.dispatch(request).await {
+            Ok(response) => response,
+            Err(Failure::Caller(fault)) => caller_fault(&fault, keyed, version),
+            Err(Failure::Refused(refusal)) => refusal_response(&refusal),
+        };
+        if self.forwarder.context.draining.is_cancelled() {
+            close_connection(&mut response, version);
+        }
+        response
+    }
+
+    async fn dispatch(&self, request: Request<Incoming>) -> Answer {
         let path = request.uri().path().to_owned();
         let segments: Vec<_> = path.trim_start_matches('/').split('/').collect();
-        match (request.method().clone(), segments.as_slice()) {
-            (Method::GET, ["v1", "addresses"]) => self.addresses(),
-            (Method::POST, ["v1", "models", model, "generate"]) => {
-                let forward = Forward { model: (*model).to_owned(), ..Forward::default() };
-                self.forward(request, forward).await
+        match (request.method(), segments.as_slice()) {
+            (&Method::GET, ["v1", "addresses"]) => self.addresses(request.uri().query()),
+            (&Method::POST, ["v1", "keys"]) => self.keys(request).await,
+            (&Method::POST, ["v1", "models", model, "generate"]) => {
+                self.generate(request, model).await
             }
-            (method, ["v1", "services", service, rest @ ..]) => {
-                let forward = Forward {
-                    service: (*service).to_owned(),
-                    method: method.to_string(),
-                    path: format!("/{}", rest.join("/")),
-                    ..Forward::default()
-                };
-                self.forward(request, forward).await
+            (_, ["v1", "services", service, _, ..]) => self.call(request, service).await,
+            _ => {
+                let detail = "paths are /v1/addresses, /v1/keys, /v1/models/MODEL/generate and \
+                              /v1/services/SERVICE/PATH";
+                Err(CallerError::not_found("not_found", detail).into())
             }
-            _ => fault_response(
-                StatusCode::NOT_FOUND,
-                "not_found",
-                "see docs/OPERATORS.md for the paths",
-            ),
         }
     }
 
-    fn addresses(&self) -> Response<ResponseBody> {
-        let Some(view) = self.view.get() else {
-            return fault_response(
-                StatusCode::SERVICE_UNAVAILABLE,
-                "starting",
-                "no configuration in force yet",
-            );
-        };
-        let addresses: Vec<_> = view
-            .hosts
-            .entries()
-            .filter(|host| host.state == HostState::Live && !view.config.is_out(&host.data_centre))
-            .filter_map(|host| host.http)
-            .collect();
-        json_response(
-            StatusCode::OK,
-            &json!({"addresses": addresses, "ttl_ms": self.settings.address_ttl_ms}),
-        )
+    fn view(&self, keyed: bool) -> Result<Arc<FleetView>, ForwardRefusal> {
+        let outcome = if keyed { Outcome::Unknown } else { Outcome::NotRun };
+        let view = self.forwarder.view.get();
+        view.ok_or_else(|| ForwardRefusal::new(outcome, RefusalReason::Refreshing))
     }
 
-    async fn forward(
-        &self,
-        request: Request<Incoming>,
-        mut forward: Forward,
-    ) -> Response<ResponseBody> {
-        let header = |name: &str| request.headers().get(name).and_then(|value| value.to_str().ok());
-        let Some(team) = header("x-team").map(str::to_owned) else {
-            return fault_response(
-                StatusCode::BAD_REQUEST,
-                "team_required",
-                "header x-team names a team",
-            );
-        };
-        forward.team = team;
-        forward.priority =
-            header("x-priority").and_then(|text| text.parse().ok()).unwrap_or(DEFAULT_PRIORITY);
-        forward.remaining_ms = header("x-deadline-ms")
-            .and_then(|text| text.parse().ok())
-            .unwrap_or(DEFAULT_DEADLINE_MS);
-        forward.key = header("x-request-key").unwrap_or_default().to_owned();
-        let limited = Limited::new(request.into_body(), self.settings.max_body_bytes);
-        match timeout(BODY_TIMEOUT, limited.collect()).await {
-            Ok(Ok(collected)) => forward.body = collected.to_bytes(),
-            Ok(Err(_)) => {
-                return fault_response(
-                    StatusCode::PAYLOAD_TOO_LARGE,
-                    "body_too_large",
-                    "see max_body_bytes",
-                );
-            }
-            Err(_) => {
-                return fault_response(
-                    StatusCode::REQUEST_TIMEOUT,
-                    "body_timeout",
-                    "body within 10 s",
-                );
-            }
-        }
-        match self.forwarder.forward(forward).await {
-            Ok(answer) => self.stream(answer),
-            Err(refusal) => refusal_response(refusal),
-        }
+    fn addresses(&self, query: Option<&str>) -> Answer {
+        let view = self.view(false)?;
+        let pairs = query.unwrap_or_default().split('&');
+        let team = pairs.filter_map(|pair| pair.strip_prefix("team=")).next();
+        let team = team.ok_or(CallerError::new("team_required", "the query names a team"))?;
+        check_team(team, &view.config)?;
+        let stopping = self.forwarder.context.draining.is_cancelled();
+        let answer = answer_addresses(
+            &view.config,
+            &view.hosts,
+            stopping.then_some(self.settings.common.host.as_str()),
+            team,
+            std::time::Duration::from_millis(self.settings.address_ttl_ms),
+            &mut self.forwarder.state.lock().rng,
+        );
+        let ttl_ms = u64::try_from(answer.ttl.as_millis()).unwrap_or(u64::MAX);
+        let body = json!({"addresses": answer.addresses, "ttl_ms": ttl_ms});
+        Ok(with_outcome(json_response(StatusCode::OK, &body), Outcome::Answered))
     }
 
-    fn stream(&self, answer: StartedAnswer) -> Response<ResponseBody> {
-        let status =
-            u16::try_from(answer.head.status).ok().and_then(|code| StatusCode::from_u16(code).ok());
-        let content_type = HeaderValue::from_str(&answer.head.content_type);
-        let (sender, receiver) = tokio::sync::mpsc::channel::<Result<Bytes, io::Error>>(16);
-        self.context.spawn_traffic(copy_body(answer, sender));
-        let parts = futures_util::stream::unfold(receiver, |mut receiver| async move {
-            receiver.recv().await.map(|part| (part, receiver))
-        });
-        let body = BodyExt::boxed(StreamBody::new(parts.map(|part| part.map(Frame::data))));
-        let mut response = Response::new(body);
-        *response.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
-        if let Ok(content_type) = content_type {
-            response.headers_mut().insert(CONTENT_TYPE, content_type);
-        }
-        set_outcome(&mut response, Outcome::Answered);
-        response
+    async fn keys(&self, request: Request<Incoming>) -> Answer {
+        let view = self.view(false)?;
+        let body = read_body(request.into_body(), self.settings.max_body_bytes).await?;
+        let grant = KeyOrder::parse(&body, &view.config)?.issue(&self.forwarder, &self.signer)?;
+        Ok(with_outcome(json_response(StatusCode::OK, &grant), Outcome::Answered))
     }
-}
 
-impl HttpHandler for CallerApi {
-    fn handle(&self, request: Request<Incoming>) -> BoxFuture<'_, Response<ResponseBody>> {
-        Box::pin(self.answer(request))
+    async fn generate(&self, request: Request<Incoming>, model: &str) -> Answer {
+        let view = self.view(false)?;
+        let guard = self.forwarder.begin();
+        let (request, _) =
+            self.read(request, &view, |_, body| model_work(model, body, &view.config)).await?;
+        let request = Arc::new(request);
+        let run = RequestRun::new(self.forwarder.clone(), request.clone());
+        let target = WorkTarget::for_model(&view.config, model);
+        match start_model(run, target).await {
+            Ok(ModelStart::Stream(stream)) => {
+                let (sender, receiver) = line_channel();
+                self.forwarder.context.spawn_traffic(stream.copy(sender, guard));
+                Ok(stream_response(receiver))
+            }
+            Ok(ModelStart::Fault(status, content_type, body)) => {
+                self.record(&request, Outcome::Answered);
+                Ok(whole_response(status, &content_type, body))
+            }
+            Err(refusal) => {
+                self.record(&request, refusal.outcome);
+                Err(refusal.into())
+            }
+        }
     }
-}
 
-async fn copy_body(
-    answer: StartedAnswer,
-    sender: tokio::sync::mpsc::Sender<Result<Bytes, io::Error>>,
-) {
-    let StartedAnswer { mut channel, guard, .. } = answer;
-    let _in_progress = guard;
-    let mut length = 0;
-    loop {
-        match channel.channel.receiver.receive().await {
-            Ok(Payload::Body(body)) => {
-                length += body.data.len() as u64;
-                if sender.send(Ok(body.data)).await.is_err() {
-                    return;
-                }
+    async fn call(&self, request: Request<Incoming>, service: &str) -> Answer {
+        let keyed = request.headers().contains_key("x-request-key");
+        let view = self.view(keyed)?;
+        let _guard = self.forwarder.begin();
+        let method = request.method().clone();
+        let whole = request.uri().path_and_query().map_or("", |path| path.as_str());
+        let path = whole.strip_prefix(SERVICES_PREFIX).and_then(|rest| rest.strip_prefix(service));
+        let path = path.unwrap_or("/").to_owned();
+        let (request, key) = self
+            .read(request, &view, |headers, _| {
+                service_work(service, method, path, headers.key, &view.config, &self.signer)
+            })
+            .await?;
+        let request = Arc::new(request);
+        let outcome = match &key {
+            Some(key) => call_keyed(&self.forwarder, &request, key).await,
+            None => {
+                let run = RequestRun::new(self.forwarder.clone(), request.clone());
+                call_idempotent(run, service.into()).await
             }
-            Ok(Payload::End(end)) if end.complete && end.length == length => {
-                channel.release();
-                return;
+        };
+        match outcome {
+            Ok(answer) => {
+                self.record(&request, Outcome::Answered);
+                Ok(whole_response(answer.status, &answer.content_type, answer.body))
             }
-            _ => {
-                let _ = sender.send(Err(io::ErrorKind::UnexpectedEof.into())).await;
-                return;
+            Err(refusal) => {
+                self.record(&request, refusal.outcome);
+                Err(refusal.into())
             }
         }
     }
-}
 
-fn refusal_response(refusal: ForwardRefusal) -> Response<ResponseBody> {
-    let status = match refusal.outcome {
-        Outcome::NotRun => StatusCode::SERVICE_UNAVAILABLE,
-        _ => StatusCode::GATEWAY_TIMEOUT,
-    };
-    let retry_after_ms = refusal.retry_after.as_millis() as u64;
-    let body = json!({"outcome": refusal.outcome, "reason": refusal.reason, "retry_after_ms": retry_after_ms});
-    let mut response = json_response(status, &body);
-    let seconds = retry_after_ms.div_ceil(1_000);
-    response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
-    set_outcome(&mut response, refusal.outcome);
-    response
+    async fn read(
+        &self,
+        request: Request<Incoming>,
+        view: &FleetView,
+        work: impl FnOnce(&CallerHeaders<'_>, &[u8]) -> Result<CallerWork, CallerError>,
+    ) -> Result<(CallerRequest, Option<once::RequestKey>), Failure> {
+        let started = self.forwarder.context.clock.now();
+        let (parts, body) = request.into_parts();
+        let headers = CallerHeaders::read(&parts.headers, &view.config)?;
+        let body: Bytes = read_body(body, self.settings.max_body_bytes).await?;
+        let work = work(&headers, &body)?;
+        let key = match &work {
+            CallerWork::Service { key: Some((key, _)), .. } => Some(key.clone()),
+            _ => None,
+        };
+        let request = CallerRequest {
+            team: headers.team.into(),
+            priority: headers.priority,
+            started,
+            deadline: started + headers.deadline,
+            fingerprint: fingerprint(&work, &body),
+            work,
+            body,
+        };
+        Ok((request, key))
+    }
+
+    fn record(&self, request: &CallerRequest, outcome: Outcome) {
+        let now = self.forwarder.context.clock.now();
+        let latency = now.saturating_duration_since(request.started);
+        self.forwarder.record_outcome(request, outcome, latency);
+    }
 }
 
-fn set_outcome(response: &mut Response<ResponseBody>, outcome: Outcome) {
-    let value = match outcome {
-        Outcome::Answered => "answered",
-        Outcome::NotRun => "not_run",
-        Outcome::Unknown => "unknown",
-    };
-    response.headers_mut().insert("x-outcome", HeaderValue::from_static(value));
+impl HttpHandler for CallerApi {
+    fn handle(&self, request: Request<Incoming>) -> BoxFuture<'_, Response<ResponseBody>> {
+        Box::pin(self.answer(request))
+    }
 }
--- /dev/null
+++ b/crates/node/src/entry/state.rs
@@ -0,0 +1,105 @@
+//! Decision state of the request path, shared by the tasks of one entry.
+
+use std::{
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use base::ContentDigest;
+use burn::{ObjectiveSet, ServiceMeter};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use route::{
+    CrashEvidence, CrashTable, PrefixIndex, RetryBudget, UpstreamBoard, UpstreamLoad,
+    UpstreamReport,
+};
+use wire::{CrashNotice, LoadReport, StatusReply};
+
+/// The state machines of the request path. Their steps are short, so one lock serves all of them.
+pub struct RouteState {
+    /// Upstreams and their reports.
+    pub board: UpstreamBoard,
+    /// Holders of prompt prefixes.
+    pub prefixes: PrefixIndex,
+    /// Retry budget.
+    pub budget: RetryBudget,
+    /// Requests that crashed upstreams.
+    pub crashes: CrashTable,
+    /// Service-level counters.
+    pub meter: ServiceMeter,
+    /// Random source of the decisions.
+    pub rng: ChaCha8Rng,
+}
+
+/// The state behind its lock.
+pub struct SharedState(Mutex<RouteState>);
+
+impl SharedState {
+    /// Creates the state of an entry that starts at `now`.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        Self(Mutex::new(RouteState {
+            board: UpstreamBoard::new(),
+            prefixes: PrefixIndex::new(),
+            budget: RetryBudget::default(),
+            crashes: CrashTable::default(),
+            meter: ServiceMeter::new(now, ObjectiveSet::default()),
+            rng: ChaCha8Rng::from_rng(&mut rand::rng()),
+        }))
+    }
+
+    /// Locks the state. Never held across an await.
+    pub fn lock(&self) -> MutexGuard<'_, RouteState> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Load as the decisions use it.
+#[must_use]
+pub fn load_of(load: &LoadReport) -> UpstreamLoad {
+    UpstreamLoad { limit: load.limit, in_use: load.in_use, queued: load.queued }
+}
+
+/// Report as the decisions use it.
+#[must_use]
+pub fn report_of(status: &StatusReply) -> UpstreamReport {
+    UpstreamReport {
+        incarnation: status.incarnation,
+        uptime: Duration::from_millis(status.uptime_ms),
+        load: load_of(&status.load),
+        ready: status
+            .ready
+            .iter()
+            .filter_map(|ready| ContentDigest::from_slice(&ready.manifest).ok())
+            .collect(),
+        draining: status.draining,
+        upstream_up: status.upstream_up,
+    }
+}
+
+/// Notice that carries `evidence` and may be passed on `hops` times.
+#[must_use]
+pub fn notice_of(evidence: &CrashEvidence, hops: u32) -> CrashNotice {
+    CrashNotice {
+        fingerprint: bytes::Bytes::copy_from_slice(evidence.fingerprint.as_bytes()),
+        crashes: evidence.crashes,
+        isolated: evidence.isolated,
+        age_ms: u64::try_from(evidence.age.as_millis()).unwrap_or(u64::MAX),
+        cleared: evidence.cleared,
+        hops,
+        upstream: evidence.upstream.to_string(),
+    }
+}
+
+/// Evidence of a notice; `None` if its fingerprint is malformed.
+#[must_use]
+pub fn evidence_of(notice: &CrashNotice) -> Option<CrashEvidence> {
+    Some(CrashEvidence {
+        fingerprint: ContentDigest::from_slice(&notice.fingerprint).ok()?,
+        upstream: notice.upstream.as_str().into(),
+        crashes: notice.crashes,
+        isolated: notice.isolated,
+        age: Duration::from_millis(notice.age_ms),
+        cleared: notice.cleared,
+    })
+}
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -17,15 +17,20 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::Semaphore,
+    time::timeout,
 };
+use tokio_util::sync::CancellationToken;
 
 use crate::context::NodeContext;
 
-const MAX_CONNECTIONS: usize = 8192;
+const MAX_CONNECTIONS: u32 = 8192;
 const MAX_HEADER_BYTES: usize = 16 << 10;
 const MAX_HEADERS: usize = 64;
 /// A caller that takes longer to send its headers is disconnected.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+/// First bytes of every HTTP/2 connection.
+const HTTP2_PREFACE: &[u8; 24] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+const PREFACE_POLL: Duration = Duration::from_millis(10);
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Body of a response; an error cuts the stream in a way that the caller sees.
@@ -37,31 +42,52 @@
     fn handle(&self, request: Request<Incoming>) -> BoxFuture<'_, Response<ResponseBody>>;
 }
 
-/// Serves HTTP/1.1 and HTTP/2 on `listener` until the node is killed; after a planned stop begins, connections close
-/// as soon as their requests are answered.
+/// A running server.
+pub struct HttpServer {
+    permits: Arc<Semaphore>,
+}
+
+impl HttpServer {
+    /// Waits until no connection is open. After [`NodeContext::closing`] is cancelled no new one is accepted.
+    pub async fn closed(&self) {
+        // Each connection holds a permit.
+        let _ = self.permits.acquire_many(MAX_CONNECTIONS).await;
+    }
+}
+
+/// Serves HTTP/1.1 and HTTP/2 on `listener` until the node is killed; from [`NodeContext::closing`] on, connections
+/// close as soon as their requests are answered.
 pub fn spawn_server(
     context: &NodeContext,
     listener: std::net::TcpListener,
     handler: Arc<dyn HttpHandler>,
-) {
+) -> HttpServer {
+    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS as usize));
     let task_context = context.clone();
+    let task_permits = permits.clone();
     context.spawn_traffic(async move {
         let listener =
             TcpListener::from_std(listener).expect("the listener is bound and non-blocking");
-        accept_loop(&task_context, listener, handler).await;
+        let accepting = accept_loop(&task_context, listener, task_permits, handler);
+        task_context.closing.run_until_cancelled(accepting).await;
     });
+    HttpServer { permits }
 }
 
-async fn accept_loop(context: &NodeContext, listener: TcpListener, handler: Arc<dyn HttpHandler>) {
-    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+async fn accept_loop(
+    context: &NodeContext,
+    listener: TcpListener,
+    permits: Arc<Semaphore>,
+    handler: Arc<dyn HttpHandler>,
+) {
     loop {
         let Ok(permit) = permits.clone().acquire_owned().await else { return };
         match listener.accept().await {
             Ok((stream, _)) => {
                 let handler = handler.clone();
-                let draining = context.draining.clone();
+                let closing = context.closing.clone();
                 context.spawn_traffic(async move {
-                    serve(stream, handler, draining).await;
+                    serve(stream, handler, closing).await;
                     drop(permit);
                 });
             }
@@ -73,12 +99,31 @@
     }
 }
 
-async fn serve(
-    stream: TcpStream,
-    handler: Arc<dyn HttpHandler>,
-    draining: tokio_util::sync::CancellationToken,
-) {
+/// Waits until the first bytes tell whether the caller speaks HTTP/2. The server builder waits for them without a
+/// timeout, so a caller that sends nothing would hold its connection for ever.
+async fn has_started(stream: &TcpStream) -> bool {
+    let first_bytes = async {
+        let mut start = [0; HTTP2_PREFACE.len()];
+        loop {
+            let length = stream.peek(&mut start).await.unwrap_or(0);
+            if length == 0 {
+                return false;
+            }
+            if length == start.len() || !HTTP2_PREFACE.starts_with(&start[..length]) {
+                return true;
+            }
+            tokio::time::sleep(PREFACE_POLL).await;
+        }
+    };
+    timeout(HEADER_TIMEOUT, first_bytes).await.unwrap_or(false)
+}
+
+async fn serve(stream: TcpStream, handler: Arc<dyn HttpHandler>, closing: CancellationToken) {
     let _ = stream.set_nodelay(true);
+    let started = closing.run_until_cancelled(has_started(&stream)).await;
+    if started != Some(true) {
+        return;
+    }
     let mut builder = Builder::new(TokioExecutor::new());
     builder
         .http1()
@@ -86,7 +131,11 @@
         .header_read_timeout(HEADER_TIMEOUT)
         .max_buf_size(MAX_HEADER_BYTES)
         .max_headers(MAX_HEADERS);
-    builder.http2().timer(TokioTimer::new()).max_header_list_size(MAX_HEADER_BYTES as u32);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .keep_alive_interval(HEADER_TIMEOUT)
+        .max_header_list_size(MAX_HEADER_BYTES as u32);
     let service = service_fn(move |request| {
         let handler = handler.clone();
         async move { Ok::<_, std::convert::Infallible>(handler.handle(request).await) }
@@ -95,7 +144,7 @@
     tokio::pin!(connection);
     let outcome = tokio::select! {
         outcome = connection.as_mut() => outcome,
-        () = draining.cancelled() => {
+        () = closing.cancelled() => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
