Test the entry over real sockets with fake agents

Cause: the entry's request path had no test of its own. Change: one test target with a small agent that plays a script per request.

--- /dev/null
+++ b/crates/node/tests/entry/stream.rs
@@ -0,0 +1,154 @@
+//! Failures of model streams: tokens lost, doubled or mixed when a stream breaks, work that goes on without its caller,
+//! and a request that takes one upstream after another down.
+
+use std::{
+    sync::atomic::Ordering,
+    time::{Duration, Instant},
+};
+
+use crate::support::{
+    MODEL, TestFleet,
+    agent::{Act, Break},
+};
+use http_body_util::BodyExt;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn broken_stream_resumes_at_the_exact_offset() {
+    let fleet = TestFleet::start(&["m0", "m1"]).await;
+    for agent in &fleet.agents {
+        agent.play(|forward| match forward.resume_offset {
+            0 => Act::broken(5, Break::Close),
+            // Sends two tokens again that the caller has; they must not be doubled.
+            _ => Act::Tokens { count: 12, overlap: 2, break_at: None, pace: Duration::ZERO },
+        });
+    }
+    let reply = fleet.generate("visit route for ward 7").await;
+    assert!(reply.has_all_tokens(12), "{reply:?}");
+    let forwards: Vec<_> =
+        fleet.agents.iter().flat_map(|agent| agent.forwards.lock().unwrap().clone()).collect();
+    let mut offsets: Vec<_> = forwards.iter().map(|forward| forward.resume_offset).collect();
+    offsets.sort_unstable();
+    assert_eq!(offsets, [0, 5]);
+    assert!(fleet.agents.iter().all(|agent| agent.forward_count() == 1), "on another upstream");
+    assert_eq!(forwards[0].manifest, forwards[1].manifest);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_is_not_continued_with_other_weights() {
+    let fleet = TestFleet::with_versions(&[("m0", "new"), ("m1", "old")]).await;
+    fleet.agents[0].play(|_| Act::broken(5, Break::Close));
+    fleet.agents[1].play(|_| Act::tokens(12));
+    let reply = fleet.generate("hazard notes").await;
+    let lines = reply.lines();
+    assert_eq!(lines.len(), 6, "five tokens and the error line: {reply:?}");
+    assert_eq!(lines[5]["error"]["outcome"], "unknown");
+    assert!(lines[5]["error"]["retry_after_ms"].is_u64(), "{reply:?}");
+    assert_eq!(fleet.agents[1].forward_count(), 0);
+    let report = fleet.admin("/admin/v1/report").await;
+    assert_eq!(report["rows"][0]["windows"][0]["counts"]["unknown"], 1, "{report}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_caller_cancels_the_work() {
+    let fleet = TestFleet::start(&["m0"]).await;
+    let agent = &fleet.agents[0];
+    let path = format!("/v1/models/{MODEL}/generate");
+    let pace = Duration::from_millis(20);
+    agent.play(move |_| Act::Tokens { count: 10_000, overlap: 0, break_at: None, pace });
+    let mut response = fleet.open("POST", &path, &[], r#"{"prompt": "long"}"#).await;
+    assert!(response.body_mut().frame().await.is_some());
+    drop(response);
+    wait_for(|| agent.cancelled.load(Ordering::Relaxed) == 1).await;
+    // The caller may also leave before the answer starts.
+    agent.play(|_| Act::Hang);
+    let early = fleet.open("POST", &path, &[], r#"{"prompt": "long"}"#);
+    assert!(tokio::time::timeout(Duration::from_millis(300), early).await.is_err());
+    wait_for(|| agent.cancelled.load(Ordering::Relaxed) == 2).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn crashing_request_costs_two_upstreams_and_neighbours_stay_served() {
+    let fleet = TestFleet::start(&["m0", "m1", "m2"]).await;
+    for agent in &fleet.agents {
+        agent.play(|forward| {
+            let poison = String::from_utf8_lossy(&forward.body).contains("poison");
+            if poison { Act::broken(1, Break::Crash) } else { Act::tokens(12) }
+        });
+    }
+    let reply = fleet.generate("poison").await;
+    assert!(reply.body.contains("crash_suspect"), "{reply:?}");
+    assert_eq!(fleet.forward_total(), 2);
+    let isolated: Vec<_> = fleet
+        .agents
+        .iter()
+        .flat_map(|agent| agent.forwards.lock().unwrap().clone())
+        .filter(|forward| forward.isolated)
+        .collect();
+    assert_eq!(isolated.len(), 1, "the second attempt runs alone");
+    for agent in &fleet.agents {
+        let notices = agent.notices.lock().unwrap();
+        assert!(notices.iter().any(|notice| notice.isolated), "told before the caller");
+    }
+    fleet.wait_until_ready().await;
+    let again = fleet.generate("poison").await;
+    assert_eq!((again.status, again.outcome.as_str()), (503, "not_run"), "{again:?}");
+    assert!(again.retry_after.is_some());
+    assert_eq!(fleet.forward_total(), 2);
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    assert!(fleet.generate("neighbour").await.has_all_tokens(12));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn data_centre_that_is_out_gets_no_new_work_and_its_entry_forwards_elsewhere() {
+    let fleet = TestFleet::start(&["m0", "m1"]).await;
+    fleet.agents.iter().for_each(|agent| agent.play(|_| Act::tokens(12)));
+    fleet.take_out("a");
+    wait_for_async(async || fleet.admin("/admin/v1/status").await["revision"] == 2).await;
+    let before = fleet.agents[0].forward_count();
+    for number in 0..20 {
+        assert!(fleet.generate(&format!("draft {number}")).await.has_all_tokens(12));
+    }
+    assert_eq!(fleet.agents[0].forward_count(), before);
+    let addresses = fleet.call("GET", "/v1/addresses?team=survey", &[], "").await;
+    assert!(addresses.body.contains("127.0.0.1:9"), "{addresses:?}");
+    assert!(!addresses.body.contains(&fleet.http.to_string()), "{addresses:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop_serves_callers_until_their_address_answers_expire() {
+    let fleet = TestFleet::start(&["m0", "m1"]).await;
+    let pace = Duration::from_millis(150);
+    for agent in &fleet.agents {
+        agent.play(move |_| Act::Tokens { count: 12, overlap: 0, break_at: None, pace });
+    }
+    let path = format!("/v1/models/{MODEL}/generate");
+    let response = fleet.open("POST", &path, &[], r#"{"prompt": "p"}"#).await;
+    let (http, started) = (fleet.http, Instant::now());
+    let stopping = tokio::spawn(fleet.entry.drain());
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let client = hyper_util::client::legacy::Client::builder(hyper_util::rt::TokioExecutor::new())
+        .build_http::<http_body_util::Empty<bytes::Bytes>>();
+    let uri = format!("http://{http}/v1/addresses?team=survey").parse().unwrap();
+    let addresses = client.get(uri).await.expect("a new connection is served");
+    let addresses = addresses.into_body().collect().await.unwrap().to_bytes();
+    assert!(!String::from_utf8_lossy(&addresses).contains(&http.to_string()));
+    let body = response.into_body().collect().await.unwrap().to_bytes();
+    assert!(String::from_utf8_lossy(&body).contains("\"done\""), "the stream is finished");
+    stopping.await.unwrap();
+    assert!(started.elapsed() >= Duration::from_millis(400));
+    assert!(tokio::net::TcpStream::connect(http).await.is_err(), "nothing listens any more");
+}
+
+async fn wait_for(condition: impl Fn() -> bool) {
+    wait_for_async(async || condition()).await;
+}
+
+async fn wait_for_async(condition: impl AsyncFn() -> bool) {
+    for _ in 0..60 {
+        if condition().await {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("not within 3 s");
+}
