Add the sans-I/O core of weight distribution

Chunk and Have messages carry the sender's bitmap, so that hosts that exchange chunks need few separate questions.

--- /dev/null
+++ b/crates/weights/src/plan.rs
@@ -0,0 +1,396 @@
+//! All transfers of one host: which versions it fetches, in which order, and what it gives to peers.
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use base::ContentDigest;
+use bytes::Bytes;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::{
+    manifest::ChunkManifest,
+    ranks::FetchView,
+    sources::{ChunkSource, FetchFault},
+    store::{ChunkStore, VerifiedChunk},
+    transfer::{ChunkTransfer, FetchAction, FetchTicket, TransferOptions},
+    upload::{UploadBudget, UploadOptions, UploadVerdict},
+};
+
+/// Hosts of a region that draw a manifest from the origin without waiting for peers.
+const MANIFEST_FETCHERS: usize = 2;
+/// First and longest interval between attempts to obtain a manifest.
+const MANIFEST_RETRY: (Duration, Duration) = (Duration::from_millis(10), Duration::from_secs(2));
+/// Time after which an attempt to obtain a manifest counts as stalled.
+const MANIFEST_STALL: Duration = Duration::from_millis(500);
+/// Time that a host further down the ranks waits before it draws a manifest from the origin, for each rank.
+const MANIFEST_PATIENCE: Duration = Duration::from_millis(400);
+
+/// Limits of all transfers of one host.
+#[derive(Clone, Debug)]
+pub struct FetchPlanOptions {
+    /// Memory for chunks, in bytes.
+    pub memory_bytes: u64,
+    /// Limits of a transfer.
+    pub transfer: TransferOptions,
+    /// Limits of uploads.
+    pub upload: UploadOptions,
+}
+
+/// A version that the host should hold; lists of these are in falling order of priority.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct FetchWant {
+    /// Digest of the manifest.
+    pub manifest: ContentDigest,
+    /// Size of the weights in bytes.
+    pub size_bytes: u64,
+    /// False if the version is kept while memory allows but not fetched, as the previous version is for a rollback.
+    pub fetch: bool,
+}
+
+#[derive(Debug)]
+struct ManifestSearch {
+    started: Instant,
+    attempts: u32,
+    next_attempt: Instant,
+    flight: Option<(FetchTicket, Instant)>,
+}
+
+/// The transfers, the chunk store and the upload budget of one host.
+#[derive(Debug)]
+pub struct FetchPlan {
+    options: FetchPlanOptions,
+    store: ChunkStore,
+    uploads: UploadBudget,
+    view: FetchView,
+    wants: Vec<FetchWant>,
+    searches: BTreeMap<ContentDigest, ManifestSearch>,
+    transfers: BTreeMap<ContentDigest, ChunkTransfer>,
+    next_ticket: FetchTicket,
+    rng: ChaCha8Rng,
+}
+
+impl FetchPlan {
+    /// Creates a plan that wants nothing.
+    #[must_use]
+    pub fn new(options: FetchPlanOptions, view: FetchView, seed: u64) -> Self {
+        Self {
+            store: ChunkStore::new(options.memory_bytes),
+            uploads: UploadBudget::new(options.upload),
+            options,
+            view,
+            wants: Vec::new(),
+            searches: BTreeMap::new(),
+            transfers: BTreeMap::new(),
+            next_ticket: 1,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Replaces the versions wanted, the most urgent first. Versions beyond the memory bound are left out; fetches of
+    /// versions that are no longer wanted are cancelled and their chunks evicted.
+    pub fn set_wants(&mut self, now: Instant, wants: &[FetchWant]) -> Vec<FetchAction> {
+        let mut memory_left = self.options.memory_bytes;
+        let (fetched, kept): (Vec<FetchWant>, Vec<FetchWant>) =
+            wants.iter().partition(|want| want.fetch);
+        self.wants = Vec::new();
+        for want in fetched.into_iter().chain(kept) {
+            let known = self.wants.iter().any(|other| other.manifest == want.manifest);
+            if !known && want.size_bytes <= memory_left {
+                memory_left -= want.size_bytes;
+                self.wants.push(want);
+            }
+        }
+        let digests: Vec<_> = self.wants.iter().map(|want| want.manifest).collect();
+        self.store.retain(&digests);
+        self.uploads.retain(&digests);
+        self.searches.retain(|digest, _| digests.contains(digest));
+        let mut actions = Vec::new();
+        for (_, mut transfer) in
+            self.transfers.extract_if(.., |digest, _| !digests.contains(digest))
+        {
+            actions.append(&mut transfer.abandon());
+        }
+        for want in self.wants.clone().iter().filter(|want| want.fetch) {
+            self.start(now, want.manifest);
+        }
+        actions
+    }
+
+    fn start(&mut self, now: Instant, digest: ContentDigest) {
+        if self.transfers.contains_key(&digest) {
+            return;
+        }
+        match self.store.manifest(digest).cloned() {
+            Some(manifest) => {
+                let held = self.store.held(digest).expect("the manifest is held");
+                let options = self.options.transfer.clone();
+                let view = self.view.clone();
+                let transfer =
+                    ChunkTransfer::new(manifest, held, view, options, now, &mut self.rng);
+                self.transfers.insert(digest, transfer);
+            }
+            None => {
+                self.searches.entry(digest).or_insert(ManifestSearch {
+                    started: now,
+                    attempts: 0,
+                    next_attempt: now,
+                    flight: None,
+                });
+            }
+        }
+    }
+
+    /// Replaces the view after a change of the host list.
+    pub fn set_view(&mut self, view: FetchView) {
+        for transfer in self.transfers.values_mut() {
+            transfer.set_view(view.clone());
+        }
+        self.view = view;
+    }
+
+    /// Restarts waiting times after the process was paused.
+    pub fn resume(&mut self, now: Instant) {
+        for transfer in self.transfers.values_mut() {
+            transfer.resume(now);
+        }
+        for search in self.searches.values_mut() {
+            search.started = now;
+        }
+    }
+
+    /// Adds a manifest that is at hand, for example in a publisher.
+    pub fn add_manifest(&mut self, now: Instant, manifest: Arc<ChunkManifest>) {
+        let digest = manifest.digest();
+        if self.wants.iter().any(|want| want.manifest == digest) {
+            self.store.add_manifest(manifest);
+            if self.searches.remove(&digest).is_some() {
+                self.start(now, digest);
+            }
+        }
+    }
+
+    /// Records the outcome of [`FetchAction::Manifest`]. The manifest has been checked by [`ChunkManifest::parse`].
+    pub fn record_manifest(
+        &mut self,
+        now: Instant,
+        digest: ContentDigest,
+        ticket: FetchTicket,
+        result: Result<Arc<ChunkManifest>, FetchFault>,
+    ) {
+        match result {
+            Ok(manifest) if manifest.digest() == digest => self.add_manifest(now, manifest),
+            Ok(_) => {}
+            Err(fault) => {
+                let Some(search) = self.searches.get_mut(&digest) else { return };
+                if search.flight.is_none_or(|(expected, _)| expected != ticket) {
+                    return;
+                }
+                search.flight = None;
+                let (first, longest) = MANIFEST_RETRY;
+                let wait = first.mul_f64(1.25_f64.powi(search.attempts.min(40).cast_signed()));
+                let wait = wait.min(longest).mul_f64(self.rng.random_range(0.75..1.25));
+                let asked = match fault {
+                    FetchFault::RetryAfter(asked) => asked,
+                    _ => Duration::ZERO,
+                };
+                search.next_attempt = now + wait.max(asked);
+            }
+        }
+    }
+
+    /// Records the outcome of [`FetchAction::Chunk`].
+    pub fn record_chunk(
+        &mut self,
+        now: Instant,
+        manifest: ContentDigest,
+        index: u32,
+        ticket: FetchTicket,
+        result: Result<VerifiedChunk, FetchFault>,
+    ) -> Vec<FetchAction> {
+        let Some(transfer) = self.transfers.get_mut(&manifest) else { return Vec::new() };
+        match result.map(|chunk| self.store.insert(chunk)) {
+            Ok(Ok(())) if self.store.chunk(manifest, index).is_some() => {
+                transfer.record_held(now, index, ticket)
+            }
+            Ok(_) => {
+                transfer.record_fault(now, ticket, FetchFault::Corrupt, &mut self.rng);
+                Vec::new()
+            }
+            Err(fault) => {
+                transfer.record_fault(now, ticket, fault, &mut self.rng);
+                Vec::new()
+            }
+        }
+    }
+
+    /// Records what a peer says it holds, in an answer, in a chunk message or in its own request.
+    pub fn record_have(
+        &mut self,
+        now: Instant,
+        manifest: ContentDigest,
+        peer: &str,
+        bitmap: &[u8],
+        queued: u32,
+    ) {
+        if let Some(transfer) = self.transfers.get_mut(&manifest) {
+            transfer.record_have(now, peer, bitmap, queued);
+        }
+    }
+
+    /// Records that a peer did not answer [`FetchAction::Have`].
+    pub fn record_have_failed(&mut self, now: Instant, manifest: ContentDigest, peer: &str) {
+        if let Some(transfer) = self.transfers.get_mut(&manifest) {
+            transfer.record_have_failed(now, peer, &mut self.rng);
+        }
+    }
+
+    /// Decides what to fetch at `now`. The limit of fetches in flight is shared: a version that is less urgent gets
+    /// what the more urgent ones cannot use.
+    pub fn poll(&mut self, now: Instant) -> Vec<FetchAction> {
+        let mut actions = self.poll_searches(now);
+        let limit = self.options.transfer.max_in_flight;
+        let mut in_flight: usize = self.transfers.values().map(ChunkTransfer::in_flight).sum();
+        for want in &self.wants {
+            let Some(transfer) = self.transfers.get_mut(&want.manifest) else { continue };
+            let own = transfer.in_flight();
+            let allowance = own + limit.saturating_sub(in_flight);
+            let ticket = &mut self.next_ticket;
+            actions.append(&mut transfer.poll(now, allowance, ticket, &mut self.rng));
+            in_flight = in_flight + transfer.in_flight() - own;
+        }
+        actions
+    }
+
+    fn poll_searches(&mut self, now: Instant) -> Vec<FetchAction> {
+        let mut actions = Vec::new();
+        for (digest, search) in &mut self.searches {
+            if let Some((ticket, started)) = search.flight {
+                if now < started + MANIFEST_STALL {
+                    continue;
+                }
+                search.flight = None;
+                actions.push(FetchAction::Cancel { ticket });
+            }
+            if now < search.next_attempt {
+                continue;
+            }
+            let ticket = self.next_ticket;
+            self.next_ticket += 1;
+            search.flight = Some((ticket, now));
+            search.attempts += 1;
+            let source = choose_manifest_source(
+                &self.view,
+                &self.options,
+                *digest,
+                search,
+                now,
+                &mut self.rng,
+            );
+            actions.push(FetchAction::Manifest { manifest: *digest, source, ticket });
+        }
+        actions
+    }
+
+    /// Decides about a peer's request for a chunk. `Ok` books the upload; [`Self::finish_upload`] follows.
+    ///
+    /// # Errors
+    /// Fails with [`FetchFault::NotHeld`] or [`FetchFault::RetryAfter`] if the chunk cannot be sent now.
+    pub fn serve_chunk(
+        &mut self,
+        now: Instant,
+        manifest: ContentDigest,
+        index: u32,
+    ) -> Result<Bytes, FetchFault> {
+        let data = self.store.chunk(manifest, index).ok_or(FetchFault::NotHeld)?;
+        let listed = self.store.manifest(manifest).ok_or(FetchFault::NotHeld)?;
+        let bytes = data.len() as u64;
+        #[expect(clippy::cast_precision_loss, reason = "a chunk has at most 8 MiB")]
+        let chunk_time = Duration::from_secs_f64(
+            bytes as f64 / self.options.transfer.link_bytes_per_s.max(1) as f64,
+        );
+        match self.uploads.admit(now, manifest, listed.size_bytes(), bytes, chunk_time) {
+            UploadVerdict::Send => Ok(data),
+            UploadVerdict::Busy(wait) => Err(FetchFault::RetryAfter(wait)),
+        }
+    }
+
+    /// Ends an upload that [`Self::serve_chunk`] booked.
+    pub fn finish_upload(&mut self) {
+        self.uploads.finish();
+    }
+
+    /// Uploads that are served or wait.
+    #[must_use]
+    pub fn queued_uploads(&self) -> u32 {
+        u32::try_from(self.uploads.in_service()).unwrap_or(u32::MAX)
+    }
+
+    /// Bitmap of the chunks held of a manifest; empty if the manifest is not held.
+    #[must_use]
+    pub fn bitmap(&self, manifest: ContentDigest) -> Bytes {
+        match self.transfers.get(&manifest) {
+            Some(transfer) => transfer.bitmap(),
+            None => self.store.held(manifest).map(|held| held.to_bitmap()).unwrap_or_default(),
+        }
+    }
+
+    /// The chunk store.
+    #[must_use]
+    pub fn store(&self) -> &ChunkStore {
+        &self.store
+    }
+
+    /// The upload budget.
+    #[must_use]
+    pub fn uploads(&self) -> &UploadBudget {
+        &self.uploads
+    }
+
+    /// The transfer of a manifest, complete or not.
+    #[must_use]
+    pub fn transfer(&self, manifest: ContentDigest) -> Option<&ChunkTransfer> {
+        self.transfers.get(&manifest)
+    }
+
+    /// Versions that are fetched or kept, the most urgent first.
+    #[must_use]
+    pub fn wants(&self) -> &[FetchWant] {
+        &self.wants
+    }
+
+    /// True if something is still to be fetched.
+    #[must_use]
+    pub fn is_busy(&self) -> bool {
+        !self.searches.is_empty() || self.transfers.values().any(|transfer| !transfer.is_complete())
+    }
+}
+
+/// The first hosts of the region ask the origin; others ask peers, and the origin only after a wait by rank.
+fn choose_manifest_source(
+    view: &FetchView,
+    options: &FetchPlanOptions,
+    digest: ContentDigest,
+    search: &ManifestSearch,
+    now: Instant,
+    rng: &mut ChaCha8Rng,
+) -> ChunkSource {
+    let rank = view.manifest_rank(digest);
+    let waited = now.saturating_duration_since(search.started);
+    let wait = MANIFEST_PATIENCE * u32::try_from(rank.min(MANIFEST_FETCHERS * 8)).unwrap_or(0);
+    let peers: Vec<_> = view.peers().collect();
+    let prefers_origin = rank < MANIFEST_FETCHERS || waited >= wait;
+    // Every other attempt goes to a peer, so an origin that is down does not hold up a host whose peers hold all.
+    let asks_origin = prefers_origin && search.attempts % 2 == 1;
+    if options.transfer.origins > 0 && (peers.is_empty() || asks_origin) {
+        let origin = (search.attempts / 2) as usize % options.transfer.origins;
+        return ChunkSource::Origin(origin);
+    }
+    if peers.is_empty() {
+        return ChunkSource::Origin(0);
+    }
+    ChunkSource::Peer(peers[rng.random_range(0..peers.len())].host.clone())
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -382,6 +382,9 @@
     /// Digest of the manifest.
     #[prost(bytes = "bytes", tag = "1")]
     pub manifest: Bytes,
+    /// Chunks that the asking agent holds, as in [`Have::bitmap`]; empty if it does not say.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub bitmap: Bytes,
 }
 
 /// Chunks that an agent holds.
@@ -407,6 +410,9 @@
     /// Index of the chunk in the manifest.
     #[prost(uint32, tag = "2")]
     pub index: u32,
+    /// Chunks that the asking agent holds, as in [`Have::bitmap`]; empty if it does not say.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub bitmap: Bytes,
 }
 
 /// A chunk.
@@ -421,6 +427,12 @@
     /// Bytes of the chunk.
     #[prost(bytes = "bytes", tag = "3")]
     pub data: Bytes,
+    /// Chunks that the sender holds, as in [`Have::bitmap`]; empty if it does not say.
+    #[prost(bytes = "bytes", tag = "4")]
+    pub bitmap: Bytes,
+    /// Requests for chunks that wait at the sender.
+    #[prost(uint32, tag = "5")]
+    pub queued: u32,
 }
 
 /// Asks for a manifest.
