--- /dev/null
+++ b/crates/cli/src/commands/mod.rs
@@ -0,0 +1,33 @@
+//! Subcommands of `wigeon`, one file each.
+
+mod check;
+pub mod diff;
+pub mod status;
+
+use std::process::ExitCode;
+
+use clap::Command;
+
+/// The whole command line.
+#[must_use]
+pub fn cli() -> Command {
+    Command::new("wigeon")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Checks configurations, shows the state of the fleet and runs the demo")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(check::cli())
+        .subcommand(diff::cli())
+        .subcommand(status::cli())
+}
+
+/// Parses the arguments and runs the subcommand.
+#[must_use]
+pub fn run() -> ExitCode {
+    match cli().get_matches().subcommand() {
+        Some(("check", matches)) => check::exec(matches),
+        Some(("diff", matches)) => diff::exec(matches),
+        Some(("status", matches)) => status::exec(matches),
+        _ => unreachable!("clap accepts only known subcommands"),
+    }
+}
