Attach weight transfers, chunk server and activation to the agent

The transfer shell works on traits for peers and sources, so that the measuring command can run the same code over paced loopback links. Placement gains replica_upstreams, which ranks once instead of looking every rank up; transfers need the whole list.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -19,6 +19,6 @@
         UpstreamRecord,
     },
     hosts::{HostList, HostRecord, HostRole, HostState},
-    placement::{WantedModel, wanted_models},
+    placement::{WantedModel, replica_upstreams, wanted_models},
     settings::{AgentSettings, EntrySettings, SettingsError},
 };
--- a/crates/config/src/placement.rs
+++ b/crates/config/src/placement.rs
@@ -1,6 +1,6 @@
 //! Which weights an upstream should hold: a pure function of the configuration, so that every process agrees.
 
-use base::{ContentDigest, ModelId, rank_by_weight};
+use base::{ContentDigest, ModelId, rendezvous_weight};
 
 use crate::fleet::{FleetConfig, PresetModel, PresetRule, UpstreamKind, UpstreamRecord};
 
@@ -87,24 +87,34 @@
         .collect()
 }
 
-/// True if the upstream is among the first `replicas` upstreams in rendezvous order.
+fn is_replica(config: &FleetConfig, upstream: &UpstreamRecord, entry: &PresetModel) -> bool {
+    replica_upstreams(config, entry).iter().any(|record| record.id == upstream.id)
+}
+
+/// The first `replicas` upstreams in rendezvous order, in that order.
 ///
 /// Upstreams of data centres that are out keep their rank: their weights stay in place for the return. Replicas that
 /// are missing meanwhile are taken by the next ranks.
-fn is_replica(config: &FleetConfig, upstream: &UpstreamRecord, entry: &PresetModel) -> bool {
-    let candidates = config.upstreams.iter().filter(|record| record.kind == UpstreamKind::Model);
-    let ranked =
-        rank_by_weight(entry.model.as_bytes(), candidates.map(|record| record.id.as_str()));
+#[must_use]
+pub fn replica_upstreams<'a>(
+    config: &'a FleetConfig,
+    entry: &PresetModel,
+) -> Vec<&'a UpstreamRecord> {
+    let models = config.upstreams.iter().filter(|record| record.kind == UpstreamKind::Model);
+    let mut ranked: Vec<_> = models
+        .map(|record| (rendezvous_weight(entry.model.as_bytes(), &record.id), record))
+        .collect();
+    ranked.sort_unstable_by(|(left, left_record), (right, right_record)| {
+        (right, &right_record.id).cmp(&(left, &left_record.id))
+    });
     let mut in_service = 0;
-    for id in ranked {
+    let mut replicas = Vec::new();
+    for (_, record) in ranked {
         if in_service >= entry.replicas {
-            return false;
-        }
-        if id == upstream.id {
-            return true;
+            break;
         }
-        let out = config.upstream(id).is_some_and(|record| config.is_out(&record.data_centre));
-        in_service += u32::from(!out);
+        replicas.push(record);
+        in_service += u32::from(!config.is_out(&record.data_centre));
     }
-    false
+    replicas
 }
--- a/crates/config/tests/fleet.rs
+++ b/crates/config/tests/fleet.rs
@@ -1,6 +1,9 @@
 //! Rules of the configuration document: what is refused, and that the decision is the same everywhere.
 
-use config::{AgentSettings, ConfigDiff, ConfigError, EntrySettings, FleetConfig, SettingsError, wanted_models};
+use config::{
+    AgentSettings, ConfigDiff, ConfigError, EntrySettings, FleetConfig, SettingsError,
+    wanted_models,
+};
 use serde_json::{Value, json};
 
 const EXAMPLE: &str = include_str!("../../../examples/fleet.json");
@@ -11,7 +14,9 @@
 
 fn keys_of_faults(document: &Value) -> Vec<String> {
     match FleetConfig::parse(document.to_string().as_bytes()) {
-        Err(ConfigError::Invalid { faults }) => faults.iter().map(|fault| fault.key.to_string()).collect(),
+        Err(ConfigError::Invalid { faults }) => {
+            faults.iter().map(|fault| fault.key.to_string()).collect()
+        }
         other => panic!("expected faults, got {other:?}"),
     }
 }
@@ -73,10 +78,14 @@
 #[test]
 fn data_centre_out_adds_replicas_and_moves_none() {
     let config = FleetConfig::parse(EXAMPLE.as_bytes()).unwrap();
-    let holder = config.upstreams.iter().find(|record| wanted_models(&config, record).iter().any(|m| m.active));
+    let holder = config
+        .upstreams
+        .iter()
+        .find(|record| wanted_models(&config, record).iter().any(|m| m.active));
     let holder = holder.unwrap().clone();
     let mut without = config.clone();
-    without.data_centres.iter_mut().find(|record| record.id == holder.data_centre).unwrap().out = true;
+    without.data_centres.iter_mut().find(|record| record.id == holder.data_centre).unwrap().out =
+        true;
     let active = |record| wanted_models(&without, record).iter().any(|model| model.active);
     assert!(active(&holder));
     assert_eq!(without.upstreams.iter().filter(|record| active(record)).count(), 2);
@@ -90,9 +99,13 @@
     new.models[0].previous = Some("v1".into());
     new.models[0].current = "v2".into();
     let diff = ConfigDiff::new(&old, &new);
-    let fields: Vec<_> = diff.changes[0].fields.iter().map(|change| change.field.as_str()).collect();
+    let fields: Vec<_> =
+        diff.changes[0].fields.iter().map(|change| change.field.as_str()).collect();
     assert_eq!((diff.changes.len(), fields.as_slice()), (1, ["current", "previous"].as_slice()));
-    assert_eq!((diff.transfers, diff.transfer_bytes, diff.revision_rises), (2, 2 * 67_108_864, true));
+    assert_eq!(
+        (diff.transfers, diff.transfer_bytes, diff.revision_rises),
+        (2, 2 * 67_108_864, true)
+    );
 }
 
 #[test]
@@ -104,8 +117,11 @@
 #[test]
 fn settings_faults_name_key_value_and_what_is_allowed() {
     let text = include_str!("../../../examples/entry.toml");
-    let short_key = text.replace("replace-this-secret-on-every-host", "short").replace("\"info\"", "\"loud\"");
-    let Err(SettingsError::Invalid { faults }) = EntrySettings::parse(&short_key) else { panic!("expected faults") };
+    let short_key =
+        text.replace("replace-this-secret-on-every-host", "short").replace("\"info\"", "\"loud\"");
+    let Err(SettingsError::Invalid { faults }) = EntrySettings::parse(&short_key) else {
+        panic!("expected faults")
+    };
     let lines: Vec<_> = faults.iter().map(ToString::to_string).collect();
     assert_eq!(
         lines,
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -46,7 +46,8 @@
             engine.clone(),
             service.clone(),
         );
-        let weights = weights::spawn(&context, &settings, control.view.clone(), engine.clone());
+        let weights =
+            weights::spawn(&context, &settings, control.view.clone(), engine.clone(), &pool);
         let forward = ForwardHandler::new(
             &context,
             &settings,
--- /dev/null
+++ b/crates/node/src/weights/activate.rs
@@ -0,0 +1,251 @@
+//! Turns the published view into wants and load orders, and carries the orders out.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use base::PauseDetector;
+use config::{AgentSettings, FencingMode};
+use log::{info, warn};
+use platform::{EngineStatus, FencingNumber, LoadOrder, ModelEngine};
+use tokio::sync::mpsc;
+use weights::{
+    ActivationAction, ActivationControl, ActivationEvent, ActivationOptions, EngineView, LiveLoad,
+    OrderKind, OrderOutcome,
+};
+
+use super::{LoadSignal, rollout::ModelRollout, transfer::TransferShell, wants::AgentWants};
+use crate::{
+    context::NodeContext,
+    peer::PeerPool,
+    view::{FleetView, ViewReader},
+};
+
+const TICK: Duration = Duration::from_millis(100);
+/// Gap between two ticks that counts as a pause of the process.
+const PAUSE_THRESHOLD: Duration = Duration::from_secs(2);
+/// After a pause, the view counts as refreshed no earlier than this: the control part needs a tick to notice the pause
+/// itself and to withdraw the view that it published before.
+const REFRESH_GRACE: Duration = Duration::from_millis(1_500);
+const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Drives wants, activation and rolling changes of one agent.
+pub(super) struct ActivationLoop {
+    pub context: NodeContext,
+    pub settings: AgentSettings,
+    pub view: ViewReader,
+    pub engine: Arc<dyn ModelEngine>,
+    pub pool: Arc<PeerPool>,
+    pub shell: Arc<TransferShell>,
+    pub load: LoadSignal,
+}
+
+struct LoopState {
+    control: ActivationControl,
+    wants: AgentWants,
+    view: Option<Arc<FleetView>>,
+    rollouts: Vec<ModelRollout>,
+    next_probe: Instant,
+    refresh_after: Option<Instant>,
+    engine_in_use: u32,
+}
+
+impl ActivationLoop {
+    pub async fn run(mut self) {
+        let (events, mut inbox) = mpsc::unbounded_channel();
+        let pauses = PauseDetector::new(PAUSE_THRESHOLD);
+        let mut state = LoopState::new(self.context.incarnation, self.context.clock.now());
+        loop {
+            let event = tokio::time::timeout(TICK, inbox.recv()).await;
+            let now = self.context.clock.now();
+            if let Some(gap) = pauses.tick(now) {
+                info!("event=weights_paused gap_ms={}", gap.as_millis());
+                state.refresh_after = Some(now + REFRESH_GRACE);
+                self.shell.resume();
+            }
+            if let Ok(Some(event)) = event {
+                self.take_in(&mut state, now, event);
+            }
+            self.adopt_view(&mut state, now);
+            self.report_refresh(&mut state, now);
+            self.report_whole(&mut state, now).await;
+            self.apply_load(&state);
+            for action in state.control.poll(now) {
+                self.execute(action, &events);
+            }
+        }
+    }
+
+    fn take_in(&self, state: &mut LoopState, now: Instant, event: LoopEvent) {
+        match event {
+            LoopEvent::Control(event) => state.control.handle(now, event),
+            LoopEvent::Engine(status) => {
+                state.engine_in_use = status.in_use;
+                state.control.handle(now, ActivationEvent::EngineRead(engine_view(status)));
+            }
+        }
+    }
+
+    fn adopt_view(&mut self, state: &mut LoopState, now: Instant) {
+        let Some(view) = self.view.get() else { return };
+        if state.view.as_ref().is_some_and(|old| Arc::ptr_eq(old, &view)) {
+            return;
+        }
+        let wants = AgentWants::of(&view, &self.settings);
+        self.shell.set_wants(wants.fetch.clone());
+        let models =
+            wants.served.iter().map(|served| (served.model.clone(), served.manifest)).collect();
+        let revision = view.config.revision;
+        state.control.handle(now, ActivationEvent::Wanted { revision, models });
+        if let Some(record) = view.config.upstream(&self.settings.upstream) {
+            state.control.set_fencing(record.fencing);
+        }
+        state.rollouts.retain(|rollout| wants.served.iter().any(|served| rollout.is_for(served)));
+        for served in &wants.served {
+            if !state.rollouts.iter().any(|rollout| rollout.is_for(served)) {
+                state.rollouts.push(ModelRollout::new(served, &self.settings.upstream));
+            }
+        }
+        state.wants = wants;
+        state.view = Some(view);
+    }
+
+    /// The control part asks peers after a pause and publishes the view as not fresh meanwhile.
+    fn report_refresh(&self, state: &mut LoopState, now: Instant) {
+        let Some(view) = state.view.as_ref().filter(|view| view.fresh) else { return };
+        if state.refresh_after.is_none_or(|after| now >= after) {
+            state.refresh_after = None;
+            let revision = view.config.revision;
+            state.control.handle(now, ActivationEvent::Refreshed(revision));
+        }
+    }
+
+    async fn report_whole(&self, state: &mut LoopState, now: Instant) {
+        let Some(view) = state.view.clone() else { return };
+        let served = state.wants.served.clone();
+        let whole: Vec<_> = {
+            let plan = self.shell.lock_plan();
+            let manifests = served.iter().map(|served| served.manifest);
+            manifests.filter(|manifest| plan.store().is_whole(*manifest)).collect()
+        };
+        let probes_now = now >= state.next_probe;
+        for served in &served {
+            let is_whole = whole.contains(&served.manifest);
+            let serves_old =
+                state.control.ready().iter().any(|(model, manifest)| {
+                    *model == served.model && *manifest != served.manifest
+                });
+            let rollout = state.rollouts.iter_mut().find(|rollout| rollout.is_for(served));
+            let Some(rollout) = rollout else { continue };
+            if probes_now && is_whole && serves_old {
+                rollout.probe(&self.pool, &view, served).await;
+                state.next_probe = now + PROBE_INTERVAL;
+            }
+            let open = rollout.is_open(now, &view, served, is_whole, serves_old);
+            let gate = ActivationEvent::Gate { model: served.model.clone(), open };
+            state.control.handle(now, gate);
+        }
+        state.control.handle(now, ActivationEvent::Whole(whole));
+    }
+
+    fn apply_load(&self, state: &LoopState) {
+        let (in_flight, slow) = self.load.get();
+        let load = match (in_flight.max(state.engine_in_use), slow) {
+            (0, _) => LiveLoad::Idle,
+            (_, false) => LiveLoad::Busy,
+            (_, true) => LiveLoad::Slow,
+        };
+        self.shell.set_load(load);
+    }
+
+    fn execute(&self, action: ActivationAction, events: &mpsc::UnboundedSender<LoopEvent>) {
+        let engine = self.engine.clone();
+        let events = events.clone();
+        match action {
+            // The loop reports the refresh as soon as the control part publishes a fresh view.
+            ActivationAction::Refresh => {}
+            ActivationAction::ReadEngine => self.context.spawn_traffic(async move {
+                let event = match engine.status().await {
+                    Ok(status) => LoopEvent::Engine(status),
+                    Err(_) => LoopEvent::Control(ActivationEvent::ReadFailed),
+                };
+                let _ = events.send(event);
+            }),
+            ActivationAction::PutWeights { manifest } => {
+                let parts = self.shell.lock_plan().store().whole(manifest);
+                self.context.spawn_traffic(async move {
+                    let complete = match parts {
+                        Some(parts) => engine.put_weights(manifest, parts).await.is_ok(),
+                        None => false,
+                    };
+                    let done = ActivationEvent::PutDone { manifest, complete };
+                    let _ = events.send(LoopEvent::Control(done));
+                });
+            }
+            ActivationAction::SendOrder { kind, model, manifest, fencing } => {
+                info!(
+                    "event=order_sent kind={kind:?} model={model} manifest={manifest} revision={} \
+                     incarnation={}",
+                    fencing.revision, fencing.incarnation
+                );
+                let fencing =
+                    FencingNumber { revision: fencing.revision, incarnation: fencing.incarnation };
+                let order = LoadOrder { model, manifest, fencing };
+                self.context.spawn_traffic(async move {
+                    let outcome = send_order(&*engine, kind, order).await;
+                    let replied = ActivationEvent::OrderReplied(outcome);
+                    let _ = events.send(LoopEvent::Control(replied));
+                });
+            }
+        }
+    }
+}
+
+enum LoopEvent {
+    Control(ActivationEvent),
+    Engine(EngineStatus),
+}
+
+impl LoopState {
+    fn new(incarnation: base::Incarnation, now: Instant) -> Self {
+        // The safe assumption until the configuration says more: the engine ignores fencing numbers.
+        let options = ActivationOptions::new(FencingMode::Ignored, incarnation);
+        Self {
+            control: ActivationControl::new(options),
+            wants: AgentWants::default(),
+            view: None,
+            rollouts: Vec::new(),
+            next_probe: now,
+            refresh_after: None,
+            engine_in_use: 0,
+        }
+    }
+}
+
+async fn send_order(engine: &dyn ModelEngine, kind: OrderKind, order: LoadOrder) -> OrderOutcome {
+    let (model, manifest) = (order.model.clone(), order.manifest);
+    let reply = match kind {
+        OrderKind::Load => engine.load(order).await,
+        OrderKind::Unload => engine.unload(order).await,
+    };
+    match reply {
+        Ok(true) => OrderOutcome::Accepted,
+        Ok(false) => OrderOutcome::Refused,
+        Err(error) => {
+            warn!("event=order_failed model={model} manifest={manifest} error=\"{error}\"");
+            OrderOutcome::Unknown
+        }
+    }
+}
+
+fn engine_view(status: EngineStatus) -> EngineView {
+    EngineView {
+        incarnation: status.incarnation,
+        loaded: status.loaded.into_iter().map(|loaded| (loaded.model, loaded.manifest)).collect(),
+        last_order: status.last_order.map(|last| weights::FencingNumber {
+            revision: last.revision,
+            incarnation: last.incarnation,
+        }),
+    }
+}
--- /dev/null
+++ b/crates/node/src/weights/wants.rs
@@ -0,0 +1,122 @@
+//! What an agent should hold and with whom it shares transfers, from the published view of the fleet.
+
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+};
+
+use base::{ContentDigest, HostId, ModelId, UpstreamId};
+use config::{
+    AgentSettings, FleetConfig, HostRecord, PresetModel, UpstreamRecord, WantedModel,
+    replica_upstreams, wanted_models,
+};
+use weights::{FetchWant, PeerRecord};
+
+use crate::view::FleetView;
+
+/// A model that the preset in force wants served by this upstream.
+#[derive(Clone, Debug)]
+pub(super) struct ServedModel {
+    pub model: ModelId,
+    pub manifest: ContentDigest,
+    pub floor: u32,
+    /// Upstreams of the model in the order in which they change their version.
+    pub order: Vec<UpstreamId>,
+}
+
+/// Everything that follows from one view.
+#[derive(Clone, Debug, Default)]
+pub(super) struct AgentWants {
+    pub fetch: Vec<FetchWant>,
+    pub served: Vec<ServedModel>,
+}
+
+impl AgentWants {
+    pub fn of(view: &FleetView, settings: &AgentSettings) -> Self {
+        let config = &view.config;
+        let Some(record) = config.upstream(&settings.upstream) else { return Self::default() };
+        let wanted = wanted_models(config, record);
+        let agents: HashMap<&str, &HostRecord> = view
+            .hosts
+            .agents()
+            .filter_map(|host| host.upstream.as_ref().map(|upstream| (upstream.as_str(), host)))
+            .collect();
+        let mut wants = Self::default();
+        for model in &wanted {
+            let upstreams = upstreams_of(config, model);
+            let hosts = peer_records(config, &agents, &upstreams);
+            if model.active {
+                wants.served.push(ServedModel {
+                    model: model.model.clone(),
+                    manifest: model.manifest,
+                    floor: model.floor,
+                    order: upstreams.iter().map(|upstream| upstream.id.clone()).collect(),
+                });
+            }
+            wants.fetch.push(FetchWant {
+                manifest: model.manifest,
+                size_bytes: model.size_bytes,
+                fetch: true,
+                hosts,
+            });
+        }
+        wants.add_previous(config, &wanted);
+        wants
+    }
+
+    /// Keeps the previous versions as far as memory allows, so that a rollback is a load order and not a transfer.
+    fn add_previous(&mut self, config: &FleetConfig, wanted: &[WantedModel]) {
+        for model in wanted {
+            let previous = config.model(&model.model).and_then(|record| record.previous_version());
+            if let Some(version) = previous {
+                self.fetch.push(FetchWant {
+                    manifest: version.manifest,
+                    size_bytes: version.size_bytes,
+                    fetch: false,
+                    hosts: Arc::default(),
+                });
+            }
+        }
+    }
+}
+
+/// Address for frames of an agent in the latest host list.
+pub(super) fn peer_address(view: &FleetView, host: &HostId) -> Option<std::net::SocketAddr> {
+    view.hosts.hosts.iter().find(|record| record.id == *host).map(|record| record.peer)
+}
+
+/// Upstreams that any preset wants to hold the model, in rendezvous order of the first preset that names it.
+fn upstreams_of<'a>(config: &'a FleetConfig, model: &WantedModel) -> Vec<&'a UpstreamRecord> {
+    let base = config.adapters.iter().find(|adapter| adapter.id == model.model);
+    let base = base.map_or(&model.model, |adapter| &adapter.model);
+    let in_force = config.presets.iter().filter(|rule| rule.id == config.preset);
+    let others = config.presets.iter().filter(|rule| rule.id != config.preset);
+    let entries = in_force.chain(others).flat_map(|rule| &rule.models);
+    let mut known = HashSet::new();
+    entries
+        .filter(|entry: &&PresetModel| entry.model == *base)
+        .flat_map(|entry| replica_upstreams(config, entry))
+        .filter(|record| known.insert(record.id.as_str()))
+        .collect()
+}
+
+fn peer_records(
+    config: &FleetConfig,
+    agents: &HashMap<&str, &HostRecord>,
+    upstreams: &[&UpstreamRecord],
+) -> Arc<[PeerRecord]> {
+    upstreams
+        .iter()
+        .filter_map(|upstream| agents.get(upstream.id.as_str()))
+        .map(|host| peer_record(config, host))
+        .collect()
+}
+
+fn peer_record(config: &FleetConfig, host: &HostRecord) -> PeerRecord {
+    let region = config.region_of(&host.data_centre).unwrap_or(&host.data_centre);
+    PeerRecord {
+        host: host.id.clone(),
+        data_centre: host.data_centre.clone(),
+        region: region.clone(),
+    }
+}
--- a/crates/weights/src/activation.rs
+++ b/crates/weights/src/activation.rs
@@ -171,6 +171,11 @@
             })
     }
 
+    /// Sets what the engine does with fencing numbers, as the configuration in force says.
+    pub fn set_fencing(&mut self, fencing: FencingMode) {
+        self.options.fencing = fencing;
+    }
+
     /// Takes in an event.
     pub fn handle(&mut self, now: Instant, event: ActivationEvent) {
         self.detect_pause(now);
--- a/crates/weights/src/pacing.rs
+++ b/crates/weights/src/pacing.rs
@@ -40,6 +40,18 @@
         Self { bytes_per_s, load: LiveLoad::Idle, free_at: None }
     }
 
+    /// True if nothing admitted before still occupies the link.
+    #[must_use]
+    pub fn is_free(&self, now: Instant) -> bool {
+        self.free_at.is_none_or(|free_at| free_at <= now)
+    }
+
+    /// What live requests do.
+    #[must_use]
+    pub fn load(&self) -> LiveLoad {
+        self.load
+    }
+
     /// Sets what live requests do from now on.
     pub fn set_load(&mut self, load: LiveLoad) {
         self.load = load;
@@ -56,14 +68,14 @@
             }
     }
 
-    /// Admits `bytes` and returns how long the caller waits before it sends or reads them.
+    /// Admits `bytes` and returns how long the caller waits before it sends or asks for them: until the bytes admitted
+    /// before have passed.
     pub fn admit(&mut self, now: Instant, bytes: u64) -> Duration {
         #[expect(clippy::cast_precision_loss, reason = "a frame is far below 2^52 bytes")]
         let span = Duration::from_secs_f64(bytes as f64 / self.rate());
         let earliest = now.checked_sub(BURST).unwrap_or(now);
         let start = self.free_at.map_or(earliest, |free_at| free_at.max(earliest));
-        let free_at = start + span;
-        self.free_at = Some(free_at);
-        free_at.saturating_duration_since(now)
+        self.free_at = Some(start + span);
+        start.saturating_duration_since(now)
     }
 }
--- a/crates/weights/src/plan.rs
+++ b/crates/weights/src/plan.rs
@@ -13,7 +13,8 @@
 
 use crate::{
     manifest::ChunkManifest,
-    ranks::FetchView,
+    pacing::{LinkPacer, LiveLoad},
+    ranks::{FetchView, PeerRecord},
     sources::{ChunkSource, FetchFault},
     store::{ChunkStore, VerifiedChunk},
     transfer::{ChunkTransfer, FetchAction, FetchTicket, TransferOptions},
@@ -41,7 +42,7 @@
 }
 
 /// A version that the host should hold; lists of these are in falling order of priority.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct FetchWant {
     /// Digest of the manifest.
     pub manifest: ContentDigest,
@@ -49,10 +50,13 @@
     pub size_bytes: u64,
     /// False if the version is kept while memory allows but not fetched, as the previous version is for a rollback.
     pub fetch: bool,
+    /// Hosts that want the same version, the own one included, as far as this host knows.
+    pub hosts: Arc<[PeerRecord]>,
 }
 
 #[derive(Debug)]
 struct ManifestSearch {
+    view: FetchView,
     started: Instant,
     attempts: u32,
     next_attempt: Instant,
@@ -65,7 +69,8 @@
     options: FetchPlanOptions,
     store: ChunkStore,
     uploads: UploadBudget,
-    view: FetchView,
+    own: PeerRecord,
+    downloads: LinkPacer,
     wants: Vec<FetchWant>,
     searches: BTreeMap<ContentDigest, ManifestSearch>,
     transfers: BTreeMap<ContentDigest, ChunkTransfer>,
@@ -76,12 +81,13 @@
 impl FetchPlan {
     /// Creates a plan that wants nothing.
     #[must_use]
-    pub fn new(options: FetchPlanOptions, view: FetchView, seed: u64) -> Self {
+    pub fn new(options: FetchPlanOptions, own: PeerRecord, seed: u64) -> Self {
         Self {
             store: ChunkStore::new(options.memory_bytes),
             uploads: UploadBudget::new(options.upload),
+            downloads: LinkPacer::new(options.transfer.link_bytes_per_s),
             options,
-            view,
+            own,
             wants: Vec::new(),
             searches: BTreeMap::new(),
             transfers: BTreeMap::new(),
@@ -90,13 +96,13 @@
         }
     }
 
-    /// Replaces the versions wanted, the most urgent first. Versions beyond the memory bound are left out; fetches of
-    /// versions that are no longer wanted are cancelled and their chunks evicted.
-    pub fn set_wants(&mut self, now: Instant, wants: &[FetchWant]) -> Vec<FetchAction> {
+    /// Replaces the versions wanted, the most urgent first, and the hosts that take part. Versions beyond the memory
+    /// bound are left out; fetches of versions that are no longer wanted are cancelled and their chunks evicted.
+    pub fn set_wants(&mut self, now: Instant, wants: Vec<FetchWant>) -> Vec<FetchAction> {
         let mut memory_left = self.options.memory_bytes;
         let (fetched, kept): (Vec<FetchWant>, Vec<FetchWant>) =
-            wants.iter().partition(|want| want.fetch);
-        self.wants = Vec::new();
+            wants.into_iter().partition(|want| want.fetch);
+        let before = std::mem::take(&mut self.wants);
         for want in fetched.into_iter().chain(kept) {
             let known = self.wants.iter().any(|other| other.manifest == want.manifest);
             if !known && want.size_bytes <= memory_left {
@@ -105,51 +111,58 @@
             }
         }
         let digests: Vec<_> = self.wants.iter().map(|want| want.manifest).collect();
+        let fetched: Vec<_> =
+            self.wants.iter().filter(|want| want.fetch).map(|want| want.manifest).collect();
         self.store.retain(&digests);
         self.uploads.retain(&digests);
-        self.searches.retain(|digest, _| digests.contains(digest));
+        self.searches.retain(|digest, _| fetched.contains(digest));
         let mut actions = Vec::new();
-        for (_, mut transfer) in
-            self.transfers.extract_if(.., |digest, _| !digests.contains(digest))
-        {
+        let overtaken = self.transfers.extract_if(.., |digest, _| !fetched.contains(digest));
+        for (_, mut transfer) in overtaken {
             actions.append(&mut transfer.abandon());
         }
-        for want in self.wants.clone().iter().filter(|want| want.fetch) {
-            self.start(now, want.manifest);
+        for want in self.wants.clone() {
+            let old = before.iter().find(|old| old.manifest == want.manifest);
+            let moved = old.is_some_and(|old| old.hosts != want.hosts);
+            if want.fetch {
+                self.start(now, want, moved);
+            }
         }
         actions
     }
 
-    fn start(&mut self, now: Instant, digest: ContentDigest) {
-        if self.transfers.contains_key(&digest) {
-            return;
-        }
-        match self.store.manifest(digest).cloned() {
-            Some(manifest) => {
-                let held = self.store.held(digest).expect("the manifest is held");
-                let options = self.options.transfer.clone();
-                let view = self.view.clone();
-                let transfer =
-                    ChunkTransfer::new(manifest, held, view, options, now, &mut self.rng);
-                self.transfers.insert(digest, transfer);
-            }
-            None => {
-                self.searches.entry(digest).or_insert(ManifestSearch {
-                    started: now,
-                    attempts: 0,
-                    next_attempt: now,
-                    flight: None,
-                });
+    fn start(&mut self, now: Instant, want: FetchWant, moved: bool) {
+        let digest = want.manifest;
+        // The list knows the region of this host; the settings name only its data centre.
+        let own = want.hosts.iter().find(|record| record.host == self.own.host);
+        let own = own.unwrap_or(&self.own).clone();
+        if let Some(transfer) = self.transfers.get_mut(&digest) {
+            if moved {
+                transfer.set_view(FetchView::new(own, want.hosts));
             }
+            return;
         }
+        let view = FetchView::new(own, want.hosts);
+        let Some(manifest) = self.store.manifest(digest).cloned() else {
+            let search = self.searches.entry(digest).or_insert_with(|| ManifestSearch {
+                view: view.clone(),
+                started: now,
+                attempts: 0,
+                next_attempt: now,
+                flight: None,
+            });
+            search.view = view;
+            return;
+        };
+        let held = self.store.held(digest).expect("the manifest is held");
+        let options = self.options.transfer.clone();
+        let transfer = ChunkTransfer::new(manifest, held, view, options, now, &mut self.rng);
+        self.transfers.insert(digest, transfer);
     }
 
-    /// Replaces the view after a change of the host list.
-    pub fn set_view(&mut self, view: FetchView) {
-        for transfer in self.transfers.values_mut() {
-            transfer.set_view(view.clone());
-        }
-        self.view = view;
+    /// Sets what live requests do; fetches yield to them.
+    pub fn set_load(&mut self, load: LiveLoad) {
+        self.downloads.set_load(load);
     }
 
     /// Restarts waiting times after the process was paused.
@@ -165,10 +178,11 @@
     /// Adds a manifest that is at hand, for example in a publisher.
     pub fn add_manifest(&mut self, now: Instant, manifest: Arc<ChunkManifest>) {
         let digest = manifest.digest();
-        if self.wants.iter().any(|want| want.manifest == digest) {
+        if let Some(want) = self.wants.iter().find(|want| want.manifest == digest).cloned() {
             self.store.add_manifest(manifest);
-            if self.searches.remove(&digest).is_some() {
-                self.start(now, digest);
+            self.searches.remove(&digest);
+            if want.fetch {
+                self.start(now, want, false);
             }
         }
     }
@@ -252,19 +266,37 @@
     /// what the more urgent ones cannot use.
     pub fn poll(&mut self, now: Instant) -> Vec<FetchAction> {
         let mut actions = self.poll_searches(now);
-        let limit = self.options.transfer.max_in_flight;
+        let limit = self.fetch_limit(now);
         let mut in_flight: usize = self.transfers.values().map(ChunkTransfer::in_flight).sum();
         for want in &self.wants {
             let Some(transfer) = self.transfers.get_mut(&want.manifest) else { continue };
             let own = transfer.in_flight();
             let allowance = own + limit.saturating_sub(in_flight);
             let ticket = &mut self.next_ticket;
-            actions.append(&mut transfer.poll(now, allowance, ticket, &mut self.rng));
+            let launched = transfer.poll(now, allowance, ticket, &mut self.rng);
+            for action in &launched {
+                if let FetchAction::Chunk { index, .. } = action {
+                    self.downloads.admit(now, transfer.manifest().chunk_size(*index));
+                }
+            }
+            actions.extend(launched);
             in_flight = in_flight + transfer.in_flight() - own;
         }
         actions
     }
 
+    /// Fetches that may be in flight. Beside live requests, a new fetch starts only when the bytes of the previous ones
+    /// have passed at the share of the link that is left to transfers.
+    fn fetch_limit(&self, now: Instant) -> usize {
+        let limit = self.options.transfer.max_in_flight;
+        match self.downloads.load() {
+            LiveLoad::Idle => limit,
+            LiveLoad::Busy if self.downloads.is_free(now) => limit.div_ceil(2),
+            LiveLoad::Slow if self.downloads.is_free(now) => 1,
+            _ => 0,
+        }
+    }
+
     fn poll_searches(&mut self, now: Instant) -> Vec<FetchAction> {
         let mut actions = Vec::new();
         for (digest, search) in &mut self.searches {
@@ -282,14 +314,7 @@
             self.next_ticket += 1;
             search.flight = Some((ticket, now));
             search.attempts += 1;
-            let source = choose_manifest_source(
-                &self.view,
-                &self.options,
-                *digest,
-                search,
-                now,
-                &mut self.rng,
-            );
+            let source = choose_manifest_source(&self.options, *digest, search, now, &mut self.rng);
             actions.push(FetchAction::Manifest { manifest: *digest, source, ticket });
         }
         actions
@@ -371,13 +396,13 @@
 
 /// The first hosts of the region ask the origin; others ask peers, and the origin only after a wait by rank.
 fn choose_manifest_source(
-    view: &FetchView,
     options: &FetchPlanOptions,
     digest: ContentDigest,
     search: &ManifestSearch,
     now: Instant,
     rng: &mut ChaCha8Rng,
 ) -> ChunkSource {
+    let view = &search.view;
     let rank = view.manifest_rank(digest);
     let waited = now.saturating_duration_since(search.started);
     let wait = MANIFEST_PATIENCE * u32::try_from(rank.min(MANIFEST_FETCHERS * 8)).unwrap_or(0);
