--- /dev/null
+++ b/crates/standin/src/measure/weights.rs
@@ -0,0 +1,187 @@
+//! `measure weights`: how fast one version reaches every host, and what it costs the links.
+
+mod fault;
+mod host;
+mod net;
+mod run;
+
+use std::{fs, process::ExitCode, time::Duration};
+
+use clap::{Arg, ArgAction, ArgMatches, Command, builder::PossibleValuesParser, value_parser};
+use serde::Serialize;
+
+pub use self::{
+    fault::FaultKind,
+    run::{RunFigures, RunOptions, run_fleet, run_naive},
+};
+use crate::error::StandinError;
+
+const MIB: f64 = 1_048_576.0;
+/// Bytes per second of a link of 1 Mbit/s.
+const MBIT_BYTES: u64 = 125_000;
+/// Clock ticks per second in /proc, fixed at 100 by Linux for user space.
+const TICKS_PER_S: f64 = 100.0;
+
+/// Last line of the output.
+#[derive(Clone, Debug, Serialize)]
+struct WeightsReport {
+    hosts: usize,
+    size_mib: u64,
+    time_to_half_s: f64,
+    time_to_all_s: f64,
+    bound_s: f64,
+    ratio: f64,
+    origin_copies: f64,
+    region_copies: f64,
+    max_upload_copies: f64,
+    corrupt_served: usize,
+    naive_time_s: Option<f64>,
+    speedup: Option<f64>,
+    cpu_s_per_host: f64,
+    rss_mb: f64,
+    fault: &'static str,
+    fault_times: usize,
+    seed: u64,
+}
+
+/// The command line.
+#[must_use]
+pub fn cli() -> Command {
+    let number = |name: &'static str, default: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_name("N")
+            .default_value(default)
+            .value_parser(value_parser!(u64).range(1..))
+            .help(help)
+    };
+    Command::new("weights")
+        .about("Measure how fast weights reach every host over paced links")
+        .arg(number("hosts", "16", "Number of hosts"))
+        .arg(number("size-mib", "16", "Size of the weights in MiB"))
+        .arg(number("link-mbit", "64", "Link of a host each way in Mbit/s"))
+        .arg(number("chunks", "128", "Number of chunks"))
+        .arg(number("seed", "1", "Seed of weights and choices"))
+        .arg(
+            Arg::new("fault")
+                .long("fault")
+                .value_name("NAME")
+                .value_parser(PossibleValuesParser::new(FaultKind::ALL.map(FaultKind::name)))
+                .help("Fault during the transfer"),
+        )
+        .arg(
+            Arg::new("twice")
+                .long("twice")
+                .action(ArgAction::SetTrue)
+                .help("Let the fault happen twice"),
+        )
+        .arg(
+            Arg::new("skip-naive")
+                .long("skip-naive")
+                .action(ArgAction::SetTrue)
+                .help("Leave out the naive transfer, which takes hosts/2 times as long"),
+        )
+}
+
+/// Runs the command; the last line of its output is one JSON object.
+#[must_use]
+pub fn exec(matches: &ArgMatches) -> ExitCode {
+    match measure(matches) {
+        Ok(report) => {
+            println!("{}", serde_json::to_string(&report).unwrap_or_default());
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("error: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn measure(matches: &ArgMatches) -> Result<WeightsReport, StandinError> {
+    let number = |name: &str| *matches.get_one::<u64>(name).expect("the option has a default");
+    let as_size = |value: u64| usize::try_from(value).unwrap_or(usize::MAX);
+    let fault = matches.get_one::<String>("fault").and_then(|name| FaultKind::from_name(name));
+    let options = RunOptions {
+        hosts: as_size(number("hosts")),
+        size_bytes: as_size(number("size-mib")) << 20,
+        link_bytes_per_s: number("link-mbit") * MBIT_BYTES,
+        chunks: as_size(number("chunks")),
+        seed: number("seed"),
+        fault,
+        fault_times: if fault.is_none() { 0 } else { 1 + usize::from(matches.get_flag("twice")) },
+    };
+    let runtime = tokio::runtime::Runtime::new().map_err(|source| StandinError::Start {
+        host: "measuring runtime".into(),
+        detail: source.to_string(),
+    })?;
+    let cpu_before = cpu_seconds();
+    let figures = runtime.block_on(run_fleet(&options))?;
+    let cpu = cpu_seconds() - cpu_before;
+    let rss_mb = peak_rss_mb();
+    let naive = (!matches.get_flag("skip-naive"))
+        .then(|| runtime.block_on(run_naive(&options)))
+        .transpose()?;
+    runtime.shutdown_background();
+    Ok(report(&options, &figures, naive, cpu, rss_mb))
+}
+
+#[expect(clippy::cast_precision_loss, reason = "sizes are far below 2^52 bytes")]
+fn report(
+    options: &RunOptions,
+    figures: &RunFigures,
+    naive: Option<Duration>,
+    cpu_s: f64,
+    rss_mb: f64,
+) -> WeightsReport {
+    let size = options.size_bytes as f64;
+    let at = |position: usize| figures.done.get(position).map_or(0.0, Duration::as_secs_f64);
+    let time_to_all = at(figures.done.len().saturating_sub(1));
+    let bound = options.bound().as_secs_f64();
+    let naive_time = naive.map(|naive| naive.as_secs_f64());
+    WeightsReport {
+        hosts: options.hosts,
+        size_mib: (size / MIB) as u64,
+        time_to_half_s: rounded(at(figures.done.len().div_ceil(2).saturating_sub(1))),
+        time_to_all_s: rounded(time_to_all),
+        bound_s: rounded(bound),
+        ratio: rounded(time_to_all / bound),
+        origin_copies: rounded(figures.origin_bytes as f64 / size),
+        region_copies: rounded(figures.region_bytes as f64 / size),
+        max_upload_copies: rounded(figures.max_upload_bytes as f64 / size),
+        corrupt_served: figures.corrupt_served,
+        naive_time_s: naive_time.map(rounded),
+        speedup: naive_time.map(|naive| rounded(naive / time_to_all)),
+        cpu_s_per_host: rounded(cpu_s / options.hosts as f64),
+        rss_mb: rounded(rss_mb),
+        fault: options.fault.map_or("none", FaultKind::name),
+        fault_times: options.fault_times,
+        seed: options.seed,
+    }
+}
+
+fn rounded(value: f64) -> f64 {
+    (value * 1000.0).round() / 1000.0
+}
+
+/// Processor time of this process so far; 0 where /proc does not exist.
+fn cpu_seconds() -> f64 {
+    let stat = fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    // The fields after the name in parentheses; user and system time are the 12th and 13th of them.
+    let fields = stat.rsplit(')').next().unwrap_or_default();
+    let ticks: f64 = fields
+        .split_whitespace()
+        .skip(11)
+        .take(2)
+        .filter_map(|field| field.parse::<f64>().ok())
+        .sum();
+    ticks / TICKS_PER_S
+}
+
+/// Largest resident memory of this process so far in MB; 0 where /proc does not exist.
+fn peak_rss_mb() -> f64 {
+    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let kib = line.and_then(|line| line.split_whitespace().next()?.parse::<f64>().ok());
+    kib.unwrap_or(0.0) * 1024.0 / 1e6
+}
--- /dev/null
+++ b/crates/standin/src/measure/weights/run.rs
@@ -0,0 +1,514 @@
+//! A measured transfer to a fleet on loopback, and the naive one in which every host draws from the origin.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::{Ipv4Addr, SocketAddr},
+    sync::{Arc, Mutex, PoisonError, RwLock, atomic::Ordering},
+    time::{Duration, Instant},
+};
+
+use base::ContentDigest;
+use compact_str::format_compact;
+use hyper::{StatusCode, header};
+use platform::{HttpWeightSource, WeightSource};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use weights::{
+    ChunkManifest, FetchPlan, FetchPlanOptions, FetchWant, PeerRecord, TransferOptions,
+    UploadOptions, VerifiedChunk,
+};
+
+use super::{
+    fault::FaultKind,
+    host::{FleetNet, HostFaults, TransferHost},
+    net::PacedLink,
+};
+use crate::{
+    error::StandinError,
+    http::{ConnectionSwitch, HttpServer, answer},
+    platform::{
+        catalog::{WeightCatalog, WeightImage},
+        weight_store::{StoreFault, StoreOptions, WeightStore},
+    },
+};
+
+/// Data centres of the measured fleet, with their regions.
+const DATA_CENTRES: [(&str, &str); 7] = [
+    ("dc-a", "region-1"),
+    ("dc-b", "region-2"),
+    ("dc-c", "region-3"),
+    ("dc-d", "region-1"),
+    ("dc-e", "region-2"),
+    ("dc-f", "region-3"),
+    ("dc-g", "region-1"),
+];
+/// Rate of the origin's link and of each region's link, in links of a host.
+const WIDE_LINK_FACTOR: u32 = 2;
+const LOOK_INTERVAL: Duration = Duration::from_millis(2);
+const LONGEST_RUN: Duration = Duration::from_secs(90);
+/// Chunks that a naive host asks for at once.
+const NAIVE_IN_FLIGHT: usize = 4;
+/// Chunks of the origin that arrive with a wrong byte or cut short under that fault.
+const ORIGIN_FAULTS: u32 = 3;
+
+/// What to measure.
+#[derive(Clone, Debug)]
+pub struct RunOptions {
+    /// Number of hosts.
+    pub hosts: usize,
+    /// Size of the weights in bytes.
+    pub size_bytes: usize,
+    /// Rate of a host's link each way, in bytes per second.
+    pub link_bytes_per_s: u64,
+    /// Number of chunks.
+    pub chunks: usize,
+    /// Seed of the weights and of the hosts' choices.
+    pub seed: u64,
+    /// Fault, if any.
+    pub fault: Option<FaultKind>,
+    /// Times that the fault happens.
+    pub fault_times: usize,
+}
+
+/// What the stand-ins saw of a transfer.
+#[derive(Clone, Debug)]
+pub struct RunFigures {
+    /// Time until each surviving host had all of the wanted version.
+    pub done: Vec<Duration>,
+    /// Bytes that the origin sent.
+    pub origin_bytes: u64,
+    /// Most bytes that passed into one region.
+    pub region_bytes: u64,
+    /// Most bytes that one host sent.
+    pub max_upload_bytes: u64,
+    /// Hosts whose bytes differ from the published ones.
+    pub corrupt_served: usize,
+}
+
+impl RunOptions {
+    /// Size over the narrowest link: no transfer is faster.
+    #[must_use]
+    #[expect(clippy::cast_precision_loss, reason = "sizes are far below 2^52 bytes")]
+    pub fn bound(&self) -> Duration {
+        Duration::from_secs_f64(self.size_bytes as f64 / self.link_bytes_per_s as f64)
+    }
+
+    fn image(&self, version: u64) -> WeightImage {
+        let chunk_bytes = self.size_bytes.div_ceil(self.chunks.max(1)).max(1);
+        WeightImage::generate(self.seed * 10 + version, self.size_bytes, chunk_bytes)
+    }
+
+    #[expect(clippy::cast_precision_loss, reason = "a link speed is far below 2^52 bytes/s")]
+    fn wide_rate(&self) -> f64 {
+        (self.link_bytes_per_s * u64::from(WIDE_LINK_FACTOR)) as f64
+    }
+
+    fn plan_options(&self, origins: usize) -> FetchPlanOptions {
+        FetchPlanOptions {
+            memory_bytes: self.size_bytes as u64 * 2,
+            transfer: TransferOptions {
+                link_bytes_per_s: self.link_bytes_per_s,
+                origins,
+                ..TransferOptions::default()
+            },
+            upload: UploadOptions::default(),
+        }
+    }
+}
+
+struct Fleet {
+    options: RunOptions,
+    net: Arc<FleetNet>,
+    records: Arc<[PeerRecord]>,
+    images: Vec<Arc<WeightImage>>,
+    origin: WeightStore,
+    refusing: Option<HttpServer>,
+    hosts: Vec<Option<TransferHost>>,
+    done: Vec<Option<Instant>>,
+    /// Bytes of a version at a host differ from the published ones.
+    corrupt: usize,
+    target: usize,
+    started: Instant,
+    rng: ChaCha8Rng,
+}
+
+/// Measures one transfer.
+///
+/// # Errors
+/// Fails if a socket cannot be opened or the transfer does not end in time.
+pub async fn run_fleet(options: &RunOptions) -> Result<RunFigures, StandinError> {
+    let mut fleet = Fleet::start(options).await?;
+    fleet.prepare().await;
+    fleet.begin();
+    let mut events = fleet.schedule();
+    loop {
+        let elapsed = fleet.started.elapsed();
+        while let Some(entry) = events.first_entry().filter(|entry| *entry.key() <= elapsed) {
+            let event = entry.remove();
+            for step in event {
+                fleet.apply(step).await?;
+            }
+        }
+        fleet.look();
+        if events.is_empty() && fleet.is_done() {
+            return Ok(fleet.figures());
+        }
+        if fleet.started.elapsed() > LONGEST_RUN {
+            let (what, seconds) = ("whole weights on every host".into(), LONGEST_RUN.as_secs());
+            return Err(StandinError::NotReached { what, seconds });
+        }
+        tokio::time::sleep(LOOK_INTERVAL).await;
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+enum FaultStep {
+    Stall(usize, Duration),
+    Kill(usize),
+    Restart(usize),
+    Pause(usize, bool),
+    CutOff(Option<usize>),
+    Want(usize),
+}
+
+impl Fleet {
+    async fn start(options: &RunOptions) -> Result<Self, StandinError> {
+        let catalog = Arc::new(WeightCatalog::default());
+        let images: Vec<_> = (0..3).map(|version| catalog.add(options.image(version))).collect();
+        let origin = start_origin(options, catalog).await?;
+        let refusing = match options.fault {
+            Some(FaultKind::StoreRefuses) => Some(start_refusing().await?),
+            _ => None,
+        };
+        let records: Vec<_> = (0..options.hosts).map(peer_record).collect();
+        #[expect(clippy::cast_precision_loss, reason = "a link speed is far below 2^52 bytes/s")]
+        let rate = options.link_bytes_per_s as f64;
+        let wide = options.wide_rate();
+        let links = |rate: f64| (0..options.hosts).map(|_| PacedLink::new(rate)).collect();
+        let chunks = images
+            .iter()
+            .map(|image| (image.digest, u32::try_from(image.chunks.len()).unwrap_or(u32::MAX)));
+        let net = Arc::new(FleetNet {
+            by_host: records
+                .iter()
+                .enumerate()
+                .map(|(index, record)| (record.host.clone(), index))
+                .collect(),
+            faults: (0..options.hosts).map(|_| HostFaults::default()).collect(),
+            up: links(rate),
+            down: links(rate),
+            regions: DATA_CENTRES
+                .iter()
+                .map(|(_, region)| (*region).to_owned())
+                .map(|region| (region, (PacedLink::new(wide), PacedLink::new(wide))))
+                .collect::<HashMap<_, _>>(),
+            addresses: RwLock::new(vec![SocketAddr::from((Ipv4Addr::LOCALHOST, 0)); options.hosts]),
+            cut_off: Mutex::new(None),
+            chunks: Mutex::new(chunks.collect()),
+            records: records.clone(),
+        });
+        let mut fleet = Self {
+            options: options.clone(),
+            net,
+            records: records.into(),
+            images,
+            origin,
+            refusing,
+            hosts: (0..options.hosts).map(|_| None).collect(),
+            done: vec![None; options.hosts],
+            corrupt: 0,
+            target: 0,
+            started: Instant::now(),
+            rng: ChaCha8Rng::seed_from_u64(options.seed),
+        };
+        for index in 0..options.hosts {
+            fleet.start_host(index).await?;
+        }
+        Ok(fleet)
+    }
+
+    async fn start_host(&mut self, index: usize) -> Result<(), StandinError> {
+        let mut sources: Vec<Arc<dyn WeightSource>> = Vec::new();
+        if let Some(store) = &self.refusing {
+            sources.push(Arc::new(HttpWeightSource::new(store.address())));
+        }
+        sources.push(Arc::new(HttpWeightSource::new(self.origin.address())));
+        let options = self.options.plan_options(sources.len());
+        let plan = FetchPlan::new(options, self.records[index].clone(), self.rng.random());
+        let rate = self.options.link_bytes_per_s;
+        let host =
+            TransferHost::start(&self.net, index, plan, sources, rate).await.map_err(|source| {
+                StandinError::Bind { address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), source }
+            })?;
+        self.hosts[index] = Some(host);
+        Ok(())
+    }
+
+    /// Sets up the faults that are present from the start.
+    async fn prepare(&mut self) {
+        let victims = self.options.fault_times;
+        match self.options.fault {
+            Some(FaultKind::Corrupt) => {
+                self.origin.set_fault(StoreFault::Corrupt, ORIGIN_FAULTS);
+                (0..victims)
+                    .for_each(|host| self.net.faults[host].corrupts.store(true, Ordering::Relaxed));
+            }
+            Some(FaultKind::Truncate) => {
+                self.origin.set_fault(StoreFault::Truncate, ORIGIN_FAULTS);
+                (0..victims).for_each(|host| {
+                    self.net.faults[host].truncates.store(true, Ordering::Relaxed)
+                });
+            }
+            Some(FaultKind::PeerLies) => {
+                (0..victims)
+                    .for_each(|host| self.net.faults[host].lies.store(true, Ordering::Relaxed));
+            }
+            Some(FaultKind::OriginDown) => {
+                // The first three hosts are in three regions.
+                for host in 0..3.min(self.options.hosts) {
+                    self.fill(host);
+                }
+                self.origin.set_down(true);
+            }
+            _ => {}
+        }
+    }
+
+    fn fill(&self, host: usize) {
+        let image = &self.images[0];
+        let Some(host) = &self.hosts[host] else { return };
+        host.shell.set_wants(vec![self.want(0, true)]);
+        let manifest = ChunkManifest::parse(&image.manifest, image.digest);
+        let manifest = Arc::new(manifest.expect("the catalogue holds valid manifests"));
+        let now = Instant::now();
+        let mut plan = host.shell.lock_plan();
+        plan.add_manifest(now, manifest.clone());
+        for index in 0..manifest.chunk_count() {
+            let data = image.chunk(index as usize).expect("the index is in range");
+            let chunk = VerifiedChunk::verify(&manifest, index, data);
+            plan.record_chunk(now, image.digest, index, 0, chunk);
+        }
+    }
+
+    fn want(&self, version: usize, fetch: bool) -> FetchWant {
+        let image = &self.images[version];
+        FetchWant {
+            manifest: image.digest,
+            size_bytes: image.weights.len() as u64,
+            fetch,
+            hosts: self.records.clone(),
+        }
+    }
+
+    fn begin(&mut self) {
+        self.started = Instant::now();
+        self.set_target(0, None);
+    }
+
+    fn set_target(&mut self, version: usize, previous: Option<usize>) {
+        self.target = version;
+        self.done.fill(None);
+        let mut wants = vec![self.want(version, true)];
+        wants.extend(previous.map(|previous| self.want(previous, false)));
+        for host in self.hosts.iter().flatten() {
+            host.shell.set_wants(wants.clone());
+        }
+    }
+
+    fn schedule(&mut self) -> BTreeMap<Duration, Vec<FaultStep>> {
+        let mut events: BTreeMap<Duration, Vec<FaultStep>> = BTreeMap::new();
+        let Some(fault) = self.options.fault else { return events };
+        let bound = self.options.bound();
+        let span = bound.mul_f64(fault.span());
+        for round in 0..self.options.fault_times.min(2) {
+            let at = bound.mul_f64(fault.times()[round]);
+            let host = self.rng.random_range(0..self.options.hosts);
+            let mut add = |at: Duration, step| events.entry(at).or_default().push(step);
+            match fault {
+                FaultKind::Stall => add(at, FaultStep::Stall(host, span)),
+                FaultKind::PeerDies => add(at, FaultStep::Kill(host)),
+                FaultKind::Restart => add(at, FaultStep::Restart(host)),
+                FaultKind::Pause => {
+                    add(at, FaultStep::Pause(host, true));
+                    add(at + span, FaultStep::Pause(host, false));
+                }
+                FaultKind::Partition => {
+                    add(at, FaultStep::CutOff(Some(host)));
+                    add(at + span, FaultStep::CutOff(None));
+                }
+                FaultKind::VersionChange => add(at, FaultStep::Want(round + 1)),
+                FaultKind::Rollback => {
+                    add(at, FaultStep::Want(1));
+                    add(at + span.mul_f64(0.5), FaultStep::Want(0));
+                }
+                _ => {}
+            }
+        }
+        events
+    }
+
+    async fn apply(&mut self, step: FaultStep) -> Result<(), StandinError> {
+        match step {
+            FaultStep::Stall(host, span) => {
+                let until = Instant::now() + span;
+                self.net.up[host].block(until);
+                self.net.down[host].block(until);
+            }
+            FaultStep::Kill(host) => {
+                if let Some(host) = self.hosts[host].take() {
+                    host.kill();
+                }
+            }
+            FaultStep::Restart(host) => {
+                if let Some(old) = self.hosts[host].take() {
+                    old.kill();
+                }
+                self.done[host] = None;
+                self.start_host(host).await?;
+                let want = self.want(self.target, true);
+                if let Some(host) = &self.hosts[host] {
+                    host.shell.set_wants(vec![want]);
+                }
+            }
+            FaultStep::Pause(host, paused) => {
+                self.net.faults[host].paused.store(paused, Ordering::Relaxed);
+                if let Some(host) = self.hosts[host].as_ref().filter(|_| !paused) {
+                    host.shell.resume();
+                }
+            }
+            FaultStep::CutOff(host) => {
+                let region = host.map(|host| self.records[host].region.to_string());
+                *self.net.cut_off.lock().unwrap_or_else(PoisonError::into_inner) = region;
+            }
+            FaultStep::Want(version) => {
+                let previous = self.target;
+                let elapsed = self.started.elapsed();
+                self.set_target(version, Some(previous));
+                log::debug!("event=version_changed at_ms={}", elapsed.as_millis());
+                self.started = Instant::now().checked_sub(Duration::ZERO).unwrap_or(self.started);
+            }
+        }
+        Ok(())
+    }
+
+    /// Notes the hosts that now hold the wanted version whole, and compares their bytes with the published ones.
+    fn look(&mut self) {
+        let image = &self.images[self.target];
+        for (host, done) in self.hosts.iter().zip(&mut self.done) {
+            let Some(host) = host.as_ref().filter(|_| done.is_none()) else { continue };
+            let whole = host.shell.lock_plan().store().whole(image.digest);
+            if let Some(parts) = whole {
+                *done = Some(Instant::now());
+                self.corrupt += usize::from(!is_same(&parts, &image.weights));
+            }
+        }
+    }
+
+    fn is_done(&self) -> bool {
+        let mut hosts = self.hosts.iter().zip(&self.done);
+        hosts.all(|(host, done)| host.is_none() || done.is_some())
+    }
+
+    fn figures(&self) -> RunFigures {
+        let done = self.hosts.iter().zip(&self.done).filter(|(host, _)| host.is_some());
+        let mut done: Vec<_> = done
+            .filter_map(|(_, done)| Some((*done)?.saturating_duration_since(self.started)))
+            .collect();
+        done.sort_unstable();
+        for host in self.hosts.iter().flatten() {
+            host.kill();
+        }
+        RunFigures {
+            done,
+            origin_bytes: self.origin.sent_bytes(),
+            region_bytes: self
+                .net
+                .regions
+                .values()
+                .map(|(_, into)| into.passed())
+                .max()
+                .unwrap_or(0),
+            max_upload_bytes: self.net.up.iter().map(|link| link.passed()).max().unwrap_or(0),
+            corrupt_served: self.corrupt,
+        }
+    }
+}
+
+fn is_same(parts: &[bytes::Bytes], weights: &[u8]) -> bool {
+    let mut rest = weights;
+    parts.iter().all(|part| {
+        let head = rest.split_off(..part.len().min(rest.len()));
+        head.is_some_and(|head| head == &part[..])
+    }) && rest.is_empty()
+}
+
+fn peer_record(index: usize) -> PeerRecord {
+    let (data_centre, region) = DATA_CENTRES[index % DATA_CENTRES.len()];
+    PeerRecord {
+        host: format_compact!("host-{index:04}"),
+        data_centre: data_centre.into(),
+        region: region.into(),
+    }
+}
+
+async fn start_origin(
+    options: &RunOptions,
+    catalog: Arc<WeightCatalog>,
+) -> Result<WeightStore, StandinError> {
+    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let store = StoreOptions { bytes_per_second: options.wide_rate(), max_backlog: LONGEST_RUN };
+    WeightStore::start(address, catalog, store).await
+}
+
+/// A rate-limited store that refuses everything for now.
+async fn start_refusing() -> Result<HttpServer, StandinError> {
+    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    HttpServer::start(address, ConnectionSwitch::new(), |_| {
+        Box::pin(async {
+            let mut refusal = answer(StatusCode::TOO_MANY_REQUESTS, "");
+            refusal.headers_mut().insert(header::RETRY_AFTER, 1.into());
+            refusal
+        })
+    })
+    .await
+}
+
+/// Measures the naive transfer: every host draws every chunk from the origin over the same paced link.
+///
+/// # Errors
+/// Fails if a socket cannot be opened or a chunk is not answered.
+pub async fn run_naive(options: &RunOptions) -> Result<Duration, StandinError> {
+    let catalog = Arc::new(WeightCatalog::default());
+    let image = catalog.add(options.image(0));
+    let origin = start_origin(options, catalog).await?;
+    let started = Instant::now();
+    let mut hosts = tokio::task::JoinSet::new();
+    for _ in 0..options.hosts {
+        let source = HttpWeightSource::new(origin.address());
+        hosts.spawn(naive_host(source, image.digest, image.chunks.clone()));
+    }
+    while let Some(outcome) = hosts.join_next().await {
+        if !matches!(outcome, Ok(true)) {
+            let what = "the naive transfer of whole weights".into();
+            return Err(StandinError::NotReached { what, seconds: started.elapsed().as_secs() });
+        }
+    }
+    Ok(started.elapsed())
+}
+
+async fn naive_host(
+    source: HttpWeightSource,
+    manifest: ContentDigest,
+    chunks: Vec<ContentDigest>,
+) -> bool {
+    use futures_util::StreamExt;
+    let source = &source;
+    let fetches = (0..).zip(chunks).map(|(index, digest): (u32, _)| async move {
+        let chunk = source.chunk(manifest, index).await;
+        chunk.is_ok_and(|chunk| ContentDigest::of(&chunk) == digest)
+    });
+    futures_util::stream::iter(fetches)
+        .buffer_unordered(NAIVE_IN_FLIGHT)
+        .all(|whole| async move { whole })
+        .await
+}
