Add callers, observer, fleet on loopback and demo

Cause: promises have to be checked by what callers were told and what stand-ins ran, not by what the system says of itself. Change: seeded callers that check every token, an observer, relays that count and pace bytes between agents, and the demo on top of them.

--- /dev/null
+++ b/crates/standin/src/fleet/mod.rs
@@ -0,0 +1,423 @@
+//! A whole fleet on loopback: the stand-ins, and the entries and agents as tasks of this process.
+
+pub mod layout;
+pub mod network;
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use base::SystemClock;
+use compact_str::{CompactString, ToCompactString};
+use config::{AgentSettings, EntrySettings, FleetConfig, HostList, settings::CommonSettings};
+use node::{AgentNode, EntryNode, NodeContext, NodeListeners};
+use tokio::runtime::Handle;
+
+use self::{
+    layout::{FleetLayout, HostPlan},
+    network::PeerNetwork,
+};
+use crate::{
+    error::StandinError,
+    http::lock,
+    observer::UpstreamWork,
+    platform::{
+        catalog::WeightCatalog,
+        config_service::ConfigService,
+        engine::{EngineOptions, ModelEngine},
+        service::{PlainService, ServiceOptions},
+        weight_store::{StoreOptions, WeightStore},
+        work::LoadGauge,
+    },
+};
+
+/// Lag of the host list.
+const HOST_LAG: Duration = Duration::from_secs(3);
+/// Peers that a process asks first after a start.
+const SEEDS: usize = 3;
+/// Interval between two looks at a state that is waited for.
+const LOOK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// How a fleet on loopback behaves.
+#[derive(Clone, Debug)]
+pub struct FleetOptions {
+    /// Engines; limits are taken from the layout.
+    pub engine: EngineOptions,
+    /// Plain services; limits are taken from the layout.
+    pub service: ServiceOptions,
+    /// Weight store and origin.
+    pub store: StoreOptions,
+    /// Speed of a host's link that transfers may use each way, in Mbit/s.
+    pub link_mbit: u64,
+}
+
+impl Default for FleetOptions {
+    fn default() -> Self {
+        Self {
+            engine: EngineOptions::default(),
+            service: ServiceOptions::default(),
+            store: StoreOptions::default(),
+            link_mbit: 1_000,
+        }
+    }
+}
+
+impl FleetOptions {
+    /// Speed of a host's link in bytes a second.
+    #[must_use]
+    pub fn link_bytes_per_second(&self) -> f64 {
+        self.link_mbit as f64 * 1e6 / 8.0
+    }
+}
+
+/// Upstream of a host.
+#[derive(Debug)]
+pub enum FleetUpstream {
+    /// A model engine.
+    Engine(ModelEngine),
+    /// A plain service.
+    Service(PlainService),
+}
+
+/// The stand-ins of a fleet.
+pub struct FleetPlatform {
+    /// Hosts.
+    pub layout: FleetLayout,
+    /// Known weights.
+    pub catalog: Arc<WeightCatalog>,
+    /// Configuration service and host list.
+    pub config_service: ConfigService,
+    /// Weight store.
+    pub store: WeightStore,
+    /// Origin.
+    pub origin: WeightStore,
+    /// Upstreams, in the order of the layout's agents.
+    pub upstreams: Vec<FleetUpstream>,
+    config: Mutex<FleetConfig>,
+    hosts: Mutex<HostList>,
+}
+
+/// Entries and agents of a fleet, on top of its stand-ins.
+pub struct StandinFleet {
+    /// The stand-ins.
+    pub platform: FleetPlatform,
+    /// Network between the hosts.
+    pub network: Arc<PeerNetwork>,
+    options: FleetOptions,
+    entries: Mutex<Vec<Option<EntryNode>>>,
+    agents: Mutex<Vec<Option<AgentNode>>>,
+}
+
+impl FleetUpstream {
+    /// Load and runs.
+    #[must_use]
+    pub fn gauge(&self) -> &Arc<LoadGauge> {
+        match self {
+            Self::Engine(engine) => engine.gauge(),
+            Self::Service(service) => service.gauge(),
+        }
+    }
+
+    /// The engine, if it is one.
+    #[must_use]
+    pub fn engine(&self) -> Option<&ModelEngine> {
+        match self {
+            Self::Engine(engine) => Some(engine),
+            Self::Service(_) => None,
+        }
+    }
+}
+
+impl FleetPlatform {
+    /// Starts the stand-ins.
+    ///
+    /// # Errors
+    /// Fails if an address cannot be listened on.
+    pub async fn start(layout: FleetLayout, options: &FleetOptions) -> Result<Self, StandinError> {
+        let catalog = Arc::new(WeightCatalog::default());
+        let block = layout.block;
+        let config_service = ConfigService::start(block.platform(), HOST_LAG).await?;
+        let store = options.store.clone();
+        let store = WeightStore::start(block.store(), Arc::clone(&catalog), store).await?;
+        let origin = options.store.clone();
+        let origin = WeightStore::start(block.origin(), Arc::clone(&catalog), origin).await?;
+        let mut upstreams = Vec::new();
+        for plan in &layout.agents {
+            upstreams.push(start_upstream(plan, &layout, options, &catalog).await?);
+        }
+        let hosts = layout.host_list();
+        config_service.set_hosts(&hosts);
+        let config = Mutex::new(layout.config());
+        let hosts = Mutex::new(hosts);
+        Ok(Self { layout, catalog, config_service, store, origin, upstreams, config, hosts })
+    }
+
+    /// Changes the configuration and publishes it under the next revision; returns when it was published.
+    pub fn publish(&self, change: impl FnOnce(&mut FleetConfig)) -> Instant {
+        let mut config = lock(&self.config);
+        change(&mut config);
+        config.revision += 1;
+        self.config_service.publish(&config);
+        Instant::now()
+    }
+
+    /// The configuration that was published last.
+    #[must_use]
+    pub fn config(&self) -> FleetConfig {
+        lock(&self.config).clone()
+    }
+
+    /// Changes the host list; readers see it after the lag.
+    pub fn change_hosts(&self, change: impl FnOnce(&mut HostList)) {
+        let mut hosts = lock(&self.hosts);
+        change(&mut hosts);
+        hosts.version += 1;
+        self.config_service.set_hosts(&hosts);
+    }
+
+    /// Engines in the order of the layout.
+    pub fn engines(&self) -> impl Iterator<Item = &ModelEngine> {
+        self.upstreams.iter().filter_map(FleetUpstream::engine)
+    }
+
+    /// Engines that serve this manifest now.
+    #[must_use]
+    pub fn replicas(&self, manifest: &str) -> usize {
+        self.engines().filter(|engine| engine.loaded().iter().any(|held| held == manifest)).count()
+    }
+
+    /// Waits until `count` engines serve the manifest; returns the time waited.
+    ///
+    /// # Errors
+    /// Fails after `limit`.
+    pub async fn wait_replicas(
+        &self,
+        manifest: &str,
+        count: usize,
+        limit: Duration,
+    ) -> Result<Duration, StandinError> {
+        let what = format!("{count} replicas of {}", &manifest[..8]);
+        wait_until(&what, limit, || self.replicas(manifest) >= count).await
+    }
+
+    /// Lets every upstream bear its warm limit.
+    pub fn turn_warm(&self) {
+        for upstream in &self.upstreams {
+            upstream.gauge().turn_warm();
+        }
+    }
+
+    /// What the upstreams ran.
+    #[must_use]
+    pub fn work(&self) -> Vec<UpstreamWork> {
+        let hosts = self.layout.agents.iter().zip(&self.upstreams);
+        hosts
+            .map(|(plan, upstream)| UpstreamWork {
+                data_centre: plan.data_centre.clone(),
+                records: upstream.gauge().log().records(),
+                over_limit_peak: upstream.gauge().over_limit_peak(),
+                crashes: upstream.gauge().crashes(),
+            })
+            .collect()
+    }
+}
+
+/// Waits until `holds` is true; returns the time waited.
+///
+/// # Errors
+/// Fails after `limit`.
+pub async fn wait_until(
+    what: &str,
+    limit: Duration,
+    holds: impl Fn() -> bool,
+) -> Result<Duration, StandinError> {
+    let start = Instant::now();
+    while !holds() {
+        if start.elapsed() >= limit {
+            let what = what.to_owned();
+            return Err(StandinError::NotReached { what, seconds: limit.as_secs() });
+        }
+        tokio::time::sleep(LOOK_INTERVAL).await;
+    }
+    Ok(start.elapsed())
+}
+
+async fn start_upstream(
+    plan: &HostPlan,
+    layout: &FleetLayout,
+    options: &FleetOptions,
+    catalog: &Arc<WeightCatalog>,
+) -> Result<FleetUpstream, StandinError> {
+    let (cold_limit, warm_limit) = (layout.options.cold_limit, layout.options.warm_limit);
+    let address = plan.upstream_address;
+    if plan.service.is_some() {
+        let options = ServiceOptions { cold_limit, warm_limit, ..options.service.clone() };
+        return Ok(FleetUpstream::Service(PlainService::start(address, options).await?));
+    }
+    let options = EngineOptions { cold_limit, warm_limit, ..options.engine.clone() };
+    let engine = ModelEngine::start(address, Arc::clone(catalog), options).await?;
+    Ok(FleetUpstream::Engine(engine))
+}
+
+impl StandinFleet {
+    /// Starts entries and agents on top of the stand-ins.
+    ///
+    /// # Errors
+    /// Fails if an address cannot be listened on.
+    pub async fn start(
+        platform: FleetPlatform,
+        options: FleetOptions,
+    ) -> Result<Self, StandinError> {
+        let network = PeerNetwork::new(options.link_bytes_per_second());
+        let layout = &platform.layout;
+        for plan in layout.entries.iter().chain(&layout.agents) {
+            let (host, data_centre) = (plan.id.clone(), plan.data_centre.clone());
+            let is_agent = plan.upstream.is_some();
+            network.add_host(host, data_centre, is_agent, plan.relay, plan.peer).await?;
+        }
+        let (entries, agents) = (layout.entries.len(), layout.agents.len());
+        let fleet = Self {
+            platform,
+            network,
+            options,
+            entries: Mutex::new((0..entries).map(|_| None).collect()),
+            agents: Mutex::new((0..agents).map(|_| None).collect()),
+        };
+        for index in 0..agents {
+            fleet.start_agent(index)?;
+        }
+        for index in 0..entries {
+            fleet.start_entry(index)?;
+        }
+        Ok(fleet)
+    }
+
+    /// Addresses of all entries for callers.
+    #[must_use]
+    pub fn entry_addresses(&self) -> Vec<SocketAddr> {
+        self.platform.layout.entries.iter().map(|plan| plan.http).collect()
+    }
+
+    /// Starts an entry.
+    ///
+    /// # Errors
+    /// Fails if an address cannot be listened on.
+    pub fn start_entry(&self, index: usize) -> Result<(), StandinError> {
+        let plan = &self.platform.layout.entries[index];
+        let settings = EntrySettings {
+            http_listen: plan.http,
+            common: self.common(plan),
+            address_ttl_ms: 2_000,
+            subset: 64,
+            max_body_bytes: 1 << 20,
+        };
+        let listeners = listen(plan, &settings.common, Some(plan.http))?;
+        let node = EntryNode::start(context(), settings, listeners);
+        lock(&self.entries)[index] = Some(node);
+        Ok(())
+    }
+
+    /// Starts an agent.
+    ///
+    /// # Errors
+    /// Fails if an address cannot be listened on.
+    pub fn start_agent(&self, index: usize) -> Result<(), StandinError> {
+        let plan = &self.platform.layout.agents[index];
+        let settings = AgentSettings {
+            upstream: plan.upstream.clone().unwrap_or_default(),
+            upstream_address: plan.upstream_address,
+            common: self.common(plan),
+            weight_sources: vec![self.platform.store.address(), self.platform.origin.address()],
+            memory_mib: 512,
+            link_mbit: self.options.link_mbit,
+            queue_length: 64,
+        };
+        let listeners = listen(plan, &settings.common, None)?;
+        let node = AgentNode::start(context(), settings, listeners);
+        lock(&self.agents)[index] = Some(node);
+        Ok(())
+    }
+
+    /// Stops an entry gracefully.
+    pub async fn drain_entry(&self, index: usize) {
+        let node = lock(&self.entries)[index].take();
+        if let Some(node) = node {
+            node.drain().await;
+        }
+    }
+
+    /// Stops an agent gracefully.
+    pub async fn drain_agent(&self, index: usize) {
+        let node = lock(&self.agents)[index].take();
+        if let Some(node) = node {
+            node.drain().await;
+        }
+    }
+
+    /// Stops an entry as a crash would.
+    pub fn kill_entry(&self, index: usize) {
+        if let Some(node) = lock(&self.entries)[index].take() {
+            node.kill();
+        }
+    }
+
+    /// Stops an agent as a crash would.
+    pub fn kill_agent(&self, index: usize) {
+        if let Some(node) = lock(&self.agents)[index].take() {
+            node.kill();
+        }
+    }
+
+    /// Stops all entries and agents at once.
+    pub fn stop(&self) {
+        for index in 0..self.platform.layout.entries.len() {
+            self.kill_entry(index);
+        }
+        for index in 0..self.platform.layout.agents.len() {
+            self.kill_agent(index);
+        }
+        self.network.stop();
+    }
+
+    fn common(&self, plan: &HostPlan) -> CommonSettings {
+        let layout = &self.platform.layout;
+        let others = layout.agents.iter().chain(&layout.entries).filter(|other| other.id != plan.id);
+        // Seeds of several data centres, so that a start succeeds while one of them is unreachable.
+        let seeds = others.map(|other| other.relay).step_by(5).take(SEEDS).collect();
+        CommonSettings {
+            host: plan.id.clone(),
+            data_centre: plan.data_centre.clone(),
+            peer_listen: plan.peer,
+            admin_listen: plan.admin,
+            seeds,
+            platform: self.platform.config_service.address(),
+            fleet_key: CompactString::const_new("stand-in fleet key, not a secret"),
+            statsd: None,
+            log_level: CompactString::const_new("warn"),
+            drain_ms: 30_000,
+        }
+    }
+}
+
+impl Drop for StandinFleet {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+fn context() -> NodeContext {
+    NodeContext::new(Arc::new(SystemClock), Handle::current(), Handle::current())
+}
+
+fn listen(
+    plan: &HostPlan,
+    common: &CommonSettings,
+    http: Option<SocketAddr>,
+) -> Result<NodeListeners, StandinError> {
+    NodeListeners::bind(common, http).map_err(|error| StandinError::Start {
+        host: plan.id.to_string(),
+        detail: error.to_compact_string().into(),
+    })
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,10 +3,16 @@
 //! The stand-ins speak the HTTP interfaces of the platform on loopback. They record what they really did, so that an
 //! observer can compare it with what callers were told.
 
+pub mod caller;
+pub mod demo;
 pub mod error;
+pub mod fleet;
+mod force_probe;
 pub mod http;
 pub mod http_client;
+pub mod ledger;
 pub mod measure;
+pub mod observer;
 pub mod platform;
 
 pub use crate::{
--- /dev/null
+++ b/crates/standin/src/observer.rs
@@ -0,0 +1,229 @@
+//! Compares what callers were told with what the stand-ins ran.
+
+use std::{
+    collections::{HashMap, HashSet},
+    time::{Duration, Instant},
+};
+
+use base::DataCentreId;
+use compact_str::CompactString;
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use crate::{
+    ledger::{AttemptRecord, RequestKind, RequestRecord, Told},
+    platform::work::{WorkEnd, WorkRecord},
+};
+
+/// Largest latency of the histogram, in microseconds.
+const MAX_LATENCY_US: u64 = 120_000_000;
+/// Significant digits of the histogram.
+const LATENCY_DIGITS: u8 = 3;
+
+/// Runs of one upstream.
+#[derive(Clone, Debug)]
+pub struct UpstreamWork {
+    /// Data centre of the upstream.
+    pub data_centre: DataCentreId,
+    /// Runs in order of acceptance.
+    pub records: Vec<WorkRecord>,
+    /// Most by which accepted work exceeded what the upstream bore.
+    pub over_limit_peak: u32,
+    /// Crashes.
+    pub crashes: u32,
+}
+
+/// Time in which a data centre was out, from publication to publication.
+#[derive(Clone, Debug)]
+pub struct OutWindow {
+    /// The data centre.
+    pub data_centre: DataCentreId,
+    /// When the change that takes it out was published.
+    pub out_at: Instant,
+    /// When the change that brings it back was published.
+    pub back_at: Instant,
+}
+
+/// Result of the comparison.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct ServeTally {
+    /// Requests that callers started.
+    pub sent: u64,
+    /// Requests with the whole, correct answer.
+    pub answered: u64,
+    /// Answered requests that took no longer than the limit for being in time.
+    pub in_time: u64,
+    /// Requests whose caller was finally told "not run".
+    pub not_run: u64,
+    /// Requests whose caller finally does not know.
+    pub unknown: u64,
+    /// Requests refused as faults of the caller.
+    pub faults: u64,
+    /// Requests that ended without any statement, and bookings confirmed but never run.
+    pub lost: u64,
+    /// Answers that are not the answer to the request.
+    pub wrong_answer: u64,
+    /// Bookings that ran more than once.
+    pub doubled: u64,
+    /// Attempts told "not run" that ran.
+    pub untrue_not_run: u64,
+    /// Answers in progress that the system cut off, although the upstream had not crashed.
+    pub cut: u64,
+    /// Latency of answered requests.
+    pub p50_ms: f64,
+    /// Latency of answered requests.
+    pub p95_ms: f64,
+    /// Latency of answered requests.
+    pub p99_ms: f64,
+    /// Most by which accepted work exceeded what an upstream bore.
+    pub over_limit_peak: u32,
+    /// Crashes of upstreams.
+    pub upstream_crashes: u32,
+    /// Longest time from the publication that takes a data centre out to new work in it.
+    pub last_new_work_after_out_s: f64,
+}
+
+/// What the observer compares.
+#[derive(Clone, Debug, Default)]
+pub struct Observation {
+    /// What callers were told.
+    pub requests: Vec<RequestRecord>,
+    /// What upstreams ran.
+    pub work: Vec<UpstreamWork>,
+    /// Data centres taken out.
+    pub windows: Vec<OutWindow>,
+    /// Longest duration that counts as in time.
+    pub in_time_limit: Duration,
+}
+
+impl Observation {
+    /// Compares.
+    #[must_use]
+    pub fn tally(&self) -> ServeTally {
+        let runs = RunIndex::new(&self.work);
+        let mut tally = ServeTally::default();
+        let mut latencies = Histogram::<u64>::new_with_bounds(1, MAX_LATENCY_US, LATENCY_DIGITS)
+            .expect("the bounds are valid");
+        for request in &self.requests {
+            self.count_verdict(request, &runs, &mut tally);
+            tally.untrue_not_run += runs.untrue_refusals(request);
+            tally.cut += runs.cut_attempts(request);
+            if request.verdict() == Told::Answered {
+                let micros = u64::try_from(request.duration.as_micros()).unwrap_or(u64::MAX);
+                latencies.saturating_record(micros);
+            }
+        }
+        tally.doubled = runs.doubled(&self.requests);
+        tally.p50_ms = quantile_ms(&latencies, 0.50);
+        tally.p95_ms = quantile_ms(&latencies, 0.95);
+        tally.p99_ms = quantile_ms(&latencies, 0.99);
+        tally.over_limit_peak =
+            self.work.iter().map(|work| work.over_limit_peak).max().unwrap_or_default();
+        tally.upstream_crashes = self.work.iter().map(|work| work.crashes).sum();
+        tally.last_new_work_after_out_s = self.last_new_work().as_secs_f64();
+        tally
+    }
+
+    fn count_verdict(&self, request: &RequestRecord, runs: &RunIndex, tally: &mut ServeTally) {
+        tally.sent += 1;
+        match request.verdict() {
+            Told::Answered if !runs.has_run(&request.reference) => tally.lost += 1,
+            Told::Answered => {
+                tally.answered += 1;
+                tally.in_time += u64::from(request.duration <= self.in_time_limit);
+            }
+            Told::NotRun => tally.not_run += 1,
+            Told::Unknown | Told::Broken => tally.unknown += 1,
+            Told::NoAnswer | Told::Silent => tally.lost += 1,
+            Told::Fault(_) => tally.faults += 1,
+            Told::Wrong(_) => tally.wrong_answer += 1,
+        }
+    }
+
+    fn last_new_work(&self) -> Duration {
+        let in_window = |window: &OutWindow| {
+            let upstreams =
+                self.work.iter().filter(|work| work.data_centre == window.data_centre);
+            let times = upstreams.flat_map(|work| &work.records).map(|record| record.accepted_at);
+            times
+                .filter(|at| (window.out_at..window.back_at).contains(at))
+                .map(|at| at - window.out_at)
+                .max()
+        };
+        self.windows.iter().filter_map(in_window).max().unwrap_or_default()
+    }
+}
+
+fn quantile_ms(latencies: &Histogram<u64>, quantile: f64) -> f64 {
+    Duration::from_micros(latencies.value_at_quantile(quantile)).as_secs_f64() * 1e3
+}
+
+/// Runs by reference and by attempt.
+struct RunIndex<'a> {
+    by_reference: HashMap<&'a CompactString, Vec<&'a WorkRecord>>,
+    attempts: HashSet<&'a CompactString>,
+}
+
+impl<'a> RunIndex<'a> {
+    fn new(work: &'a [UpstreamWork]) -> Self {
+        let mut by_reference: HashMap<_, Vec<_>> = HashMap::new();
+        let mut attempts = HashSet::new();
+        for record in work.iter().flat_map(|work| &work.records) {
+            by_reference.entry(&record.reference).or_default().push(record);
+            attempts.insert(&record.attempt);
+        }
+        Self { by_reference, attempts }
+    }
+
+    fn has_run(&self, reference: &CompactString) -> bool {
+        self.by_reference.contains_key(reference)
+    }
+
+    fn doubled(&self, requests: &[RequestRecord]) -> u64 {
+        let bookings = requests.iter().filter(|request| request.kind == RequestKind::Booking);
+        let runs = bookings.filter_map(|request| self.by_reference.get(&request.reference));
+        runs.filter(|runs| runs.len() > 1).count() as u64
+    }
+
+    /// Bookings carry the attempt to the service. Other requests are resent with the same content, so a run belongs to
+    /// the attempt that was the last to be sent before it.
+    fn untrue_refusals(&self, request: &RequestRecord) -> u64 {
+        let refused = (0..).zip(&request.attempts).filter(|(_, attempt)| attempt.told == Told::NotRun);
+        let untrue = refused.filter(|(index, attempt)| {
+            if request.kind == RequestKind::Booking {
+                self.attempts.contains(&attempt.attempt)
+            } else {
+                self.runs_of(request, *index).next().is_some()
+            }
+        });
+        untrue.count() as u64
+    }
+
+    /// Attempts without a whole answer whose run was cancelled while the caller was still waiting.
+    fn cut_attempts(&self, request: &RequestRecord) -> u64 {
+        let unfinished = |attempt: &AttemptRecord| match attempt.told {
+            Told::Broken => true,
+            Told::Unknown | Told::NoAnswer | Told::NotRun => {
+                attempt.tokens > 0 || attempt.reason == "connection_lost"
+            }
+            _ => false,
+        };
+        let attempts = (0..).zip(&request.attempts).filter(|(_, attempt)| unfinished(attempt));
+        let cut = attempts.filter(|(index, _)| {
+            let mut runs = self.runs_of(request, *index);
+            !runs.any(|run| run.end == WorkEnd::Crashed)
+        });
+        cut.count() as u64
+    }
+
+    fn runs_of(
+        &self,
+        request: &'a RequestRecord,
+        index: usize,
+    ) -> impl Iterator<Item = &'a WorkRecord> {
+        let from = request.attempts[index].sent_at;
+        let to = request.attempts.get(index + 1).map(|next| next.sent_at);
+        let runs = self.by_reference.get(&request.reference).into_iter().flatten().copied();
+        runs.filter(move |run| run.accepted_at >= from && to.is_none_or(|to| run.accepted_at < to))
+    }
+}
