--- /dev/null
+++ b/crates/cli/src/commands/demo.rs
@@ -0,0 +1,48 @@
+//! `wigeon demo`: runs the whole system on loopback and checks its promises from outside.
+
+use std::process::ExitCode;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use log::LevelFilter;
+use standin::demo::{self, DemoOptions};
+
+use crate::output::{STATUS_FAILED, report_error};
+
+/// The command line.
+pub(super) fn cli() -> Command {
+    Command::new("demo")
+        .about("Run 8 entries and 20 upstreams on loopback through a data centre move and a version change")
+        .arg(
+            Arg::new("seed")
+                .long("seed")
+                .value_name("N")
+                .default_value("1")
+                .value_parser(value_parser!(u64))
+                .help("Seed of arrivals, prompts and weights"),
+        )
+        .arg(Arg::new("json").long("json").action(ArgAction::SetTrue).help("Print only the line of JSON"))
+        .arg(
+            Arg::new("log-level")
+                .long("log-level")
+                .value_name("LEVEL")
+                .default_value("off")
+                .value_parser(["off", "error", "warn", "info", "debug"])
+                .help("Log lines of all processes to standard error"),
+        )
+}
+
+/// Runs the command; status 1 if a promise broke.
+pub(super) fn exec(matches: &ArgMatches) -> ExitCode {
+    let level = matches.get_one::<String>("log-level").and_then(|name| name.parse().ok());
+    node::logging::init(level.unwrap_or(LevelFilter::Off));
+    let options = DemoOptions {
+        seed: *matches.get_one::<u64>("seed").expect("the argument has a default"),
+        json: matches.get_flag("json"),
+        ..DemoOptions::default()
+    };
+    match demo::exec(&options) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(STATUS_FAILED),
+        Err(error) => report_error(&error, STATUS_FAILED),
+    }
+}
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -1,7 +1,9 @@
 //! Subcommands of `wigeon`, one file each.
 
 mod check;
+mod demo;
 pub mod diff;
+mod report;
 pub mod status;
 
 use std::process::ExitCode;
@@ -19,6 +21,8 @@
         .subcommand(check::cli())
         .subcommand(diff::cli())
         .subcommand(status::cli())
+        .subcommand(report::cli())
+        .subcommand(demo::cli())
 }
 
 /// Parses the arguments and runs the subcommand.
@@ -28,6 +32,8 @@
         Some(("check", matches)) => check::exec(matches),
         Some(("diff", matches)) => diff::exec(matches),
         Some(("status", matches)) => status::exec(matches),
+        Some(("report", matches)) => report::exec(matches),
+        Some(("demo", matches)) => demo::exec(matches),
         _ => unreachable!("clap accepts only known subcommands"),
     }
 }
