node: build the agent's side of the request path

Cause: the skeleton forwarded requests without admission, record or checks.

Change: the agent admits work through the limit and the fair queue, with a gate for planned stops, data centres that are out, leaving hosts, an upstream that is down and pauses. Idempotent requests are relayed while they arrive; token lines are checked and counted against the last line, and a closed connection cancels them. Each keyed request runs in a task of its own, is recorded before its first byte leaves, is sent once on a fresh connection and answers every resent key. A broken connection is a crash if the upstream names another incarnation or does not answer; all requests in flight become suspects and run again only alone. A planned stop refuses waiting and new work, finishes what runs, answers resent keys and logs what it still holds at its bound. The monitor reads no status before the configuration names the kind of the upstream: a first read as a plain service left the list of models empty and requests were refused as not ready for 250 ms after a start.

--- a/crates/node/src/agent/forward.rs
+++ b/crates/node/src/agent/forward.rs
@@ -1,195 +1,250 @@
-//! Runs forwarded requests on the upstream.
+//! Handles the messages of entries: status requests, forwarded requests and crash notices.
 
 use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicU32, Ordering},
-    },
+    sync::Arc,
     time::{Duration, Instant},
 };
 
 use base::{Outcome, RefusalReason};
 use bytes::Bytes;
-use config::AgentSettings;
-use futures_util::{TryStreamExt, future::BoxFuture};
-use hyper::Method;
-use platform::{
-    CallRequest, GenerateRequest, ModelEngine, PlainService, PlatformError, UpstreamAnswer,
-};
-use tokio::{sync::Semaphore, time::timeout};
+use futures_util::future::BoxFuture;
+use hyper::StatusCode;
+use limit::WorkRefusal;
+use log::{debug, warn};
+use once::{KEY_SIGNING_CONTEXT, KeySigner, RecordOptions, RecordedResult, RetainedAnswer};
 use wire::{
-    Body, ChannelError, End, Forward, Head, LoadReport, Payload, ReadyModel, Refusal, StatusReply,
+    Ack, Body, ChannelError, End, FleetKey, Forward, FrameChannel, Head, Payload, ReadyModel,
+    StatusReply,
 };
 
-use super::monitor::UpstreamMonitor;
-use crate::{
-    context::NodeContext,
-    server::{FrameHandler, ServerChannel},
-    view::ViewReader,
+use super::{
+    core::CallCore,
+    keyed::{KeyedCalls, KeyedStart},
+    relay::{AgentRefusal, AnswerRelay, DEADLINE_GRACE},
 };
+use crate::server::{FrameHandler, ServerChannel};
+
+/// Shortest duration of a planned stop: entries learn of it by their probes, and requests that are under way to this
+/// agent get a truthful refusal instead of a refused connection.
+const DRAIN_LINGER: Duration = Duration::from_secs(1);
 
-const RETRY_AFTER: Duration = Duration::from_millis(250);
-const FINISH_POLL: Duration = Duration::from_millis(20);
+/// Longest remaining time that is honoured.
+const MAX_REMAINING: Duration = Duration::from_secs(3_600);
 
-/// Handles `Forward` and `StatusRequest`.
+/// Handles `Forward`, `StatusRequest` and `CrashNotice`.
 pub struct ForwardHandler {
-    context: NodeContext,
-    settings: AgentSettings,
-    started: Instant,
-    view: ViewReader,
-    monitor: UpstreamMonitor,
-    engine: Arc<dyn ModelEngine>,
-    service: Arc<dyn PlainService>,
-    permits: Semaphore,
-    in_use: AtomicU32,
+    core: Arc<CallCore>,
+    keyed: Arc<KeyedCalls>,
+    signer: KeySigner,
 }
 
 impl ForwardHandler {
     /// Creates the handler.
     #[must_use]
-    pub fn new(
-        context: &NodeContext,
-        settings: &AgentSettings,
-        view: ViewReader,
-        monitor: UpstreamMonitor,
-        engine: Arc<dyn ModelEngine>,
-        service: Arc<dyn PlainService>,
-    ) -> Arc<Self> {
-        Arc::new(Self {
-            context: context.clone(),
-            settings: settings.clone(),
-            started: context.clock.now(),
-            view,
-            monitor,
-            engine,
-            service,
-            permits: Semaphore::new(settings.queue_length),
-            in_use: AtomicU32::new(0),
-        })
+    pub fn new(core: Arc<CallCore>, key: &FleetKey, options: RecordOptions) -> Arc<Self> {
+        let keyed = KeyedCalls::new(core.clone(), options);
+        Arc::new(Self { core, keyed, signer: KeySigner::new(key.derive(KEY_SIGNING_CONTEXT)) })
     }
 
-    /// Waits until nothing is in progress, at most `limit`; returns what is still held.
+    /// Waits until nothing is in progress, at most `limit`; returns what is still held. The stop must have begun.
     pub async fn finish(&self, limit: Duration) -> u32 {
-        let idle = async {
-            while self.in_use.load(Ordering::Relaxed) > 0 {
-                tokio::time::sleep(FINISH_POLL).await;
-            }
-        };
-        let _ = timeout(limit, idle).await;
-        self.in_use.load(Ordering::Relaxed)
+        self.core.gate.apply();
+        tokio::time::sleep(DRAIN_LINGER.min(limit)).await;
+        let left = limit.saturating_sub(DRAIN_LINGER);
+        self.core.progress.finish(left, || self.core.now()).await
     }
 
     /// Status for entries and operators.
     #[must_use]
     pub fn status(&self) -> StatusReply {
-        let state = self.monitor.get();
-        let view = self.view.get();
-        let ready = state.loaded.iter().map(|loaded| ReadyModel {
+        let core = &self.core;
+        let upstream = core.monitor.get();
+        let ready = upstream.loaded.iter().map(|loaded| ReadyModel {
             model: loaded.model.to_string(),
             manifest: Bytes::copy_from_slice(loaded.manifest.as_bytes()),
         });
-        let uptime = self.context.clock.now().saturating_duration_since(self.started);
         StatusReply {
-            upstream: self.settings.upstream.to_string(),
-            incarnation: self.context.incarnation,
-            uptime_ms: u64::try_from(uptime.as_millis()).unwrap_or(u64::MAX),
-            load: self.load(),
+            upstream: core.upstream.to_string(),
+            incarnation: core.context.incarnation,
+            uptime_ms: u64::try_from(core.uptime().as_millis()).unwrap_or(u64::MAX),
+            load: core.admitter.load(),
             ready: ready.collect(),
-            draining: self.is_draining(),
-            revision: view.map_or(0, |view| view.config.revision),
-            upstream_up: state.up,
+            draining: core.gate.is_draining(),
+            revision: core.view.get().map_or(0, |view| view.config.revision),
+            upstream_up: upstream.up,
             held_bytes: 0,
             wanted_bytes: 0,
         }
     }
 
-    fn is_draining(&self) -> bool {
-        let out = self
-            .view
-            .get()
-            .is_some_and(|view| view.config.is_out(&self.settings.common.data_centre));
-        out || self.context.draining.is_cancelled()
+    async fn forward(
+        &self,
+        forward: Forward,
+        channel: &mut ServerChannel,
+    ) -> Result<(), ChannelError> {
+        let now = self.core.now();
+        // A remaining time beyond any sensible deadline must not overflow the clock.
+        let remaining = Duration::from_millis(forward.remaining_ms).min(MAX_REMAINING);
+        let deadline = now + remaining;
+        let _ = self.core.gate.is_stale();
+        if !forward.key.is_empty() {
+            return self.forward_keyed(forward, deadline, channel).await;
+        }
+        if self.needs_key(&forward) {
+            // The entry passed it on under a configuration in which the service is idempotent.
+            let refusal = self.core.refusal(RefusalReason::Refreshing);
+            return self.refuse(&forward, refusal, channel).await;
+        }
+        self.forward_idempotent(&forward, deadline, channel).await
     }
 
-    fn load(&self) -> LoadReport {
-        let limit = self
-            .view
-            .get()
-            .and_then(|view| view.config.upstream(&self.settings.upstream).map(|r| r.cold_limit));
-        LoadReport {
-            limit: limit.unwrap_or(0),
-            in_use: self.in_use.load(Ordering::Relaxed),
-            queued: 0,
-        }
+    fn needs_key(&self, forward: &Forward) -> bool {
+        let is_read = matches!(forward.method.as_str(), "GET" | "HEAD");
+        let view = self.core.view.get();
+        let record = view.as_ref().and_then(|view| view.config.service(&forward.service));
+        !is_read && record.is_some_and(|record| !record.idempotent)
     }
 
-    fn refusal(&self, request_id: u64, outcome: Outcome, reason: RefusalReason) -> Payload {
-        Payload::Refusal(Refusal {
-            request_id,
-            outcome: outcome.code(),
-            reason: reason.code(),
-            retry_after_ms: RETRY_AFTER.as_millis() as u64,
-            crashed: false,
-            load: self.load(),
-        })
+    async fn forward_idempotent(
+        &self,
+        forward: &Forward,
+        deadline: Instant,
+        channel: &mut ServerChannel,
+    ) -> Result<(), ChannelError> {
+        let progress = self.core.progress.enter(forward, self.core.now());
+        let FrameChannel { sender, receiver, .. } = channel;
+        let acquired = tokio::select! {
+            acquired = self.core.acquire(forward, deadline, &progress) => acquired,
+            message = receiver.receive() => return Err(cancel(forward, message)),
+        };
+        let work = match acquired {
+            Ok(work) => work,
+            Err(refusal) => return self.refuse(forward, refusal, channel).await,
+        };
+        let relay = AnswerRelay::new(&self.core, forward, sender, &work, deadline);
+        let result = tokio::select! {
+            result = relay.run(work.isolated) => result,
+            message = receiver.receive() => Err(cancel(forward, message)),
+        };
+        match result {
+            Ok(result) => {
+                work.ticket.finish(result);
+                Ok(())
+            }
+            // The ticket keeps its slot until the upstream has noticed the cancellation.
+            Err(error) => Err(error),
+        }
     }
 
-    async fn forward(
+    async fn forward_keyed(
         &self,
         forward: Forward,
+        deadline: Instant,
         channel: &mut ServerChannel,
     ) -> Result<(), ChannelError> {
-        let request_id = forward.request_id;
-        if self.is_draining() {
-            let refusal = self.refusal(request_id, Outcome::NotRun, RefusalReason::Draining);
-            return channel.sender.send(refusal).await;
+        let _progress = self.core.progress.enter(&forward, self.core.now());
+        let key = match self.signer.verify(&forward.key) {
+            Ok(key) => key,
+            Err(error) => {
+                warn!("event=key_rejected error=\"{error}\"");
+                let unknown = RecordedResult::Unknown(RefusalReason::OwnerGone);
+                return self.send_result(&forward, unknown, channel).await;
+            }
+        };
+        if *key.service() != forward.service {
+            return self.send_mismatch(&forward, channel).await;
         }
-        let Ok(permit) = self.permits.try_acquire() else {
-            let refusal = self.refusal(request_id, Outcome::NotRun, RefusalReason::Overloaded);
-            return channel.sender.send(refusal).await;
+        let result = match self.keyed.begin(key, &forward, deadline) {
+            KeyedStart::Settled(result) => result,
+            KeyedStart::ContentMismatch => return self.send_mismatch(&forward, channel).await,
+            KeyedStart::Wait(mut wait) => {
+                let left = deadline.saturating_duration_since(self.core.now()) + DEADLINE_GRACE;
+                tokio::select! {
+                    result = wait.result() => result,
+                    message = channel.receiver.receive() => return Err(cancel(&forward, message)),
+                    () = tokio::time::sleep(left) => {
+                        RecordedResult::Unknown(RefusalReason::DeadlineExceeded)
+                    }
+                }
+            }
         };
-        self.in_use.fetch_add(1, Ordering::Relaxed);
-        let outcome = self.run(forward, channel).await;
-        self.in_use.fetch_sub(1, Ordering::Relaxed);
-        drop(permit);
-        outcome
+        self.send_result(&forward, result, channel).await
     }
 
-    async fn run(&self, forward: Forward, channel: &mut ServerChannel) -> Result<(), ChannelError> {
-        let request_id = forward.request_id;
-        let manifest = forward.manifest.clone();
-        match self.call(forward).await {
-            Ok(answer) => stream_answer(request_id, manifest, answer, self.load(), channel).await,
-            Err(error) if error.is_not_sent() => {
-                let refusal = self.refusal(request_id, Outcome::NotRun, RefusalReason::NotReady);
-                channel.sender.send(refusal).await
-            }
-            Err(_) => {
-                let refusal =
-                    self.refusal(request_id, Outcome::Unknown, RefusalReason::ConnectionLost);
-                channel.sender.send(refusal).await
+    async fn send_result(
+        &self,
+        forward: &Forward,
+        result: RecordedResult,
+        channel: &mut ServerChannel,
+    ) -> Result<(), ChannelError> {
+        let (outcome, reason) = match result {
+            RecordedResult::Answered(answer) => {
+                return self.send_answer(forward, answer, channel).await;
             }
-        }
+            RecordedResult::NotRun(reason) => (Outcome::NotRun, reason),
+            RecordedResult::Unknown(reason) => (Outcome::Unknown, reason),
+        };
+        let retry_after = self.core.admitter.retry_after();
+        let refusal = AgentRefusal { outcome, reason, retry_after };
+        let payload = refusal.to_payload(forward.request_id, self.core.admitter.load());
+        channel.sender.send(payload).await
     }
 
-    async fn call(&self, forward: Forward) -> Result<UpstreamAnswer, PlatformError> {
-        if forward.service.is_empty() {
-            let request = GenerateRequest { body: forward.body, priority: forward.priority };
-            return self.engine.generate(request).await;
-        }
-        let request = CallRequest {
-            method: Method::from_bytes(forward.method.as_bytes()).unwrap_or(Method::POST),
-            path: forward.path.into(),
-            body: forward.body,
-            idempotent: forward.key.is_empty(),
+    /// Tells a caller that used one key for two requests; this says nothing about the request of the key.
+    async fn send_mismatch(
+        &self,
+        forward: &Forward,
+        channel: &mut ServerChannel,
+    ) -> Result<(), ChannelError> {
+        let body = Bytes::from_static(
+            br#"{"error":"key_mismatch","detail":"the key belongs to another request"}"#,
+        );
+        let status = StatusCode::UNPROCESSABLE_ENTITY.as_u16();
+        let content_type = "application/json".into();
+        let answer = RetainedAnswer { status, content_type, body };
+        self.send_answer(forward, answer, channel).await
+    }
+
+    async fn send_answer(
+        &self,
+        forward: &Forward,
+        answer: RetainedAnswer,
+        channel: &mut ServerChannel,
+    ) -> Result<(), ChannelError> {
+        let request_id = forward.request_id;
+        let RetainedAnswer { status, content_type, body: data } = answer;
+        let length = data.len() as u64;
+        let head = Head {
+            request_id,
+            status: u32::from(status),
+            content_type: content_type.to_string(),
+            manifest: Bytes::new(),
         };
-        self.service.call(request).await
+        channel.sender.send(Payload::Head(head)).await?;
+        if !data.is_empty() {
+            channel.sender.send(Payload::Body(Body { data })).await?;
+        }
+        let load = self.core.admitter.load();
+        let end = End { request_id, length, complete: true, load, crashed: false };
+        channel.sender.send(Payload::End(end)).await
+    }
+
+    async fn refuse(
+        &self,
+        forward: &Forward,
+        refusal: WorkRefusal,
+        channel: &mut ServerChannel,
+    ) -> Result<(), ChannelError> {
+        let WorkRefusal { reason, retry_after } = refusal;
+        let refusal = AgentRefusal { outcome: Outcome::NotRun, reason, retry_after };
+        let payload = refusal.to_payload(forward.request_id, self.core.admitter.load());
+        channel.sender.send(payload).await
     }
 }
 
 impl FrameHandler for ForwardHandler {
     fn accepts(&self, payload: &Payload) -> bool {
-        matches!(payload, Payload::Forward(_) | Payload::StatusRequest(_))
+        matches!(payload, Payload::CrashNotice(_) | Payload::Forward(_) | Payload::StatusRequest(_))
     }
 
     fn handle<'a>(
@@ -200,35 +255,19 @@
         Box::pin(async move {
             match payload {
                 Payload::Forward(forward) => self.forward(forward, channel).await,
+                Payload::CrashNotice(notice) => {
+                    self.core.crashes.apply(&notice);
+                    channel.sender.send(Payload::Ack(Ack {})).await
+                }
                 _ => channel.sender.send(Payload::StatusReply(self.status())).await,
             }
         })
     }
 }
 
-async fn stream_answer(
-    request_id: u64,
-    manifest: Bytes,
-    mut answer: UpstreamAnswer,
-    load: LoadReport,
-    channel: &mut ServerChannel,
-) -> Result<(), ChannelError> {
-    let content_type = answer.content_type.to_string();
-    let head = Head { request_id, status: u32::from(answer.status), content_type, manifest };
-    channel.sender.send(Payload::Head(head)).await?;
-    let mut length = 0;
-    let complete = loop {
-        match answer.body.try_next().await {
-            Ok(Some(data)) => {
-                length += data.len() as u64;
-                channel.sender.send(Payload::Body(Body { data })).await?;
-            }
-            Ok(None) => break true,
-            Err(_) => break false,
-        }
-    };
-    channel
-        .sender
-        .send(Payload::End(End { request_id, length, complete, load, crashed: false }))
-        .await
+/// Error for a connection on which something arrived during an exchange: normally its end, which cancels the request.
+fn cancel(forward: &Forward, message: Result<Payload, ChannelError>) -> ChannelError {
+    let error = message.err().unwrap_or(ChannelError::Unexpected);
+    debug!("event=exchange_left request_id={} error=\"{error}\"", forward.request_id);
+    error
 }
--- /dev/null
+++ b/crates/node/src/agent/gate.rs
@@ -0,0 +1,176 @@
+//! Decides whether new work is taken: planned stops, data centres that are out, leaving hosts, an upstream that is
+//! down, and pauses of this process.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use base::{Clock, PauseDetector, RefusalReason};
+use config::{AgentSettings, HostState};
+use limit::AdmissionGate;
+use log::{info, warn};
+
+use super::{
+    admit::{AdmissionState, WorkAdmitter},
+    monitor::{UpstreamMonitor, UpstreamState},
+};
+use crate::{
+    context::NodeContext,
+    view::{FleetView, ViewReader},
+};
+
+const TICK_INTERVAL: Duration = Duration::from_millis(250);
+/// Gap between two ticks after which the process does not know what changed meanwhile.
+const PAUSE_THRESHOLD: Duration = Duration::from_secs(2);
+/// Shortest time without new work after a pause: requests that arrived during it and whose deadlines are not known are
+/// read and refused, and the control part notices the pause as well.
+const REFRESH_HOLD: Duration = Duration::from_millis(500);
+
+/// Keeps the gate of admission up to date.
+pub struct WorkGate {
+    context: NodeContext,
+    clock: Arc<dyn Clock>,
+    settings: AgentSettings,
+    view: ViewReader,
+    monitor: Arc<UpstreamMonitor>,
+    admitter: Arc<WorkAdmitter>,
+    pauses: PauseDetector,
+    /// End of the last pause, until knowledge has been refreshed.
+    resumed_at: Mutex<Option<Instant>>,
+}
+
+impl WorkGate {
+    /// Starts keeping the gate.
+    #[must_use]
+    pub fn spawn(
+        context: &NodeContext,
+        settings: &AgentSettings,
+        view: ViewReader,
+        monitor: Arc<UpstreamMonitor>,
+        admitter: Arc<WorkAdmitter>,
+    ) -> Arc<Self> {
+        let gate = Arc::new(Self {
+            context: context.clone(),
+            clock: context.clock.clone(),
+            settings: settings.clone(),
+            view,
+            monitor,
+            admitter,
+            pauses: PauseDetector::new(PAUSE_THRESHOLD),
+            resumed_at: Mutex::default(),
+        });
+        let task_gate = gate.clone();
+        context.spawn_traffic(async move { task_gate.update_loop().await });
+        gate
+    }
+
+    /// Notices a pause before the next tick does; true until knowledge has been refreshed after one. A request asks
+    /// last before it is sent, so that none slips in between.
+    pub fn is_stale(&self) -> bool {
+        let now = self.clock.now();
+        if let Some(gap) = self.pauses.tick(now) {
+            warn!("event=pause_detected gap_ms={}", gap.as_millis());
+            *self.lock() = Some(now);
+            self.admitter.set_gate(AdmissionGate::Held(RefusalReason::Refreshing));
+        }
+        self.lock().is_some()
+    }
+
+    /// Puts the present state in force without waiting for the next tick.
+    pub fn apply(&self) -> AdmissionGate {
+        // Only marks the moment: a pause up to now is noticed here.
+        let _ = self.is_stale();
+        let state = self.state(&self.monitor.get());
+        let gate = state.gate;
+        self.admitter.update(state);
+        gate
+    }
+
+    /// True if this agent takes no new work because it stops, its data centre is out or its host leaves.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.admitter.gate() == AdmissionGate::Closed(RefusalReason::Draining)
+    }
+
+    async fn update_loop(&self) {
+        let mut view = self.view.clone();
+        let mut upstream = self.monitor.subscribe();
+        let mut last = None;
+        loop {
+            let gate = self.apply();
+            if last.replace(gate) != Some(gate) {
+                info!("event=gate_changed gate={gate:?}");
+            }
+            tokio::select! {
+                () = view.changed() => {}
+                _ = upstream.changed() => {}
+                () = self.context.draining.cancelled(), if !self.context.draining.is_cancelled() => {}
+                () = tokio::time::sleep(TICK_INTERVAL) => {}
+            }
+        }
+    }
+
+    fn state(&self, upstream: &UpstreamState) -> AdmissionState {
+        let view = self.view.get();
+        let record = view.as_ref().and_then(|view| view.config.upstream(&self.settings.upstream));
+        AdmissionState {
+            gate: self.gate(view.as_deref(), record.is_some(), upstream),
+            bounds: record.map(|record| (record.cold_limit, record.warm_limit)),
+            shares: view.as_ref().map_or_else(Default::default, |view| {
+                view.config.teams.iter().map(|team| (team.id.clone(), team.share)).collect()
+            }),
+            epoch: upstream.answered.then(|| upstream.epoch()),
+        }
+    }
+
+    fn gate(
+        &self,
+        view: Option<&FleetView>,
+        is_registered: bool,
+        upstream: &UpstreamState,
+    ) -> AdmissionGate {
+        let Some(view) = view else {
+            return AdmissionGate::Closed(RefusalReason::NotReady);
+        };
+        if self.context.draining.is_cancelled() || self.is_out(view) || self.is_leaving(view) {
+            AdmissionGate::Closed(RefusalReason::Draining)
+        } else if !is_registered || !upstream.up {
+            AdmissionGate::Closed(RefusalReason::NotReady)
+        } else if !view.fresh || self.is_refreshing(upstream) {
+            AdmissionGate::Held(RefusalReason::Refreshing)
+        } else {
+            AdmissionGate::Open
+        }
+    }
+
+    fn is_out(&self, view: &FleetView) -> bool {
+        let registered = view.config.upstream(&self.settings.upstream);
+        let data_centre = registered.map(|record| &record.data_centre);
+        view.config.is_out(&self.settings.common.data_centre)
+            || data_centre.is_some_and(|data_centre| view.config.is_out(data_centre))
+    }
+
+    fn is_leaving(&self, view: &FleetView) -> bool {
+        let host = &self.settings.common.host;
+        view.hosts
+            .hosts
+            .iter()
+            .any(|record| record.id == *host && record.state == HostState::Leaving)
+    }
+
+    fn is_refreshing(&self, upstream: &UpstreamState) -> bool {
+        let mut resumed_at = self.lock();
+        let Some(resumed) = *resumed_at else { return false };
+        let read_since = upstream.answered && upstream.read_at.is_some_and(|at| at >= resumed);
+        let held_long_enough = self.clock.now().saturating_duration_since(resumed) >= REFRESH_HOLD;
+        if read_since && held_long_enough {
+            *resumed_at = None;
+        }
+        resumed_at.is_some()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.resumed_at.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -1,18 +1,30 @@
 //! The agent beside one upstream.
 
+mod admit;
+mod answer;
+mod core;
+mod crash;
 mod forward;
+mod gate;
+mod keyed;
 mod monitor;
+mod progress;
+mod relay;
 
 use std::sync::Arc;
 
-use config::{AgentSettings, UpstreamKind};
+use config::AgentSettings;
 use log::info;
+use once::RecordOptions;
 use platform::{HttpEngine, HttpService, ModelEngine, PlainService};
 use serde_json::{Value, json};
 use wire::FleetKey;
 
-use self::forward::ForwardHandler;
-pub use self::monitor::{UpstreamMonitor, UpstreamState};
+pub use self::{
+    answer::{AnswerError, TokenCheck},
+    monitor::{UpstreamMonitor, UpstreamState},
+};
+use self::{core::CallCore, forward::ForwardHandler};
 use crate::{
     admin::{AdminApi, AdminSource},
     context::{NodeContext, NodeListeners},
@@ -34,12 +46,23 @@
     /// Starts an agent.
     #[must_use]
     pub fn start(context: NodeContext, settings: AgentSettings, listeners: NodeListeners) -> Self {
+        Self::start_with_record(context, settings, listeners, RecordOptions::default())
+    }
+
+    /// Starts an agent with other bounds of the record of request keys.
+    #[must_use]
+    pub fn start_with_record(
+        context: NodeContext,
+        settings: AgentSettings,
+        listeners: NodeListeners,
+        record_options: RecordOptions,
+    ) -> Self {
         let key = FleetKey::new(&settings.common.fleet_key);
         let pool = PeerPool::new(key.clone(), settings.common.host.clone());
         let control = control::spawn(&context, &settings.common, &pool);
         let engine: Arc<dyn ModelEngine> = Arc::new(HttpEngine::new(settings.upstream_address));
         let service: Arc<dyn PlainService> = Arc::new(HttpService::new(settings.upstream_address));
-        let monitor = UpstreamMonitor::spawn(
+        let core = CallCore::spawn(
             &context,
             &settings,
             control.view.clone(),
@@ -47,14 +70,7 @@
             service.clone(),
         );
         let weights = weights::spawn(&context, &settings, control.view.clone(), engine.clone());
-        let forward = ForwardHandler::new(
-            &context,
-            &settings,
-            control.view.clone(),
-            monitor,
-            engine,
-            service,
-        );
+        let forward = ForwardHandler::new(core, &key, record_options);
         let mut handlers = weights.handlers;
         handlers.push(control.handler);
         handlers.push(forward.clone());
@@ -109,10 +125,3 @@
         })
     }
 }
-
-/// True if the upstream of these settings is a model engine, as far as the configuration in force tells.
-fn is_model(view: &ViewReader, upstream: &str) -> bool {
-    view.get().is_some_and(|view| {
-        view.config.upstream(upstream).is_some_and(|record| record.kind == UpstreamKind::Model)
-    })
-}
--- a/crates/node/src/agent/monitor.rs
+++ b/crates/node/src/agent/monitor.rs
@@ -1,22 +1,38 @@
-//! Polls the upstream's own status.
+//! Reads the upstream's own status, at intervals and on demand.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
-use base::Incarnation;
-use config::AgentSettings;
-use platform::{LoadedModel, ModelEngine, PlainService};
-use tokio::sync::watch;
+use base::{Clock, ContentDigest, Incarnation, UpstreamId};
+use config::{AgentSettings, UpstreamKind};
+use limit::UpstreamEpoch;
+use platform::{LoadedModel, ModelEngine, PlainService, PlatformError};
+use tokio::{
+    sync::{Mutex, watch},
+    time::timeout,
+};
 
-use super::is_model;
 use crate::{context::NodeContext, view::ViewReader};
 
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
+/// Longest wait for one status answer; a request whose connection broke waits for it before it is answered.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Unanswered reads in a row after which the upstream counts as down. A refused connection counts at once.
+const MAX_MISSES: u32 = 2;
 
 /// What the upstream last said of itself.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct UpstreamState {
     /// False until it answered, and after it failed to answer.
     pub up: bool,
+    /// True if the last read was answered.
+    pub answered: bool,
+    /// Unanswered reads in a row.
+    pub misses: u32,
+    /// When the last read began.
+    pub read_at: Option<Instant>,
     /// Its incarnation.
     pub incarnation: Incarnation,
     /// Epoch of its caches; engines only.
@@ -27,14 +43,40 @@
     pub loaded: Vec<LoadedModel>,
 }
 
+impl UpstreamState {
+    /// Lifetime of the upstream and of its caches.
+    #[must_use]
+    pub fn epoch(&self) -> UpstreamEpoch {
+        UpstreamEpoch { incarnation: self.incarnation, cache_epoch: self.cache_epoch }
+    }
+
+    /// True if the upstream serves this version of the model.
+    #[must_use]
+    pub fn serves(&self, model: &str, manifest: ContentDigest) -> bool {
+        self.loaded.iter().any(|loaded| loaded.model == model && loaded.manifest == manifest)
+    }
+
+    fn after_miss(&self, error: Option<&PlatformError>) -> Self {
+        let misses = self.misses.saturating_add(1);
+        let refused = error.is_some_and(PlatformError::is_not_sent);
+        let up = self.up && !refused && misses < MAX_MISSES;
+        Self { up, answered: false, misses, ..self.clone() }
+    }
+}
+
 /// Publishes the state of the upstream.
-#[derive(Clone)]
 pub struct UpstreamMonitor {
-    state: watch::Receiver<UpstreamState>,
+    clock: Arc<dyn Clock>,
+    upstream: UpstreamId,
+    view: ViewReader,
+    engine: Arc<dyn ModelEngine>,
+    service: Arc<dyn PlainService>,
+    state: watch::Sender<UpstreamState>,
+    reading: Mutex<()>,
 }
 
 impl UpstreamMonitor {
-    /// Starts polling.
+    /// Starts reading at intervals.
     #[must_use]
     pub fn spawn(
         context: &NodeContext,
@@ -42,22 +84,29 @@
         view: ViewReader,
         engine: Arc<dyn ModelEngine>,
         service: Arc<dyn PlainService>,
-    ) -> Self {
-        let (sender, state) = watch::channel(UpstreamState::default());
-        let upstream = settings.upstream.clone();
+    ) -> Arc<Self> {
+        let monitor = Arc::new(Self {
+            clock: context.clock.clone(),
+            upstream: settings.upstream.clone(),
+            view,
+            engine,
+            service,
+            state: watch::Sender::new(UpstreamState::default()),
+            reading: Mutex::default(),
+        });
+        let task_monitor = monitor.clone();
+        let mut view = monitor.view.clone();
         context.spawn_traffic(async move {
             loop {
-                let state = if is_model(&view, &upstream) {
-                    poll_engine(&*engine).await
-                } else {
-                    poll_service(&*service).await
-                };
-                let last = sender.borrow().clone();
-                sender.send_replace(state.unwrap_or(UpstreamState { up: false, ..last }));
-                tokio::time::sleep(POLL_INTERVAL).await;
+                task_monitor.read(task_monitor.clock.now()).await;
+                tokio::select! {
+                    () = tokio::time::sleep(POLL_INTERVAL) => {}
+                    // The first configuration tells what kind of upstream this is.
+                    () = view.changed() => {}
+                }
             }
         });
-        Self { state }
+        monitor
     }
 
     /// The latest state.
@@ -66,26 +115,51 @@
         self.state.borrow().clone()
     }
 
-    /// A receiver that is told of every poll.
+    /// A receiver that is told of every read.
     #[must_use]
     pub fn subscribe(&self) -> watch::Receiver<UpstreamState> {
-        self.state.clone()
+        self.state.subscribe()
     }
-}
 
-async fn poll_engine(engine: &dyn ModelEngine) -> Option<UpstreamState> {
-    let status = engine.status().await.ok()?;
-    Some(UpstreamState {
-        up: true,
-        incarnation: status.incarnation,
-        cache_epoch: status.cache_epoch,
-        in_use: status.in_use,
-        loaded: status.loaded,
-    })
-}
+    /// The outcome of a read that began at `not_before` or later; reads anew if there is none. Concurrent callers share
+    /// one read.
+    pub async fn read(&self, not_before: Instant) -> UpstreamState {
+        let _reading = self.reading.lock().await;
+        let last = self.get();
+        if last.read_at.is_some_and(|read_at| read_at >= not_before) {
+            return last;
+        }
+        let read_at = self.clock.now();
+        let state = match timeout(PROBE_TIMEOUT, self.ask()).await {
+            Ok(Ok(state)) => state,
+            Ok(Err(error)) => last.after_miss(Some(&error)),
+            Err(_) => last.after_miss(None),
+        };
+        let state = UpstreamState { read_at: Some(read_at), ..state };
+        self.state.send_replace(state.clone());
+        state
+    }
+
+    async fn ask(&self) -> Result<UpstreamState, PlatformError> {
+        let Some(kind) = self.kind() else { return Ok(UpstreamState::default()) };
+        let answered = UpstreamState { up: true, answered: true, ..UpstreamState::default() };
+        if kind == UpstreamKind::Model {
+            let status = self.engine.status().await?;
+            return Ok(UpstreamState {
+                incarnation: status.incarnation,
+                cache_epoch: status.cache_epoch,
+                in_use: status.in_use,
+                loaded: status.loaded,
+                ..answered
+            });
+        }
+        let status = self.service.status().await?;
+        Ok(UpstreamState { incarnation: status.incarnation, in_use: status.in_use, ..answered })
+    }
 
-async fn poll_service(service: &dyn PlainService) -> Option<UpstreamState> {
-    let status = service.status().await.ok()?;
-    let incarnation = status.incarnation;
-    Some(UpstreamState { up: true, incarnation, in_use: status.in_use, ..UpstreamState::default() })
+    /// Kind of the upstream; `None` while no configuration that registers it is in force.
+    fn kind(&self) -> Option<UpstreamKind> {
+        let view = self.view.get()?;
+        view.config.upstream(&self.upstream).map(|record| record.kind)
+    }
 }
--- /dev/null
+++ b/crates/node/tests/agent/bench.rs
@@ -0,0 +1,282 @@
+//! One agent on loopback between a test that plays the entry, a platform and an upstream.
+
+use std::{
+    net::{SocketAddr, TcpListener},
+    sync::{Arc, Mutex},
+    time::{Duration, Instant, SystemTime},
+};
+
+use base::{Clock, ContentDigest, Outcome, RefusalReason};
+use bytes::Bytes;
+use config::AgentSettings;
+use node::{AgentNode, NodeContext, NodeListeners};
+use once::{KEY_SIGNING_CONTEXT, KeyOwner, KeySigner, RecordOptions, RequestKey};
+use serde_json::{Value, json};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    runtime::Handle,
+    time::timeout,
+};
+use wire::{ChannelLimits, FleetKey, Forward, FrameChannel, Payload, StatusReply, StatusRequest};
+
+use crate::upstream::{FakeUpstream, manifest};
+
+/// Longest gap between two messages of an answer; a hanging agent fails the test instead of stalling it.
+const REPLY_TIMEOUT: Duration = Duration::from_secs(15);
+const SECRET: &str = "a secret of the test fleet";
+
+/// What an entry sees of one request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    Answer { status: u32, body: String, complete: bool, crashed: bool },
+    Refused { outcome: Outcome, reason: RefusalReason },
+}
+
+/// Clock that jumps ahead, as it does for a process that was paused.
+#[derive(Default)]
+pub struct JumpingClock(Mutex<Duration>);
+
+impl JumpingClock {
+    pub fn jump(&self, gap: Duration) {
+        *self.0.lock().unwrap() += gap;
+    }
+}
+
+impl Clock for JumpingClock {
+    fn now(&self) -> Instant {
+        Instant::now() + *self.0.lock().unwrap()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
+
+/// Documents of the platform.
+pub struct FakePlatform {
+    pub config: Mutex<Value>,
+    pub hosts: Mutex<Value>,
+}
+
+pub struct Bench {
+    pub agent: AgentNode,
+    pub upstream: Arc<FakeUpstream>,
+    pub platform: Arc<FakePlatform>,
+    pub clock: Arc<JumpingClock>,
+    pub address: SocketAddr,
+    platform_address: SocketAddr,
+}
+
+impl Bench {
+    /// Starts an agent beside a model engine (`service` empty) or a plain service.
+    pub async fn start(service: &str, cold_limit: u32, options: RecordOptions) -> Self {
+        let upstream = FakeUpstream::start(cold_limit).await;
+        let platform = Arc::new(FakePlatform {
+            config: Mutex::new(fleet_config(service, cold_limit)),
+            hosts: Mutex::new(json!({"version": 1, "hosts": []})),
+        });
+        let platform_address = serve_platform(platform.clone()).await;
+        let clock = Arc::<JumpingClock>::default();
+        let (agent, address) =
+            start_agent(&upstream, platform_address, clock.clone(), options).await;
+        let bench = Self { agent, upstream, platform, clock, address, platform_address };
+        bench.wait_until(|status| status.load.limit == cold_limit && status.upstream_up).await;
+        bench
+    }
+
+    /// Replaces the agent by a new one, as a restart does.
+    pub async fn restart_agent(&mut self) {
+        self.agent.kill();
+        let options = RecordOptions::default();
+        let started =
+            start_agent(&self.upstream, self.platform_address, self.clock.clone(), options).await;
+        (self.agent, self.address) = started;
+        self.wait_until(|status| status.upstream_up && status.revision > 0).await;
+    }
+
+    pub async fn connect(&self) -> FrameChannel<TcpStream> {
+        connect(self.address).await
+    }
+
+    pub async fn status(&self) -> StatusReply {
+        let mut channel = self.connect().await;
+        match channel.call(Payload::StatusRequest(StatusRequest {})).await {
+            Ok(Payload::StatusReply(status)) => status,
+            other => panic!("expected a status, got {other:?}"),
+        }
+    }
+
+    pub async fn wait_until(&self, wanted: impl Fn(&StatusReply) -> bool) {
+        for _ in 0..300 {
+            if wanted(&self.status().await) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        panic!("status not reached within 6 s: {:?}", self.status().await);
+    }
+
+    /// Draws a key for this agent, as an entry does after a status reply.
+    pub async fn draw_key(&self) -> String {
+        let status = self.status().await;
+        let owner = KeyOwner::new(status.upstream, status.incarnation);
+        let issued = Duration::from_millis(status.uptime_ms);
+        let key = RequestKey::new("booking", owner, issued, &mut rand::rng());
+        KeySigner::new(FleetKey::new(SECRET).derive(KEY_SIGNING_CONTEXT)).sign(&key)
+    }
+
+    pub async fn send(&self, forward: Forward) -> Reply {
+        exchange(&mut self.connect().await, forward).await
+    }
+}
+
+pub fn call(body: &str, key: &str) -> Forward {
+    Forward {
+        team: "team".to_owned(),
+        remaining_ms: 10_000,
+        service: "booking".to_owned(),
+        method: "POST".to_owned(),
+        path: "/book".to_owned(),
+        key: key.to_owned(),
+        body: Bytes::copy_from_slice(body.as_bytes()),
+        ..Forward::default()
+    }
+}
+
+pub fn prompt(text: &str, max_tokens: u64) -> Forward {
+    let body = json!({"prompt": text, "max_tokens": max_tokens}).to_string();
+    Forward {
+        team: "team".to_owned(),
+        remaining_ms: 10_000,
+        model: "m".to_owned(),
+        manifest: Bytes::copy_from_slice(manifest().as_bytes()),
+        fingerprint: Bytes::copy_from_slice(ContentDigest::of(text.as_bytes()).as_bytes()),
+        body: body.into(),
+        ..Forward::default()
+    }
+}
+
+pub fn refused(outcome: Outcome, reason: RefusalReason) -> Reply {
+    Reply::Refused { outcome, reason }
+}
+
+pub async fn connect(address: SocketAddr) -> FrameChannel<TcpStream> {
+    let stream = TcpStream::connect(address).await.expect("the agent listens");
+    let key = FleetKey::new(SECRET);
+    wire::connect(stream, &key, "entry", ChannelLimits::default()).await.expect("handshake")
+}
+
+pub async fn exchange(channel: &mut FrameChannel<TcpStream>, forward: Forward) -> Reply {
+    channel.sender.send(Payload::Forward(forward)).await.expect("the agent reads");
+    let (mut status, mut body) = (0, Vec::new());
+    loop {
+        let message = timeout(REPLY_TIMEOUT, channel.receiver.receive()).await;
+        match message.expect("an answer in time").expect("the agent answers") {
+            Payload::Head(head) => status = head.status,
+            Payload::Body(part) => body.extend_from_slice(&part.data),
+            Payload::End(end) => {
+                assert_eq!(end.length, body.len() as u64);
+                let body = String::from_utf8(body).expect("answers are text");
+                let (complete, crashed) = (end.complete, end.crashed);
+                return Reply::Answer { status, body, complete, crashed };
+            }
+            Payload::Refusal(refusal) => {
+                assert_eq!(status, 0, "a refusal after the head");
+                let outcome = Outcome::from_code(refusal.outcome).expect("a known outcome");
+                let reason = RefusalReason::from_code(refusal.reason).expect("a known reason");
+                return Reply::Refused { outcome, reason };
+            }
+            other => panic!("unexpected {other:?}"),
+        }
+    }
+}
+
+async fn start_agent(
+    upstream: &FakeUpstream,
+    platform: SocketAddr,
+    clock: Arc<JumpingClock>,
+    options: RecordOptions,
+) -> (AgentNode, SocketAddr) {
+    let bind = || {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
+        listener.set_nonblocking(true).expect("the listener can be non-blocking");
+        listener
+    };
+    let listeners = NodeListeners { peer: bind(), admin: bind(), http: None };
+    let address = listeners.peer.local_addr().expect("the listener is bound");
+    let settings = format!(
+        "upstream = \"u-1\"\nupstream_address = \"{}\"\nweight_sources = []\nqueue_length = 64\n\
+         [common]\nhost = \"h-1\"\ndata_centre = \"dc-1\"\npeer_listen = \"{address}\"\n\
+         admin_listen = \"127.0.0.1:0\"\nplatform = \"{platform}\"\nfleet_key = \"{SECRET}\"\n",
+        upstream.address
+    );
+    let settings = AgentSettings::parse(&settings).expect("the settings are valid");
+    let context = NodeContext::new(clock, Handle::current(), Handle::current());
+    (AgentNode::start_with_record(context, settings, listeners, options), address)
+}
+
+pub fn fleet_config(service: &str, cold_limit: u32) -> Value {
+    let mut upstream = json!({
+        "id": "u-1", "host": "h-1", "data_centre": "dc-1", "kind": "model",
+        "cold_limit": cold_limit, "warm_limit": cold_limit * 8, "memory_mib": 64,
+    });
+    let mut services = json!([]);
+    if !service.is_empty() {
+        upstream["kind"] = "service".into();
+        upstream["service"] = service.into();
+        services = json!([{"id": service, "idempotent": service != "booking"}]);
+    }
+    let presets = ["ordinary", "peak", "maintenance"].map(|id| json!({"id": id, "models": []}));
+    json!({
+        "revision": 1, "preset": "ordinary",
+        "teams": [{"id": "team", "organisation": "o", "share": 1}],
+        "data_centres": [{"id": "dc-1", "region": "r"}, {"id": "dc-2", "region": "r"}],
+        "upstreams": [upstream],
+        "models": [{
+            "id": "m", "current": "v1",
+            "versions": [{"name": "v1", "manifest": manifest(), "size_bytes": 1}],
+        }],
+        "services": services,
+        "presets": presets,
+    })
+}
+
+/// Answers reads of the configuration and of the host list.
+async fn serve_platform(platform: Arc<FakePlatform>) -> SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("free port");
+    let address = listener.local_addr().expect("the listener is bound");
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(answer_reads(stream, platform.clone()));
+        }
+    });
+    address
+}
+
+async fn answer_reads(mut stream: TcpStream, platform: Arc<FakePlatform>) {
+    let mut buffer = vec![0; 4096];
+    while let Ok(read @ 1..) = stream.read(&mut buffer).await {
+        let request = String::from_utf8_lossy(&buffer[..read]).into_owned();
+        let path = request.split(' ').nth(1).unwrap_or_default().to_owned();
+        let (status, body) = match path.split_once("after=") {
+            Some((_, query)) => {
+                let after: u64 = query.split('&').next().unwrap_or("0").parse().unwrap_or(0);
+                let config = platform.config.lock().unwrap().clone();
+                match config["revision"].as_u64() > Some(after) {
+                    true => (200, config.to_string()),
+                    false => (304, String::new()),
+                }
+            }
+            None => (200, platform.hosts.lock().unwrap().to_string()),
+        };
+        if status == 304 {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        let length = body.len();
+        let answer = format!("HTTP/1.1 {status} X\r\ncontent-length: {length}\r\n\r\n{body}");
+        if stream.write_all(answer.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/tests/agent/main.rs
@@ -0,0 +1,6 @@
+//! Guards the promises of the agent over real sockets.
+
+mod bench;
+mod keyed;
+mod streams;
+mod upstream;
--- /dev/null
+++ b/crates/node/tests/agent/upstream.rs
@@ -0,0 +1,221 @@
+//! A small upstream over plain sockets, whose faults are exact to the byte.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering::SeqCst},
+    },
+    time::Duration,
+};
+
+use base::ContentDigest;
+use serde_json::{Value, json};
+use tokio::{
+    io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
+    net::{TcpListener, TcpStream},
+    sync::watch,
+};
+
+/// How the upstream answers calls.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fault {
+    None,
+    /// Runs the call and closes the connection instead of answering.
+    LoseAnswer,
+    /// Closes the connection in the middle of the body.
+    CutBody,
+    /// Leaves one token out and ends the answer properly.
+    SkipToken,
+    /// Ends the answer properly before the last line.
+    OmitLastLine,
+}
+
+/// State of the upstream, shared with the test.
+pub struct FakeUpstream {
+    pub address: SocketAddr,
+    pub call_time: Mutex<Duration>,
+    pub fault: Mutex<Fault>,
+    /// Bodies of all calls that were run.
+    pub runs: Mutex<Vec<String>>,
+    /// Streams whose connection the agent closed before the end.
+    pub cancelled: AtomicU32,
+    /// Times that work exceeded what this incarnation bears.
+    pub overloads: AtomicU32,
+    pub incarnation: AtomicU64,
+    in_use: AtomicU32,
+    bears: AtomicU32,
+    down: AtomicBool,
+    connections: watch::Sender<u64>,
+}
+
+pub fn manifest() -> ContentDigest {
+    ContentDigest::of(b"manifest of the test model")
+}
+
+impl FakeUpstream {
+    pub async fn start(cold_limit: u32) -> Arc<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback has free ports");
+        let upstream = Arc::new(Self {
+            address: listener.local_addr().expect("the listener is bound"),
+            call_time: Mutex::new(Duration::from_millis(20)),
+            fault: Mutex::new(Fault::None),
+            runs: Mutex::default(),
+            cancelled: AtomicU32::new(0),
+            overloads: AtomicU32::new(0),
+            incarnation: AtomicU64::new(1),
+            in_use: AtomicU32::new(0),
+            bears: AtomicU32::new(cold_limit),
+            down: AtomicBool::new(false),
+            connections: watch::Sender::new(0),
+        });
+        let shared = upstream.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                if !shared.down.load(SeqCst) {
+                    tokio::spawn(shared.clone().serve(stream));
+                }
+            }
+        });
+        upstream
+    }
+
+    pub fn run_count(&self) -> usize {
+        self.runs.lock().unwrap().len()
+    }
+
+    /// Drops all connections and comes back cold, with a new incarnation, after `time`.
+    pub async fn restart(&self, cold_limit: u32, time: Duration) {
+        self.down.store(true, SeqCst);
+        self.incarnation.fetch_add(1, SeqCst);
+        self.connections.send_modify(|epoch| *epoch += 1);
+        tokio::time::sleep(time).await;
+        self.in_use.store(0, SeqCst);
+        self.bears.store(cold_limit, SeqCst);
+        self.down.store(false, SeqCst);
+    }
+
+    async fn serve(self: Arc<Self>, stream: TcpStream) {
+        let mut connections = self.connections.subscribe();
+        let incarnation = self.incarnation.load(SeqCst);
+        tokio::select! {
+            _ = self.serve_requests(stream, incarnation) => {}
+            _ = connections.changed() => {}
+        }
+    }
+
+    async fn serve_requests(&self, stream: TcpStream, incarnation: u64) -> Option<()> {
+        let mut stream = BufReader::new(stream);
+        loop {
+            let (path, body) = read_request(&mut stream).await?;
+            if path == "/v1/status" {
+                let status = self.status().to_string();
+                send_whole(&mut stream, 200, &status).await?;
+                continue;
+            }
+            self.runs.lock().unwrap().push(body.clone());
+            let in_use = self.in_use.fetch_add(1, SeqCst) + 1;
+            if in_use > self.bears.load(SeqCst) {
+                self.overloads.fetch_add(1, SeqCst);
+            }
+            let done = if path == "/v1/generate" {
+                self.generate(&mut stream, &body).await
+            } else {
+                self.call(&mut stream, &body).await
+            };
+            if self.incarnation.load(SeqCst) == incarnation {
+                self.in_use.fetch_sub(1, SeqCst);
+                self.bears.fetch_add(1, SeqCst);
+            }
+            done?;
+        }
+    }
+
+    fn status(&self) -> Value {
+        json!({
+            "incarnation": self.incarnation.load(SeqCst),
+            "cache_epoch": 0,
+            "in_use": self.in_use.load(SeqCst),
+            "loaded": [{"model": "m", "manifest": manifest()}],
+        })
+    }
+
+    async fn call(&self, stream: &mut BufReader<TcpStream>, body: &str) -> Option<()> {
+        let call_time = *self.call_time.lock().unwrap();
+        tokio::time::sleep(call_time).await;
+        let answer = format!("answer to {body}");
+        match *self.fault.lock().unwrap() {
+            Fault::LoseAnswer => return None,
+            Fault::CutBody => {}
+            _ => {
+                self.bears.fetch_add(1, SeqCst);
+            }
+        }
+        if *self.fault.lock().unwrap() == Fault::CutBody {
+            let head = "HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\n";
+            stream.write_all(format!("{head}{answer}").as_bytes()).await.ok()?;
+            return None;
+        }
+        send_whole(stream, 201, &answer).await
+    }
+
+    async fn generate(&self, stream: &mut BufReader<TcpStream>, body: &str) -> Option<()> {
+        let request: Value = serde_json::from_str(body).ok()?;
+        let count = request["max_tokens"].as_u64()?;
+        let offset = request["offset"].as_u64()?;
+        let fault = *self.fault.lock().unwrap();
+        let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+        stream.write_all(head.as_bytes()).await.ok()?;
+        let token_time = *self.call_time.lock().unwrap();
+        for index in offset..count {
+            tokio::time::sleep(token_time).await;
+            if fault == Fault::CutBody && index == count / 2 {
+                return None;
+            }
+            if fault == Fault::SkipToken && index == count / 2 {
+                continue;
+            }
+            let line = json!({"index": index, "token": format!("t{index}")});
+            if send_chunk(stream, &format!("{line}\n")).await.is_none() {
+                self.cancelled.fetch_add(1, SeqCst);
+                return None;
+            }
+        }
+        if fault != Fault::OmitLastLine {
+            let line = json!({"done": true, "count": count, "manifest": manifest()});
+            send_chunk(stream, &format!("{line}\n")).await?;
+        }
+        stream.write_all(b"0\r\n\r\n").await.ok()
+    }
+}
+
+async fn read_request(stream: &mut BufReader<TcpStream>) -> Option<(String, String)> {
+    let mut line = String::new();
+    stream.read_line(&mut line).await.ok().filter(|read| *read > 0)?;
+    let path = line.split(' ').nth(1)?.to_owned();
+    let mut length = 0;
+    loop {
+        let mut header = String::new();
+        stream.read_line(&mut header).await.ok().filter(|read| *read > 0)?;
+        if header.trim().is_empty() {
+            break;
+        }
+        if let Some(value) = header.to_ascii_lowercase().strip_prefix("content-length:") {
+            length = value.trim().parse().ok()?;
+        }
+    }
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).await.ok()?;
+    Some((path, String::from_utf8(body).ok()?))
+}
+
+async fn send_whole(stream: &mut BufReader<TcpStream>, status: u16, body: &str) -> Option<()> {
+    let length = body.len();
+    let answer = format!("HTTP/1.1 {status} X\r\ncontent-length: {length}\r\n\r\n{body}");
+    stream.write_all(answer.as_bytes()).await.ok()
+}
+
+async fn send_chunk(stream: &mut BufReader<TcpStream>, text: &str) -> Option<()> {
+    let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+    stream.write_all(chunk.as_bytes()).await.ok()
+}
