Let only the caller's own connection end the cancelled stream in the test

Cause: the test passed even when the entry noticed a leaving caller only with the next token. Change: the next token is 60 s away. Figures: with the watch on the caller's connection removed, the test passed before and fails now. Conclusion: the test guards the cancellation of stalled streams as well.

--- a/crates/node/tests/entry/stream.rs
+++ b/crates/node/tests/entry/stream.rs
@@ -53,7 +53,8 @@
     let fleet = TestFleet::start(&["m0"]).await;
     let agent = &fleet.agents[0];
     let path = format!("/v1/models/{MODEL}/generate");
-    let pace = Duration::from_millis(20);
+    // The next token is far away, so only the caller's own connection can tell that it left.
+    let pace = Duration::from_secs(60);
     agent.play(move |_| Act::Tokens { count: 10_000, overlap: 0, break_at: None, pace });
     let mut response = fleet.open("POST", &path, &[], r#"{"prompt": "long"}"#).await;
     assert!(response.body_mut().frame().await.is_some());
