Answer slow headers with 408 before the connection closes

Cause: the HTTP library closes a connection without an answer when headers arrive too slowly, and its detection of HTTP/2 waits for the first bytes without a timeout. Change: the server detects the version itself within the header timeout, runs the HTTP/1.1 or HTTP/2 connection, and writes a 408 if part of a header has arrived. Idle connections are closed without a word, as before. Conclusion: slow callers learn why they were disconnected.

--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -1,20 +1,28 @@
 //! HTTP server shared by the callers' API and the administration API.
 
-use std::{io, sync::Arc, time::Duration};
+use std::{
+    future::{Future, poll_fn},
+    io,
+    pin::Pin,
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use http_body_util::{BodyExt, Full, combinators::BoxBody};
 use hyper::{
-    Request, Response, StatusCode, body::Incoming, header::CONTENT_TYPE, service::service_fn,
-};
-use hyper_util::{
-    rt::{TokioExecutor, TokioIo, TokioTimer},
-    server::conn::auto::Builder,
+    Request, Response, StatusCode,
+    body::Incoming,
+    header::CONTENT_TYPE,
+    server::conn::{http1, http2},
+    service::service_fn,
 };
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use log::{debug, warn};
 use serde::Serialize;
 use tokio::{
+    io::AsyncWriteExt,
     net::{TcpListener, TcpStream},
     sync::Semaphore,
     time::timeout,
@@ -99,61 +107,122 @@
     }
 }
 
-/// Waits until the first bytes tell whether the caller speaks HTTP/2. The server builder waits for them without a
-/// timeout, so a caller that sends nothing would hold its connection for ever.
-async fn has_started(stream: &TcpStream) -> bool {
+/// Version of HTTP that a caller speaks.
+enum Protocol {
+    Http1,
+    Http2,
+}
+
+/// Waits until the first bytes tell which version the caller speaks; `None` if they do not arrive.
+async fn detect_protocol(stream: &TcpStream) -> Option<Protocol> {
     let first_bytes = async {
         let mut start = [0; HTTP2_PREFACE.len()];
         loop {
             let length = stream.peek(&mut start).await.unwrap_or(0);
             if length == 0 {
-                return false;
+                return None;
             }
-            if length == start.len() || !HTTP2_PREFACE.starts_with(&start[..length]) {
-                return true;
+            if !HTTP2_PREFACE.starts_with(&start[..length]) {
+                return Some(Protocol::Http1);
+            }
+            if length == start.len() {
+                return Some(Protocol::Http2);
             }
             tokio::time::sleep(PREFACE_POLL).await;
         }
     };
-    timeout(HEADER_TIMEOUT, first_bytes).await.unwrap_or(false)
+    timeout(HEADER_TIMEOUT, first_bytes).await.ok().flatten()
 }
 
-async fn serve(stream: TcpStream, handler: Arc<dyn HttpHandler>, closing: CancellationToken) {
+async fn serve(mut stream: TcpStream, handler: Arc<dyn HttpHandler>, closing: CancellationToken) {
     let _ = stream.set_nodelay(true);
-    let started = closing.run_until_cancelled(has_started(&stream)).await;
-    if started != Some(true) {
-        return;
+    let outcome = match closing.run_until_cancelled(detect_protocol(&stream)).await {
+        Some(Some(Protocol::Http1)) => serve_http1(stream, handler, closing).await,
+        Some(Some(Protocol::Http2)) => serve_http2(stream, handler, closing).await,
+        Some(None) => {
+            refuse_slow_header(&mut stream).await;
+            return;
+        }
+        None => return,
+    };
+    if let Err(error) = outcome {
+        debug!("event=http_connection_failed error=\"{error}\"");
     }
-    let mut builder = Builder::new(TokioExecutor::new());
-    builder
-        .http1()
+}
+
+async fn serve_http1(
+    stream: TcpStream,
+    handler: Arc<dyn HttpHandler>,
+    closing: CancellationToken,
+) -> hyper::Result<()> {
+    let service = service_fn(move |request| answer(handler.clone(), request));
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_TIMEOUT)
         .max_buf_size(MAX_HEADER_BYTES)
-        .max_headers(MAX_HEADERS);
-    builder
-        .http2()
+        .max_headers(MAX_HEADERS)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut closed = std::pin::pin!(closing.cancelled());
+    let mut is_closing = false;
+    let outcome = poll_fn(|task| {
+        if !is_closing && closed.as_mut().poll(task).is_ready() {
+            is_closing = true;
+            Pin::new(&mut connection).graceful_shutdown();
+        }
+        connection.poll_without_shutdown(task)
+    })
+    .await;
+    let parts = connection.into_parts();
+    let mut stream = parts.io.into_inner();
+    // The library closes the connection without a word; an idle connection deserves no more.
+    let slow_header =
+        outcome.as_ref().is_err_and(hyper::Error::is_timeout) && !parts.read_buf.is_empty();
+    if slow_header {
+        refuse_slow_header(&mut stream).await;
+    }
+    let _ = stream.shutdown().await;
+    outcome
+}
+
+async fn serve_http2(
+    stream: TcpStream,
+    handler: Arc<dyn HttpHandler>,
+    closing: CancellationToken,
+) -> hyper::Result<()> {
+    let service = service_fn(move |request| answer(handler.clone(), request));
+    let connection = http2::Builder::new(TokioExecutor::new())
         .timer(TokioTimer::new())
         .keep_alive_interval(HEADER_TIMEOUT)
-        .max_header_list_size(MAX_HEADER_BYTES as u32);
-    let service = service_fn(move |request| {
-        let handler = handler.clone();
-        async move { Ok::<_, std::convert::Infallible>(handler.handle(request).await) }
-    });
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
+        .max_header_list_size(MAX_HEADER_BYTES as u32)
+        .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let outcome = tokio::select! {
+    tokio::select! {
         outcome = connection.as_mut() => outcome,
         () = closing.cancelled() => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
-    };
-    if let Err(error) = outcome {
-        debug!("event=http_connection_failed error=\"{error}\"");
     }
 }
 
+type BoxedAnswer = BoxFuture<'static, Result<Response<ResponseBody>, std::convert::Infallible>>;
+
+fn answer(handler: Arc<dyn HttpHandler>, request: Request<Incoming>) -> BoxedAnswer {
+    Box::pin(async move { Ok(handler.handle(request).await) })
+}
+
+async fn refuse_slow_header(stream: &mut TcpStream) {
+    let fault =
+        CallerFault { error: "header_timeout", detail: "headers have to arrive within 10 s" };
+    let body = serde_json::to_string(&fault).unwrap_or_default();
+    let response = format!(
+        "HTTP/1.1 408 Request Timeout\r\ncontent-type: application/json\r\nconnection: close\r\n\
+         x-outcome: unknown\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len(),
+    );
+    let _ = timeout(HEADER_TIMEOUT, stream.write_all(response.as_bytes())).await;
+}
+
 /// A whole body.
 #[must_use]
 pub fn full_body(bytes: impl Into<Bytes>) -> ResponseBody {
--- a/crates/node/tests/entry/callers.rs
+++ b/crates/node/tests/entry/callers.rs
@@ -56,6 +56,7 @@
         exchange(&fleet, slow_body.as_bytes()),
     );
     assert!(body.0.contains(" 408 ") && body.0.contains("body_timeout"), "{}", body.0);
+    assert!(header.0.contains(" 408 ") && header.0.contains("header_timeout"), "{}", header.0);
     for (answer, elapsed) in [silent, preface, header, body] {
         assert!(elapsed > Duration::from_secs(9) && elapsed < Duration::from_secs(12), "{answer}");
     }
