Drive the probes of the entry by the membership core

Cause: the entry's own schedule probed a hash-ranked subset of all agents, in which a service with one upstream could be missing. Change: AgentTable is the shell of MemberCore: it sends the probes that the core asks for, reports answers, misses and failed connections, and takes an upstream off the board when the core suspects it. Conclusion: the subset, suspicion and back-off are decided in one place.

--- a/crates/node/src/entry/agents.rs
+++ b/crates/node/src/entry/agents.rs
@@ -1,16 +1,21 @@
 //! Probes agents about twice a second and keeps what they answer.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::HashMap,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
 
-use base::{DataCentreId, UpstreamId, rendezvous_weight};
-use config::{EntrySettings, HostRecord, HostState};
-use log::info;
-use rand::RngExt;
+use base::{DataCentreId, UpstreamId};
+use config::EntrySettings;
+use log::{info, warn};
+use member::{
+    AgentHealth, AgentView, MemberAction, MemberCore, MemberEvent, MemberOptions, MemberReport,
+    ProbeAnswer,
+};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
 use tokio::sync::watch;
 use wire::{Payload, StatusReply, StatusRequest};
@@ -21,20 +26,16 @@
 };
 use crate::{
     context::NodeContext,
-    peer::PeerPool,
-    view::{FleetView, ViewReader},
+    peer::{PeerError, PeerPool},
+    view::ViewReader,
 };
 
-const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// A probe that takes longer is missed; an agent in another region answers within 10 ms.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Resolution of the probe schedule.
-const PROBE_TICK: Duration = Duration::from_millis(50);
-/// Longest delay between probes of an agent that does not answer.
-const MAX_PROBE_BACKOFF: Duration = Duration::from_secs(4);
-/// Probes are spread over this fraction of their interval, so that entries do not probe an agent in step.
-const PROBE_JITTER: f64 = 0.1;
-/// Missed probes after which requests that wait for the agent give up. One missed probe only stops new work, because a
-/// busy host may answer late.
+const TICK: Duration = Duration::from_millis(50);
+/// Missed probes after which requests that wait for the agent give up. Fewer only stop new work, because a busy host
+/// may answer late.
 const LOST_AFTER: u32 = 3;
 
 /// An agent and its latest status.
@@ -50,22 +51,20 @@
     pub leaving: bool,
     /// Latest status; `None` if the last probe failed.
     pub status: Option<StatusReply>,
+    health: AgentHealth,
     failures: u32,
-    due: Instant,
-    probing: bool,
 }
 
 impl KnownAgent {
-    fn new(upstream: UpstreamId, host: &HostRecord, now: Instant) -> Self {
+    fn new(view: AgentView) -> Self {
         Self {
-            upstream,
-            data_centre: host.data_centre.clone(),
-            peer: host.peer,
-            leaving: host.state == HostState::Leaving,
+            upstream: view.upstream,
+            data_centre: view.data_centre,
+            peer: view.peer,
+            leaving: view.leaving,
             status: None,
+            health: view.health,
             failures: 0,
-            due: now,
-            probing: false,
         }
     }
 
@@ -79,6 +78,7 @@
             "peer": self.peer,
             "leaving": self.leaving,
             "reachable": status.is_some(),
+            "suspect": self.health == AgentHealth::Suspect,
             "draining": status.map(|status| status.draining),
             "upstream_up": status.map(|status| status.upstream_up),
             "revision": status.map(|status| status.revision),
@@ -95,10 +95,10 @@
     }
 }
 
-/// Table of agents, refreshed by probes.
+/// Table of agents: what the membership core says, and the latest status of each.
 pub struct AgentTable {
     context: NodeContext,
-    settings: EntrySettings,
+    core: Mutex<MemberCore>,
     state: Arc<SharedState>,
     gate: Arc<PauseGate>,
     pool: Arc<PeerPool>,
@@ -120,16 +120,18 @@
         // Probes run on the control thread and have channels of their own.
         let key = wire::FleetKey::new(&settings.common.fleet_key);
         let pool = PeerPool::new(key, settings.common.host.clone());
+        let options = MemberOptions { host: settings.common.host.clone(), subset: settings.subset };
+        let rng = Box::new(ChaCha8Rng::from_rng(&mut rand::rng()));
         let table = Arc::new(Self {
             context: context.clone(),
-            settings: settings.clone(),
+            core: Mutex::new(MemberCore::new(options, rng, context.clock.now())),
             state,
             gate,
             pool,
             agents: Mutex::default(),
             losses: watch::Sender::new(0),
         });
-        context.spawn_control(table.clone().follow_view(view.clone()));
+        context.spawn_control(table.clone().follow_view(view));
         context.spawn_control(table.clone().run());
         table
     }
@@ -176,89 +178,128 @@
         }
     }
 
+    /// Records that a connection for a request failed.
+    pub fn connect_failed(self: &Arc<Self>, upstream: &str) {
+        if let Some(peer) = self.peer(upstream) {
+            let at = self.context.clock.now();
+            self.handle(MemberEvent::ConnectFailed { peer, at });
+        }
+    }
+
     async fn follow_view(self: Arc<Self>, mut view: ViewReader) {
         loop {
             if let Some(view) = view.get() {
                 self.state.lock().board.set_fleet(&view.config, &view.hosts);
-                self.set_hosts(&view);
+                self.handle(MemberEvent::Config(view.config.clone()));
+                self.handle(MemberEvent::Hosts(view.hosts.clone()));
             }
             view.changed().await;
         }
     }
 
-    fn set_hosts(&self, view: &FleetView) {
-        let now = self.context.clock.now();
-        let mut hosts: Vec<_> =
-            view.hosts.agents().filter_map(|host| Some((host.upstream.clone()?, host))).collect();
-        if hosts.len() > self.settings.subset {
-            let subject = self.settings.common.host.as_bytes();
-            hosts.sort_by_cached_key(|(upstream, _)| {
-                std::cmp::Reverse(rendezvous_weight(subject, upstream))
-            });
-            hosts.truncate(self.settings.subset);
-        }
-        let mut agents = self.lock();
-        let wanted: HashSet<_> = hosts.iter().map(|(upstream, _)| upstream.clone()).collect();
-        agents.retain(|upstream, _| wanted.contains(upstream));
-        for (upstream, host) in hosts {
-            let agent = agents
-                .entry(upstream.clone())
-                .or_insert_with(|| KnownAgent::new(upstream.clone(), host, now));
-            if agent.peer != host.peer {
-                *agent = KnownAgent::new(upstream, host, now);
-            }
-            agent.data_centre.clone_from(&host.data_centre);
-            agent.leaving = host.state == HostState::Leaving;
-        }
-    }
-
     async fn run(self: Arc<Self>) {
         loop {
-            let now = self.context.clock.now();
-            if let Some(gap) = self.gate.tick(now) {
+            if let Some(gap) = self.gate.tick(self.context.clock.now()) {
                 info!("event=pause_detected gap_ms={}", gap.as_millis());
                 self.state.lock().board.forget_reports();
-                self.lock().values_mut().for_each(|agent| agent.due = now);
             }
-            for (upstream, peer) in self.take_due(now) {
-                self.context.spawn_control(self.clone().probe(upstream, peer));
+            self.handle(MemberEvent::Tick);
+            tokio::time::sleep(TICK).await;
+        }
+    }
+
+    fn handle(self: &Arc<Self>, event: MemberEvent) {
+        let now = self.context.clock.now();
+        let (actions, views) = {
+            let mut core = self.core.lock().unwrap_or_else(PoisonError::into_inner);
+            let actions = core.handle(now, event);
+            let changed = actions.contains(&MemberAction::Changed);
+            (actions, changed.then(|| core.agents(now)))
+        };
+        if let Some(views) = views {
+            self.set_agents(views);
+        }
+        for action in actions {
+            match action {
+                MemberAction::Probe { upstream, peer, asked } => {
+                    self.context.spawn_control(self.clone().probe(upstream, peer, asked));
+                }
+                MemberAction::Changed => {}
+                MemberAction::Report(report) => self.log(now, &report),
             }
-            tokio::time::sleep(PROBE_TICK).await;
         }
     }
 
-    fn take_due(&self, now: Instant) -> Vec<(UpstreamId, SocketAddr)> {
+    fn set_agents(&self, views: Vec<AgentView>) {
         let mut agents = self.lock();
-        let due = agents.values_mut().filter(|agent| !agent.probing && agent.due <= now);
-        due.map(|agent| {
-            agent.probing = true;
-            (agent.upstream.clone(), agent.peer)
-        })
-        .collect()
+        let mut held = std::mem::take(&mut *agents);
+        for view in views {
+            let known = held.remove(&view.upstream).filter(|agent| agent.peer == view.peer);
+            let mut agent = known.unwrap_or_else(|| KnownAgent::new(view.clone()));
+            agent.leaving = view.leaving;
+            agent.health = view.health;
+            agents.insert(view.upstream, agent);
+        }
+    }
+
+    fn log(&self, now: Instant, report: &MemberReport) {
+        match report {
+            MemberReport::Health { upstream, health } => {
+                warn!("event=agent_health upstream={upstream} health={health:?}");
+                let mut state = self.state.lock();
+                if *health == AgentHealth::Suspect
+                    && let Some(incarnation) = state.board.incarnation(upstream)
+                {
+                    state.board.record_failure(now, upstream, incarnation);
+                }
+            }
+            MemberReport::IncarnationChanged { upstream, previous } => {
+                warn!("event=agent_restarted upstream={upstream} previous={previous}");
+            }
+            MemberReport::Paused { gap } => info!("event=probes_reset gap_ms={}", gap.as_millis()),
+        }
     }
 
-    async fn probe(self: Arc<Self>, upstream: UpstreamId, peer: SocketAddr) {
-        let asked_at = self.context.clock.now();
+    async fn probe(self: Arc<Self>, upstream: UpstreamId, peer: SocketAddr, asked: Instant) {
         let request = Payload::StatusRequest(StatusRequest {});
-        let status = match self.pool.call(peer, request, PROBE_TIMEOUT).await {
-            Ok(Payload::StatusReply(status)) if status.upstream == upstream => Some(status),
-            _ => None,
-        };
-        let received_at = self.context.clock.now();
-        self.record(&upstream, asked_at, received_at, status.as_ref());
-        let mut agents = self.lock();
-        let Some(agent) = agents.get_mut(&upstream).filter(|agent| agent.peer == peer) else {
+        let answer = self.pool.call(peer, request, PROBE_TIMEOUT).await;
+        let refused = matches!(answer, Err(PeerError::Connect { .. }));
+        let Ok(Payload::StatusReply(status)) = answer else {
+            self.count_failure(&upstream, peer);
+            self.handle(MemberEvent::ProbeFailed { peer, asked, refused });
             return;
         };
-        agent.failures = if status.is_some() { 0 } else { agent.failures.saturating_add(1) };
-        agent.status = status;
-        agent.probing = false;
-        let doublings = agent.failures.saturating_sub(LOST_AFTER).min(8);
-        let delay = (PROBE_INTERVAL * 2_u32.pow(doublings)).min(MAX_PROBE_BACKOFF);
-        let jitter = rand::rng().random_range(1.0 - PROBE_JITTER..=1.0 + PROBE_JITTER);
-        agent.due = asked_at + delay.mul_f64(jitter);
-        let lost = agent.failures == LOST_AFTER;
-        drop(agents);
+        let answer = ProbeAnswer {
+            upstream: status.upstream.as_str().into(),
+            incarnation: status.incarnation,
+            draining: status.draining,
+        };
+        if answer.upstream == upstream {
+            let mut state = self.state.lock();
+            let received_at = self.context.clock.now();
+            let report = report_of(&status);
+            if state.board.record_report(asked, received_at, &upstream, report) {
+                state.prefixes.forget(&upstream);
+            }
+            drop(state);
+            if let Some(agent) = self.lock().get_mut(&upstream).filter(|agent| agent.peer == peer) {
+                agent.failures = 0;
+                agent.status = Some(status);
+            }
+        }
+        self.handle(MemberEvent::ProbeAnswered { peer, asked, answer });
+    }
+
+    fn count_failure(&self, upstream: &str, peer: SocketAddr) {
+        let lost = {
+            let mut agents = self.lock();
+            let Some(agent) = agents.get_mut(upstream).filter(|agent| agent.peer == peer) else {
+                return;
+            };
+            agent.failures = agent.failures.saturating_add(1);
+            agent.status = None;
+            agent.failures == LOST_AFTER
+        };
         if lost {
             info!("event=agent_lost upstream={upstream} peer={peer}");
             self.pool.forget(peer);
@@ -266,29 +307,6 @@
         }
     }
 
-    fn record(
-        &self,
-        upstream: &str,
-        asked_at: Instant,
-        received_at: Instant,
-        status: Option<&StatusReply>,
-    ) {
-        let mut state = self.state.lock();
-        match status {
-            Some(status) => {
-                let report = report_of(status);
-                if state.board.record_report(asked_at, received_at, upstream, report) {
-                    state.prefixes.forget(upstream);
-                }
-            }
-            None => {
-                if let Some(incarnation) = state.board.incarnation(upstream) {
-                    state.board.record_failure(received_at, upstream, incarnation);
-                }
-            }
-        }
-    }
-
     fn lock(&self) -> MutexGuard<'_, HashMap<UpstreamId, KnownAgent>> {
         self.agents.lock().unwrap_or_else(PoisonError::into_inner)
     }
