--- a/crates/standin/src/caller/mod.rs
+++ b/crates/standin/src/caller/mod.rs
@@ -12,9 +12,13 @@
 use rand_chacha::ChaCha8Rng;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-pub use self::{address_book::AddressBook, answer::check_stream};
 use self::request::RequestRun;
-use crate::{http_client::HttpClient, ledger::{CallLedger, RequestKind}, platform::engine::POISON};
+pub use self::{address_book::AddressBook, answer::check_stream};
+use crate::{
+    http_client::HttpClient,
+    ledger::{CallLedger, RequestKind},
+    platform::engine::POISON,
+};
 
 /// Prompts of a team share one of this many prefixes.
 const PREFIXES: u32 = 6;
@@ -53,7 +57,8 @@
 #[must_use]
 pub fn team_plans(count: u32, total_rate: f64) -> Vec<TeamPlan> {
     const LARGE_SHARES: [f64; 2] = [0.3, 0.2];
-    let small = (1.0 - LARGE_SHARES.iter().sum::<f64>()) / f64::from(count.saturating_sub(2).max(1));
+    let small =
+        (1.0 - LARGE_SHARES.iter().sum::<f64>()) / f64::from(count.saturating_sub(2).max(1));
     (0..count)
         .map(|index| TeamPlan {
             team: format_compact!("team-{:02}", index + 1),
--- a/crates/standin/src/caller/request.rs
+++ b/crates/standin/src/caller/request.rs
@@ -120,7 +120,11 @@
             }
             let (attempt, end) = self.attempt(address, key.as_ref(), end_at).await;
             let told = end.told.clone();
-            attempts.push(AttemptRecord { tokens: end.tokens, reason: end.reason.clone(), ..attempt });
+            attempts.push(AttemptRecord {
+                tokens: end.tokens,
+                reason: end.reason.clone(),
+                ..attempt
+            });
             match told {
                 Told::Answered | Told::Wrong(_) | Told::Fault(_) | Told::Silent => break,
                 Told::NotRun => key = None,
@@ -223,7 +227,10 @@
             return AttemptEnd::new(check_confirmation(&self.reference, text.as_bytes()));
         }
         if status.is_client_error() {
-            return AttemptEnd { reason: text.into(), ..AttemptEnd::new(Told::Fault(status.as_u16())) };
+            return AttemptEnd {
+                reason: text.into(),
+                ..AttemptEnd::new(Told::Fault(status.as_u16()))
+            };
         }
         match serde_json::from_str::<ErrorBody>(&text) {
             Ok(error) => AttemptEnd::from_error(&error),
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -383,7 +383,8 @@
 
     fn common(&self, plan: &HostPlan) -> CommonSettings {
         let layout = &self.platform.layout;
-        let others = layout.agents.iter().chain(&layout.entries).filter(|other| other.id != plan.id);
+        let others =
+            layout.agents.iter().chain(&layout.entries).filter(|other| other.id != plan.id);
         // Seeds of several data centres, so that a start succeeds while one of them is unreachable.
         let seeds = others.map(|other| other.relay).step_by(5).take(SEEDS).collect();
         CommonSettings {
--- a/crates/standin/src/platform/engine_state.rs
+++ b/crates/standin/src/platform/engine_state.rs
@@ -57,8 +57,8 @@
     pub loaded: HashMap<String, String>,
     /// Last order that was accepted.
     pub last_order: FencingNumber,
-    /// Number of the present load; an older load that ends later has no effect.
-    pub load_number: u64,
+    /// Manifest whose load is in progress, by model; a newer order for the model replaces it.
+    pub loading: HashMap<String, String>,
     /// Rises when the cache is emptied.
     pub cache_epoch: u64,
     cached: VecDeque<String>,
--- a/crates/standin/src/platform/work.rs
+++ b/crates/standin/src/platform/work.rs
@@ -126,6 +126,7 @@
     /// Loses all work in progress and comes back cold, with a new incarnation.
     pub fn crash(&self) {
         let mut state = lock(&self.state);
+        log::info!("event=upstream_crashed in_use={} bears={}", state.in_use, state.bears);
         state.incarnation += 1;
         state.crashes += 1;
         state.in_use = 0;
