--- /dev/null
+++ b/crates/standin/src/bin/wigeon-standin.rs
@@ -0,0 +1,26 @@
+//! `wigeon-standin`: measuring commands on stand-ins of the platform.
+
+use std::process::ExitCode;
+
+use clap::Command;
+
+fn main() -> ExitCode {
+    let command = Command::new("wigeon-standin")
+        .about("Stand-ins of the platform and measuring commands")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .subcommand(standin::measure::cli());
+    let matches = command.get_matches();
+    let outcome = match matches.subcommand() {
+        Some(("measure", matches)) => standin::measure::exec(matches),
+        _ => unreachable!("the command line requires a known subcommand"),
+    };
+    match outcome {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(error) => {
+            eprintln!("error: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod http_client;
 pub mod ledger;
 pub mod measure;
+pub mod naive;
 pub mod observer;
 pub mod platform;
 
--- a/crates/standin/src/platform/service.rs
+++ b/crates/standin/src/platform/service.rs
@@ -121,7 +121,7 @@
             return json_answer(StatusCode::OK, &status);
         }
         if matches!(*request.method(), Method::GET | Method::HEAD) {
-            let runs = self.gauge.log().records().len();
+            let runs = self.gauge.log().len();
             return json_answer(StatusCode::OK, &json!({"runs": runs}));
         }
         let body = read_body(request).await.unwrap_or_default();
--- a/crates/standin/src/platform/work.rs
+++ b/crates/standin/src/platform/work.rs
@@ -57,6 +57,18 @@
         lock(&self.records)[index].end = end;
     }
 
+    /// Number of runs.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        lock(&self.records).len()
+    }
+
+    /// True if nothing has run.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// Copy of all records in order of acceptance.
     #[must_use]
     pub fn records(&self) -> Vec<WorkRecord> {
