--- a/crates/standin/src/bin/wigeon-standin.rs
+++ b/crates/standin/src/bin/wigeon-standin.rs
@@ -11,16 +11,8 @@
         .subcommand_required(true)
         .subcommand(standin::measure::cli());
     let matches = command.get_matches();
-    let outcome = match matches.subcommand() {
+    match matches.subcommand() {
         Some(("measure", matches)) => standin::measure::exec(matches),
         _ => unreachable!("the command line requires a known subcommand"),
-    };
-    match outcome {
-        Ok(true) => ExitCode::SUCCESS,
-        Ok(false) => ExitCode::from(1),
-        Err(error) => {
-            eprintln!("error: {error}");
-            ExitCode::from(2)
-        }
     }
 }
--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -2,10 +2,11 @@
 
 pub mod plan;
 pub mod serve;
+pub mod weights;
 
-use clap::{ArgMatches, Command};
+use std::process::ExitCode;
 
-use crate::error::StandinError;
+use clap::{ArgMatches, Command};
 
 /// Command line of `measure`.
 #[must_use]
@@ -14,15 +15,15 @@
         .about("Runs a measurement on loopback and prints one line of JSON at the end")
         .subcommand_required(true)
         .subcommand(serve::cli())
+        .subcommand(weights::cli())
 }
 
-/// Runs the subcommand; `true` if every promise held.
-///
-/// # Errors
-/// Fails if the measurement cannot be carried out.
-pub fn exec(matches: &ArgMatches) -> Result<bool, StandinError> {
+/// Runs the subcommand; the exit status is 1 if a promise broke and 2 if the measurement could not be carried out.
+#[must_use]
+pub fn exec(matches: &ArgMatches) -> ExitCode {
     match matches.subcommand() {
         Some(("serve", matches)) => serve::exec(matches),
+        Some(("weights", matches)) => weights::exec(matches),
         _ => unreachable!("the command line requires a known subcommand"),
     }
 }
--- a/crates/standin/src/measure/serve.rs
+++ b/crates/standin/src/measure/serve.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    process::ExitCode,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -108,14 +109,22 @@
         )
 }
 
-/// Runs the measurement and prints the report; `true` if every promise held.
-///
-/// # Errors
-/// Fails if the fleet cannot be started.
-///
-/// # Panics
-/// Panics if the operating system refuses threads.
-pub fn exec(matches: &ArgMatches) -> Result<bool, StandinError> {
+/// Runs the measurement and prints the report; the exit status is 1 if a promise broke.
+#[must_use]
+pub fn exec(matches: &ArgMatches) -> ExitCode {
+    match measure(matches) {
+        Ok(report) => {
+            println!("{}", serde_json::to_string(&report).expect("a report serialises to JSON"));
+            ExitCode::from(u8::from(!report.holds()))
+        }
+        Err(error) => {
+            eprintln!("error: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn measure(matches: &ArgMatches) -> Result<ServeReport, StandinError> {
     let plan: ServePlan = matches.get_one::<String>("plan").expect("plan is required").parse()?;
     let options = ServeOptions {
         plan,
@@ -133,10 +142,9 @@
         .enable_all()
         .build()
         .expect("the operating system provides threads");
-    let report = runtime.block_on(run(&options))?;
+    let report = runtime.block_on(run(&options));
     runtime.shutdown_background();
-    println!("{}", serde_json::to_string(&report).expect("a report serialises to JSON"));
-    Ok(report.holds())
+    report
 }
 
 /// Runs the plan with the system, then with the naive version.
