Add the fault matrix on real sockets

Cause: the promises were proved part by part, but not for every fault at every step of a whole fleet. Change: wigeon-standin faults starts a small fleet for each of 13 faults x 13 steps, once and twice, under load, and checks all nine promises from what callers and stand-ins observed; processes can be paused and hosts replaced.

--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -44,11 +44,19 @@
     /// # Errors
     /// Fails if the operating system refuses a thread.
     pub fn new() -> Result<Self, NodeError> {
-        let traffic = Builder::new_multi_thread()
-            .enable_all()
-            .thread_name("traffic")
-            .build()
-            .context(ThreadsSnafu)?;
+        Self::with_builder(&mut Builder::new_multi_thread())
+    }
+
+    /// Starts the control thread and `count` traffic threads.
+    ///
+    /// # Errors
+    /// Fails as [`NodeThreads::new`] does.
+    pub fn with_traffic_threads(count: usize) -> Result<Self, NodeError> {
+        Self::with_builder(Builder::new_multi_thread().worker_threads(count))
+    }
+
+    fn with_builder(builder: &mut Builder) -> Result<Self, NodeError> {
+        let traffic = builder.enable_all().thread_name("traffic").build().context(ThreadsSnafu)?;
         let control = Builder::new_current_thread().enable_all().build().context(ThreadsSnafu)?;
         let handle = control.handle().clone();
         let stop_control = CancellationToken::new();
@@ -66,6 +74,12 @@
         &self.traffic
     }
 
+    /// Runtime of the control thread.
+    #[must_use]
+    pub fn control(&self) -> &Handle {
+        &self.control
+    }
+
     /// Context for one node on these threads.
     #[must_use]
     pub fn context(&self, clock: Arc<dyn Clock>) -> NodeContext {
--- a/crates/standin/src/bin/wigeon-standin.rs
+++ b/crates/standin/src/bin/wigeon-standin.rs
@@ -9,10 +9,12 @@
         .about("Stand-ins of the platform and measuring commands")
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
-        .subcommand(standin::measure::cli());
+        .subcommand(standin::measure::cli())
+        .subcommand(standin::faults::cli());
     let matches = command.get_matches();
     match matches.subcommand() {
         Some(("measure", matches)) => standin::measure::exec(matches),
+        Some(("faults", matches)) => standin::faults::exec(matches),
         _ => unreachable!("the command line requires a known subcommand"),
     }
 }
--- a/crates/standin/src/fleet/layout.rs
+++ b/crates/standin/src/fleet/layout.rs
@@ -21,6 +21,8 @@
 const UPSTREAM_PORT: u16 = 7100;
 /// First host number of agents in a block.
 const FIRST_AGENT: u8 = 100;
+/// First host number of replaced agents in a block.
+const FIRST_REPLACEMENT: u8 = 200;
 /// Hosts of the stand-ins in a block.
 const PLATFORM_HOST: u8 = 1;
 const STORE_HOST: u8 = 2;
@@ -45,6 +47,13 @@
         Self { second: rng.random_range(10..250), third: rng.random_range(0..=255) }
     }
 
+    /// The block of this number; different numbers below 61,440 give different blocks.
+    #[must_use]
+    pub fn numbered(number: u16) -> Self {
+        let [third, second] = number.to_le_bytes();
+        Self { second: 10 + second % 240, third }
+    }
+
     fn address(self, host: u8, port: u16) -> SocketAddr {
         SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, self.second, self.third, host)), port)
     }
@@ -226,6 +235,25 @@
         }
     }
 
+    /// Another host for the agent of `plan`, with other addresses.
+    #[must_use]
+    pub fn replacement(&self, plan: &HostPlan) -> HostPlan {
+        let position = self.agents.iter().position(|other| other.upstream == plan.upstream);
+        let host = FIRST_REPLACEMENT + position.unwrap_or_default() as u8;
+        let new = HostPlan::new(
+            format_compact!("{}-b", plan.id),
+            plan.data_centre.clone(),
+            host,
+            self.block,
+        );
+        HostPlan {
+            upstream: plan.upstream.clone(),
+            service: plan.service.clone(),
+            upstream_address: plan.upstream_address,
+            ..new
+        }
+    }
+
     fn upstream(&self, plan: &HostPlan) -> Option<UpstreamRecord> {
         let is_model = plan.service.is_none();
         Some(UpstreamRecord {
@@ -257,6 +285,12 @@
         }
     }
 
+    /// Record of an agent in the host list.
+    #[must_use]
+    pub fn agent_record(&self) -> HostRecord {
+        self.record(HostRole::Agent)
+    }
+
     fn record(&self, role: HostRole) -> HostRecord {
         HostRecord {
             id: self.id.clone(),
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -2,14 +2,16 @@
 
 pub mod layout;
 pub mod network;
+mod threads;
 
 use std::{
+    collections::HashMap,
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
 
-use base::SystemClock;
+use base::{HostId, SystemClock};
 use compact_str::{CompactString, ToCompactString};
 use config::{AgentSettings, EntrySettings, FleetConfig, HostList, settings::CommonSettings};
 use node::{AgentNode, EntryNode, NodeContext, NodeListeners};
@@ -18,6 +20,7 @@
 use self::{
     layout::{FleetLayout, HostPlan},
     network::PeerNetwork,
+    threads::HostThreads,
 };
 use crate::{
     error::StandinError,
@@ -51,6 +54,8 @@
     pub store: StoreOptions,
     /// Speed of a host's link that transfers may use each way, in Mbit/s.
     pub link_mbit: u64,
+    /// True if each process has threads of its own, so that it can be paused; they cost memory.
+    pub own_threads: bool,
 }
 
 impl Default for FleetOptions {
@@ -60,6 +65,7 @@
             service: ServiceOptions::default(),
             store: StoreOptions::default(),
             link_mbit: 1_000,
+            own_threads: false,
         }
     }
 }
@@ -108,6 +114,9 @@
     options: FleetOptions,
     entries: Mutex<Vec<Option<EntryNode>>>,
     agents: Mutex<Vec<Option<AgentNode>>>,
+    threads: Mutex<HashMap<HostId, HostThreads>>,
+    /// Agents that run on another host than the layout says.
+    replaced: Mutex<HashMap<usize, HostPlan>>,
 }
 
 impl FleetUpstream {
@@ -284,6 +293,8 @@
             options,
             entries: Mutex::new((0..entries).map(|_| None).collect()),
             agents: Mutex::new((0..agents).map(|_| None).collect()),
+            threads: Mutex::default(),
+            replaced: Mutex::default(),
         };
         for index in 0..agents {
             fleet.start_agent(index)?;
@@ -314,7 +325,7 @@
             max_body_bytes: 1 << 20,
         };
         let listeners = listen(plan, &settings.common, Some(plan.http))?;
-        let node = EntryNode::start(context(), settings, listeners);
+        let node = EntryNode::start(self.context(&plan.id)?, settings, listeners);
         lock(&self.entries)[index] = Some(node);
         Ok(())
     }
@@ -324,7 +335,7 @@
     /// # Errors
     /// Fails if an address cannot be listened on.
     pub fn start_agent(&self, index: usize) -> Result<(), StandinError> {
-        let plan = &self.platform.layout.agents[index];
+        let plan = &self.agent_plan(index);
         let settings = AgentSettings {
             upstream: plan.upstream.clone().unwrap_or_default(),
             upstream_address: plan.upstream_address,
@@ -335,11 +346,56 @@
             queue_length: 64,
         };
         let listeners = listen(plan, &settings.common, None)?;
-        let node = AgentNode::start(context(), settings, listeners);
+        let node = AgentNode::start(self.context(&plan.id)?, settings, listeners);
         lock(&self.agents)[index] = Some(node);
         Ok(())
     }
 
+    /// Where an agent runs now.
+    #[must_use]
+    pub fn agent_plan(&self, index: usize) -> HostPlan {
+        let replaced = lock(&self.replaced).get(&index).cloned();
+        replaced.unwrap_or_else(|| self.platform.layout.agents[index].clone())
+    }
+
+    /// Kills an agent and starts another beside the same upstream, on a new host with new addresses. The host list
+    /// names the new host after its lag.
+    ///
+    /// # Errors
+    /// Fails if an address cannot be listened on.
+    pub async fn replace_agent(&self, index: usize) -> Result<(), StandinError> {
+        self.kill_agent(index);
+        let old = self.agent_plan(index);
+        let new = self.platform.layout.replacement(&old);
+        let (host, data_centre) = (new.id.clone(), new.data_centre.clone());
+        self.network.add_host(host, data_centre, true, new.relay, new.peer).await?;
+        lock(&self.replaced).insert(index, new.clone());
+        self.platform.change_hosts(|list| {
+            list.hosts.retain(|record| record.id != old.id);
+            list.hosts.push(new.agent_record());
+        });
+        self.start_agent(index)
+    }
+
+    /// Stops the threads of a host for a while, as a suspended process; needs [`FleetOptions::own_threads`].
+    pub fn pause_host(&self, host: &str, duration: Duration) {
+        if let Some(threads) = lock(&self.threads).get(host) {
+            threads.pause(duration);
+        }
+    }
+
+    fn context(&self, host: &HostId) -> Result<NodeContext, StandinError> {
+        let clock = Arc::new(SystemClock);
+        if !self.options.own_threads {
+            return Ok(NodeContext::new(clock, Handle::current(), Handle::current()));
+        }
+        let mut threads = lock(&self.threads);
+        if !threads.contains_key(host) {
+            threads.insert(host.clone(), HostThreads::new(host)?);
+        }
+        Ok(threads[host].context(clock))
+    }
+
     /// Stops an entry gracefully.
     pub async fn drain_entry(&self, index: usize) {
         let node = lock(&self.entries)[index].take();
@@ -350,8 +406,7 @@
 
     /// Stops an agent gracefully.
     pub async fn drain_agent(&self, index: usize) {
-        let node = lock(&self.agents)[index].take();
-        if let Some(node) = node {
+        if let Some(node) = self.take_agent(index) {
             node.drain().await;
         }
     }
@@ -370,6 +425,12 @@
         }
     }
 
+    /// Takes an agent out of the fleet's hands, for a stop that goes on beside other events.
+    #[must_use]
+    pub fn take_agent(&self, index: usize) -> Option<AgentNode> {
+        lock(&self.agents)[index].take()
+    }
+
     /// Stops all entries and agents at once.
     pub fn stop(&self) {
         for index in 0..self.platform.layout.entries.len() {
@@ -408,10 +469,6 @@
     }
 }
 
-fn context() -> NodeContext {
-    NodeContext::new(Arc::new(SystemClock), Handle::current(), Handle::current())
-}
-
 fn listen(
     plan: &HostPlan,
     common: &CommonSettings,
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod caller;
 pub mod demo;
 pub mod error;
+pub mod faults;
 pub mod fleet;
 mod force_probe;
 pub mod http;
