--- a/crates/member/src/agent.rs
+++ b/crates/member/src/agent.rs
@@ -21,8 +21,9 @@
 const PROBE_DEADLINE: Duration = Duration::from_secs(1);
 /// Probes missed in a row after which an agent is suspect; one miss may be a lost packet.
 const MISSES_TO_SUSPECT: u32 = 2;
-/// Probes missed in a row after which nothing waits for an agent any more. Probes back off from here on.
-const MISSES_TO_LOSE: u32 = 3;
+/// Probes missed in a row after which probes back off. Until then they keep their interval, so that a dead agent is
+/// told from a busy one soon.
+const MISSES_TO_BACK_OFF: u32 = 3;
 /// Age of the last answer up to which an agent gets new work.
 const STALE_AFTER: Duration = Duration::from_secs(2);
 /// Delay of the probe that follows a failed connection.
@@ -60,10 +61,6 @@
     pub incarnation: Option<Incarnation>,
     /// True if the agent may get new work.
     pub usable: bool,
-    /// Probes missed in a row.
-    pub misses: u32,
-    /// True if it has missed so many probes that nothing should wait for it any more.
-    pub lost: bool,
 }
 
 pub(crate) struct AgentState {
@@ -118,8 +115,6 @@
             draining: self.draining,
             incarnation: self.incarnation,
             usable: self.is_usable(now),
-            misses: self.misses,
-            lost: self.misses >= MISSES_TO_LOSE,
         }
     }
 
@@ -200,7 +195,7 @@
         if refused || self.misses >= MISSES_TO_SUSPECT {
             self.health = AgentHealth::Suspect;
         }
-        self.next_probe = match self.misses.saturating_sub(MISSES_TO_LOSE) {
+        self.next_probe = match self.misses.saturating_sub(MISSES_TO_BACK_OFF) {
             0 => asked + regular_interval(rng),
             doublings => {
                 let doubled = PROBE_INTERVAL * 2_u32.pow(doublings.min(5));
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -2,7 +2,6 @@
 
 mod convert;
 mod handler;
-mod members;
 mod shell;
 
 use std::sync::Arc;
@@ -14,7 +13,6 @@
 use spread::{SpreadCore, SpreadOptions};
 use tokio::sync::mpsc;
 
-pub use self::members::{MemberTable, ProbeObserver};
 pub use self::shell::{ControlCounters, ControlSources};
 use self::{
     handler::ControlHandler,
@@ -79,6 +77,7 @@
         inbox,
         sender: sender.clone(),
         view: None,
+        published: false,
         hosts: Arc::new(HostList::default()),
     };
     context.spawn_control(shell.run());
--- a/crates/node/src/control/shell.rs
+++ b/crates/node/src/control/shell.rs
@@ -105,6 +105,8 @@
     pub(super) inbox: mpsc::Receiver<ControlMessage>,
     pub(super) sender: mpsc::Sender<ControlMessage>,
     pub(super) view: Option<FleetView>,
+    /// True once a view was published.
+    pub(super) published: bool,
     pub(super) hosts: Arc<HostList>,
 }
 
@@ -151,10 +153,14 @@
         for action in actions {
             changed |= self.perform(action);
         }
-        if let Some(view) = self.view.as_mut().filter(|_| changed) {
-            view.fresh = self.core.is_fresh();
-            self.writer.publish(view.clone());
-        }
+        let fresh = self.core.is_fresh();
+        // The first view appears when the start-up refresh has ended; until then nothing is in force.
+        let Some(view) = self.view.as_mut().filter(|_| changed && (fresh || self.published)) else {
+            return;
+        };
+        view.fresh = fresh;
+        self.published = true;
+        self.writer.publish(view.clone());
     }
 
     /// Carries out an action; returns true if the view changed.
@@ -172,7 +178,10 @@
                 let read = async move { directory.list().await.map(Some) };
                 self.read(DocumentKind::Hosts, read);
             }
-            SpreadAction::PublishConfig(held) => self.put_in_force(held),
+            SpreadAction::PublishConfig(held) => {
+                self.put_in_force(held);
+                return true;
+            }
             SpreadAction::PublishHosts(hosts) => {
                 if let Some(view) = &mut self.view {
                     view.hosts = hosts.clone();
@@ -191,15 +200,13 @@
 
     fn put_in_force(&mut self, held: HeldDocument<config::FleetConfig>) {
         self.counters.adopted.fetch_add(1, Ordering::Relaxed);
-        let view = FleetView {
+        self.view = Some(FleetView {
             config: held.value,
             digest: held.digest,
             adopted_at: self.context.clock.now(),
             hosts: self.hosts.clone(),
             fresh: self.core.is_fresh(),
-        };
-        self.writer.publish(view.clone());
-        self.view = Some(view);
+        });
     }
 
     fn log(&self, report: &SpreadReport) {
--- a/crates/spread/src/core.rs
+++ b/crates/spread/src/core.rs
@@ -353,6 +353,11 @@
         self.neighbours = choose_neighbours(&held.value, own, centre);
         let ranking = reader_ranking(&held.value, centre);
         let rank = ranking.iter().position(|record| record.id == *own);
+        // Without listed hosts nobody would read for this data centre. Only seeds stand in, because every process of
+        // the fleet sees the same empty list.
+        let stands_alone =
+            ranking.is_empty() && start_cause(&self.options) == RefreshCause::SeedStart;
+        let rank = rank.or(stands_alone.then_some(0));
         // A process that listens on every address is known to others by the one in the list.
         let own_record = held.value.hosts.iter().find(|record| record.id == *own);
         if let Some(record) = own_record.filter(|_| self.options.peer.ip().is_unspecified()) {
--- a/crates/spread/tests/faults.rs
+++ b/crates/spread/tests/faults.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use ::config::HostList;
 use common::{Fleet, config, document, host_list};
 use spread::{DocumentKind, READERS_MAX, SpreadReport};
 
@@ -268,3 +269,16 @@
     assert!(took.is_some_and(|took| took <= 12 * SECOND), "{took:?}");
     assert_eq!(fleet.cores[&0].config().unwrap().bytes, document(1));
 }
+
+#[test]
+fn empty_host_list_neither_stops_the_reads_nor_multiplies_them() {
+    let mut fleet = Fleet::started(48, 19);
+    fleet.service.hosts = HostList { version: 2, hosts: Vec::new() };
+    fleet.run(5 * SECOND);
+    fleet.service.reads = 0;
+    fleet.service.publish(2);
+    let took = fleet.run_until(10 * SECOND, |fleet| fleet.all_at(2));
+    assert!(took.is_some_and(|took| took <= 6 * SECOND), "{took:?}");
+    fleet.run(10 * SECOND);
+    assert!(fleet.service.reads <= 20 * 3 * 2, "{} reads", fleet.service.reads);
+}
