--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -11,7 +11,7 @@
 mod progress;
 mod relay;
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use config::AgentSettings;
 use log::info;
@@ -32,9 +32,12 @@
     peer::PeerPool,
     server::FrameServer,
     view::ViewReader,
-    weights,
+    weights::{self, LoadSignal},
 };
 
+/// Interval at which the weights part learns of live requests; short against the duration of a chunk.
+const LOAD_REPORT_INTERVAL: Duration = Duration::from_millis(100);
+
 /// A running agent.
 pub struct AgentNode {
     context: NodeContext,
@@ -69,8 +72,10 @@
             engine.clone(),
             service.clone(),
         );
-        let weights = weights::spawn(&context, &settings, control.view.clone(), engine.clone());
-        let forward = ForwardHandler::new(core, &key, record_options);
+        let weights =
+            weights::spawn(&context, &settings, control.view.clone(), engine.clone(), &pool);
+        spawn_load_reports(&context, core.clone(), weights.load);
+        let forward = ForwardHandler::new(core, weights.progress, &key, record_options);
         let mut handlers = weights.handlers;
         handlers.push(control.handler);
         handlers.push(forward.clone());
@@ -125,3 +130,14 @@
         })
     }
 }
+
+/// Tells the weights part how busy the upstream is; work that waits means that requests are slowed down.
+fn spawn_load_reports(context: &NodeContext, core: Arc<CallCore>, signal: LoadSignal) {
+    context.spawn_traffic(async move {
+        loop {
+            let load = core.admitter.load();
+            signal.report(load.in_use, load.queued > 0);
+            tokio::time::sleep(LOAD_REPORT_INTERVAL).await;
+        }
+    });
+}
--- a/crates/node/tests/agent/bench.rs
+++ b/crates/node/tests/agent/bench.rs
@@ -71,7 +71,7 @@
 impl Bench {
     /// Starts an agent beside a model engine (`service` empty) or a plain service.
     pub async fn start(service: &str, cold_limit: u32, options: RecordOptions) -> Self {
-        let upstream = FakeUpstream::start(cold_limit).await;
+        let upstream = FakeUpstream::start(service.is_empty(), cold_limit).await;
         let platform = Arc::new(FakePlatform {
             config: Mutex::new(fleet_config(service, cold_limit)),
             hosts: Mutex::new(json!({"version": 1, "hosts": []})),
@@ -227,7 +227,11 @@
         upstream["service"] = service.into();
         services = json!([{"id": service, "idempotent": service != "booking"}]);
     }
-    let presets = ["ordinary", "peak", "maintenance"].map(|id| json!({"id": id, "models": []}));
+    let presets = ["ordinary", "peak", "maintenance"].map(|id| {
+        let wanted =
+            if service.is_empty() { json!([{"model": "m", "replicas": 1}]) } else { json!([]) };
+        json!({"id": id, "models": wanted})
+    });
     json!({
         "revision": 1, "preset": "ordinary",
         "teams": [{"id": "team", "organisation": "o", "share": 1}],
