node: test crash notices, the bound of a stop and the slot of a cancelled stream

Change: the cancellation test opens the next channel first and checks that the upstream is never above what it bears; new tests cover a crash notice and a planned stop with a stuck request.

--- a/crates/node/tests/agent/bench.rs
+++ b/crates/node/tests/agent/bench.rs
@@ -208,7 +208,8 @@
     let settings = format!(
         "upstream = \"u-1\"\nupstream_address = \"{}\"\nweight_sources = []\nqueue_length = 64\n\
          [common]\nhost = \"h-1\"\ndata_centre = \"dc-1\"\npeer_listen = \"{address}\"\n\
-         admin_listen = \"127.0.0.1:0\"\nplatform = \"{platform}\"\nfleet_key = \"{SECRET}\"\n",
+         admin_listen = \"127.0.0.1:0\"\nplatform = \"{platform}\"\nfleet_key = \"{SECRET}\"\n\
+         drain_ms = 3500\n",
         upstream.address
     );
     let settings = AgentSettings::parse(&settings).expect("the settings are valid");
--- a/crates/node/tests/agent/streams.rs
+++ b/crates/node/tests/agent/streams.rs
@@ -8,7 +8,7 @@
 use base::{ContentDigest, Outcome, RefusalReason};
 use once::RecordOptions;
 use serde_json::json;
-use wire::Payload;
+use wire::{CrashNotice, Payload};
 
 use crate::{
     bench::{Bench, Reply, exchange, prompt, refused},
@@ -149,18 +149,59 @@
     assert!(started.elapsed() >= Duration::from_millis(300), "the suspects ran side by side");
 }
 
-/// Guards against streams that go on for callers who have left.
+/// Guards against streams that go on for callers who have left, and against their slots being used before the upstream
+/// has noticed.
 #[tokio::test(flavor = "multi_thread")]
 async fn closed_connection_cancels_the_stream() {
     let bench = start(1).await;
+    *bench.upstream.call_time.lock().unwrap() = Duration::from_millis(10);
+    let mut next = bench.connect().await;
     let mut channel = bench.connect().await;
     channel.sender.send(Payload::Forward(prompt("p", 400))).await.unwrap();
     for _ in 0..3 {
         channel.receiver.receive().await.expect("the stream starts");
     }
     drop(channel);
-    assert_whole(&bench.send(prompt("q", 2)).await, 2);
+    assert_whole(&exchange(&mut next, prompt("q", 2)).await, 2);
     assert_eq!(bench.upstream.cancelled.load(SeqCst), 1);
+    assert_eq!(bench.upstream.overloads.load(SeqCst), 0, "the slot was used too early");
+}
+
+/// Guards against a request that crashed an upstream elsewhere and runs here.
+#[tokio::test(flavor = "multi_thread")]
+async fn notice_of_an_isolated_crash_refuses_the_request() {
+    let bench = start(2).await;
+    let forward = prompt("poison", 2);
+    let notice = CrashNotice {
+        fingerprint: forward.fingerprint.clone(),
+        crashes: 1,
+        isolated: true,
+        upstream: "u-9".to_owned(),
+        ..CrashNotice::default()
+    };
+    let mut channel = bench.connect().await;
+    let reply = channel.call(Payload::CrashNotice(notice)).await.expect("an acknowledgement");
+    assert!(matches!(reply, Payload::Ack(_)));
+    let suspect = refused(Outcome::NotRun, RefusalReason::CrashSuspect);
+    assert_eq!(exchange(&mut channel, forward).await, suspect);
+    assert_whole(&exchange(&mut channel, prompt("other", 2)).await, 2);
+    assert_eq!(bench.upstream.run_count(), 1);
+}
+
+/// Guards against a planned stop that a stuck request holds up for ever.
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_ends_at_its_bound() {
+    let bench = start(2).await;
+    *bench.upstream.call_time.lock().unwrap() = Duration::from_secs(60);
+    let mut channel = bench.connect().await;
+    channel.sender.send(Payload::Forward(prompt("stuck", 2))).await.unwrap();
+    while bench.upstream.run_count() == 0 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let started = Instant::now();
+    bench.agent.drain().await;
+    let took = started.elapsed();
+    assert!((Duration::from_secs(3)..Duration::from_secs(5)).contains(&took), "{took:?}");
 }
 
 /// Guards against new work in a data centre that is out and on a host that leaves.
