--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -1,3 +1,29 @@
 //! Measuring commands, one file per subcommand with `cli()` beside `exec()`.
 
+pub mod plan;
+pub mod serve;
 pub mod weights;
+
+use std::process::ExitCode;
+
+use clap::{ArgMatches, Command};
+
+/// Command line of `measure`.
+#[must_use]
+pub fn cli() -> Command {
+    Command::new("measure")
+        .about("Runs a measurement on loopback and prints one line of JSON at the end")
+        .subcommand_required(true)
+        .subcommand(serve::cli())
+        .subcommand(weights::cli())
+}
+
+/// Runs the subcommand; the exit status is 1 if a promise broke and 2 if the measurement could not be carried out.
+#[must_use]
+pub fn exec(matches: &ArgMatches) -> ExitCode {
+    match matches.subcommand() {
+        Some(("serve", matches)) => serve::exec(matches),
+        Some(("weights", matches)) => weights::exec(matches),
+        _ => unreachable!("the command line requires a known subcommand"),
+    }
+}
--- a/crates/standin/src/platform/work.rs
+++ b/crates/standin/src/platform/work.rs
@@ -57,6 +57,18 @@
         lock(&self.records)[index].end = end;
     }
 
+    /// Number of runs.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        lock(&self.records).len()
+    }
+
+    /// True if nothing has run.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// Copy of all records in order of acceptance.
     #[must_use]
     pub fn records(&self) -> Vec<WorkRecord> {
@@ -126,6 +138,7 @@
     /// Loses all work in progress and comes back cold, with a new incarnation.
     pub fn crash(&self) {
         let mut state = lock(&self.state);
+        log::info!("event=upstream_crashed in_use={} bears={}", state.in_use, state.bears);
         state.incarnation += 1;
         state.crashes += 1;
         state.in_use = 0;
