--- a/crates/node/src/agent/forward.rs
+++ b/crates/node/src/agent/forward.rs
@@ -22,7 +22,10 @@
     keyed::{KeyedCalls, KeyedStart},
     relay::{AgentRefusal, AnswerRelay, DEADLINE_GRACE},
 };
-use crate::server::{FrameHandler, ServerChannel};
+use crate::{
+    server::{FrameHandler, ServerChannel},
+    weights::WeightsProgress,
+};
 
 /// Shortest duration of a planned stop: entries learn of it by their probes, and requests that are under way to this
 /// agent get a truthful refusal instead of a refused connection.
@@ -35,15 +38,22 @@
 pub struct ForwardHandler {
     core: Arc<CallCore>,
     keyed: Arc<KeyedCalls>,
+    weights: WeightsProgress,
     signer: KeySigner,
 }
 
 impl ForwardHandler {
     /// Creates the handler.
     #[must_use]
-    pub fn new(core: Arc<CallCore>, key: &FleetKey, options: RecordOptions) -> Arc<Self> {
+    pub fn new(
+        core: Arc<CallCore>,
+        weights: WeightsProgress,
+        key: &FleetKey,
+        options: RecordOptions,
+    ) -> Arc<Self> {
         let keyed = KeyedCalls::new(core.clone(), options);
-        Arc::new(Self { core, keyed, signer: KeySigner::new(key.derive(KEY_SIGNING_CONTEXT)) })
+        let signer = KeySigner::new(key.derive(KEY_SIGNING_CONTEXT));
+        Arc::new(Self { core, keyed, weights, signer })
     }
 
     /// Waits until nothing is in progress, at most `limit`; returns what is still held. The stop must have begun.
@@ -59,6 +69,7 @@
     pub fn status(&self) -> StatusReply {
         let core = &self.core;
         let upstream = core.monitor.get();
+        let (held_bytes, wanted_bytes) = self.weights.bytes();
         let ready = upstream.loaded.iter().map(|loaded| ReadyModel {
             model: loaded.model.to_string(),
             manifest: Bytes::copy_from_slice(loaded.manifest.as_bytes()),
@@ -72,8 +83,8 @@
             draining: core.gate.is_draining(),
             revision: core.view.get().map_or(0, |view| view.config.revision),
             upstream_up: upstream.up,
-            held_bytes: 0,
-            wanted_bytes: 0,
+            held_bytes,
+            wanted_bytes,
         }
     }
 
--- a/crates/node/tests/agent/streams.rs
+++ b/crates/node/tests/agent/streams.rs
@@ -7,11 +7,10 @@
 
 use base::{ContentDigest, Outcome, RefusalReason};
 use once::RecordOptions;
-use serde_json::json;
-use wire::Payload;
+use wire::{CrashNotice, Payload};
 
 use crate::{
-    bench::{Bench, Reply, exchange, prompt, refused},
+    bench::{Bench, Reply, exchange, host_list, prompt, refused},
     upstream::Fault,
 };
 
@@ -149,18 +148,59 @@
     assert!(started.elapsed() >= Duration::from_millis(300), "the suspects ran side by side");
 }
 
-/// Guards against streams that go on for callers who have left.
+/// Guards against streams that go on for callers who have left, and against their slots being used before the upstream
+/// has noticed.
 #[tokio::test(flavor = "multi_thread")]
 async fn closed_connection_cancels_the_stream() {
     let bench = start(1).await;
+    *bench.upstream.call_time.lock().unwrap() = Duration::from_millis(10);
+    let mut next = bench.connect().await;
     let mut channel = bench.connect().await;
     channel.sender.send(Payload::Forward(prompt("p", 400))).await.unwrap();
     for _ in 0..3 {
         channel.receiver.receive().await.expect("the stream starts");
     }
     drop(channel);
-    assert_whole(&bench.send(prompt("q", 2)).await, 2);
+    assert_whole(&exchange(&mut next, prompt("q", 2)).await, 2);
     assert_eq!(bench.upstream.cancelled.load(SeqCst), 1);
+    assert_eq!(bench.upstream.overloads.load(SeqCst), 0, "the slot was used too early");
+}
+
+/// Guards against a request that crashed an upstream elsewhere and runs here.
+#[tokio::test(flavor = "multi_thread")]
+async fn notice_of_an_isolated_crash_refuses_the_request() {
+    let bench = start(2).await;
+    let forward = prompt("poison", 2);
+    let notice = CrashNotice {
+        fingerprint: forward.fingerprint.clone(),
+        crashes: 1,
+        isolated: true,
+        upstream: "u-9".to_owned(),
+        ..CrashNotice::default()
+    };
+    let mut channel = bench.connect().await;
+    let reply = channel.call(Payload::CrashNotice(notice)).await.expect("an acknowledgement");
+    assert!(matches!(reply, Payload::Ack(_)));
+    let suspect = refused(Outcome::NotRun, RefusalReason::CrashSuspect);
+    assert_eq!(exchange(&mut channel, forward).await, suspect);
+    assert_whole(&exchange(&mut channel, prompt("other", 2)).await, 2);
+    assert_eq!(bench.upstream.run_count(), 1);
+}
+
+/// Guards against a planned stop that a stuck request holds up for ever.
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_ends_at_its_bound() {
+    let bench = start(2).await;
+    *bench.upstream.call_time.lock().unwrap() = Duration::from_secs(60);
+    let mut channel = bench.connect().await;
+    channel.sender.send(Payload::Forward(prompt("stuck", 2))).await.unwrap();
+    while bench.upstream.run_count() == 0 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let started = Instant::now();
+    bench.agent.drain().await;
+    let took = started.elapsed();
+    assert!((Duration::from_secs(3)..Duration::from_secs(5)).contains(&took), "{took:?}");
 }
 
 /// Guards against new work in a data centre that is out and on a host that leaves.
@@ -181,12 +221,8 @@
     publish(3, false);
     bench.wait_until(|status| !status.draining).await;
     assert_whole(&bench.send(prompt("p", 1)).await, 1);
-    let host = json!({
-        "id": "h-1", "data_centre": "dc-1", "role": "agent", "upstream": "u-1",
-        "peer": bench.address, "state": "leaving",
-    });
     let started = Instant::now();
-    *bench.platform.hosts.lock().unwrap() = json!({"version": 2, "hosts": [host]});
+    *bench.platform.hosts.lock().unwrap() = host_list(2, bench.address, "leaving");
     bench.wait_until(|status| status.draining).await;
     assert!(started.elapsed() < Duration::from_secs(3));
     assert_eq!(bench.send(prompt("p", 1)).await, draining);
@@ -201,6 +237,17 @@
     let refreshing = refused(Outcome::NotRun, RefusalReason::Refreshing);
     assert_eq!(exchange(&mut channel, prompt("p", 1)).await, refreshing);
     assert_eq!(bench.upstream.run_count(), 0);
-    tokio::time::sleep(Duration::from_millis(1_200)).await;
-    assert_whole(&exchange(&mut channel, prompt("p", 1)).await, 1);
+    // The control part reads the configuration anew, after a delay with jitter, because no peer answers.
+    let started = Instant::now();
+    let reply = loop {
+        let reply = exchange(&mut channel, prompt("p", 1)).await;
+        if reply != refreshing {
+            break reply;
+        }
+        assert!(started.elapsed() < Duration::from_secs(10), "no end of the refresh");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    };
+    assert_whole(&reply, 1);
+    assert!(started.elapsed() > Duration::from_millis(400), "work before the refresh");
+    assert_eq!(bench.upstream.run_count(), 1);
 }
--- a/crates/node/tests/agent/upstream.rs
+++ b/crates/node/tests/agent/upstream.rs
@@ -34,6 +34,7 @@
 /// State of the upstream, shared with the test.
 pub struct FakeUpstream {
     pub address: SocketAddr,
+    loaded: Value,
     pub call_time: Mutex<Duration>,
     pub fault: Mutex<Fault>,
     /// Bodies of all calls that were run.
@@ -54,10 +55,15 @@
 }
 
 impl FakeUpstream {
-    pub async fn start(cold_limit: u32) -> Arc<Self> {
+    /// Starts a model engine or a plain service.
+    pub async fn start(is_model: bool, cold_limit: u32) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback has free ports");
         let upstream = Arc::new(Self {
             address: listener.local_addr().expect("the listener is bound"),
+            loaded: match is_model {
+                true => json!([{"model": "m", "manifest": manifest()}]),
+                false => json!([]),
+            },
             call_time: Mutex::new(Duration::from_millis(20)),
             fault: Mutex::new(Fault::None),
             runs: Mutex::default(),
@@ -113,6 +119,11 @@
                 send_whole(&mut stream, 200, &status).await?;
                 continue;
             }
+            if path.starts_with("/v1/") && path != "/v1/generate" {
+                // Orders of the weights part; this upstream serves its model all the time.
+                send_whole(&mut stream, 202, "").await?;
+                continue;
+            }
             self.runs.lock().unwrap().push(body.clone());
             let in_use = self.in_use.fetch_add(1, SeqCst) + 1;
             if in_use > self.bears.load(SeqCst) {
@@ -136,7 +147,7 @@
             "incarnation": self.incarnation.load(SeqCst),
             "cache_epoch": 0,
             "in_use": self.in_use.load(SeqCst),
-            "loaded": [{"model": "m", "manifest": manifest()}],
+            "loaded": self.loaded,
         })
     }
 
