Send small frames of the fake agent without delay

Cause: the fake agent's three small writes met delayed acknowledgements, so that a tenth of the calls took 48 ms. Change: the fake agent sets TCP_NODELAY, as the real server does. Conclusion: the delay was in the test, not in the entry.

--- a/crates/node/tests/entry/support/agent.rs
+++ b/crates/node/tests/entry/support/agent.rs
@@ -116,6 +116,7 @@
     }
 
     async fn serve(&self, stream: TcpStream) -> Result<(), ChannelError> {
+        stream.set_nodelay(true).unwrap();
         let key = FleetKey::new(FLEET_KEY);
         let limits = ChannelLimits::default();
         let mut channel = wire::accept(stream, &key, &self.upstream, limits).await?;
