Use the control thread's freshness in the entry

Cause: the control part now tells whether its view is fresh and whether it has run lately; the entry only read the flag. Change: new work needs ViewReader::is_fresh beside the entry's own gate. Conclusion: the entry hands out work only on a view that the control part vouches for.

--- a/crates/node/src/entry/forward.rs
+++ b/crates/node/src/entry/forward.rs
@@ -142,7 +142,7 @@
     #[must_use]
     pub fn fresh_view(&self) -> Option<Arc<FleetView>> {
         let open = self.gate.is_open(self.context.clock.now());
-        self.view.get().filter(|view| view.fresh && open)
+        self.view.get().filter(|_| open && self.view.is_fresh())
     }
 
     /// Message that asks an agent to run `request`.
