Treat the deadline as the bound of the whole answer when a stream breaks

Cause: the agent cuts an answer at its deadline; the entry then resumed it elsewhere with a deadline of its own. Change: after the deadline nothing is resumed; the stream ends in its error line. Conclusion: entry and agent agree on the deadline.

--- a/crates/node/src/entry/forward.rs
+++ b/crates/node/src/entry/forward.rs
@@ -39,8 +39,6 @@
 const RETRY_JITTER: f64 = 0.25;
 /// Time after the deadline in which the agent's own refusal may still arrive; it says more than a missing answer.
 const DEADLINE_GRACE: Duration = Duration::from_millis(250);
-/// Time that a resumed stream gets at least. Its caller is still reading, whatever deadline it named for the start.
-const MIN_RESUME_TIME: Duration = Duration::from_secs(5);
 const FINISH_POLL: Duration = Duration::from_millis(20);
 
 /// A request that was not answered.
@@ -268,7 +266,7 @@
     ) -> Result<OpenAnswer, ForwardRefusal> {
         loop {
             let now = self.forwarder.context.clock.now();
-            if offset == 0 && self.request.remaining(now).is_zero() {
+            if self.request.remaining(now).is_zero() {
                 return Err(self.refuse(RefusalReason::DeadlineExceeded, RETRY_AFTER));
             }
             let (choice, isolated, peer) = self.choose(now, target)?;
@@ -398,10 +396,6 @@
         let Some(manifest) = &choice.manifest else { return };
         forward.manifest = Bytes::copy_from_slice(manifest.as_bytes());
         forward.resume_offset = offset;
-        if offset > 0 {
-            let least = u64::try_from(MIN_RESUME_TIME.as_millis()).unwrap_or(u64::MAX);
-            forward.remaining_ms = forward.remaining_ms.max(least);
-        }
         if let CallerWork::Model { model, fields } = &self.request.work {
             let mut fields = fields.clone();
             fields.insert("model".to_owned(), Value::from(model.as_str()));
