Let settings replace the service-level objectives

Cause: the objectives were constants of the burn crate only. Change: EntrySettings has an optional table objectives with a fraction and a time per kind of request; faults are reported like those of other settings. A test shows that a crash notice of another entry is honoured. Conclusion: operators can set their own objectives without a build.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -20,5 +20,5 @@
     },
     hosts::{HostList, HostRecord, HostRole, HostState},
     placement::{WantedModel, replica_upstreams, wanted_models},
-    settings::{AgentSettings, EntrySettings, SettingsError},
+    settings::{AgentSettings, EntrySettings, ObjectiveSetting, ObjectiveSettings, SettingsError},
 };
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -84,6 +84,31 @@
     /// Largest request body, in bytes.
     #[serde(default = "default_max_body_bytes")]
     pub max_body_bytes: usize,
+    /// Service-level objectives that replace the defaults.
+    #[serde(default)]
+    pub objectives: ObjectiveSettings,
+}
+
+/// Service-level objectives of the kinds of request; absent ones keep their defaults.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ObjectiveSettings {
+    /// Of model requests.
+    pub model: Option<ObjectiveSetting>,
+    /// Of idempotent calls.
+    pub idempotent: Option<ObjectiveSetting>,
+    /// Of keyed calls.
+    pub keyed: Option<ObjectiveSetting>,
+}
+
+/// One service-level objective.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ObjectiveSetting {
+    /// Fraction of requests to answer in time; above 0 and below 1.
+    pub fraction: f64,
+    /// Time to the first token of a model answer, or to the whole answer of a call, in milliseconds.
+    pub in_time_ms: u64,
 }
 
 /// Settings of `wigeon-agent`.
@@ -178,6 +203,20 @@
     }
 }
 
+impl ObjectiveSettings {
+    fn check(&self, faults: &mut Vec<ConfigFault>) {
+        let kinds = [("model", self.model), ("idempotent", self.idempotent), ("keyed", self.keyed)];
+        for (kind, setting) in kinds {
+            let Some(setting) = setting else { continue };
+            let fraction = setting.fraction > 0.0 && setting.fraction < 1.0;
+            let key = format!("objectives.{kind}.fraction");
+            require(faults, fraction, &key, &setting.fraction.to_string(), "above 0 and below 1");
+            let key = format!("objectives.{kind}.in_time_ms");
+            require(faults, setting.in_time_ms > 0, &key, "0", "at least 1");
+        }
+    }
+}
+
 impl EntrySettings {
     /// Parses and checks settings.
     ///
@@ -190,6 +229,7 @@
         require(&mut faults, settings.address_ttl_ms > 0, "address_ttl_ms", "0", "at least 1");
         require(&mut faults, settings.subset > 0, "subset", "0", "at least 1");
         require(&mut faults, settings.max_body_bytes > 0, "max_body_bytes", "0", "at least 1");
+        settings.objectives.check(&mut faults);
         finish(settings, faults)
     }
 }
--- a/crates/config/tests/fleet.rs
+++ b/crates/config/tests/fleet.rs
@@ -130,6 +130,9 @@
             "common.log_level = loud: off, error, warn, info, debug or trace",
         ]
     );
+    let objective = format!("{text}\n[objectives.keyed]\nfraction = 1.0\nin_time_ms = 340\n");
+    let error = EntrySettings::parse(&objective).unwrap_err().to_string();
+    assert!(error.contains("objectives.keyed.fraction = 1: above 0 and below 1"), "{error}");
     let unknown = format!("nonsense = 1\n{text}");
     assert!(EntrySettings::parse(&unknown).unwrap_err().to_string().contains("nonsense"));
     let address = text.replace("127.0.0.1:8100", "localhost");
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -64,7 +64,7 @@
         let control = control::spawn(&context, &settings.common, &pool);
         let view = control.view;
         let now = context.clock.now();
-        let state = Arc::new(SharedState::new(now));
+        let state = Arc::new(SharedState::new(now, &settings.objectives));
         let gate = Arc::new(PauseGate::new(now));
         let agents =
             AgentTable::spawn(&context, &settings, view.clone(), state.clone(), gate.clone());
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -6,7 +6,8 @@
 };
 
 use base::ContentDigest;
-use burn::{ObjectiveSet, ServiceMeter};
+use burn::{Objective, ObjectiveSet, ServiceMeter};
+use config::{ObjectiveSetting, ObjectiveSettings};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use route::{
@@ -37,13 +38,13 @@
 impl SharedState {
     /// Creates the state of an entry that starts at `now`.
     #[must_use]
-    pub fn new(now: Instant) -> Self {
+    pub fn new(now: Instant, objectives: &ObjectiveSettings) -> Self {
         Self(Mutex::new(RouteState {
             board: UpstreamBoard::new(),
             prefixes: PrefixIndex::new(),
             budget: RetryBudget::default(),
             crashes: CrashTable::default(),
-            meter: ServiceMeter::new(now, ObjectiveSet::default()),
+            meter: ServiceMeter::new(now, objective_set(objectives)),
             rng: ChaCha8Rng::from_rng(&mut rand::rng()),
         }))
     }
@@ -54,6 +55,22 @@
     }
 }
 
+/// The default objectives, as far as the settings do not replace them.
+fn objective_set(settings: &ObjectiveSettings) -> ObjectiveSet {
+    let defaults = ObjectiveSet::default();
+    let choose = |setting: Option<ObjectiveSetting>, default| {
+        setting.map_or(default, |ObjectiveSetting { fraction, in_time_ms }| Objective {
+            fraction,
+            in_time_ms,
+        })
+    };
+    ObjectiveSet {
+        model: choose(settings.model, defaults.model),
+        idempotent: choose(settings.idempotent, defaults.idempotent),
+        keyed: choose(settings.keyed, defaults.keyed),
+    }
+}
+
 /// Load as the decisions use it.
 #[must_use]
 pub fn load_of(load: &LoadReport) -> UpstreamLoad {
--- a/crates/node/tests/entry/stream.rs
+++ b/crates/node/tests/entry/stream.rs
@@ -99,6 +99,32 @@
     assert!(fleet.generate("neighbour").await.has_all_tokens(12));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn notice_of_another_entry_is_honoured() {
+    let fleet = TestFleet::start(&["m0", "m1"]).await;
+    fleet.agents.iter().for_each(|agent| agent.play(|_| Act::tokens(12)));
+    assert!(fleet.generate("poison").await.has_all_tokens(12));
+    let seen = fleet.agents.iter().flat_map(|agent| agent.forwards.lock().unwrap().clone());
+    let notice = wire::CrashNotice {
+        fingerprint: seen.last().expect("the request was forwarded").fingerprint,
+        crashes: 1,
+        isolated: true,
+        age_ms: 5,
+        cleared: false,
+        hops: 0,
+        upstream: "m7".to_owned(),
+    };
+    let stream = tokio::net::TcpStream::connect(fleet.peer).await.unwrap();
+    let key = wire::FleetKey::new(crate::support::FLEET_KEY);
+    let limits = wire::ChannelLimits::default();
+    let mut channel = wire::connect(stream, &key, "other", limits).await.unwrap();
+    let answer = channel.call(wire::Payload::CrashNotice(notice)).await.unwrap();
+    assert!(matches!(answer, wire::Payload::Ack(_)));
+    let reply = fleet.generate("poison").await;
+    assert!(reply.status == 503 && reply.body.contains("crash_suspect"), "{reply:?}");
+    assert_eq!(fleet.forward_total(), 1);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn data_centre_that_is_out_gets_no_new_work_and_its_entry_forwards_elsewhere() {
     let fleet = TestFleet::start(&["m0", "m1"]).await;
--- a/crates/node/tests/entry/support/mod.rs
+++ b/crates/node/tests/entry/support/mod.rs
@@ -61,6 +61,7 @@
     pub entry: EntryNode,
     pub clock: Arc<JumpClock>,
     pub http: SocketAddr,
+    pub peer: SocketAddr,
     admin: SocketAddr,
     platform: ConfigService,
     client: Client<HttpConnector, Full<Bytes>>,
@@ -171,7 +172,7 @@
         let settings = EntrySettings::parse(&settings).unwrap();
         let entry = EntryNode::start(context, settings, listeners);
         let client = Client::builder(TokioExecutor::new()).build_http();
-        let fleet = Self { agents, entry, clock, http, admin, platform, client };
+        let fleet = Self { agents, entry, clock, http, peer, admin, platform, client };
         fleet.wait_until_ready().await;
         fleet
     }
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -11,7 +11,10 @@
 
 use base::SystemClock;
 use compact_str::{CompactString, ToCompactString};
-use config::{AgentSettings, EntrySettings, FleetConfig, HostList, settings::CommonSettings};
+use config::{
+    AgentSettings, EntrySettings, FleetConfig, HostList, ObjectiveSettings,
+    settings::CommonSettings,
+};
 use node::{AgentNode, EntryNode, NodeContext, NodeListeners};
 use tokio::runtime::Handle;
 
@@ -312,6 +315,7 @@
             address_ttl_ms: 2_000,
             subset: 64,
             max_body_bytes: 1 << 20,
+            objectives: ObjectiveSettings::default(),
         };
         let listeners = listen(plan, &settings.common, Some(plan.http))?;
         let node = EntryNode::start(context(), settings, listeners);
