Drive the decision core alone, announce rare chunks, shorten queues

Chunks that few hosts of a region hold are announced at once, peers that are behind find room in upload queues first, 6 fetches in flight and upload queues of 4 instead of 8 and 6.

--- a/crates/node/src/weights/serve.rs
+++ b/crates/node/src/weights/serve.rs
@@ -57,7 +57,7 @@
             Payload::ChunkRequest(request) => {
                 let manifest = parse(&request.manifest)?;
                 self.record_have(manifest, peer, &request.bitmap);
-                self.send_chunk(manifest, request.index, sender).await
+                self.send_chunk(manifest, request.index, &request.bitmap, sender).await
             }
             Payload::HaveRequest(request) => {
                 let manifest = parse(&request.manifest)?;
@@ -80,6 +80,7 @@
         if !bitmap.is_empty() {
             let now = self.shell.now();
             self.shell.lock_plan().record_have(now, manifest, peer, bitmap, 0);
+            self.shell.drive();
         }
     }
 
@@ -99,10 +100,11 @@
         &self,
         manifest: ContentDigest,
         index: u32,
+        peer_bitmap: &[u8],
         sender: &mut FrameSender<S>,
     ) -> Result<(), ChannelError> {
         let now = self.shell.now();
-        let decision = self.shell.lock_plan().serve_chunk(now, manifest, index);
+        let decision = self.shell.lock_plan().serve_chunk(now, manifest, index, peer_bitmap);
         let data = match decision {
             Ok(data) => data,
             Err(FetchFault::RetryAfter(wait)) => return sender.send(not_held(wait)).await,
--- a/crates/node/src/weights/transfer.rs
+++ b/crates/node/src/weights/transfer.rs
@@ -115,7 +115,8 @@
         uploads.admit(self.clock.now(), bytes)
     }
 
-    fn drive(self: &Arc<Self>) {
+    /// Lets the plan decide what to do next, after an event.
+    pub(super) fn drive(self: &Arc<Self>) {
         let actions = self.lock_plan().poll(self.clock.now());
         self.execute(actions);
     }
--- a/crates/standin/src/measure/weights.rs
+++ b/crates/standin/src/measure/weights.rs
@@ -1,9 +1,11 @@
 //! `measure weights`: how fast one version reaches every host, and what it costs the links.
 
+mod core;
 mod fault;
 mod host;
 mod net;
 mod run;
+mod sim;
 
 use std::{fs, process::ExitCode, time::Duration};
 
@@ -13,6 +15,7 @@
 pub use self::{
     fault::FaultKind,
     run::{RunFigures, RunOptions, run_fleet, run_naive},
+    sim::{FleetSim, SimFigures},
 };
 use crate::error::StandinError;
 
@@ -75,6 +78,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Let the fault happen twice"),
         )
+        .arg(
+            Arg::new("core")
+                .long("core")
+                .action(ArgAction::SetTrue)
+                .help("Drive the decision core alone, in simulated time"),
+        )
         .arg(
             Arg::new("skip-naive")
                 .long("skip-naive")
@@ -86,9 +95,14 @@
 /// Runs the command; the last line of its output is one JSON object.
 #[must_use]
 pub fn exec(matches: &ArgMatches) -> ExitCode {
-    match measure(matches) {
+    let report = if matches.get_flag("core") {
+        Ok(core::measure(&options(matches)).to_string())
+    } else {
+        measure(matches).map(|report| serde_json::to_string(&report).unwrap_or_default())
+    };
+    match report {
         Ok(report) => {
-            println!("{}", serde_json::to_string(&report).unwrap_or_default());
+            println!("{report}");
             ExitCode::SUCCESS
         }
         Err(error) => {
@@ -98,11 +112,11 @@
     }
 }
 
-fn measure(matches: &ArgMatches) -> Result<WeightsReport, StandinError> {
+fn options(matches: &ArgMatches) -> RunOptions {
     let number = |name: &str| *matches.get_one::<u64>(name).expect("the option has a default");
     let as_size = |value: u64| usize::try_from(value).unwrap_or(usize::MAX);
     let fault = matches.get_one::<String>("fault").and_then(|name| FaultKind::from_name(name));
-    let options = RunOptions {
+    RunOptions {
         hosts: as_size(number("hosts")),
         size_bytes: as_size(number("size-mib")) << 20,
         link_bytes_per_s: number("link-mbit") * MBIT_BYTES,
@@ -110,7 +124,11 @@
         seed: number("seed"),
         fault,
         fault_times: if fault.is_none() { 0 } else { 1 + usize::from(matches.get_flag("twice")) },
-    };
+    }
+}
+
+fn measure(matches: &ArgMatches) -> Result<WeightsReport, StandinError> {
+    let options = options(matches);
     let runtime = tokio::runtime::Runtime::new().map_err(|source| StandinError::Start {
         host: "measuring runtime".into(),
         detail: source.to_string(),
--- /dev/null
+++ b/crates/standin/src/measure/weights/core.rs
@@ -0,0 +1,42 @@
+//! `--core`: processor time, memory and figures of the decision core alone.
+
+use std::time::Instant;
+
+use serde_json::{Value, json};
+
+use super::{FaultKind, FleetSim, RunOptions, cpu_seconds, peak_rss_mb, rounded};
+
+/// Runs a simulated fleet and reports its figures.
+#[expect(clippy::cast_precision_loss, reason = "sizes are far below 2^52 bytes")]
+pub(super) fn measure(options: &RunOptions) -> Value {
+    let size = options.size_bytes as f64;
+    let bound = options.bound().as_secs_f64();
+    let (cpu_before, started) = (cpu_seconds(), Instant::now());
+    let figures = FleetSim::new(options.clone()).run();
+    let cpu = cpu_seconds() - cpu_before;
+    let last = figures.done.last().map_or(0.0, std::time::Duration::as_secs_f64);
+    let half =
+        figures.done.get(figures.done.len() / 2).map_or(0.0, std::time::Duration::as_secs_f64);
+    json!({
+        "mode": "core",
+        "hosts": options.hosts,
+        "chunks": options.chunks,
+        "bound_s": rounded(bound),
+        "half_ratio": rounded(half / bound),
+        "ratio": rounded(last / bound),
+        "unfinished": figures.unfinished,
+        "origin_copies": rounded(figures.origin_bytes as f64 / size),
+        "region_copies": rounded(figures.region_bytes as f64 / size),
+        "max_upload_copies": rounded(figures.max_upload_bytes as f64 / size),
+        "wasted_copies_per_host": rounded(figures.wasted_bytes as f64 / size / options.hosts as f64),
+        "corrupt_served": figures.corrupt_served,
+        "decisions_per_host": figures.decisions / options.hosts as u64,
+        "control_messages_per_host": figures.control_messages / options.hosts as u64,
+        "cpu_ms_per_host": rounded(cpu * 1000.0 / options.hosts as f64),
+        "rss_kb_per_host": rounded(peak_rss_mb() * 1000.0 / options.hosts as f64),
+        "wall_s": rounded(started.elapsed().as_secs_f64()),
+        "fault": options.fault.map_or("none", FaultKind::name),
+        "fault_times": options.fault_times,
+        "seed": options.seed,
+    })
+}
--- a/crates/standin/src/measure/weights/run.rs
+++ b/crates/standin/src/measure/weights/run.rs
@@ -43,7 +43,7 @@
     ("dc-g", "region-1"),
 ];
 /// Rate of the origin's link and of each region's link, in links of a host.
-const WIDE_LINK_FACTOR: u32 = 2;
+pub(super) const WIDE_LINK_FACTOR: u32 = 2;
 const LOOK_INTERVAL: Duration = Duration::from_millis(2);
 const LONGEST_RUN: Duration = Duration::from_secs(90);
 /// Chunks that a naive host asks for at once.
@@ -93,6 +93,12 @@
         Duration::from_secs_f64(self.size_bytes as f64 / self.link_bytes_per_s as f64)
     }
 
+    /// Interval at which a simulated host looks at its timeouts.
+    #[must_use]
+    pub fn tick(&self) -> Duration {
+        (self.bound() / 400).max(Duration::from_millis(5))
+    }
+
     fn image(&self, version: u64) -> WeightImage {
         let chunk_bytes = self.size_bytes.div_ceil(self.chunks.max(1)).max(1);
         WeightImage::generate(self.seed * 10 + version, self.size_bytes, chunk_bytes)
@@ -129,6 +135,8 @@
     corrupt: usize,
     target: usize,
     started: Instant,
+    /// Since when the target is wanted.
+    target_since: Instant,
     rng: ChaCha8Rng,
 }
 
@@ -219,6 +227,7 @@
             corrupt: 0,
             target: 0,
             started: Instant::now(),
+            target_since: Instant::now(),
             rng: ChaCha8Rng::seed_from_u64(options.seed),
         };
         for index in 0..options.hosts {
@@ -302,6 +311,7 @@
 
     fn begin(&mut self) {
         self.started = Instant::now();
+        self.target_since = self.started;
         self.set_target(0, None);
     }
 
@@ -382,10 +392,8 @@
             }
             FaultStep::Want(version) => {
                 let previous = self.target;
-                let elapsed = self.started.elapsed();
                 self.set_target(version, Some(previous));
-                log::debug!("event=version_changed at_ms={}", elapsed.as_millis());
-                self.started = Instant::now().checked_sub(Duration::ZERO).unwrap_or(self.started);
+                self.target_since = Instant::now();
             }
         }
         Ok(())
@@ -412,7 +420,7 @@
     fn figures(&self) -> RunFigures {
         let done = self.hosts.iter().zip(&self.done).filter(|(host, _)| host.is_some());
         let mut done: Vec<_> = done
-            .filter_map(|(_, done)| Some((*done)?.saturating_duration_since(self.started)))
+            .filter_map(|(_, done)| Some((*done)?.saturating_duration_since(self.target_since)))
             .collect();
         done.sort_unstable();
         for host in self.hosts.iter().flatten() {
@@ -442,7 +450,7 @@
     }) && rest.is_empty()
 }
 
-fn peer_record(index: usize) -> PeerRecord {
+pub(super) fn peer_record(index: usize) -> PeerRecord {
     let (data_centre, region) = DATA_CENTRES[index % DATA_CENTRES.len()];
     PeerRecord {
         host: format_compact!("host-{index:04}"),
--- a/crates/weights/src/plan.rs
+++ b/crates/weights/src/plan.rs
@@ -329,6 +329,7 @@
         now: Instant,
         manifest: ContentDigest,
         index: u32,
+        peer_bitmap: &[u8],
     ) -> Result<Bytes, FetchFault> {
         let data = self.store.chunk(manifest, index).ok_or(FetchFault::NotHeld)?;
         let listed = self.store.manifest(manifest).ok_or(FetchFault::NotHeld)?;
@@ -337,7 +338,10 @@
         let chunk_time = Duration::from_secs_f64(
             bytes as f64 / self.options.transfer.link_bytes_per_s.max(1) as f64,
         );
-        match self.uploads.admit(now, manifest, listed.size_bytes(), bytes, chunk_time) {
+        let transfer = self.transfers.get(&manifest);
+        let is_ahead = transfer.is_some_and(|transfer| transfer.is_ahead(peer_bitmap));
+        let size = listed.size_bytes();
+        match self.uploads.admit(now, manifest, size, bytes, chunk_time, is_ahead) {
             UploadVerdict::Send => Ok(data),
             UploadVerdict::Busy(wait) => Err(FetchFault::RetryAfter(wait)),
         }
--- a/crates/weights/src/ranks.rs
+++ b/crates/weights/src/ranks.rs
@@ -118,6 +118,21 @@
             .collect()
     }
 
+    /// Designated fetchers of a chunk in the other regions.
+    pub(crate) fn fetchers_abroad(&self, manifest: ContentDigest, chunk: u32) -> Vec<HostId> {
+        let subject = manifest.as_bytes();
+        let mut best: Vec<(&PeerRecord, u64)> = Vec::new();
+        for record in self.hosts.iter().filter(|record| record.region != self.own.region) {
+            let weight = mix(rendezvous_weight(subject, &record.host), chunk);
+            match best.iter_mut().find(|(other, _)| other.region == record.region) {
+                Some(place) if place.1 < weight => *place = (record, weight),
+                Some(_) => {}
+                None => best.push((record, weight)),
+            }
+        }
+        best.into_iter().map(|(record, _)| record.host.clone()).collect()
+    }
+
     /// Rank of the own host among the hosts of its region that fetch the manifest itself from the origin.
     #[must_use]
     pub fn manifest_rank(&self, manifest: ContentDigest) -> usize {
--- a/crates/weights/src/transfer.rs
+++ b/crates/weights/src/transfer.rs
@@ -49,7 +49,7 @@
     fn default() -> Self {
         Self {
             link_bytes_per_s: 125_000_000,
-            max_in_flight: 8,
+            max_in_flight: 6,
             max_per_peer: 3,
             max_from_origin: 3,
             min_stall: Duration::from_millis(150),
@@ -102,6 +102,8 @@
 const PATIENCE_PART: f64 = 0.1;
 /// Ranks behind this one wait no longer than it, so that the last host alive in a region starts soon enough.
 const LAST_WAITING_RANK: u32 = 8;
+/// A chunk is announced while no more hosts of the region than this are known to hold it.
+const MAX_ANNOUNCED_HOLDERS: u32 = 2;
 /// A fetch that takes this many times the usual span is asked for a second time at the end of a transfer.
 const SLOW_FETCH_FACTOR: f64 = 2.0;
 
@@ -216,8 +218,12 @@
         index: u32,
         ticket: FetchTicket,
     ) -> Vec<FetchAction> {
-        if self.held.insert(index) && self.peers.holders(index) == 0 {
-            self.seed_progress = now;
+        let mut actions = Vec::new();
+        if self.held.insert(index) {
+            if self.peers.holders(index) == 0 {
+                self.seed_progress = now;
+            }
+            self.announce(index, &mut actions);
         }
         if let Some(flight) = self.flights.finish(now, ticket) {
             self.release(&flight.source);
@@ -226,8 +232,31 @@
                 ChunkSource::Origin(origin) => self.origins[*origin].record_success(),
             }
         }
-        let rest = self.flights.take_chunk(index);
-        rest.into_iter().map(|(ticket, flight)| self.cancel(ticket, &flight)).collect()
+        for (ticket, flight) in self.flights.take_chunk(index) {
+            actions.push(self.cancel(ticket, &flight));
+        }
+        actions
+    }
+
+    /// Tells peers about a chunk that is rare: a question carries the own bitmap. Without this, a chunk that has just
+    /// reached a region waits there for the next question, and the first copies decide how soon all links are busy.
+    fn announce(&self, index: u32, actions: &mut Vec<FetchAction>) {
+        if self.peers.holders(index) > MAX_ANNOUNCED_HOLDERS {
+            return;
+        }
+        let mut told: Vec<HostId> = self.peers.without(index).cloned().collect();
+        let rank = self.ranks[index as usize];
+        if rank.is_home && rank.own_rank == 0 {
+            told.extend(self.view.fetchers_abroad(self.digest, index));
+        }
+        let manifest = self.digest;
+        actions.extend(told.into_iter().map(|peer| FetchAction::Have { manifest, peer }));
+    }
+
+    /// True if a peer that holds `bitmap` is ahead of the others that this host knows.
+    #[must_use]
+    pub fn is_ahead(&self, bitmap: &[u8]) -> bool {
+        self.peers.is_ahead(ChunkSet::from_bitmap(self.manifest.chunk_count(), bitmap).count())
     }
 
     /// Records that a fetch brought nothing usable.
--- a/crates/weights/src/transfer/peers.rs
+++ b/crates/weights/src/transfer/peers.rs
@@ -186,6 +186,19 @@
         .collect()
     }
 
+    /// Peers of the region that are not known to hold the chunk.
+    pub fn without(&self, index: u32) -> impl Iterator<Item = &HostId> {
+        let near = self.peers.iter().filter(|state| state.proximity != Proximity::Abroad);
+        near.filter(move |state| !state.have.contains(index)).map(|state| &state.host)
+    }
+
+    /// True if a peer with `count` chunks holds more than the peers of the region do on average.
+    pub fn is_ahead(&self, count: u32) -> bool {
+        let near = || self.peers.iter().filter(|state| state.proximity != Proximity::Abroad);
+        let total: u32 = near().map(|state| state.have.count()).sum();
+        u64::from(count) * near().count() as u64 > u64::from(total)
+    }
+
     /// Counts questions that were not answered within `limit` as stalled.
     pub fn expire_questions(
         &mut self,
--- a/crates/weights/src/upload.rs
+++ b/crates/weights/src/upload.rs
@@ -20,7 +20,7 @@
 
 impl Default for UploadOptions {
     fn default() -> Self {
-        Self { copies: 2.0, window: Duration::from_secs(600), queue_length: 6 }
+        Self { copies: 2.0, window: Duration::from_secs(600), queue_length: 4 }
     }
 }
 
@@ -55,7 +55,7 @@
     }
 
     /// Decides about a request for `bytes` of a transfer of `size_bytes`. The bytes are booked at once, so requests in
-    /// progress cannot exceed the budget together.
+    /// progress cannot exceed the budget together. `is_ahead` says that the peer holds more than others do.
     pub fn admit(
         &mut self,
         now: Instant,
@@ -63,8 +63,12 @@
         size_bytes: u64,
         bytes: u64,
         chunk_time: Duration,
+        is_ahead: bool,
     ) -> UploadVerdict {
-        if self.in_service >= self.options.queue_length {
+        // Peers that hold less than others find room in the queue first; otherwise the unlucky ones fall behind early
+        // and finish last, when their own links are the limit.
+        let places = self.options.queue_length.div_ceil(if is_ahead { 2 } else { 1 });
+        if self.in_service >= places {
             let waiting = u32::try_from(self.in_service).unwrap_or(u32::MAX);
             return UploadVerdict::Busy((chunk_time * waiting / 2).max(Duration::from_millis(1)));
         }
