--- a/crates/weights/src/transfer.rs
+++ b/crates/weights/src/transfer.rs
@@ -53,7 +53,7 @@
             max_per_peer: 3,
             max_from_origin: 3,
             min_stall: Duration::from_millis(150),
-            min_have_interval: Duration::from_millis(10),
+            min_have_interval: Duration::from_millis(25),
             origins: 1,
         }
     }
@@ -415,11 +415,9 @@
             self.record_fault(now, ticket, FetchFault::Stalled, rng);
             actions.push(FetchAction::Cancel { ticket });
         }
-        self.peers.expire_questions(
-            now,
-            self.options.min_stall.max(self.flights.stall_time() / 4),
-            || rng.random(),
-        );
+        // Answers share the link with chunks, so they may take as long as a chunk does.
+        let limit = (self.options.min_stall * 2).max(self.flights.stall_time() / 2);
+        self.peers.expire_questions(now, limit, || rng.random());
     }
 
     /// Adds the fetchers of other regions whose chunks this host draws for its own region.
@@ -451,7 +449,7 @@
     fn have_interval(&self) -> Duration {
         let chunk_time = usual_chunk_time(&self.manifest, &self.options);
         let idle = self.flights.len() * 2 < self.options.max_in_flight;
-        let chunks = if idle { 2 } else { 8 };
+        let chunks = if idle { 8 } else { 32 };
         (chunk_time * chunks).clamp(self.options.min_have_interval, Duration::from_secs(2))
     }
 
