Space origin requests, keep queue places for fetchers of other regions

Cause: all designated chunks were asked for at once; an origin that shares its link among requests then delivers every chunk late, substitutes lose patience and draw a second and third copy. Queues full of near requests held up the one copy that crosses to each other region. Change: designated fetchers start chunk i after i times 0.45 chunk times; half as many places again in the upload queue for hosts of other regions.

--- a/crates/node/src/weights/serve.rs
+++ b/crates/node/src/weights/serve.rs
@@ -6,7 +6,9 @@
 use futures_util::future::BoxFuture;
 use tokio::io::AsyncWrite;
 use weights::FetchFault;
-use wire::{ChannelError, ChunkReply, FrameSender, Have, ManifestReply, NotHeld, Payload};
+use wire::{
+    ChannelError, ChunkReply, ChunkRequest, FrameSender, Have, ManifestReply, NotHeld, Payload,
+};
 
 use super::transfer::{TransferShell, to_bytes};
 use crate::server::{FrameHandler, ServerChannel};
@@ -57,7 +59,7 @@
             Payload::ChunkRequest(request) => {
                 let manifest = parse(&request.manifest)?;
                 self.record_have(manifest, peer, &request.bitmap);
-                self.send_chunk(manifest, request.index, &request.bitmap, sender).await
+                self.send_chunk(&request, manifest, peer, sender).await
             }
             Payload::HaveRequest(request) => {
                 let manifest = parse(&request.manifest)?;
@@ -98,13 +100,15 @@
 
     async fn send_chunk<S: AsyncWrite>(
         &self,
+        request: &ChunkRequest,
         manifest: ContentDigest,
-        index: u32,
-        peer_bitmap: &[u8],
+        peer: &str,
         sender: &mut FrameSender<S>,
     ) -> Result<(), ChannelError> {
         let now = self.shell.now();
-        let decision = self.shell.lock_plan().serve_chunk(now, manifest, index, peer_bitmap);
+        let index = request.index;
+        let decision =
+            self.shell.lock_plan().serve_chunk(now, manifest, index, peer, &request.bitmap);
         let data = match decision {
             Ok(data) => data,
             Err(FetchFault::RetryAfter(wait)) => return sender.send(not_held(wait)).await,
--- a/crates/standin/src/measure/weights/sim.rs
+++ b/crates/standin/src/measure/weights/sim.rs
@@ -552,7 +552,7 @@
         let decision = if lies {
             Err(FetchFault::NotHeld)
         } else {
-            plan.serve_chunk(now, manifest, index, bitmap)
+            plan.serve_chunk(now, manifest, index, &asker, bitmap)
         };
         match decision {
             Ok(mut data) => {
--- a/crates/weights/src/lib.rs
+++ b/crates/weights/src/lib.rs
@@ -28,5 +28,5 @@
     sources::{ChunkSource, FetchFault},
     store::{ChunkStore, StoreError, VerifiedChunk},
     transfer::{ChunkTransfer, FetchAction, FetchTicket, TransferOptions},
-    upload::{UploadBudget, UploadOptions, UploadVerdict},
+    upload::{PeerStanding, UploadBudget, UploadOptions, UploadVerdict},
 };
--- a/crates/weights/src/plan.rs
+++ b/crates/weights/src/plan.rs
@@ -18,7 +18,7 @@
     sources::{ChunkSource, FetchFault},
     store::{ChunkStore, VerifiedChunk},
     transfer::{ChunkTransfer, FetchAction, FetchTicket, TransferOptions},
-    upload::{UploadBudget, UploadOptions, UploadVerdict},
+    upload::{PeerStanding, UploadBudget, UploadOptions, UploadVerdict},
 };
 
 /// Hosts of a region that draw a manifest from the origin without waiting for peers.
@@ -329,6 +329,7 @@
         now: Instant,
         manifest: ContentDigest,
         index: u32,
+        peer: &str,
         peer_bitmap: &[u8],
     ) -> Result<Bytes, FetchFault> {
         let data = self.store.chunk(manifest, index).ok_or(FetchFault::NotHeld)?;
@@ -339,9 +340,13 @@
             bytes as f64 / self.options.transfer.link_bytes_per_s.max(1) as f64,
         );
         let transfer = self.transfers.get(&manifest);
-        let is_ahead = transfer.is_some_and(|transfer| transfer.is_ahead(peer_bitmap));
+        let standing = match transfer {
+            Some(transfer) if transfer.is_abroad(peer) => PeerStanding::Abroad,
+            Some(transfer) if transfer.is_ahead(peer_bitmap) => PeerStanding::Ahead,
+            _ => PeerStanding::Behind,
+        };
         let size = listed.size_bytes();
-        match self.uploads.admit(now, manifest, size, bytes, chunk_time, is_ahead) {
+        match self.uploads.admit(now, manifest, size, bytes, chunk_time, standing) {
             UploadVerdict::Send => Ok(data),
             UploadVerdict::Busy(wait) => Err(FetchFault::RetryAfter(wait)),
         }
--- a/crates/weights/src/ranks.rs
+++ b/crates/weights/src/ranks.rs
@@ -75,6 +75,11 @@
         &self.hosts[index]
     }
 
+    pub(crate) fn is_abroad(&self, host: &str) -> bool {
+        let record = self.hosts.iter().find(|record| record.host == host);
+        record.is_some_and(|record| record.region != self.own.region)
+    }
+
     /// Ranks the fetchers of every chunk.
     ///
     /// Each host is hashed once for the manifest, and that hash is mixed with the index of the chunk: hashing each pair
--- a/crates/weights/src/transfer.rs
+++ b/crates/weights/src/transfer.rs
@@ -51,7 +51,7 @@
             link_bytes_per_s: 125_000_000,
             max_in_flight: 6,
             max_per_peer: 3,
-            max_from_origin: 3,
+            max_from_origin: 2,
             min_stall: Duration::from_millis(150),
             min_have_interval: Duration::from_millis(25),
             origins: 1,
@@ -102,6 +102,10 @@
 const PATIENCE_PART: f64 = 0.1;
 /// Ranks behind this one wait no longer than it, so that the last host alive in a region starts soon enough.
 const LAST_WAITING_RANK: u32 = 8;
+/// Interval between the first requests of successive chunks from the origin, in chunk times of a host's link. Asked for
+/// all at once, an origin that shares its link among requests would deliver all chunks late instead of one after
+/// another. The origin's link is taken to be twice a host's; less than half a chunk time leaves it no gaps.
+const SEED_SPACING: f64 = 0.45;
 /// A chunk is announced while no more hosts of the region than this are known to hold it.
 const MAX_ANNOUNCED_HOLDERS: u32 = 2;
 /// A fetch that takes this many times the usual span is asked for a second time at the end of a transfer.
@@ -253,6 +257,12 @@
         actions.extend(told.into_iter().map(|peer| FetchAction::Have { manifest, peer }));
     }
 
+    /// True if `peer` is a host of another region that takes part.
+    #[must_use]
+    pub fn is_abroad(&self, peer: &str) -> bool {
+        self.view.is_abroad(peer)
+    }
+
     /// True if a peer that holds `bitmap` is ahead of the others that this host knows.
     #[must_use]
     pub fn is_ahead(&self, bitmap: &[u8]) -> bool {
@@ -343,7 +353,11 @@
         }
         let rank = self.ranks[index as usize];
         let patience = self.patience();
-        let waited = now.saturating_duration_since(self.seed_progress.max(self.started));
+        let scheduled = self.started + self.chunk_time().mul_f64(SEED_SPACING) * index;
+        if now < scheduled {
+            return None;
+        }
+        let waited = now.saturating_duration_since(self.seed_progress.max(scheduled));
         if waited < patience * rank.own_rank.min(LAST_WAITING_RANK) * 2 {
             return None;
         }
@@ -447,10 +461,13 @@
     /// Time to wait before asking a peer again which chunks it holds. Chunk messages carry the same information, so a
     /// host that is busy fetching rarely has to ask.
     fn have_interval(&self) -> Duration {
-        let chunk_time = usual_chunk_time(&self.manifest, &self.options);
         let idle = self.flights.len() * 2 < self.options.max_in_flight;
         let chunks = if idle { 8 } else { 32 };
-        (chunk_time * chunks).clamp(self.options.min_have_interval, Duration::from_secs(2))
+        (self.chunk_time() * chunks).clamp(self.options.min_have_interval, Duration::from_secs(2))
+    }
+
+    fn chunk_time(&self) -> Duration {
+        usual_chunk_time(&self.manifest, &self.options)
     }
 
     fn patience(&self) -> Duration {
--- a/crates/weights/src/upload.rs
+++ b/crates/weights/src/upload.rs
@@ -24,6 +24,17 @@
     }
 }
 
+/// Who asks for a chunk; decides how much of the queue it may fill.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PeerStanding {
+    /// A fetcher of another region: all hosts of that region wait for it.
+    Abroad,
+    /// A host that holds no more than the others do.
+    Behind,
+    /// A host that holds more than the others do on average.
+    Ahead,
+}
+
 /// Decision about one chunk request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum UploadVerdict {
@@ -55,7 +66,7 @@
     }
 
     /// Decides about a request for `bytes` of a transfer of `size_bytes`. The bytes are booked at once, so requests in
-    /// progress cannot exceed the budget together. `is_ahead` says that the peer holds more than others do.
+    /// progress cannot exceed the budget together.
     pub fn admit(
         &mut self,
         now: Instant,
@@ -63,11 +74,17 @@
         size_bytes: u64,
         bytes: u64,
         chunk_time: Duration,
-        is_ahead: bool,
+        standing: PeerStanding,
     ) -> UploadVerdict {
         // Peers that hold less than others find room in the queue first; otherwise the unlucky ones fall behind early
         // and finish last, when their own links are the limit.
-        let places = self.options.queue_length.div_ceil(if is_ahead { 2 } else { 1 });
+        let places = match standing {
+            PeerStanding::Abroad => {
+                self.options.queue_length + self.options.queue_length.div_ceil(2)
+            }
+            PeerStanding::Behind => self.options.queue_length,
+            PeerStanding::Ahead => self.options.queue_length.div_ceil(2),
+        };
         if self.in_service >= places {
             let waiting = u32::try_from(self.in_service).unwrap_or(u32::MAX);
             return UploadVerdict::Busy((chunk_time * waiting / 2).max(Duration::from_millis(1)));
