--- a/crates/standin/src/observer.rs
+++ b/crates/standin/src/observer.rs
@@ -11,7 +11,7 @@
 use serde::Serialize;
 
 use crate::{
-    ledger::{AttemptRecord, RequestKind, RequestRecord, Told},
+    ledger::{RequestKind, RequestRecord, Told},
     platform::work::{WorkEnd, WorkRecord},
 };
 
@@ -199,19 +199,18 @@
         untrue.count() as u64
     }
 
-    /// Attempts without a whole answer whose run was cancelled while the caller was still waiting.
+    /// Attempts whose answer broke off without a statement, and attempts without an answer whose run the system
+    /// cancelled. A crash of the upstream excuses both; an attempt that never reached an upstream was not in progress.
     fn cut_attempts(&self, request: &RequestRecord) -> u64 {
-        let unfinished = |attempt: &AttemptRecord| match attempt.told {
-            Told::Broken => true,
-            Told::Unknown | Told::NoAnswer | Told::NotRun => {
-                attempt.tokens > 0 || attempt.reason == "connection_lost"
+        let cut = (0..).zip(&request.attempts).filter(|(index, attempt)| {
+            let runs: Vec<_> = self.runs_of(request, *index).collect();
+            let crashed = runs.iter().any(|run| run.end == WorkEnd::Crashed);
+            let cancelled = runs.iter().any(|run| run.end == WorkEnd::Cancelled);
+            match attempt.told {
+                Told::Broken => !crashed,
+                Told::Unknown | Told::NoAnswer | Told::NotRun => cancelled && !crashed,
+                _ => false,
             }
-            _ => false,
-        };
-        let attempts = (0..).zip(&request.attempts).filter(|(_, attempt)| unfinished(attempt));
-        let cut = attempts.filter(|(index, _)| {
-            let mut runs = self.runs_of(request, *index);
-            !runs.any(|run| run.end == WorkEnd::Crashed)
         });
         cut.count() as u64
     }
--- a/crates/standin/tests/observer.rs
+++ b/crates/standin/tests/observer.rs
@@ -123,6 +123,19 @@
     assert_eq!(tally(model, vec![crashed]).cut, 0);
 }
 
+#[test]
+fn request_of_unknown_outcome_is_cut_if_its_run_was_cancelled() {
+    let start = Instant::now();
+    for told in [Told::Unknown, Told::NoAnswer] {
+        let office = request(RequestKind::Office, vec![attempt("", start, told)]);
+        let cancelled = run("", at(start, 5), WorkEnd::Cancelled);
+        assert_eq!(tally(office.clone(), vec![cancelled]).cut, 1);
+        let crashed = run("", at(start, 5), WorkEnd::Crashed);
+        assert_eq!(tally(office.clone(), vec![crashed]).cut, 0);
+        assert_eq!(tally(office, Vec::new()).cut, 0, "it never reached an upstream");
+    }
+}
+
 #[test]
 fn work_in_a_data_centre_that_is_out_is_dated_from_the_publication() {
     let start = Instant::now();
