Restart hosts in groups and wait for their listeners

Change: the start is retried for up to 3 s; entries restart by three and agents by two, as an entry waits for its address answers to expire. A run fails if upstreams crash beyond what the plan's own requests may crash.

--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -37,6 +37,8 @@
 const HOST_LAG: Duration = Duration::from_secs(3);
 /// Peers that a process asks first after a start.
 const SEEDS: usize = 3;
+/// Longest wait for the listeners of a stopped node.
+const RESTART_LIMIT: Duration = Duration::from_secs(3);
 /// Interval between two looks at a state that is waited for.
 const LOOK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -300,6 +302,24 @@
         self.platform.layout.entries.iter().map(|plan| plan.http).collect()
     }
 
+    /// Stops an entry gracefully and starts it again at the same addresses.
+    ///
+    /// # Errors
+    /// Fails if an address cannot be listened on.
+    pub async fn restart_entry(&self, index: usize) -> Result<(), StandinError> {
+        self.drain_entry(index).await;
+        retry_start(|| self.start_entry(index)).await
+    }
+
+    /// Stops an agent gracefully and starts it again at the same addresses.
+    ///
+    /// # Errors
+    /// Fails if an address cannot be listened on.
+    pub async fn restart_agent(&self, index: usize) -> Result<(), StandinError> {
+        self.drain_agent(index).await;
+        retry_start(|| self.start_agent(index)).await
+    }
+
     /// Starts an entry.
     ///
     /// # Errors
@@ -402,6 +422,18 @@
     }
 }
 
+/// Starts a process whose predecessor may still hold its listeners: a stopped node of the same process frees them when
+/// its tasks are next polled.
+async fn retry_start(start: impl Fn() -> Result<(), StandinError>) -> Result<(), StandinError> {
+    let given_up_at = Instant::now() + RESTART_LIMIT;
+    loop {
+        match start() {
+            Err(_) if Instant::now() < given_up_at => tokio::time::sleep(LOOK_INTERVAL).await,
+            outcome => return outcome,
+        }
+    }
+}
+
 impl Drop for StandinFleet {
     fn drop(&mut self) {
         self.stop();
--- a/crates/standin/src/measure/plan.rs
+++ b/crates/standin/src/measure/plan.rs
@@ -18,7 +18,12 @@
 const RECOVERY_TIME: Duration = Duration::from_secs(3);
 /// Poison requests of one run.
 const POISON_REQUESTS: u32 = 2;
-/// Pause between the restarts of two hosts.
+/// Upstreams that one request may crash.
+const CRASHES_PER_REQUEST: u32 = 2;
+/// Hosts that restart at the same time; an entry takes longer, as it waits until its address answers have expired.
+const ENTRIES_AT_A_TIME: usize = 3;
+const AGENTS_AT_A_TIME: usize = 2;
+/// Pause between the restarts of two groups of hosts.
 const RESTART_PAUSE: Duration = Duration::from_millis(150);
 
 /// Plan of a run.
@@ -70,6 +75,12 @@
         if self == Self::ColdBurst { 300.0 } else { 120.0 }
     }
 
+    /// Upstreams that the plan's own requests may crash.
+    #[must_use]
+    pub fn allowed_crashes(self) -> u32 {
+        if self == Self::CrashRequest { POISON_REQUESTS * CRASHES_PER_REQUEST } else { 0 }
+    }
+
     /// True if the run starts with upstreams that bear their warm limit.
     #[must_use]
     pub fn starts_warm(self) -> bool {
@@ -124,23 +135,14 @@
     async fn restart_all(&self) -> Result<(), StandinError> {
         match self {
             Self::Fleet(fleet) => {
-                let entries = async {
-                    for index in 0..fleet.platform.layout.entries.len() {
-                        fleet.drain_entry(index).await;
-                        fleet.start_entry(index)?;
-                        tokio::time::sleep(RESTART_PAUSE).await;
-                    }
-                    Ok(())
-                };
-                let agents = async {
-                    for index in 0..fleet.platform.layout.agents.len() {
-                        fleet.drain_agent(index).await;
-                        fleet.start_agent(index)?;
-                        tokio::time::sleep(RESTART_PAUSE).await;
-                    }
-                    Ok(())
-                };
-                tokio::try_join!(entries, agents).map(drop)
+                let layout = &fleet.platform.layout;
+                let entries = in_groups(layout.entries.len(), ENTRIES_AT_A_TIME, |index| {
+                    fleet.restart_entry(index)
+                });
+                let agents = in_groups(layout.agents.len(), AGENTS_AT_A_TIME, |index| {
+                    fleet.restart_agent(index)
+                });
+                futures_util::try_join!(entries, agents).map(drop)
             }
             Self::Naive(forwarder) => {
                 forwarder.restart();
@@ -151,6 +153,23 @@
     }
 }
 
+/// Restarts hosts in groups, with a pause after each group.
+async fn in_groups<F>(
+    count: usize,
+    group: usize,
+    restart: impl Fn(usize) -> F,
+) -> Result<(), StandinError>
+where
+    F: Future<Output = Result<(), StandinError>>,
+{
+    for start in (0..count).step_by(group) {
+        let hosts = (start..count.min(start + group)).map(&restart);
+        futures_util::future::try_join_all(hosts).await?;
+        tokio::time::sleep(RESTART_PAUSE).await;
+    }
+    Ok(())
+}
+
 impl fmt::Display for ServePlan {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(self.name())
--- a/crates/standin/src/measure/serve.rs
+++ b/crates/standin/src/measure/serve.rs
@@ -70,6 +70,8 @@
     pub seed: u64,
     /// Requests a second.
     pub rate: f64,
+    /// Upstreams that the requests of the plan may crash.
+    pub allowed_crashes: u32,
     /// The system.
     #[serde(flatten)]
     pub system: ServeResult,
@@ -88,8 +90,10 @@
             + tally.wrong_answer
             + tally.lost
             + tally.cut
+            + tally.faults
             + u64::from(tally.over_limit_peak);
-        broken == 0 && tally.last_new_work_after_out_s <= OUT_BOUND_S
+        let crashes_bounded = tally.upstream_crashes <= self.allowed_crashes;
+        broken == 0 && crashes_bounded && tally.last_new_work_after_out_s <= OUT_BOUND_S
     }
 }
 
@@ -155,7 +159,8 @@
     let system = run_system(options).await?;
     let naive = run_naive(options).await?;
     let ServeOptions { plan, seed, rate } = *options;
-    Ok(ServeReport { plan: plan.name(), seed, rate, system, naive })
+    let allowed_crashes = plan.allowed_crashes();
+    Ok(ServeReport { plan: plan.name(), seed, rate, allowed_crashes, system, naive })
 }
 
 async fn run_system(options: &ServeOptions) -> Result<ServeResult, StandinError> {
