Give the final answer at the deadline when an agent stalls without a break

Cause: the fault matrix found requests without any answer until 2 s after their deadline. Once an answer had started, an entry waited 10 s for the next token, and 5 s beyond the deadline for the rest of a call. Ruled out: the agent, which ends a request at its deadline but cannot tell a caller behind a stalled link. Change: every wait for a part ends 250 ms after the deadline; a stream that has delivered tokens is resumed elsewhere after 2 s without a token.

--- a/crates/node/src/entry/forward.rs
+++ b/crates/node/src/entry/forward.rs
@@ -38,7 +38,7 @@
 /// Retry delays are spread by this fraction, so that refused callers do not come back together.
 const RETRY_JITTER: f64 = 0.25;
 /// Time after the deadline in which the agent's own refusal may still arrive; it says more than a missing answer.
-const DEADLINE_GRACE: Duration = Duration::from_millis(250);
+pub const DEADLINE_GRACE: Duration = Duration::from_millis(250);
 const FINISH_POLL: Duration = Duration::from_millis(20);
 
 /// A request that was not answered.
@@ -348,6 +348,12 @@
         }
     }
 
+    /// Time until the deadline and the grace for an answer that arrives just then.
+    #[must_use]
+    pub fn time_left(&self) -> Duration {
+        self.request.remaining(self.forwarder.context.clock.now()) + DEADLINE_GRACE
+    }
+
     /// The final answer to the caller, truthful about all attempts.
     #[must_use]
     pub fn refuse(&self, reason: RefusalReason, delay: Duration) -> ForwardRefusal {
--- a/crates/node/src/entry/service.rs
+++ b/crates/node/src/entry/service.rs
@@ -1,6 +1,6 @@
 //! Calls of plain services: idempotent ones with retries, keyed ones only to the owner of the key.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc};
 
 use base::{Outcome, RefusalReason, ServiceId};
 use bytes::{Bytes, BytesMut};
@@ -10,7 +10,7 @@
 
 use super::{
     exchange::{AttemptFailure, OpenAnswer},
-    forward::{ForwardRefusal, Forwarder, RequestRun},
+    forward::{DEADLINE_GRACE, ForwardRefusal, Forwarder, RequestRun},
     request::CallerRequest,
     state::load_of,
 };
@@ -18,8 +18,6 @@
 /// Answers are collected whole before the caller gets any of it, so that a broken one can be fetched again. The bound
 /// is the largest frame of an answer.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
-/// Time after the deadline for the rest of an answer that has started.
-const BODY_GRACE: Duration = Duration::from_secs(5);
 
 /// A whole answer of a plain service.
 #[derive(Debug)]
@@ -65,9 +63,8 @@
     let target = WorkTarget::Service(service);
     loop {
         let mut answer = run.start(&target, 0).await?;
-        let limit = run.request.remaining(run.forwarder.context.clock.now()) + BODY_GRACE;
         let collected = tokio::select! {
-            body = timeout(limit, collect_rest(&mut answer)) => {
+            body = timeout(run.time_left(), collect_rest(&mut answer)) => {
                 body.unwrap_or(Err(AttemptFailure::LATE))
             }
             () = run.lost() => Err(AttemptFailure::BROKEN),
@@ -152,7 +149,7 @@
     forward: wire::Forward,
 ) -> Result<(OpenAnswer, Bytes), AttemptFailure> {
     let mut answer = forwarder.exchange(upstream, peer, forward).await?;
-    let limit = request.remaining(forwarder.context.clock.now()) + BODY_GRACE;
+    let limit = request.remaining(forwarder.context.clock.now()) + DEADLINE_GRACE;
     let body = tokio::select! {
         body = timeout(limit, collect_rest(&mut answer)) => {
             body.unwrap_or(Err(AttemptFailure::LATE))
--- a/crates/node/src/entry/stream.rs
+++ b/crates/node/src/entry/stream.rs
@@ -20,8 +20,10 @@
 
 /// Longest line of an answer; a token line has far less than 1 KiB.
 const MAX_LINE_BYTES: usize = 64 << 10;
-/// Longest wait for the next part. The target is 56 ms between tokens; a prefill under load takes a few seconds.
-const STALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest wait for the first token: a prefill under load takes a few seconds.
+const FIRST_TOKEN_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest wait for a later token. The target is 56 ms between tokens, and the stream can be resumed elsewhere.
+const NEXT_TOKEN_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time for the end of the exchange after the last line; without it the channel is not used again.
 const END_TIMEOUT: Duration = Duration::from_millis(500);
 /// A caller that takes no line for this long is disconnected, so that it does not hold a slot of an upstream.
@@ -87,7 +89,8 @@
         let mut answer = stream.run.start(&stream.target, 0).await?;
         if answer.head.status != 200 {
             let (status, content_type) = (answer.head.status, answer.head.content_type.clone());
-            let body = match collect_rest(&mut answer).await {
+            let collected = timeout(stream.run.time_left(), collect_rest(&mut answer)).await;
+            let body = match collected.unwrap_or(Err(AttemptFailure::LATE)) {
                 Ok(body) => body,
                 Err(failure) => {
                     stream.run.fail(failure).await;
@@ -177,11 +180,17 @@
             if self.buffer.len() > MAX_LINE_BYTES {
                 return Err(AttemptFailure::INVALID);
             }
-            let part = self.next_part(STALL_TIMEOUT).await?;
+            let part = self.next_part(self.stall_limit()).await?;
             self.buffer.extend_from_slice(&part.ok_or(AttemptFailure::INVALID)?);
         }
     }
 
+    /// Longest wait for the next part; never much longer than the deadline, so that the caller gets its final answer.
+    fn stall_limit(&self) -> Duration {
+        let stall = if self.delivered == 0 { FIRST_TOKEN_TIMEOUT } else { NEXT_TOKEN_TIMEOUT };
+        stall.min(self.run.time_left())
+    }
+
     async fn next_part(&mut self, limit: Duration) -> Result<Option<Bytes>, AttemptFailure> {
         let answer = self.answer.as_mut().ok_or(AttemptFailure::INVALID)?;
         tokio::select! {
--- a/crates/node/tests/entry/stream.rs
+++ b/crates/node/tests/entry/stream.rs
@@ -67,6 +67,21 @@
     wait_for(|| agent.cancelled.load(Ordering::Relaxed) == 2).await;
 }
 
+/// A stream that stalls without a break must not leave its caller without a final answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn stalled_stream_ends_at_the_deadline() {
+    let fleet = TestFleet::start(&["m0"]).await;
+    let pace = Duration::from_secs(60);
+    fleet.agents[0].play(move |_| Act::Tokens { count: 99, overlap: 0, break_at: None, pace });
+    let path = format!("/v1/models/{MODEL}/generate");
+    let body = r#"{"prompt": "stalls", "max_tokens": 99}"#;
+    let started = Instant::now();
+    let reply = fleet.call("POST", &path, &[("x-deadline-ms", "600")], body).await;
+    let last = reply.lines().pop().expect("an error line");
+    assert_eq!(last["error"]["outcome"], "unknown", "{reply:?}");
+    assert!(started.elapsed() < Duration::from_secs(2), "{:?}", started.elapsed());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn crashing_request_costs_two_upstreams_and_neighbours_stay_served() {
     let fleet = TestFleet::start(&["m0", "m1", "m2"]).await;
