node: read the engine's status before a refusal counts as overload

Change: after a 503 the status is read anew; only an engine that still serves the version counts as overloaded.

--- a/crates/node/src/agent/relay.rs
+++ b/crates/node/src/agent/relay.rs
@@ -126,9 +126,10 @@
         if is_model && status == StatusCode::SERVICE_UNAVAILABLE.as_u16() {
             self.refuse(Outcome::NotRun, RefusalReason::NotReady).await?;
             let manifest = ContentDigest::from_slice(&self.forward.manifest);
-            let state = self.core.monitor.get();
+            // An engine that still serves the version refuses because of its load. The last status may be from before a
+            // switch of versions, so it is read anew.
+            let state = self.core.monitor.read(self.core.now()).await;
             let serves = manifest.is_ok_and(|name| state.serves(&self.forward.model, name));
-            // An engine that still serves the version refuses because of its load.
             return Ok(Some(if serves { WorkResult::Overloaded } else { WorkResult::Neutral }));
         }
         if status >= StatusCode::INTERNAL_SERVER_ERROR.as_u16()
