--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -77,8 +77,10 @@
         inbox,
         sender: sender.clone(),
         view: None,
+        published: false,
         hosts: Arc::new(HostList::default()),
     };
     context.spawn_control(shell.run());
-    ControlPart { view, handler: Arc::new(ControlHandler { inbox: sender }), counters }
+    let handler = Arc::new(ControlHandler { inbox: sender, counters: counters.clone() });
+    ControlPart { view, handler, counters }
 }
--- a/crates/spread/tests/faults.rs
+++ b/crates/spread/tests/faults.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use ::config::HostList;
 use common::{Fleet, config, document, host_list};
 use spread::{DocumentKind, READERS_MAX, SpreadReport};
 
@@ -51,7 +52,19 @@
     let mut fleet = Fleet::new(240, 4);
     let took = fleet.run_until(30 * SECOND, |fleet| fleet.all_at(1) && fleet.all_fresh());
     assert!(took.is_some(), "the fleet does not start");
-    assert!(fleet.service.reads < 240, "{} reads", fleet.service.reads);
+    assert!(fleet.service.reads < 200, "{} reads", fleet.service.reads);
+}
+
+#[test]
+fn restart_of_the_whole_fleet_without_its_seeds_spreads_the_reads() {
+    let mut fleet = Fleet::new(240, 18);
+    (0..3).for_each(|index| fleet.stop(index));
+    let first = fleet.run_until(30 * SECOND, |fleet| fleet.service.reads > 0).unwrap();
+    fleet.run(SECOND);
+    assert!(first >= 2 * SECOND, "{first:?}");
+    assert!(fleet.service.reads < 60, "{} reads in the first second", fleet.service.reads);
+    let took = fleet.run_until(30 * SECOND, |fleet| fleet.all_at(1) && fleet.all_fresh());
+    assert!(took.is_some(), "the fleet does not start");
 }
 
 #[test]
@@ -256,3 +269,16 @@
     assert!(took.is_some_and(|took| took <= 12 * SECOND), "{took:?}");
     assert_eq!(fleet.cores[&0].config().unwrap().bytes, document(1));
 }
+
+#[test]
+fn empty_host_list_neither_stops_the_reads_nor_multiplies_them() {
+    let mut fleet = Fleet::started(48, 19);
+    fleet.service.hosts = HostList { version: 2, hosts: Vec::new() };
+    fleet.run(5 * SECOND);
+    fleet.service.reads = 0;
+    fleet.service.publish(2);
+    let took = fleet.run_until(10 * SECOND, |fleet| fleet.all_at(2));
+    assert!(took.is_some_and(|took| took <= 6 * SECOND), "{took:?}");
+    fleet.run(10 * SECOND);
+    assert!(fleet.service.reads <= 20 * 3 * 2, "{} reads", fleet.service.reads);
+}
--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -1,5 +1,6 @@
 //! Measuring commands, one file per subcommand with `cli()` beside `exec()`.
 
+pub mod control;
 pub mod plan;
 pub mod serve;
 pub mod weights;
@@ -14,6 +15,7 @@
     Command::new("measure")
         .about("Runs a measurement on loopback and prints one line of JSON at the end")
         .subcommand_required(true)
+        .subcommand(control::cli())
         .subcommand(serve::cli())
         .subcommand(weights::cli())
 }
@@ -22,6 +24,7 @@
 #[must_use]
 pub fn exec(matches: &ArgMatches) -> ExitCode {
     match matches.subcommand() {
+        Some(("control", matches)) => control::exec(matches),
         Some(("serve", matches)) => serve::exec(matches),
         Some(("weights", matches)) => weights::exec(matches),
         _ => unreachable!("the command line requires a known subcommand"),
--- a/crates/standin/src/measure/weights/run.rs
+++ b/crates/standin/src/measure/weights/run.rs
@@ -7,7 +7,6 @@
     time::{Duration, Instant},
 };
 
-use base::ContentDigest;
 use compact_str::format_compact;
 use hyper::{StatusCode, header};
 use platform::{HttpWeightSource, WeightSource};
@@ -43,11 +42,9 @@
     ("dc-g", "region-1"),
 ];
 /// Rate of the origin's link and of each region's link, in links of a host.
-const WIDE_LINK_FACTOR: u32 = 2;
+pub(super) const WIDE_LINK_FACTOR: u32 = 2;
 const LOOK_INTERVAL: Duration = Duration::from_millis(2);
 const LONGEST_RUN: Duration = Duration::from_secs(90);
-/// Chunks that a naive host asks for at once.
-const NAIVE_IN_FLIGHT: usize = 4;
 /// Chunks of the origin that arrive with a wrong byte or cut short under that fault.
 const ORIGIN_FAULTS: u32 = 3;
 
@@ -93,7 +90,13 @@
         Duration::from_secs_f64(self.size_bytes as f64 / self.link_bytes_per_s as f64)
     }
 
-    fn image(&self, version: u64) -> WeightImage {
+    /// Interval at which a simulated host looks at its timeouts.
+    #[must_use]
+    pub fn tick(&self) -> Duration {
+        (self.bound() / 400).max(Duration::from_millis(5))
+    }
+
+    pub(super) fn image(&self, version: u64) -> WeightImage {
         let chunk_bytes = self.size_bytes.div_ceil(self.chunks.max(1)).max(1);
         WeightImage::generate(self.seed * 10 + version, self.size_bytes, chunk_bytes)
     }
@@ -129,6 +132,8 @@
     corrupt: usize,
     target: usize,
     started: Instant,
+    /// Since when the target is wanted.
+    target_since: Instant,
     rng: ChaCha8Rng,
 }
 
@@ -219,6 +224,7 @@
             corrupt: 0,
             target: 0,
             started: Instant::now(),
+            target_since: Instant::now(),
             rng: ChaCha8Rng::seed_from_u64(options.seed),
         };
         for index in 0..options.hosts {
@@ -302,6 +308,7 @@
 
     fn begin(&mut self) {
         self.started = Instant::now();
+        self.target_since = self.started;
         self.set_target(0, None);
     }
 
@@ -382,10 +389,8 @@
             }
             FaultStep::Want(version) => {
                 let previous = self.target;
-                let elapsed = self.started.elapsed();
                 self.set_target(version, Some(previous));
-                log::debug!("event=version_changed at_ms={}", elapsed.as_millis());
-                self.started = Instant::now().checked_sub(Duration::ZERO).unwrap_or(self.started);
+                self.target_since = Instant::now();
             }
         }
         Ok(())
@@ -412,7 +417,7 @@
     fn figures(&self) -> RunFigures {
         let done = self.hosts.iter().zip(&self.done).filter(|(host, _)| host.is_some());
         let mut done: Vec<_> = done
-            .filter_map(|(_, done)| Some((*done)?.saturating_duration_since(self.started)))
+            .filter_map(|(_, done)| Some((*done)?.saturating_duration_since(self.target_since)))
             .collect();
         done.sort_unstable();
         for host in self.hosts.iter().flatten() {
@@ -442,7 +447,7 @@
     }) && rest.is_empty()
 }
 
-fn peer_record(index: usize) -> PeerRecord {
+pub(super) fn peer_record(index: usize) -> PeerRecord {
     let (data_centre, region) = DATA_CENTRES[index % DATA_CENTRES.len()];
     PeerRecord {
         host: format_compact!("host-{index:04}"),
@@ -451,7 +456,7 @@
     }
 }
 
-async fn start_origin(
+pub(super) async fn start_origin(
     options: &RunOptions,
     catalog: Arc<WeightCatalog>,
 ) -> Result<WeightStore, StandinError> {
@@ -472,43 +477,3 @@
     })
     .await
 }
-
-/// Measures the naive transfer: every host draws every chunk from the origin over the same paced link.
-///
-/// # Errors
-/// Fails if a socket cannot be opened or a chunk is not answered.
-pub async fn run_naive(options: &RunOptions) -> Result<Duration, StandinError> {
-    let catalog = Arc::new(WeightCatalog::default());
-    let image = catalog.add(options.image(0));
-    let origin = start_origin(options, catalog).await?;
-    let started = Instant::now();
-    let mut hosts = tokio::task::JoinSet::new();
-    for _ in 0..options.hosts {
-        let source = HttpWeightSource::new(origin.address());
-        hosts.spawn(naive_host(source, image.digest, image.chunks.clone()));
-    }
-    while let Some(outcome) = hosts.join_next().await {
-        if !matches!(outcome, Ok(true)) {
-            let what = "the naive transfer of whole weights".into();
-            return Err(StandinError::NotReached { what, seconds: started.elapsed().as_secs() });
-        }
-    }
-    Ok(started.elapsed())
-}
-
-async fn naive_host(
-    source: HttpWeightSource,
-    manifest: ContentDigest,
-    chunks: Vec<ContentDigest>,
-) -> bool {
-    use futures_util::StreamExt;
-    let source = &source;
-    let fetches = (0..).zip(chunks).map(|(index, digest): (u32, _)| async move {
-        let chunk = source.chunk(manifest, index).await;
-        chunk.is_ok_and(|chunk| ContentDigest::of(&chunk) == digest)
-    });
-    futures_util::stream::iter(fetches)
-        .buffer_unordered(NAIVE_IN_FLIGHT)
-        .all(|whole| async move { whole })
-        .await
-}
--- a/crates/weights/src/transfer.rs
+++ b/crates/weights/src/transfer.rs
@@ -49,11 +49,11 @@
     fn default() -> Self {
         Self {
             link_bytes_per_s: 125_000_000,
-            max_in_flight: 8,
+            max_in_flight: 6,
             max_per_peer: 3,
-            max_from_origin: 3,
+            max_from_origin: 2,
             min_stall: Duration::from_millis(150),
-            min_have_interval: Duration::from_millis(10),
+            min_have_interval: Duration::from_millis(25),
             origins: 1,
         }
     }
@@ -102,6 +102,12 @@
 const PATIENCE_PART: f64 = 0.1;
 /// Ranks behind this one wait no longer than it, so that the last host alive in a region starts soon enough.
 const LAST_WAITING_RANK: u32 = 8;
+/// Interval between the first requests of successive chunks from the origin, in chunk times of a host's link. Asked for
+/// all at once, an origin that shares its link among requests would deliver all chunks late instead of one after
+/// another. The origin's link is taken to be twice a host's; less than half a chunk time leaves it no gaps.
+const SEED_SPACING: f64 = 0.45;
+/// A chunk is announced while no more hosts of the region than this are known to hold it.
+const MAX_ANNOUNCED_HOLDERS: u32 = 2;
 /// A fetch that takes this many times the usual span is asked for a second time at the end of a transfer.
 const SLOW_FETCH_FACTOR: f64 = 2.0;
 
@@ -216,8 +222,12 @@
         index: u32,
         ticket: FetchTicket,
     ) -> Vec<FetchAction> {
-        if self.held.insert(index) && self.peers.holders(index) == 0 {
-            self.seed_progress = now;
+        let mut actions = Vec::new();
+        if self.held.insert(index) {
+            if self.peers.holders(index) == 0 {
+                self.seed_progress = now;
+            }
+            self.announce(index, &mut actions);
         }
         if let Some(flight) = self.flights.finish(now, ticket) {
             self.release(&flight.source);
@@ -226,8 +236,37 @@
                 ChunkSource::Origin(origin) => self.origins[*origin].record_success(),
             }
         }
-        let rest = self.flights.take_chunk(index);
-        rest.into_iter().map(|(ticket, flight)| self.cancel(ticket, &flight)).collect()
+        for (ticket, flight) in self.flights.take_chunk(index) {
+            actions.push(self.cancel(ticket, &flight));
+        }
+        actions
+    }
+
+    /// Tells peers about a chunk that is rare: a question carries the own bitmap. Without this, a chunk that has just
+    /// reached a region waits there for the next question, and the first copies decide how soon all links are busy.
+    fn announce(&self, index: u32, actions: &mut Vec<FetchAction>) {
+        if self.peers.holders(index) > MAX_ANNOUNCED_HOLDERS {
+            return;
+        }
+        let mut told: Vec<HostId> = self.peers.without(index).cloned().collect();
+        let rank = self.ranks[index as usize];
+        if rank.is_home && rank.own_rank == 0 {
+            told.extend(self.view.fetchers_abroad(self.digest, index));
+        }
+        let manifest = self.digest;
+        actions.extend(told.into_iter().map(|peer| FetchAction::Have { manifest, peer }));
+    }
+
+    /// True if `peer` is a host of another region that takes part.
+    #[must_use]
+    pub fn is_abroad(&self, peer: &str) -> bool {
+        self.view.is_abroad(peer)
+    }
+
+    /// True if a peer that holds `bitmap` is ahead of the others that this host knows.
+    #[must_use]
+    pub fn is_ahead(&self, bitmap: &[u8]) -> bool {
+        self.peers.is_ahead(ChunkSet::from_bitmap(self.manifest.chunk_count(), bitmap).count())
     }
 
     /// Records that a fetch brought nothing usable.
@@ -314,7 +353,11 @@
         }
         let rank = self.ranks[index as usize];
         let patience = self.patience();
-        let waited = now.saturating_duration_since(self.seed_progress.max(self.started));
+        let scheduled = self.started + self.chunk_time().mul_f64(SEED_SPACING) * index;
+        if now < scheduled {
+            return None;
+        }
+        let waited = now.saturating_duration_since(self.seed_progress.max(scheduled));
         if waited < patience * rank.own_rank.min(LAST_WAITING_RANK) * 2 {
             return None;
         }
@@ -386,11 +429,9 @@
             self.record_fault(now, ticket, FetchFault::Stalled, rng);
             actions.push(FetchAction::Cancel { ticket });
         }
-        self.peers.expire_questions(
-            now,
-            self.options.min_stall.max(self.flights.stall_time() / 4),
-            || rng.random(),
-        );
+        // Answers share the link with chunks, so they may take as long as a chunk does.
+        let limit = (self.options.min_stall * 2).max(self.flights.stall_time() / 2);
+        self.peers.expire_questions(now, limit, || rng.random());
     }
 
     /// Adds the fetchers of other regions whose chunks this host draws for its own region.
@@ -420,10 +461,13 @@
     /// Time to wait before asking a peer again which chunks it holds. Chunk messages carry the same information, so a
     /// host that is busy fetching rarely has to ask.
     fn have_interval(&self) -> Duration {
-        let chunk_time = usual_chunk_time(&self.manifest, &self.options);
         let idle = self.flights.len() * 2 < self.options.max_in_flight;
-        let chunks = if idle { 2 } else { 8 };
-        (chunk_time * chunks).clamp(self.options.min_have_interval, Duration::from_secs(2))
+        let chunks = if idle { 8 } else { 32 };
+        (self.chunk_time() * chunks).clamp(self.options.min_have_interval, Duration::from_secs(2))
+    }
+
+    fn chunk_time(&self) -> Duration {
+        usual_chunk_time(&self.manifest, &self.options)
     }
 
     fn patience(&self) -> Duration {
--- a/crates/weights/src/upload.rs
+++ b/crates/weights/src/upload.rs
@@ -20,10 +20,21 @@
 
 impl Default for UploadOptions {
     fn default() -> Self {
-        Self { copies: 2.0, window: Duration::from_secs(600), queue_length: 6 }
+        Self { copies: 2.0, window: Duration::from_secs(600), queue_length: 4 }
     }
 }
 
+/// Who asks for a chunk; decides how much of the queue it may fill.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PeerStanding {
+    /// A fetcher of another region: all hosts of that region wait for it.
+    Abroad,
+    /// A host that holds no more than the others do.
+    Behind,
+    /// A host that holds more than the others do on average.
+    Ahead,
+}
+
 /// Decision about one chunk request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum UploadVerdict {
@@ -63,8 +74,18 @@
         size_bytes: u64,
         bytes: u64,
         chunk_time: Duration,
+        standing: PeerStanding,
     ) -> UploadVerdict {
-        if self.in_service >= self.options.queue_length {
+        // Peers that hold less than others find room in the queue first; otherwise the unlucky ones fall behind early
+        // and finish last, when their own links are the limit.
+        let places = match standing {
+            PeerStanding::Abroad => {
+                self.options.queue_length + self.options.queue_length.div_ceil(2)
+            }
+            PeerStanding::Behind => self.options.queue_length,
+            PeerStanding::Ahead => self.options.queue_length.div_ceil(2),
+        };
+        if self.in_service >= places {
             let waiting = u32::try_from(self.in_service).unwrap_or(u32::MAX);
             return UploadVerdict::Busy((chunk_time * waiting / 2).max(Duration::from_millis(1)));
         }
