--- a/crates/standin/src/measure/weights/naive.rs
+++ b/crates/standin/src/measure/weights/naive.rs
@@ -18,6 +18,10 @@
 /// Chunks that a naive host asks for at once.
 const NAIVE_IN_FLIGHT: usize = 4;
 
+/// Attempts for each chunk: hundreds of hosts that connect at once overflow the accept queue of the origin.
+const ATTEMPTS: usize = 20;
+const RETRY_DELAY: Duration = Duration::from_millis(250);
+
 /// What a naive transfer showed.
 #[derive(Clone, Copy, Debug)]
 pub struct NaiveFigures {
@@ -75,8 +79,15 @@
 ) -> bool {
     let (source, arrived) = (&source, &arrived);
     let fetches = (0..).zip(chunks).map(|(index, digest): (u32, _)| async move {
-        let chunk = source.chunk(manifest, index).await;
-        let whole = chunk.is_ok_and(|chunk| ContentDigest::of(&chunk) == digest);
+        let mut whole = false;
+        for _ in 0..ATTEMPTS {
+            let chunk = source.chunk(manifest, index).await;
+            whole = chunk.is_ok_and(|chunk| ContentDigest::of(&chunk) == digest);
+            if whole {
+                break;
+            }
+            tokio::time::sleep(RETRY_DELAY).await;
+        }
         arrived.fetch_add(u64::from(whole), Ordering::Relaxed);
         whole
     });
--- a/crates/standin/src/measure/weights/sim.rs
+++ b/crates/standin/src/measure/weights/sim.rs
@@ -3,6 +3,10 @@
 //! Time is simulated, so neither sockets nor the scheduler of the operating system influence the figures, and a run
 //! with the same seed repeats exactly.
 
+mod exchange;
+mod faults;
+mod message;
+
 use std::{
     cmp::Reverse,
     collections::{BinaryHeap, HashMap, HashSet},
@@ -19,9 +23,10 @@
     FetchWant, PeerRecord, TransferOptions, UploadOptions, VerifiedChunk,
 };
 
+use self::message::{Event, Message};
 use super::{
     fault::FaultKind,
-    run::{RunOptions, WIDE_LINK_FACTOR, peer_record},
+    run::{RunOptions, peer_record},
 };
 
 /// One-way delay of a message inside a data centre or between data centres.
@@ -52,89 +57,6 @@
     pub control_messages: u64,
 }
 
-#[derive(Debug)]
-enum Message {
-    Tick,
-    Have {
-        from: usize,
-        manifest: ContentDigest,
-        bitmap: Bytes,
-    },
-    HaveReply {
-        from: usize,
-        manifest: ContentDigest,
-        bitmap: Option<Bytes>,
-        queued: u32,
-    },
-    Chunk {
-        from: usize,
-        manifest: ContentDigest,
-        index: u32,
-        ticket: FetchTicket,
-        bitmap: Bytes,
-    },
-    UploadDone,
-    /// The last byte of a chunk reached the link into the host.
-    Arrival(Box<Message>),
-    ChunkReply {
-        from: Option<usize>,
-        manifest: ContentDigest,
-        index: u32,
-        ticket: FetchTicket,
-        data: Result<Bytes, FetchFault>,
-        bitmap: Bytes,
-        queued: u32,
-    },
-    Manifest {
-        from: usize,
-        manifest: ContentDigest,
-        ticket: FetchTicket,
-    },
-    ManifestReply {
-        manifest: ContentDigest,
-        ticket: FetchTicket,
-        result: Result<Arc<ChunkManifest>, FetchFault>,
-    },
-    Fault(SimFault),
-}
-
-#[derive(Clone, Copy, Debug)]
-enum SimFault {
-    Stall(Duration),
-    Die,
-    Restart,
-    Pause(Duration),
-    CutOff(bool),
-    Want(usize),
-}
-
-struct Event {
-    at: Duration,
-    order: u64,
-    host: usize,
-    message: Message,
-}
-
-impl PartialEq for Event {
-    fn eq(&self, other: &Self) -> bool {
-        self.order == other.order
-    }
-}
-
-impl Eq for Event {}
-
-impl PartialOrd for Event {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Event {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.at, self.order).cmp(&(other.at, other.order))
-    }
-}
-
 struct SimHost {
     plan: FetchPlan,
     up_free: Duration,
@@ -245,40 +167,6 @@
         self.figures
     }
 
-    fn prepare(&mut self) {
-        let bound = self.options.bound();
-        self.set_target(0, None);
-        let Some(fault) = self.options.fault else { return };
-        let span = bound.mul_f64(fault.span());
-        if fault == FaultKind::OriginDown {
-            (0..3.min(self.hosts.len())).for_each(|host| self.fill(host));
-        }
-        if matches!(fault, FaultKind::Corrupt | FaultKind::Truncate) {
-            self.origin_faults = 3;
-        }
-        for round in 0..self.options.fault_times.min(2) {
-            let at = bound.mul_f64(fault.times()[round]);
-            let host = self.rng.random_range(0..self.hosts.len());
-            let mut add = |at, fault| self.push(at, host, Message::Fault(fault));
-            match fault {
-                FaultKind::Stall => add(at, SimFault::Stall(span)),
-                FaultKind::PeerDies => add(at, SimFault::Die),
-                FaultKind::Restart => add(at, SimFault::Restart),
-                FaultKind::Pause => add(at, SimFault::Pause(span)),
-                FaultKind::Partition => {
-                    add(at, SimFault::CutOff(true));
-                    add(at + span, SimFault::CutOff(false));
-                }
-                FaultKind::VersionChange => add(at, SimFault::Want(round + 1)),
-                FaultKind::Rollback => {
-                    add(at, SimFault::Want(1));
-                    add(at + span.mul_f64(0.5), SimFault::Want(0));
-                }
-                _ => {}
-            }
-        }
-    }
-
     fn set_target(&mut self, version: usize, previous: Option<usize>) {
         self.target = version;
         self.target_since = self.now;
@@ -316,6 +204,7 @@
             let chunk = VerifiedChunk::verify(&manifest, index, slice(&manifest, &content, index));
             plan.record_chunk(now, manifest.digest(), index, 0, chunk);
         }
+        self.note_done(host);
     }
 
     fn is_done(&self) -> bool {
@@ -388,36 +277,6 @@
         self.poll(host);
     }
 
-    /// The link into the host carried the bytes while they were sent, unless it was busy.
-    fn arrive(&mut self, host: usize, reply: Message) {
-        let Message::ChunkReply { data: Ok(data), .. } = &reply else { return };
-        let span = self.span(data.len());
-        let receiver = &mut self.hosts[host];
-        receiver.down_free = self.now.max(receiver.down_free + span);
-        let arrived = receiver.down_free;
-        self.push(arrived, host, reply);
-    }
-
-    /// A dead host does not answer: its connections are refused.
-    fn refuse(&mut self, host: usize, message: Message) {
-        match message {
-            Message::Have { from, manifest, .. } => {
-                let reply = Message::HaveReply { from: host, manifest, bitmap: None, queued: 0 };
-                self.push(self.now + DELAY, from, reply);
-            }
-            Message::Chunk { from, manifest, index, ticket, .. } => {
-                let data = Err(FetchFault::Unreachable);
-                self.reply(Some(host), from, manifest, index, ticket, data, Bytes::new(), 0);
-            }
-            Message::Manifest { from, manifest, ticket } => {
-                let result = Err(FetchFault::Unreachable);
-                let reply = Message::ManifestReply { manifest, ticket, result };
-                self.push(self.now + DELAY, from, reply);
-            }
-            _ => {}
-        }
-    }
-
     fn poll(&mut self, host: usize) {
         let now = self.epoch + self.now;
         let actions = self.hosts[host].plan.poll(now);
@@ -470,194 +329,6 @@
         }
     }
 
-    fn origin_fault(&self, origin: usize) -> Option<FetchFault> {
-        match self.options.fault {
-            Some(FaultKind::OriginDown) => Some(FetchFault::Unreachable),
-            Some(FaultKind::StoreRefuses) if origin == 0 => {
-                Some(FetchFault::RetryAfter(Duration::from_secs(1)))
-            }
-            _ => None,
-        }
-    }
-
-    fn request(
-        &mut self,
-        host: usize,
-        manifest: ContentDigest,
-        index: u32,
-        source: ChunkSource,
-        ticket: FetchTicket,
-    ) {
-        match source {
-            ChunkSource::Peer(peer) => {
-                let Some(&to) = self.by_host.get(&peer) else { return };
-                if !self.is_cut(host, to) {
-                    let bitmap = self.hosts[host].plan.bitmap(manifest);
-                    let ask = Message::Chunk { from: host, manifest, index, ticket, bitmap };
-                    self.push(self.now + DELAY, to, ask);
-                }
-            }
-            ChunkSource::Origin(origin) => {
-                if let Some(fault) = self.origin_fault(origin) {
-                    let data = Err(fault);
-                    return self.reply(None, host, manifest, index, ticket, data, Bytes::new(), 0);
-                }
-                let mut data = self.content(manifest, index);
-                let span = self.span(data.len()) / WIDE_LINK_FACTOR;
-                self.origin_free = self.origin_free.max(self.now) + span;
-                self.figures.origin_bytes += data.len() as u64;
-                if self.origin_faults > 0 {
-                    self.origin_faults -= 1;
-                    data = self.damaged(&data);
-                }
-                let sent = self.origin_free;
-                self.deliver(sent, None, host, manifest, index, ticket, data);
-            }
-        }
-    }
-
-    fn answer_have(&mut self, host: usize, from: usize, manifest: ContentDigest, bitmap: &[u8]) {
-        let now = self.epoch + self.now;
-        let asker = self.records[from].host.clone();
-        let lies = self.is_victim(host, FaultKind::PeerLies);
-        let plan = &mut self.hosts[host].plan;
-        if !bitmap.is_empty() {
-            plan.record_have(now, manifest, &asker, bitmap, 0);
-        }
-        let mut bitmap = plan.bitmap(manifest);
-        if lies {
-            bitmap = vec![0xff; bitmap.len()].into();
-        }
-        let queued = plan.queued_uploads();
-        if !self.is_cut(host, from) {
-            let reply = Message::HaveReply { from: host, manifest, bitmap: Some(bitmap), queued };
-            self.push(self.now + DELAY, from, reply);
-        }
-    }
-
-    fn serve(
-        &mut self,
-        host: usize,
-        from: usize,
-        manifest: ContentDigest,
-        index: u32,
-        ticket: FetchTicket,
-        bitmap: &[u8],
-    ) {
-        let now = self.epoch + self.now;
-        let asker = self.records[from].host.clone();
-        let lies = self.is_victim(host, FaultKind::PeerLies);
-        let plan = &mut self.hosts[host].plan;
-        plan.record_have(now, manifest, &asker, bitmap, 0);
-        let decision = if lies {
-            Err(FetchFault::NotHeld)
-        } else {
-            plan.serve_chunk(now, manifest, index, &asker, bitmap)
-        };
-        match decision {
-            Ok(mut data) => {
-                let span = self.span(data.len());
-                let server = &mut self.hosts[host];
-                server.up_free = server.up_free.max(self.now) + span;
-                server.uploaded += data.len() as u64;
-                let mut sent = server.up_free;
-                self.push(sent, host, Message::UploadDone);
-                let (out, into) = (&self.records[host].region, &self.records[from].region);
-                if out != into {
-                    let span = span / WIDE_LINK_FACTOR;
-                    let free = self.region_out.entry(out.to_string()).or_default();
-                    *free = (*free).max(self.now) + span;
-                    sent = sent.max(*free);
-                    let free = self.region_in.entry(into.to_string()).or_default();
-                    *free = (free.0.max(self.now) + span, free.1 + data.len() as u64);
-                    sent = sent.max(free.0);
-                }
-                if self.is_victim(host, FaultKind::Corrupt)
-                    || self.is_victim(host, FaultKind::Truncate)
-                {
-                    data = self.damaged(&data);
-                }
-                self.deliver(sent, Some(host), from, manifest, index, ticket, data);
-            }
-            Err(fault) => {
-                let plan = &self.hosts[host].plan;
-                let (bitmap, queued) = (plan.bitmap(manifest), plan.queued_uploads());
-                self.reply(Some(host), from, manifest, index, ticket, Err(fault), bitmap, queued);
-            }
-        }
-    }
-
-    #[expect(clippy::too_many_arguments, reason = "the fields of one message")]
-    fn deliver(
-        &mut self,
-        sent: Duration,
-        from: Option<usize>,
-        to: usize,
-        manifest: ContentDigest,
-        index: u32,
-        ticket: FetchTicket,
-        data: Bytes,
-    ) {
-        let (bitmap, queued) = match from {
-            Some(from) => {
-                let plan = &self.hosts[from].plan;
-                (plan.bitmap(manifest), plan.queued_uploads())
-            }
-            None => (Bytes::new(), 0),
-        };
-        let data = Ok(data);
-        let reply = Message::ChunkReply { from, manifest, index, ticket, data, bitmap, queued };
-        self.push(sent + DELAY, to, Message::Arrival(Box::new(reply)));
-    }
-
-    #[expect(clippy::too_many_arguments, reason = "the fields of one message")]
-    fn reply(
-        &mut self,
-        from: Option<usize>,
-        to: usize,
-        manifest: ContentDigest,
-        index: u32,
-        ticket: FetchTicket,
-        data: Result<Bytes, FetchFault>,
-        bitmap: Bytes,
-        queued: u32,
-    ) {
-        self.figures.control_messages += 2;
-        let message = Message::ChunkReply { from, manifest, index, ticket, data, bitmap, queued };
-        self.push(self.now + DELAY, to, message);
-    }
-
-    #[expect(clippy::too_many_arguments, reason = "the fields of one message")]
-    fn receive(
-        &mut self,
-        host: usize,
-        from: Option<usize>,
-        digest: ContentDigest,
-        index: u32,
-        ticket: FetchTicket,
-        data: Result<Bytes, FetchFault>,
-        bitmap: &[u8],
-        queued: u32,
-    ) {
-        let now = self.epoch + self.now;
-        let bytes = data.as_ref().map_or(0, |data| data.len() as u64);
-        if self.hosts[host].cancelled.remove(&ticket) {
-            self.figures.wasted_bytes += bytes;
-            return;
-        }
-        if let Some(from) = from.filter(|from| !bitmap.is_empty() && !self.is_cut(host, *from)) {
-            let peer = self.records[from].host.clone();
-            self.hosts[host].plan.record_have(now, digest, &peer, bitmap, queued);
-        }
-        let Some(manifest) = self.hosts[host].plan.store().manifest(digest).cloned() else {
-            return;
-        };
-        let chunk = data.and_then(|data| VerifiedChunk::verify(&manifest, index, data));
-        let actions = self.hosts[host].plan.record_chunk(now, digest, index, ticket, chunk);
-        self.execute(host, actions);
-        self.note_done(host);
-    }
-
     fn note_done(&mut self, host: usize) {
         let (manifest, content) = &self.manifests[self.target];
         let state = &mut self.hosts[host];
@@ -669,49 +340,6 @@
         }
     }
 
-    fn apply(&mut self, host: usize, fault: SimFault) {
-        match fault {
-            SimFault::Stall(span) => {
-                let state = &mut self.hosts[host];
-                state.up_free = state.up_free.max(self.now) + span;
-                state.down_free = state.down_free.max(self.now) + span;
-            }
-            SimFault::Die => self.hosts[host].alive = false,
-            SimFault::Restart => {
-                let seed = self.rng.random();
-                let (up_free, down_free) = (self.hosts[host].up_free, self.hosts[host].down_free);
-                let uploaded = self.hosts[host].uploaded;
-                let fresh = SimHost::new(&self.options, &self.records[host], seed);
-                self.hosts[host] = SimHost { up_free, down_free, uploaded, ..fresh };
-                self.set_wants(host, None);
-            }
-            SimFault::Pause(span) => self.hosts[host].paused_until = self.now + span,
-            SimFault::CutOff(cut) => {
-                self.cut_off = cut.then(|| self.records[host].region.to_string());
-            }
-            SimFault::Want(version) => self.set_target(version, Some(self.target)),
-        }
-    }
-
-    fn is_victim(&self, host: usize, fault: FaultKind) -> bool {
-        self.options.fault == Some(fault) && host < self.options.fault_times
-    }
-
-    fn is_cut(&self, from: usize, to: usize) -> bool {
-        let (from, to) = (&self.records[from].region, &self.records[to].region);
-        self.cut_off.as_ref().is_some_and(|region| (from == region) != (to == region))
-    }
-
-    fn damaged(&self, data: &Bytes) -> Bytes {
-        let mut bytes = data.to_vec();
-        if self.options.fault == Some(FaultKind::Truncate) {
-            bytes.truncate(bytes.len() / 2);
-        } else if let Some(byte) = bytes.last_mut() {
-            *byte ^= 1;
-        }
-        bytes.into()
-    }
-
     fn content(&self, digest: ContentDigest, index: u32) -> Bytes {
         let known = self.manifests.iter().find(|(manifest, _)| manifest.digest() == digest);
         known.map(|(manifest, content)| slice(manifest, content, index)).unwrap_or_default()
@@ -723,12 +351,6 @@
     }
 }
 
-impl Event {
-    fn is_fault(&self) -> bool {
-        matches!(self.message, Message::Fault(_))
-    }
-}
-
 impl SimHost {
     fn new(options: &RunOptions, record: &PeerRecord, seed: u64) -> Self {
         let plan_options = FetchPlanOptions {
--- /dev/null
+++ b/crates/standin/src/measure/weights/sim/message.rs
@@ -0,0 +1,96 @@
+//! Messages and faults of the simulated fleet, in order of time.
+
+use std::{sync::Arc, time::Duration};
+
+use base::ContentDigest;
+use bytes::Bytes;
+use weights::{ChunkManifest, FetchFault, FetchTicket};
+
+#[derive(Debug)]
+pub(super) enum Message {
+    Tick,
+    Have {
+        from: usize,
+        manifest: ContentDigest,
+        bitmap: Bytes,
+    },
+    HaveReply {
+        from: usize,
+        manifest: ContentDigest,
+        bitmap: Option<Bytes>,
+        queued: u32,
+    },
+    Chunk {
+        from: usize,
+        manifest: ContentDigest,
+        index: u32,
+        ticket: FetchTicket,
+        bitmap: Bytes,
+    },
+    UploadDone,
+    /// The last byte of a chunk reached the link into the host.
+    Arrival(Box<Message>),
+    ChunkReply {
+        from: Option<usize>,
+        manifest: ContentDigest,
+        index: u32,
+        ticket: FetchTicket,
+        data: Result<Bytes, FetchFault>,
+        bitmap: Bytes,
+        queued: u32,
+    },
+    Manifest {
+        from: usize,
+        manifest: ContentDigest,
+        ticket: FetchTicket,
+    },
+    ManifestReply {
+        manifest: ContentDigest,
+        ticket: FetchTicket,
+        result: Result<Arc<ChunkManifest>, FetchFault>,
+    },
+    Fault(SimFault),
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(super) enum SimFault {
+    Stall(Duration),
+    Die,
+    Restart,
+    Pause(Duration),
+    CutOff(bool),
+    Want(usize),
+}
+
+pub(super) struct Event {
+    pub at: Duration,
+    pub order: u64,
+    pub host: usize,
+    pub message: Message,
+}
+
+impl PartialEq for Event {
+    fn eq(&self, other: &Self) -> bool {
+        self.order == other.order
+    }
+}
+
+impl Eq for Event {}
+
+impl PartialOrd for Event {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Event {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.order).cmp(&(other.at, other.order))
+    }
+}
+
+impl Event {
+    pub fn is_fault(&self) -> bool {
+        matches!(self.message, Message::Fault(_))
+    }
+}
--- a/crates/weights/src/plan.rs
+++ b/crates/weights/src/plan.rs
@@ -15,7 +15,7 @@
     manifest::ChunkManifest,
     pacing::{LinkPacer, LiveLoad},
     ranks::{FetchView, PeerRecord},
-    sources::{ChunkSource, FetchFault},
+    sources::{ChunkSource, FetchFault, SourceHealth},
     store::{ChunkStore, VerifiedChunk},
     transfer::{ChunkTransfer, FetchAction, FetchTicket, TransferOptions},
     upload::{PeerStanding, UploadBudget, UploadOptions, UploadVerdict},
@@ -61,6 +61,9 @@
     attempts: u32,
     next_attempt: Instant,
     flight: Option<(FetchTicket, Instant)>,
+    /// Origin that the attempt in flight asks.
+    asked_origin: Option<usize>,
+    origins: Vec<SourceHealth>,
 }
 
 /// The transfers, the chunk store and the upload budget of one host.
@@ -143,6 +146,7 @@
             return;
         }
         let view = FetchView::new(own, want.hosts);
+        let origins = self.options.transfer.origins;
         let Some(manifest) = self.store.manifest(digest).cloned() else {
             let search = self.searches.entry(digest).or_insert_with(|| ManifestSearch {
                 view: view.clone(),
@@ -150,6 +154,8 @@
                 attempts: 0,
                 next_attempt: now,
                 flight: None,
+                asked_origin: None,
+                origins: vec![SourceHealth::default(); origins],
             });
             search.view = view;
             return;
@@ -207,11 +213,11 @@
                 let (first, longest) = MANIFEST_RETRY;
                 let wait = first.mul_f64(1.25_f64.powi(search.attempts.min(40).cast_signed()));
                 let wait = wait.min(longest).mul_f64(self.rng.random_range(0.75..1.25));
-                let asked = match fault {
-                    FetchFault::RetryAfter(asked) => asked,
-                    _ => Duration::ZERO,
-                };
-                search.next_attempt = now + wait.max(asked);
+                // A store that names a retry delay is left alone for that time; other sources are asked meanwhile.
+                if let Some(origin) = search.asked_origin.take() {
+                    search.origins[origin].record_fault(now, fault, self.rng.random());
+                }
+                search.next_attempt = now + wait;
             }
         }
     }
@@ -306,6 +312,9 @@
                 }
                 search.flight = None;
                 actions.push(FetchAction::Cancel { ticket });
+                if let Some(origin) = search.asked_origin.take() {
+                    search.origins[origin].record_fault(now, FetchFault::Stalled, 0.5);
+                }
             }
             if now < search.next_attempt {
                 continue;
@@ -314,7 +323,11 @@
             self.next_ticket += 1;
             search.flight = Some((ticket, now));
             search.attempts += 1;
-            let source = choose_manifest_source(&self.options, *digest, search, now, &mut self.rng);
+            let source = choose_manifest_source(*digest, search, now, &mut self.rng);
+            search.asked_origin = match source {
+                ChunkSource::Origin(origin) => Some(origin),
+                ChunkSource::Peer(_) => None,
+            };
             actions.push(FetchAction::Manifest { manifest: *digest, source, ticket });
         }
         actions
@@ -405,7 +418,6 @@
 
 /// The first hosts of the region ask the origin; others ask peers, and the origin only after a wait by rank.
 fn choose_manifest_source(
-    options: &FetchPlanOptions,
     digest: ContentDigest,
     search: &ManifestSearch,
     now: Instant,
@@ -418,13 +430,11 @@
     let peers: Vec<_> = view.peers().collect();
     let prefers_origin = rank < MANIFEST_FETCHERS || waited >= wait;
     // Every other attempt goes to a peer, so an origin that is down does not hold up a host whose peers hold all.
-    let asks_origin = prefers_origin && search.attempts % 2 == 1;
-    if options.transfer.origins > 0 && (peers.is_empty() || asks_origin) {
-        let origin = (search.attempts / 2) as usize % options.transfer.origins;
-        return ChunkSource::Origin(origin);
-    }
-    if peers.is_empty() {
-        return ChunkSource::Origin(0);
+    let asks_origin = peers.is_empty() || prefers_origin && search.attempts % 2 == 1;
+    let origin = search.origins.iter().position(|health| health.is_available(now));
+    match origin.filter(|_| asks_origin) {
+        Some(origin) => ChunkSource::Origin(origin),
+        None if peers.is_empty() => ChunkSource::Origin(0),
+        None => ChunkSource::Peer(peers[rng.random_range(0..peers.len())].host.clone()),
     }
-    ChunkSource::Peer(peers[rng.random_range(0..peers.len())].host.clone())
 }
--- a/crates/weights/src/transfer.rs
+++ b/crates/weights/src/transfer.rs
@@ -1,5 +1,6 @@
 //! The transfer of one version to one host, decided from the host's own partial view.
 
+mod action;
 mod flights;
 mod peers;
 
@@ -12,6 +13,7 @@
 use bytes::Bytes;
 use rand::{Rng, RngExt};
 
+pub use self::action::{FetchAction, FetchTicket, TransferOptions};
 use self::{
     flights::{Flight, FlightTable},
     peers::{PeerTable, Proximity},
@@ -23,79 +25,6 @@
     sources::{ChunkSource, FetchFault, SourceHealth},
 };
 
-/// Handle of one fetch.
-pub type FetchTicket = u64;
-
-/// Limits and time spans of a transfer.
-#[derive(Clone, Debug)]
-pub struct TransferOptions {
-    /// Speed of the host's link in bytes per second; time spans follow from it.
-    pub link_bytes_per_s: u64,
-    /// Fetches in flight at most. Enough for a chunk to wait at a sender while another one arrives.
-    pub max_in_flight: usize,
-    /// Fetches in flight from one peer at most.
-    pub max_per_peer: u32,
-    /// Fetches in flight from the origin at most.
-    pub max_from_origin: u32,
-    /// Shortest time after which a fetch counts as stalled.
-    pub min_stall: Duration,
-    /// Shortest interval between two questions to a peer about its chunks.
-    pub min_have_interval: Duration,
-    /// Number of stores and origins in the settings.
-    pub origins: usize,
-}
-
-impl Default for TransferOptions {
-    fn default() -> Self {
-        Self {
-            link_bytes_per_s: 125_000_000,
-            max_in_flight: 6,
-            max_per_peer: 3,
-            max_from_origin: 2,
-            min_stall: Duration::from_millis(150),
-            min_have_interval: Duration::from_millis(25),
-            origins: 1,
-        }
-    }
-}
-
-/// What the shell has to do for transfers.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum FetchAction {
-    /// Ask a source for the manifest.
-    Manifest {
-        /// Digest of the manifest.
-        manifest: ContentDigest,
-        /// Where to ask.
-        source: ChunkSource,
-        /// Handle for the result.
-        ticket: FetchTicket,
-    },
-    /// Ask a source for a chunk.
-    Chunk {
-        /// Digest of the manifest.
-        manifest: ContentDigest,
-        /// Index of the chunk.
-        index: u32,
-        /// Where to ask.
-        source: ChunkSource,
-        /// Handle for the result.
-        ticket: FetchTicket,
-    },
-    /// Ask a peer which chunks it holds.
-    Have {
-        /// Digest of the manifest.
-        manifest: ContentDigest,
-        /// Peer to ask.
-        peer: HostId,
-    },
-    /// Abandon a fetch: close its connection and report nothing more.
-    Cancel {
-        /// Handle of the fetch.
-        ticket: FetchTicket,
-    },
-}
-
 /// Shortest and longest time that a substitute waits for the designated fetcher to make progress.
 const PATIENCE_RANGE: (Duration, Duration) = (Duration::from_millis(60), Duration::from_secs(10));
 /// Part of the transfer's shortest duration that a substitute waits.
@@ -212,7 +141,7 @@
 
     /// Records that a question about chunks was not answered.
     pub fn record_have_failed(&mut self, now: Instant, peer: &str, rng: &mut impl Rng) {
-        self.peers.record_fault(now, peer, FetchFault::Unreachable, rng.random());
+        self.peers.record_unanswered(now, peer, rng.random());
     }
 
     /// Records that a chunk has been verified and stored. Returns the fetches that became superfluous.
--- a/crates/weights/src/transfer/peers.rs
+++ b/crates/weights/src/transfer/peers.rs
@@ -31,7 +31,10 @@
     outstanding: u32,
     heard: Option<Instant>,
     asked: Option<Instant>,
+    /// Outcome of fetches.
     health: SourceHealth,
+    /// Outcome of questions. Kept apart, since an answer proves that a peer is reachable but not that it delivers.
+    answers: SourceHealth,
 }
 
 /// The peers of a transfer and how many of them hold each chunk.
@@ -84,6 +87,7 @@
         let Some(position) = self.position(host) else { return false };
         let state = &mut self.peers[position];
         state.asked = None;
+        state.answers.record_success();
         state.heard = Some(now);
         state.queued = queued;
         let have = ChunkSet::from_bitmap(chunks, bitmap);
@@ -124,8 +128,16 @@
         }
     }
 
+    pub fn record_unanswered(&mut self, now: Instant, host: &str, jitter: f64) {
+        if let Some(position) = self.position(host) {
+            let state = &mut self.peers[position];
+            state.asked = None;
+            state.answers.record_fault(now, FetchFault::Unreachable, jitter);
+        }
+    }
+
     pub fn is_failing(&self, host: &str) -> bool {
-        self.position(host).is_some_and(|position| self.peers[position].health.is_failing())
+        self.position(host).is_some_and(|position| self.peers[position].is_failing())
     }
 
     pub fn add_outstanding(&mut self, host: &str) {
@@ -154,7 +166,7 @@
             .iter()
             .filter(|state| (state.proximity == Proximity::Abroad) == abroad)
             .filter(|state| state.have.contains(index) && state.outstanding < max_outstanding)
-            .filter(|state| state.health.is_available(now))
+            .filter(|state| state.is_available(now))
             .min_by_key(|state| {
                 (state.outstanding * 2 + state.queued, state.proximity, rng.random::<u32>())
             })
@@ -166,7 +178,7 @@
         self.peers.iter().any(|state| {
             state.proximity != Proximity::Abroad
                 && state.have.contains(index)
-                && !state.health.is_failing()
+                && !state.is_failing()
         })
     }
 
@@ -174,10 +186,7 @@
     pub fn take_questions(&mut self, now: Instant, interval: Duration) -> Vec<HostId> {
         let due = self.peers.iter_mut().filter(|state| {
             let recent = state.heard.is_some_and(|heard| now < heard + interval);
-            !recent
-                && state.asked.is_none()
-                && !state.have.is_full()
-                && state.health.is_available(now)
+            !recent && state.asked.is_none() && !state.have.is_full() && state.is_available(now)
         });
         due.map(|state| {
             state.asked = Some(now);
@@ -209,7 +218,7 @@
         for state in &mut self.peers {
             if state.asked.is_some_and(|asked| now >= asked + limit) {
                 state.asked = None;
-                state.health.record_fault(now, FetchFault::Stalled, jitter());
+                state.answers.record_fault(now, FetchFault::Stalled, jitter());
             }
         }
     }
@@ -243,6 +252,14 @@
 }
 
 impl PeerState {
+    fn is_available(&self, now: Instant) -> bool {
+        self.health.is_available(now) && self.answers.is_available(now)
+    }
+
+    fn is_failing(&self) -> bool {
+        self.health.is_failing() || self.answers.is_failing()
+    }
+
     fn new(host: HostId, proximity: Proximity, chunks: u32) -> Self {
         Self {
             host,
@@ -253,6 +270,7 @@
             heard: None,
             asked: None,
             health: SourceHealth::default(),
+            answers: SourceHealth::default(),
         }
     }
 }
--- a/crates/weights/tests/manifest_and_store.rs
+++ b/crates/weights/tests/manifest_and_store.rs
@@ -32,7 +32,7 @@
 fn manifest_that_breaks_a_rule_is_rejected() {
     let digest = ContentDigest::of(b"chunk").to_string();
     let cases = [
-        format!(r#"{{"size_bytes":0,"chunk_bytes":10,"chunks":[]}}"#),
+        r#"{"size_bytes":0,"chunk_bytes":10,"chunks":[]}"#.to_owned(),
         format!(r#"{{"size_bytes":20,"chunk_bytes":10,"chunks":["{digest}"]}}"#),
         format!(r#"{{"size_bytes":10,"chunk_bytes":0,"chunks":["{digest}"]}}"#),
         format!(r#"{{"size_bytes":9000000,"chunk_bytes":9000000,"chunks":["{digest}"]}}"#),
