--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -1,18 +1,30 @@
 //! The agent beside one upstream.
 
+mod admit;
+mod answer;
+mod core;
+mod crash;
 mod forward;
+mod gate;
+mod keyed;
 mod monitor;
+mod progress;
+mod relay;
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
-use config::{AgentSettings, UpstreamKind};
+use config::AgentSettings;
 use log::info;
+use once::RecordOptions;
 use platform::{HttpEngine, HttpService, ModelEngine, PlainService};
 use serde_json::{Value, json};
 use wire::FleetKey;
 
-use self::forward::ForwardHandler;
-pub use self::monitor::{UpstreamMonitor, UpstreamState};
+pub use self::{
+    answer::{AnswerError, TokenCheck},
+    monitor::{UpstreamMonitor, UpstreamState},
+};
+use self::{core::CallCore, forward::ForwardHandler};
 use crate::{
     admin::{AdminApi, AdminSource},
     context::{NodeContext, NodeListeners},
@@ -20,9 +32,12 @@
     peer::PeerPool,
     server::FrameServer,
     view::ViewReader,
-    weights,
+    weights::{self, LoadSignal},
 };
 
+/// Interval at which the weights part learns of live requests; short against the duration of a chunk.
+const LOAD_REPORT_INTERVAL: Duration = Duration::from_millis(100);
+
 /// A running agent.
 pub struct AgentNode {
     context: NodeContext,
@@ -34,12 +49,23 @@
     /// Starts an agent.
     #[must_use]
     pub fn start(context: NodeContext, settings: AgentSettings, listeners: NodeListeners) -> Self {
+        Self::start_with_record(context, settings, listeners, RecordOptions::default())
+    }
+
+    /// Starts an agent with other bounds of the record of request keys.
+    #[must_use]
+    pub fn start_with_record(
+        context: NodeContext,
+        settings: AgentSettings,
+        listeners: NodeListeners,
+        record_options: RecordOptions,
+    ) -> Self {
         let key = FleetKey::new(&settings.common.fleet_key);
         let pool = PeerPool::new(key.clone(), settings.common.host.clone());
         let control = control::spawn(&context, &settings.common, &pool);
         let engine: Arc<dyn ModelEngine> = Arc::new(HttpEngine::new(settings.upstream_address));
         let service: Arc<dyn PlainService> = Arc::new(HttpService::new(settings.upstream_address));
-        let monitor = UpstreamMonitor::spawn(
+        let core = CallCore::spawn(
             &context,
             &settings,
             control.view.clone(),
@@ -48,14 +74,8 @@
         );
         let weights =
             weights::spawn(&context, &settings, control.view.clone(), engine.clone(), &pool);
-        let forward = ForwardHandler::new(
-            &context,
-            &settings,
-            control.view.clone(),
-            monitor,
-            engine,
-            service,
-        );
+        spawn_load_reports(&context, core.clone(), weights.load);
+        let forward = ForwardHandler::new(core, weights.progress, &key, record_options);
         let mut handlers = weights.handlers;
         handlers.push(control.handler);
         handlers.push(forward.clone());
@@ -111,9 +131,13 @@
     }
 }
 
-/// True if the upstream of these settings is a model engine, as far as the configuration in force tells.
-fn is_model(view: &ViewReader, upstream: &str) -> bool {
-    view.get().is_some_and(|view| {
-        view.config.upstream(upstream).is_some_and(|record| record.kind == UpstreamKind::Model)
-    })
+/// Tells the weights part how busy the upstream is; work that waits means that requests are slowed down.
+fn spawn_load_reports(context: &NodeContext, core: Arc<CallCore>, signal: LoadSignal) {
+    context.spawn_traffic(async move {
+        loop {
+            let load = core.admitter.load();
+            signal.report(load.in_use, load.queued > 0);
+            tokio::time::sleep(LOAD_REPORT_INTERVAL).await;
+        }
+    });
 }
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -44,11 +44,19 @@
     /// # Errors
     /// Fails if the operating system refuses a thread.
     pub fn new() -> Result<Self, NodeError> {
-        let traffic = Builder::new_multi_thread()
-            .enable_all()
-            .thread_name("traffic")
-            .build()
-            .context(ThreadsSnafu)?;
+        Self::with_builder(&mut Builder::new_multi_thread())
+    }
+
+    /// Starts the control thread and `count` traffic threads.
+    ///
+    /// # Errors
+    /// Fails as [`NodeThreads::new`] does.
+    pub fn with_traffic_threads(count: usize) -> Result<Self, NodeError> {
+        Self::with_builder(Builder::new_multi_thread().worker_threads(count))
+    }
+
+    fn with_builder(builder: &mut Builder) -> Result<Self, NodeError> {
+        let traffic = builder.enable_all().thread_name("traffic").build().context(ThreadsSnafu)?;
         let control = Builder::new_current_thread().enable_all().build().context(ThreadsSnafu)?;
         let handle = control.handle().clone();
         let stop_control = CancellationToken::new();
@@ -66,6 +74,12 @@
         &self.traffic
     }
 
+    /// Runtime of the control thread.
+    #[must_use]
+    pub fn control(&self) -> &Handle {
+        &self.control
+    }
+
     /// Context for one node on these threads.
     #[must_use]
     pub fn context(&self, clock: Arc<dyn Clock>) -> NodeContext {
@@ -88,6 +102,8 @@
     pub incarnation: Incarnation,
     /// Cancelled when a planned stop begins: no new work from here on.
     pub draining: CancellationToken,
+    /// Cancelled when HTTP connections close as soon as their requests are answered.
+    pub closing: CancellationToken,
     /// Cancelled when every task has to end at once.
     pub killed: CancellationToken,
     control: Handle,
@@ -98,9 +114,15 @@
     /// Creates the context of a node whose control tasks run on `control` and whose traffic runs on `traffic`.
     #[must_use]
     pub fn new(clock: Arc<dyn Clock>, control: Handle, traffic: Handle) -> Self {
-        let draining = CancellationToken::new();
-        let killed = CancellationToken::new();
-        Self { clock, incarnation: rand::random(), draining, killed, control, traffic }
+        Self {
+            clock,
+            incarnation: rand::random(),
+            draining: CancellationToken::new(),
+            closing: CancellationToken::new(),
+            killed: CancellationToken::new(),
+            control,
+            traffic,
+        }
     }
 
     /// Runs a task of control state until it ends or the node is killed.
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -1,31 +1,44 @@
 //! HTTP server shared by the callers' API and the administration API.
 
-use std::{io, sync::Arc, time::Duration};
+use std::{
+    future::{Future, poll_fn},
+    io,
+    pin::Pin,
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use http_body_util::{BodyExt, Full, combinators::BoxBody};
 use hyper::{
-    Request, Response, StatusCode, body::Incoming, header::CONTENT_TYPE, service::service_fn,
-};
-use hyper_util::{
-    rt::{TokioExecutor, TokioIo, TokioTimer},
-    server::conn::auto::Builder,
+    Request, Response, StatusCode,
+    body::Incoming,
+    header::CONTENT_TYPE,
+    server::conn::{http1, http2},
+    service::service_fn,
 };
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use log::{debug, warn};
 use serde::Serialize;
 use tokio::{
+    io::AsyncWriteExt,
     net::{TcpListener, TcpStream},
     sync::Semaphore,
+    time::timeout,
 };
+use tokio_util::sync::CancellationToken;
 
 use crate::context::NodeContext;
 
-const MAX_CONNECTIONS: usize = 8192;
+const MAX_CONNECTIONS: u32 = 8192;
 const MAX_HEADER_BYTES: usize = 16 << 10;
 const MAX_HEADERS: usize = 64;
 /// A caller that takes longer to send its headers is disconnected.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+/// First bytes of every HTTP/2 connection.
+const HTTP2_PREFACE: &[u8; 24] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+const PREFACE_POLL: Duration = Duration::from_millis(10);
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Body of a response; an error cuts the stream in a way that the caller sees.
@@ -37,31 +50,52 @@
     fn handle(&self, request: Request<Incoming>) -> BoxFuture<'_, Response<ResponseBody>>;
 }
 
-/// Serves HTTP/1.1 and HTTP/2 on `listener` until the node is killed; after a planned stop begins, connections close
-/// as soon as their requests are answered.
+/// A running server.
+pub struct HttpServer {
+    permits: Arc<Semaphore>,
+}
+
+impl HttpServer {
+    /// Waits until no connection is open. After [`NodeContext::closing`] is cancelled no new one is accepted.
+    pub async fn closed(&self) {
+        // Each connection holds a permit.
+        let _ = self.permits.acquire_many(MAX_CONNECTIONS).await;
+    }
+}
+
+/// Serves HTTP/1.1 and HTTP/2 on `listener` until the node is killed; from [`NodeContext::closing`] on, connections
+/// close as soon as their requests are answered.
 pub fn spawn_server(
     context: &NodeContext,
     listener: std::net::TcpListener,
     handler: Arc<dyn HttpHandler>,
-) {
+) -> HttpServer {
+    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS as usize));
     let task_context = context.clone();
+    let task_permits = permits.clone();
     context.spawn_traffic(async move {
         let listener =
             TcpListener::from_std(listener).expect("the listener is bound and non-blocking");
-        accept_loop(&task_context, listener, handler).await;
+        let accepting = accept_loop(&task_context, listener, task_permits, handler);
+        task_context.closing.run_until_cancelled(accepting).await;
     });
+    HttpServer { permits }
 }
 
-async fn accept_loop(context: &NodeContext, listener: TcpListener, handler: Arc<dyn HttpHandler>) {
-    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+async fn accept_loop(
+    context: &NodeContext,
+    listener: TcpListener,
+    permits: Arc<Semaphore>,
+    handler: Arc<dyn HttpHandler>,
+) {
     loop {
         let Ok(permit) = permits.clone().acquire_owned().await else { return };
         match listener.accept().await {
             Ok((stream, _)) => {
                 let handler = handler.clone();
-                let draining = context.draining.clone();
+                let closing = context.closing.clone();
                 context.spawn_traffic(async move {
-                    serve(stream, handler, draining).await;
+                    serve(stream, handler, closing).await;
                     drop(permit);
                 });
             }
@@ -73,38 +107,122 @@
     }
 }
 
-async fn serve(
+/// Version of HTTP that a caller speaks.
+enum Protocol {
+    Http1,
+    Http2,
+}
+
+/// Waits until the first bytes tell which version the caller speaks; `None` if they do not arrive.
+async fn detect_protocol(stream: &TcpStream) -> Option<Protocol> {
+    let first_bytes = async {
+        let mut start = [0; HTTP2_PREFACE.len()];
+        loop {
+            let length = stream.peek(&mut start).await.unwrap_or(0);
+            if length == 0 {
+                return None;
+            }
+            if !HTTP2_PREFACE.starts_with(&start[..length]) {
+                return Some(Protocol::Http1);
+            }
+            if length == start.len() {
+                return Some(Protocol::Http2);
+            }
+            tokio::time::sleep(PREFACE_POLL).await;
+        }
+    };
+    timeout(HEADER_TIMEOUT, first_bytes).await.ok().flatten()
+}
+
+async fn serve(mut stream: TcpStream, handler: Arc<dyn HttpHandler>, closing: CancellationToken) {
+    let _ = stream.set_nodelay(true);
+    let outcome = match closing.run_until_cancelled(detect_protocol(&stream)).await {
+        Some(Some(Protocol::Http1)) => serve_http1(stream, handler, closing).await,
+        Some(Some(Protocol::Http2)) => serve_http2(stream, handler, closing).await,
+        Some(None) => {
+            refuse_slow_header(&mut stream).await;
+            return;
+        }
+        None => return,
+    };
+    if let Err(error) = outcome {
+        debug!("event=http_connection_failed error=\"{error}\"");
+    }
+}
+
+async fn serve_http1(
     stream: TcpStream,
     handler: Arc<dyn HttpHandler>,
-    draining: tokio_util::sync::CancellationToken,
-) {
-    let _ = stream.set_nodelay(true);
-    let mut builder = Builder::new(TokioExecutor::new());
-    builder
-        .http1()
+    closing: CancellationToken,
+) -> hyper::Result<()> {
+    let service = service_fn(move |request| answer(handler.clone(), request));
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_TIMEOUT)
         .max_buf_size(MAX_HEADER_BYTES)
-        .max_headers(MAX_HEADERS);
-    builder.http2().timer(TokioTimer::new()).max_header_list_size(MAX_HEADER_BYTES as u32);
-    let service = service_fn(move |request| {
-        let handler = handler.clone();
-        async move { Ok::<_, std::convert::Infallible>(handler.handle(request).await) }
-    });
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
+        .max_headers(MAX_HEADERS)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut closed = std::pin::pin!(closing.cancelled());
+    let mut is_closing = false;
+    let outcome = poll_fn(|task| {
+        if !is_closing && closed.as_mut().poll(task).is_ready() {
+            is_closing = true;
+            Pin::new(&mut connection).graceful_shutdown();
+        }
+        connection.poll_without_shutdown(task)
+    })
+    .await;
+    let parts = connection.into_parts();
+    let mut stream = parts.io.into_inner();
+    // The library closes the connection without a word; an idle connection deserves no more.
+    let slow_header =
+        outcome.as_ref().is_err_and(hyper::Error::is_timeout) && !parts.read_buf.is_empty();
+    if slow_header {
+        refuse_slow_header(&mut stream).await;
+    }
+    let _ = stream.shutdown().await;
+    outcome
+}
+
+async fn serve_http2(
+    stream: TcpStream,
+    handler: Arc<dyn HttpHandler>,
+    closing: CancellationToken,
+) -> hyper::Result<()> {
+    let service = service_fn(move |request| answer(handler.clone(), request));
+    let connection = http2::Builder::new(TokioExecutor::new())
+        .timer(TokioTimer::new())
+        .keep_alive_interval(HEADER_TIMEOUT)
+        .max_header_list_size(MAX_HEADER_BYTES as u32)
+        .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let outcome = tokio::select! {
+    tokio::select! {
         outcome = connection.as_mut() => outcome,
-        () = draining.cancelled() => {
+        () = closing.cancelled() => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
-    };
-    if let Err(error) = outcome {
-        debug!("event=http_connection_failed error=\"{error}\"");
     }
 }
 
+type BoxedAnswer = BoxFuture<'static, Result<Response<ResponseBody>, std::convert::Infallible>>;
+
+fn answer(handler: Arc<dyn HttpHandler>, request: Request<Incoming>) -> BoxedAnswer {
+    Box::pin(async move { Ok(handler.handle(request).await) })
+}
+
+async fn refuse_slow_header(stream: &mut TcpStream) {
+    let fault =
+        CallerFault { error: "header_timeout", detail: "headers have to arrive within 10 s" };
+    let body = serde_json::to_string(&fault).unwrap_or_default();
+    let response = format!(
+        "HTTP/1.1 408 Request Timeout\r\ncontent-type: application/json\r\nconnection: close\r\n\
+         x-outcome: unknown\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len(),
+    );
+    let _ = timeout(HEADER_TIMEOUT, stream.write_all(response.as_bytes())).await;
+}
+
 /// A whole body.
 #[must_use]
 pub fn full_body(bytes: impl Into<Bytes>) -> ResponseBody {
