Report the bytes of the median node in measure control

Cause: the mean is dominated by readers as long as few nodes run, and the maximum is a reader, so neither shows what an ordinary node costs.

Change: one more figure, median_node_bytes_s.

--- a/crates/standin/src/measure/control/figures.rs
+++ b/crates/standin/src/measure/control/figures.rs
@@ -31,6 +31,8 @@
     pub peak_reads_per_s: u64,
     /// Bytes sent and received by a node.
     pub bytes_per_node_s: f64,
+    /// The same for the median node; it is no reader if more than 28 nodes run.
+    pub median_node_bytes_s: f64,
     /// The same for the node with most bytes, which is a reader.
     pub max_node_bytes_s: f64,
     /// Processor time of a node in percent of a core.
--- a/crates/standin/src/measure/control/run.rs
+++ b/crates/standin/src/measure/control/run.rs
@@ -206,8 +206,15 @@
         let cpu = usage::thread_seconds("node") - cpu;
         let calls = self.service.calls() - calls;
         let after = self.totals();
-        let most_bytes = self.node_bytes().into_iter().zip(bytes_before);
-        let most_bytes = most_bytes.map(|(after, before)| after.saturating_sub(before)).max();
+        let mut node_bytes: Vec<_> = self
+            .node_bytes()
+            .into_iter()
+            .zip(bytes_before)
+            .map(|(after, before)| after.saturating_sub(before))
+            .collect();
+        node_bytes.sort_unstable();
+        let bytes_at =
+            |position: usize| node_bytes.get(position).map_or(0.0, |bytes| *bytes as f64);
         let rss_mb = usage::resident_mb() - rss_before - *lock(&self.published_bytes) as f64 / 1e6;
         self.wait_settled().await;
         let tracks = self.take_tracks();
@@ -230,7 +237,8 @@
             reads_per_s: rounded(calls as f64 / elapsed),
             peak_reads_per_s: self.service.peak_calls_per_second(),
             bytes_per_node_s: rounded((after.bytes - totals.bytes) as f64 / per_node_s),
-            max_node_bytes_s: rounded(most_bytes.unwrap_or(0) as f64 / elapsed),
+            median_node_bytes_s: rounded(bytes_at(self.options.nodes / 2) / elapsed),
+            max_node_bytes_s: rounded(bytes_at(self.options.nodes - 1) / elapsed),
             cpu_pct_per_node: rounded(cpu * 100.0 / per_node_s),
             rss_mb_per_node: rounded(rss_mb / self.options.nodes as f64),
             messages_per_node_s: rounded((after.messages - totals.messages) as f64 / per_node_s),
