Let an isolated process read the configuration service

Cause: a process whose neighbours and seeds had all been replaced never heard of a change again, because only readers read the service and an old host list names only lost addresses.

Change: after 10 s without any exchange a process reads the service and the host list itself, every 10 to 30 s at random. If a fault isolated all 6,720 processes at once, they would cause at most 700 calls a second.

--- a/crates/spread/src/core.rs
+++ b/crates/spread/src/core.rs
@@ -17,7 +17,7 @@
     },
     line::{Arrival, DocumentLine},
     neighbours::{Neighbour, choose_neighbours, reader_ranking},
-    reader::ReaderRole,
+    reader::{IsolationWatch, ReaderRole},
     refresh::{ASKED_PEERS, Refresh, RefreshCause},
     report::SpreadReport,
 };
@@ -53,6 +53,7 @@
     neighbours: Vec<Neighbour>,
     readers: Vec<SocketAddr>,
     role: ReaderRole,
+    isolation: IsolationWatch,
     refresh: Option<Refresh>,
     last_tick: Instant,
     next_exchange: Instant,
@@ -69,7 +70,7 @@
     /// Creates the core of a process that has just started and holds nothing.
     #[must_use]
     pub fn new(options: SpreadOptions, mut rng: Box<dyn Rng + Send>, now: Instant) -> Self {
-        let refresh = Refresh::new(now, start_cause(&options), &mut *rng);
+        let refresh = Refresh::new(now, RefreshCause::of_start(&options), &mut *rng);
         let phase = rng.random_range(Duration::ZERO..EXCHANGE_INTERVAL);
         Self {
             options,
@@ -78,6 +79,7 @@
             neighbours: Vec::new(),
             readers: Vec::new(),
             role: ReaderRole::new(now),
+            isolation: IsolationWatch::new(now),
             refresh: Some(refresh),
             last_tick: now,
             next_exchange: now + phase,
@@ -161,7 +163,10 @@
         self.detect_pause(now);
         match event {
             SpreadEvent::Tick => self.last_tick = now,
-            SpreadEvent::ExchangeReceived(summary) => self.learn(now, summary.peer, &summary),
+            SpreadEvent::ExchangeReceived(summary) => {
+                self.isolation.record_contact(now);
+                self.learn(now, summary.peer, &summary);
+            }
             SpreadEvent::ExchangeAnswered { peer, asked, summary } => {
                 self.exchange_answered(now, peer, asked, &summary);
             }
@@ -187,7 +192,8 @@
         self.last_tick = now;
         self.role.restart(now);
         let starting = self.config.held.is_none();
-        let cause = if starting { start_cause(&self.options) } else { RefreshCause::Pause };
+        let cause =
+            if starting { RefreshCause::of_start(&self.options) } else { RefreshCause::Pause };
         self.refresh = Some(Refresh::new(now, cause, &mut *self.rng));
         self.actions.push(SpreadAction::SetFresh(false));
         self.report(SpreadReport::Paused { gap });
@@ -236,6 +242,7 @@
         summary: &ExchangeSummary,
     ) {
         self.failures = 0;
+        self.isolation.record_contact(now);
         self.learn(now, peer, summary);
         if let Some(refresh) = self.refresh.as_mut().filter(|refresh| refresh.covers(asked)) {
             refresh.record_answer(peer, summary.config, summary.hosts_version);
@@ -356,7 +363,7 @@
         // Without listed hosts nobody would read for this data centre. Only seeds stand in, because every process of
         // the fleet sees the same empty list.
         let stands_alone =
-            ranking.is_empty() && start_cause(&self.options) == RefreshCause::SeedStart;
+            ranking.is_empty() && RefreshCause::of_start(&self.options) == RefreshCause::SeedStart;
         let rank = rank.or(stands_alone.then_some(0));
         // A process that listens on every address is known to others by the one in the list.
         let own_record = held.value.hosts.iter().find(|record| record.id == *own);
@@ -421,6 +428,7 @@
             Some(due) => (due, false),
             None => self.role.reads(now),
         };
+        let reads = reads || self.isolation.read_due(now, &mut *self.rng);
         if took_over && let Some(rank) = self.role.rank() {
             self.report(SpreadReport::TookOver { rank });
         }
@@ -486,10 +494,3 @@
         }
     }
 }
-
-/// A process that has nobody else to ask, or that the others ask first, reads the service early.
-fn start_cause(options: &SpreadOptions) -> RefreshCause {
-    let has_others = options.seeds.iter().any(|seed| *seed != options.peer);
-    let is_seed = options.seeds.contains(&options.peer);
-    if is_seed || !has_others { RefreshCause::SeedStart } else { RefreshCause::Start }
-}
--- a/crates/spread/src/reader.rs
+++ b/crates/spread/src/reader.rs
@@ -10,6 +10,10 @@
 const TAKEOVER_STEP: Duration = Duration::from_secs(2);
 /// Time for which a takeover lasts; without it, the own reads would end the takeover at once.
 const TAKEOVER_HOLD: Duration = Duration::from_secs(30);
+/// Time without any peer after which a process counts as isolated.
+const ISOLATED_AFTER: Duration = Duration::from_secs(10);
+/// Range of the interval between reads of an isolated process; 6,720 of them cause at most 700 calls a second.
+const ISOLATED_INTERVAL: (Duration, Duration) = (Duration::from_secs(10), Duration::from_secs(30));
 /// Back-off after the first failed read; doubles with each further failure.
 const FIRST_BACKOFF: Duration = Duration::from_secs(1);
 /// Longest back-off.
@@ -147,3 +151,34 @@
         (due, due)
     }
 }
+
+/// Lets a process read the service that no peer talks to, for example because every address it knows was replaced.
+#[derive(Debug)]
+pub(crate) struct IsolationWatch {
+    last_contact: Instant,
+    next_read: Option<Instant>,
+}
+
+impl IsolationWatch {
+    pub(crate) fn new(now: Instant) -> Self {
+        Self { last_contact: now, next_read: None }
+    }
+
+    pub(crate) fn record_contact(&mut self, now: Instant) {
+        self.last_contact = now;
+        self.next_read = None;
+    }
+
+    /// True if a read is due. The interval is long and random, because a fault may isolate every process at once.
+    pub(crate) fn read_due(&mut self, now: Instant, rng: &mut dyn Rng) -> bool {
+        if now.saturating_duration_since(self.last_contact) < ISOLATED_AFTER {
+            return false;
+        }
+        let due = self.next_read.is_some_and(|at| now >= at);
+        if due || self.next_read.is_none() {
+            let (shortest, longest) = ISOLATED_INTERVAL;
+            self.next_read = Some(now + rng.random_range(shortest..=longest));
+        }
+        due
+    }
+}
--- a/crates/spread/src/refresh.rs
+++ b/crates/spread/src/refresh.rs
@@ -8,7 +8,7 @@
 use base::Revision;
 use rand::{Rng, RngExt};
 
-use crate::document::DocumentOrder;
+use crate::{document::DocumentOrder, event::SpreadOptions};
 
 /// Peers asked in one round.
 pub(crate) const ASKED_PEERS: usize = 4;
@@ -28,6 +28,13 @@
 }
 
 impl RefreshCause {
+    /// A process that has nobody else to ask, or that the others ask first, reads the service early.
+    pub(crate) fn of_start(options: &SpreadOptions) -> Self {
+        let has_others = options.seeds.iter().any(|seed| *seed != options.peer);
+        let is_seed = options.seeds.contains(&options.peer);
+        if is_seed || !has_others { Self::SeedStart } else { Self::Start }
+    }
+
     /// Range of the delay before the first read of the service.
     ///
     /// When the whole fleet restarts at once, the few seeds read and hand on what they read. If all seeds are lost too,
--- a/crates/spread/tests/faults.rs
+++ b/crates/spread/tests/faults.rs
@@ -282,3 +282,17 @@
     fleet.run(10 * SECOND);
     assert!(fleet.service.reads <= 20 * 3 * 2, "{} reads", fleet.service.reads);
 }
+
+#[test]
+fn process_that_no_peer_talks_to_reads_the_service_itself() {
+    let mut fleet = Fleet::started(48, 20);
+    let index = fleet.cores.iter().find(|(_, core)| core.reader_rank().is_none()).unwrap();
+    let index = *index.0;
+    fleet.cut.insert(index);
+    fleet.service.publish(2);
+    let took = fleet.run_until(60 * SECOND, |fleet| fleet.all_at(2));
+    assert!(took.is_some_and(|took| took <= 45 * SECOND), "{took:?}");
+    fleet.service.reads = 0;
+    fleet.run(60 * SECOND);
+    assert!(fleet.service.reads <= 60 * 3 * 2 * 2 + 40, "{} reads", fleet.service.reads);
+}
