Prove at-most-once with separate processes

Cause: bookings were tested inside one process only. Change: four tests with real processes: a key sent again through another entry at once and late, an owner that was killed and restarted, an answer lost between service and agent, an entry suspended with a booking in its hands. Conclusion: the key that names its owner's incarnation holds across kills and pauses of real processes.

--- a/crates/cli/tests/processes.rs
+++ b/crates/cli/tests/processes.rs
@@ -5,6 +5,7 @@
 
 use std::time::{Duration, Instant};
 
+use config::HostRole;
 use fleet::{ProcessFleet, Reply};
 
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(20);
@@ -79,3 +80,79 @@
     let reply: Reply = fleet.answered(1, "without the service", 5, ANSWER_TIMEOUT).await;
     assert!(reply.is_whole(&fleet.manifest(), "without the service", 5), "{reply:?}");
 }
+
+/// Guards against a booking that runs twice when its caller sends it again through another entry, at once and late.
+#[tokio::test(flavor = "multi_thread")]
+async fn resent_booking_runs_once() {
+    let fleet = ProcessFleet::start("resent-booking").await;
+    // Both entries must be ready, or the second answers "unknown" while it starts.
+    fleet.draw_key(1).await;
+    let key = fleet.draw_key(0).await;
+    let (first, second) =
+        tokio::join!(fleet.book(0, &key, "visit-1"), fleet.book(1, &key, "visit-1"));
+    assert_eq!((first.status, second.status), (200, 200), "{first:?} {second:?}");
+    assert_eq!(first.body, second.body);
+    let late = fleet.book(1, &key, "visit-1").await;
+    assert_eq!((late.status, late.body), (200, first.body));
+    assert_eq!(fleet.runs_of("visit-1"), 1);
+}
+
+/// Guards against an agent that runs a booking again because its restart lost the record.
+#[tokio::test(flavor = "multi_thread")]
+async fn booking_is_unknown_after_its_owner_restarted() {
+    let mut fleet = ProcessFleet::start("restarted-owner").await;
+    let key = fleet.draw_key(0).await;
+    assert_eq!(fleet.book(0, &key, "visit-2").await.status, 200);
+    fleet.kill("booking-0");
+    let gone = fleet.book(0, &key, "visit-2").await;
+    assert_eq!(gone.status, 504, "{gone:?}");
+    fleet.spawn("booking-0", HostRole::Agent);
+    let fresh = loop {
+        let fresh = fleet.draw_key(1).await;
+        if fleet.book(1, &fresh, "visit-3").await.status == 200 {
+            break fresh;
+        }
+    };
+    let old = fleet.book(1, &key, "visit-2").await;
+    assert!(old.status == 504 && old.body.contains("owner_gone"), "{old:?}");
+    assert_eq!((fleet.runs_of("visit-2"), fleet.runs_of("visit-3")), (1, 1));
+    assert_ne!(fresh, key);
+}
+
+/// Guards against a second run when the answer of the first is lost between service and agent.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answer_is_unknown_and_not_run_again() {
+    let fleet = ProcessFleet::start("lost-answer").await;
+    let key = fleet.draw_key(0).await;
+    fleet.booking.lose_answers(1);
+    let lost = fleet.book(0, &key, "visit-4").await;
+    assert_eq!(lost.status, 504, "{lost:?}");
+    let again = fleet.book(1, &key, "visit-4").await;
+    assert_eq!(again.status, 504, "{again:?}");
+    assert_eq!(fleet.runs_of("visit-4"), 1);
+}
+
+/// Guards against an entry that wakes up after a pause and forwards a booking that its caller has settled elsewhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn paused_entry_does_not_double_a_booking() {
+    let fleet = ProcessFleet::start("paused-entry").await;
+    fleet.draw_key(1).await;
+    let key = fleet.draw_key(0).await;
+    fleet.signal("entry-0", "STOP");
+    let (paused, other) = tokio::join!(
+        async {
+            let reply = fleet.book(0, &key, "visit-5");
+            tokio::time::timeout(Duration::from_secs(8), reply).await
+        },
+        async {
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            let other = fleet.book(1, &key, "visit-5").await;
+            tokio::time::sleep(Duration::from_millis(2_500)).await;
+            fleet.signal("entry-0", "CONT");
+            other
+        }
+    );
+    assert_eq!(other.status, 200, "{other:?}");
+    assert!(paused.is_ok_and(|reply| reply.status == 200 || reply.status == 504));
+    assert_eq!(fleet.runs_of("visit-5"), 1);
+}
--- a/crates/cli/tests/support/fleet.rs
+++ b/crates/cli/tests/support/fleet.rs
@@ -236,6 +236,38 @@
         send(self.entries[entry], Method::GET, path, &[], Bytes::new()).await
     }
 
+    /// Draws a request key from an entry.
+    pub async fn draw_key(&self, entry: usize) -> String {
+        let body = json!({"service": "booking", "team": "survey-north", "count": 1}).to_string();
+        let deadline = Instant::now() + Duration::from_secs(20);
+        loop {
+            let address = self.entries[entry];
+            let headers = [("x-team", "survey-north")];
+            let reply =
+                send(address, Method::POST, "/v1/keys", &headers, body.clone().into()).await;
+            let answer: Value = serde_json::from_str(&reply.body).unwrap_or_default();
+            if let Some(key) = answer["keys"][0].as_str() {
+                return key.to_owned();
+            }
+            assert!(Instant::now() < deadline, "{reply:?}");
+            tokio::time::sleep(RETRY_DELAY).await;
+        }
+    }
+
+    /// Sends a booking with a key.
+    pub async fn book(&self, entry: usize, key: &str, reference: &str) -> Reply {
+        let headers = [("x-team", "survey-north"), ("x-request-key", key)];
+        let body = json!({"reference": reference, "attempt": reference}).to_string();
+        let path = "/v1/services/booking/bookings";
+        send(self.entries[entry], Method::POST, path, &headers, body.into()).await
+    }
+
+    /// How often the booking service ran a reference.
+    pub fn runs_of(&self, reference: &str) -> usize {
+        let records = self.booking.gauge().log().records();
+        records.iter().filter(|record| record.reference == reference).count()
+    }
+
     /// Starts a generate request in the background.
     pub fn start_generate(&self, entry: usize, prompt: &str, tokens: u64) -> JoinHandle<Reply> {
         let address = self.entries[entry];
