Give each process test addresses of its own

The logs show "Address already in use": ports that were free when they were chosen had been taken by connections of other tests when the processes started. Ruled out: a fault of the system (in the failed runs processes had not started at all). Change: each test uses a loopback host of its own with ports below the ephemeral range.

--- a/crates/cli/tests/support/fleet.rs
+++ b/crates/cli/tests/support/fleet.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::HashMap,
     fs,
-    net::{SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::Arc,
@@ -23,6 +23,7 @@
 };
 use tokio::task::JoinHandle;
 
+const FIRST_PORT: u16 = 7000;
 const ENTRIES: usize = 2;
 const ENGINES: usize = 2;
 const WEIGHT_BYTES: usize = 4 << 20;
@@ -105,13 +106,13 @@
             children: HashMap::new(),
             folder,
         };
-        fleet.start_processes();
+        fleet.start_processes(name);
         fleet
     }
 
-    fn start_processes(&mut self) {
+    fn start_processes(&mut self, name: &str) {
         let count = ENTRIES + ENGINES + 1;
-        let ports = free_addresses(3 * count);
+        let ports = own_addresses(name, 3 * count);
         let seeds: Vec<_> = ports.chunks(3).map(|ports| ports[0]).collect();
         let mut hosts = Vec::new();
         for (index, ports) in ports.chunks(3).enumerate() {
@@ -332,10 +333,13 @@
     }
 }
 
-/// Addresses with ports that are free now; other tests may take one before it is used, which the start would show.
-fn free_addresses(count: usize) -> Vec<SocketAddr> {
-    let listeners: Vec<_> = (0..count).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
-    listeners.iter().map(|listener| listener.local_addr().unwrap()).collect()
+/// Addresses on a loopback host of the test's own. Ports below the ephemeral range cannot be taken by a connection of
+/// another test, which ports that were merely free a moment ago can.
+fn own_addresses(name: &str, count: usize) -> Vec<SocketAddr> {
+    let seed = ContentDigest::of(format!("{name} {}", std::process::id()).as_bytes());
+    let [second, third, ..] = *seed.as_bytes();
+    let host = Ipv4Addr::new(127, 10 + second % 240, third, 250);
+    (0..count).map(|index| SocketAddr::from((host, FIRST_PORT + index as u16))).collect()
 }
 
 fn fleet_config(image: &WeightImage) -> FleetConfig {
