Send nothing to an upstream incarnation that is known to have crashed

Cause: a suspect that waited for its turn in isolation behind the request that crashed the upstream was sent to what was left of it, and counted as a second crash, in isolation. A request that had merely shared one upstream with the crashing request was then refused for ten minutes. Change: the agent refuses what it takes from the queue as "not run" while the upstream's incarnation is the one whose crash it has recorded. A test that forces the order of events is still missing.

--- a/crates/node/src/agent/core.rs
+++ b/crates/node/src/agent/core.rs
@@ -188,6 +188,11 @@
         if self.gate.is_stale() {
             return Err(self.refusal(RefusalReason::Refreshing));
         }
+        // What waited behind the request that crashed the upstream must not be sent to what is left of it: it would
+        // count as in flight at the crash.
+        if self.crashes.has_crashed(self.monitor.get().incarnation) {
+            return Err(self.refusal(RefusalReason::NotReady));
+        }
         self.check_target(forward)?;
         self.needs_isolation(fingerprint)
     }
--- a/crates/node/src/agent/crash.rs
+++ b/crates/node/src/agent/crash.rs
@@ -57,6 +57,12 @@
         crashed
     }
 
+    /// True if this incarnation of the upstream is known to have crashed.
+    #[must_use]
+    pub fn has_crashed(&self, incarnation: Incarnation) -> bool {
+        self.lock().last_crashed == Some(incarnation)
+    }
+
     /// Waits until the upstream names another incarnation, which means that work sent to `incarnation` is lost.
     pub async fn replaced(&self, incarnation: Incarnation) {
         let mut upstream = self.monitor.subscribe();
