Compare own turn with fixed waves in the core; count hosts that still fetch

Change: every host before this one that serves the old version counts. The announcement before the switch is no longer needed.

--- a/crates/node/src/weights/activate.rs
+++ b/crates/node/src/weights/activate.rs
@@ -142,7 +142,7 @@
                 rollout.probe(&self.pool, &view, served).await;
                 state.next_probe = now + PROBE_INTERVAL;
             }
-            let open = rollout.is_open(now, &view, served, is_whole, serves_old);
+            let open = rollout.is_open(&view, served, is_whole, serves_old);
             let gate = ActivationEvent::Gate { model: served.model.clone(), open };
             state.control.handle(now, gate);
         }
--- a/crates/node/src/weights/rollout.rs
+++ b/crates/node/src/weights/rollout.rs
@@ -14,8 +14,6 @@
 /// move along the order.
 const MAX_PROBES: usize = 16;
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time between holding the new version and leaving the old one; longer than a round of probes of the other hosts.
-const ANNOUNCE: Duration = Duration::from_secs(1);
 
 /// Change of version of one model on this host.
 pub(super) struct ModelRollout {
@@ -33,7 +31,7 @@
             model: served.model.clone(),
             manifest: served.manifest,
             own: own.clone(),
-            gate: RolloutGate::new(RolloutPolicy::OwnTurn, own.clone(), floor, ANNOUNCE),
+            gate: RolloutGate::new(RolloutPolicy::OwnTurn, own.clone(), floor),
             phases: HashMap::new(),
         }
     }
@@ -45,17 +43,16 @@
     /// Decides whether this host may switch. `serves_old` is true if its engine names another version of the model.
     pub fn is_open(
         &mut self,
-        now: std::time::Instant,
         view: &FleetView,
         served: &ServedModel,
         is_whole: bool,
         serves_old: bool,
     ) -> bool {
-        self.gate.set_whole(now, is_whole);
+        self.gate.set_whole(is_whole);
         if !serves_old {
             return true;
         }
-        self.gate.is_open(now, &self.rollout_view(view, served))
+        self.gate.is_open(&self.rollout_view(view, served))
     }
 
     fn rollout_view(&self, view: &FleetView, served: &ServedModel) -> RolloutView {
--- a/crates/standin/src/measure/weights.rs
+++ b/crates/standin/src/measure/weights.rs
@@ -5,6 +5,7 @@
 mod host;
 mod naive;
 mod net;
+mod rollout;
 mod run;
 mod sim;
 
@@ -16,6 +17,7 @@
 pub use self::{
     fault::FaultKind,
     naive::{NaiveFigures, run_naive},
+    rollout::{RolloutFigures, simulate_rollout},
     run::{RunFigures, RunOptions, run_fleet},
     sim::{FleetSim, SimFigures},
 };
--- a/crates/standin/src/measure/weights/core.rs
+++ b/crates/standin/src/measure/weights/core.rs
@@ -4,7 +4,29 @@
 
 use serde_json::{Value, json};
 
-use super::{FaultKind, FleetSim, RunOptions, cpu_seconds, peak_rss_mb, rounded};
+use weights::RolloutPolicy;
+
+use super::{
+    FaultKind, FleetSim, RolloutFigures, RunOptions, cpu_seconds, peak_rss_mb, rounded,
+    simulate_rollout,
+};
+
+/// Replicas of the simulated change of version, and how many of them have to stay ready.
+const ROLLOUT_SIZES: [(usize, usize); 2] = [(30, 24), (300, 270)];
+
+/// Compares the policies of rolling changes, without and with hosts that die meanwhile.
+fn rollouts(seed: u64) -> Vec<RolloutFigures> {
+    let policies = [RolloutPolicy::OwnTurn, RolloutPolicy::FixedWaves];
+    let mut figures = Vec::new();
+    for (hosts, floor) in ROLLOUT_SIZES {
+        for deaths in [0, hosts / 30] {
+            for policy in policies {
+                figures.push(simulate_rollout(policy, hosts, floor, deaths, seed));
+            }
+        }
+    }
+    figures
+}
 
 /// Runs a simulated fleet and reports its figures.
 #[expect(clippy::cast_precision_loss, reason = "sizes are far below 2^52 bytes")]
@@ -37,6 +59,7 @@
         "wall_s": rounded(started.elapsed().as_secs_f64()),
         "fault": options.fault.map_or("none", FaultKind::name),
         "fault_times": options.fault_times,
+        "rollouts": rollouts(options.seed),
         "seed": options.seed,
     })
 }
--- a/crates/standin/src/measure/weights/host.rs
+++ b/crates/standin/src/measure/weights/host.rs
@@ -27,7 +27,7 @@
 const TICK: Duration = Duration::from_millis(5);
 
 /// Idle channels kept for each peer; 400 hosts in one process otherwise use up its file descriptors.
-const MAX_IDLE_CHANNELS: usize = 1;
+const MAX_IDLE_CHANNELS: usize = 2;
 
 /// Switches of the faults of one host.
 #[derive(Debug, Default)]
--- a/crates/weights/src/rollout.rs
+++ b/crates/weights/src/rollout.rs
@@ -1,7 +1,5 @@
 //! Rolling change of version: when this host may leave the old version, so that enough upstreams stay ready.
 
-use std::time::{Duration, Instant};
-
 use base::UpstreamId;
 
 /// State of one upstream of a model during a change of version, as far as this host knows.
@@ -9,7 +7,7 @@
 pub enum UpstreamPhase {
     /// Not in the host list, or suspected.
     Gone,
-    /// Serves the old version and does not hold the new one whole; it cannot switch yet.
+    /// Serves the old version and does not hold the new one whole.
     Fetching,
     /// Serves the old version and may switch at any moment.
     Waiting,
@@ -38,37 +36,33 @@
     policy: RolloutPolicy,
     own: UpstreamId,
     floor: usize,
-    /// Time between holding the new version whole and switching: others have to see this host as waiting first, so it
-    /// must exceed the lag of their view.
-    announce: Duration,
-    whole_since: Option<Instant>,
+    is_whole: bool,
 }
 
 impl RolloutGate {
     /// Creates the gate of one model. `floor` is the number of ready upstreams to keep.
     #[must_use]
-    pub fn new(policy: RolloutPolicy, own: UpstreamId, floor: usize, announce: Duration) -> Self {
-        Self { policy, own, floor, announce, whole_since: None }
+    pub fn new(policy: RolloutPolicy, own: UpstreamId, floor: usize) -> Self {
+        Self { policy, own, floor, is_whole: false }
     }
 
     /// Records whether the new version is held whole.
-    pub fn set_whole(&mut self, now: Instant, whole: bool) {
-        self.whole_since = if whole { self.whole_since.or(Some(now)) } else { None };
+    pub fn set_whole(&mut self, whole: bool) {
+        self.is_whole = whole;
     }
 
     /// True if this host may switch now. A host that serves nothing may always load: that cannot reduce the number of
     /// ready upstreams.
     #[must_use]
-    pub fn is_open(&self, now: Instant, view: &RolloutView) -> bool {
-        let Some(whole_since) = self.whole_since else { return false };
+    pub fn is_open(&self, view: &RolloutView) -> bool {
+        if !self.is_whole {
+            return false;
+        }
         let own = view.iter().position(|(id, _)| *id == self.own);
         let Some(position) = own else { return true };
         if !matches!(view[position].1, UpstreamPhase::Waiting | UpstreamPhase::Fetching) {
             return true;
         }
-        if now.saturating_duration_since(whole_since) < self.announce {
-            return false;
-        }
         match self.policy {
             RolloutPolicy::OwnTurn => self.is_own_turn(view, position),
             RolloutPolicy::FixedWaves => self.is_own_wave(view, position),
@@ -78,7 +72,11 @@
     fn is_own_turn(&self, view: &RolloutView, position: usize) -> bool {
         let ready = view.iter().filter(|(_, phase)| phase.is_ready()).count();
         let spare = ready.saturating_sub(self.floor);
-        let waiting = view[..position].iter().filter(|(_, phase)| *phase == UpstreamPhase::Waiting);
+        // Hosts before this one that still serve the old version may leave it at any moment, those included that do not
+        // hold the new one yet: this host does not watch the hosts behind it, so neither could they later.
+        let waiting = view[..position]
+            .iter()
+            .filter(|(_, phase)| matches!(phase, UpstreamPhase::Waiting | UpstreamPhase::Fetching));
         if spare > 0 {
             return waiting.count() < spare;
         }
--- a/crates/weights/src/upload.rs
+++ b/crates/weights/src/upload.rs
@@ -87,7 +87,7 @@
         };
         if self.in_service >= places {
             let waiting = u32::try_from(self.in_service).unwrap_or(u32::MAX);
-            return UploadVerdict::Busy((chunk_time * waiting / 2).max(Duration::from_millis(1)));
+            return UploadVerdict::Busy((chunk_time * waiting).max(Duration::from_millis(1)));
         }
         let window = self
             .windows
--- a/crates/weights/tests/rollout.rs
+++ b/crates/weights/tests/rollout.rs
@@ -1,13 +1,9 @@
 //! Rolling changes of version: the floor of ready upstreams, in any order of observations.
 
-use std::time::{Duration, Instant};
-
 use base::UpstreamId;
 use proptest::prelude::*;
 use weights::{RolloutGate, RolloutPolicy, RolloutView, UpstreamPhase};
 
-const ANNOUNCE: Duration = Duration::from_secs(1);
-
 fn id(index: usize) -> UpstreamId {
     format!("u{index:02}").into()
 }
@@ -17,22 +13,29 @@
 }
 
 fn may_switch(policy: RolloutPolicy, floor: usize, own: usize, phases: &[UpstreamPhase]) -> bool {
-    let start = Instant::now();
-    let mut gate = RolloutGate::new(policy, id(own), floor, ANNOUNCE);
-    gate.set_whole(start, true);
-    gate.is_open(start + ANNOUNCE, &view(phases))
+    let mut gate = RolloutGate::new(policy, id(own), floor);
+    gate.set_whole(true);
+    gate.is_open(&view(phases))
 }
 
-/// Guards against a host that leaves the old version before it holds the new one or before others can know.
+/// Guards against a host that leaves the old version before it holds the new one.
 #[test]
-fn gate_stays_closed_until_the_version_is_whole_and_announced() {
-    let start = Instant::now();
+fn gate_stays_closed_until_the_version_is_whole() {
     let phases = view(&[UpstreamPhase::Waiting; 4]);
-    let mut gate = RolloutGate::new(RolloutPolicy::OwnTurn, id(0), 1, ANNOUNCE);
-    assert!(!gate.is_open(start + ANNOUNCE * 9, &phases));
-    gate.set_whole(start, true);
-    assert!(!gate.is_open(start + ANNOUNCE / 2, &phases));
-    assert!(gate.is_open(start + ANNOUNCE, &phases));
+    let mut gate = RolloutGate::new(RolloutPolicy::OwnTurn, id(0), 1);
+    assert!(!gate.is_open(&phases));
+    gate.set_whole(true);
+    assert!(gate.is_open(&phases));
+    gate.set_whole(false);
+    assert!(!gate.is_open(&phases));
+}
+
+/// Guards against two hosts that leave together because the first one was still fetching when the second one decided.
+#[test]
+fn hosts_before_this_one_count_while_they_fetch() {
+    use UpstreamPhase::{Fetching, Waiting};
+    assert!(!may_switch(RolloutPolicy::OwnTurn, 2, 1, &[Fetching, Waiting, Waiting]));
+    assert!(may_switch(RolloutPolicy::OwnTurn, 1, 1, &[Fetching, Waiting, Waiting]));
 }
 
 /// Guards against a change that falls below the floor because an upstream is down.
@@ -70,8 +73,9 @@
             _ => UpstreamPhase::Waiting,
         }).collect();
         let ready = phases.iter().filter(|phase| phase.is_ready()).count();
-        let waiting = (0..phases.len()).filter(|own| phases[*own] == UpstreamPhase::Waiting);
-        let switching = waiting.filter(|own| may_switch(RolloutPolicy::OwnTurn, floor, *own, &phases)).count();
+        let old = [UpstreamPhase::Waiting, UpstreamPhase::Fetching];
+        let old = (0..phases.len()).filter(|own| old.contains(&phases[*own]));
+        let switching = old.filter(|own| may_switch(RolloutPolicy::OwnTurn, floor, *own, &phases)).count();
         if ready > floor {
             prop_assert!(ready - switching >= floor);
         } else {
