--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod layout;
 pub mod network;
+mod platform;
 mod threads;
 
 use std::{
@@ -13,37 +14,22 @@
 
 use base::{HostId, SystemClock};
 use compact_str::{CompactString, ToCompactString};
-use config::{AgentSettings, EntrySettings, FleetConfig, HostList, settings::CommonSettings};
+use config::{AgentSettings, EntrySettings, settings::CommonSettings};
 use node::{AgentNode, EntryNode, NodeContext, NodeListeners};
 use tokio::runtime::Handle;
 
-use self::{
-    layout::{FleetLayout, HostPlan},
-    network::PeerNetwork,
-    threads::HostThreads,
-};
+pub use self::platform::{FleetPlatform, FleetUpstream, wait_until};
+use self::{layout::HostPlan, network::PeerNetwork, platform::LOOK_INTERVAL, threads::HostThreads};
 use crate::{
     error::StandinError,
     http::lock,
-    observer::UpstreamWork,
-    platform::{
-        catalog::WeightCatalog,
-        config_service::ConfigService,
-        engine::{EngineOptions, ModelEngine},
-        service::{PlainService, ServiceOptions},
-        weight_store::{StoreOptions, WeightStore},
-        work::LoadGauge,
-    },
+    platform::{engine::EngineOptions, service::ServiceOptions, weight_store::StoreOptions},
 };
 
-/// Lag of the host list.
-const HOST_LAG: Duration = Duration::from_secs(3);
 /// Peers that a process asks first after a start.
 const SEEDS: usize = 3;
 /// Longest wait for the listeners of a stopped node.
 const RESTART_LIMIT: Duration = Duration::from_secs(3);
-/// Interval between two looks at a state that is waited for.
-const LOOK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// How a fleet on loopback behaves.
 #[derive(Clone, Debug)]
@@ -80,33 +66,6 @@
     }
 }
 
-/// Upstream of a host.
-#[derive(Debug)]
-pub enum FleetUpstream {
-    /// A model engine.
-    Engine(ModelEngine),
-    /// A plain service.
-    Service(PlainService),
-}
-
-/// The stand-ins of a fleet.
-pub struct FleetPlatform {
-    /// Hosts.
-    pub layout: FleetLayout,
-    /// Known weights.
-    pub catalog: Arc<WeightCatalog>,
-    /// Configuration service and host list.
-    pub config_service: ConfigService,
-    /// Weight store.
-    pub store: WeightStore,
-    /// Origin.
-    pub origin: WeightStore,
-    /// Upstreams, in the order of the layout's agents.
-    pub upstreams: Vec<FleetUpstream>,
-    config: Mutex<FleetConfig>,
-    hosts: Mutex<HostList>,
-}
-
 /// Entries and agents of a fleet, on top of its stand-ins.
 pub struct StandinFleet {
     /// The stand-ins.
@@ -121,157 +80,6 @@
     replaced: Mutex<HashMap<usize, HostPlan>>,
 }
 
-impl FleetUpstream {
-    /// Load and runs.
-    #[must_use]
-    pub fn gauge(&self) -> &Arc<LoadGauge> {
-        match self {
-            Self::Engine(engine) => engine.gauge(),
-            Self::Service(service) => service.gauge(),
-        }
-    }
-
-    /// The engine, if it is one.
-    #[must_use]
-    pub fn engine(&self) -> Option<&ModelEngine> {
-        match self {
-            Self::Engine(engine) => Some(engine),
-            Self::Service(_) => None,
-        }
-    }
-}
-
-impl FleetPlatform {
-    /// Starts the stand-ins.
-    ///
-    /// # Errors
-    /// Fails if an address cannot be listened on.
-    pub async fn start(layout: FleetLayout, options: &FleetOptions) -> Result<Self, StandinError> {
-        let catalog = Arc::new(WeightCatalog::default());
-        let block = layout.block;
-        let config_service = ConfigService::start(block.platform(), HOST_LAG).await?;
-        let store = options.store.clone();
-        let store = WeightStore::start(block.store(), Arc::clone(&catalog), store).await?;
-        let origin = options.store.clone();
-        let origin = WeightStore::start(block.origin(), Arc::clone(&catalog), origin).await?;
-        let mut upstreams = Vec::new();
-        for plan in &layout.agents {
-            upstreams.push(start_upstream(plan, &layout, options, &catalog).await?);
-        }
-        let hosts = layout.host_list();
-        config_service.set_hosts(&hosts);
-        let config = Mutex::new(layout.config());
-        let hosts = Mutex::new(hosts);
-        Ok(Self { layout, catalog, config_service, store, origin, upstreams, config, hosts })
-    }
-
-    /// Changes the configuration and publishes it under the next revision; returns when it was published.
-    pub fn publish(&self, change: impl FnOnce(&mut FleetConfig)) -> Instant {
-        let mut config = lock(&self.config);
-        change(&mut config);
-        config.revision += 1;
-        self.config_service.publish(&config);
-        Instant::now()
-    }
-
-    /// The configuration that was published last.
-    #[must_use]
-    pub fn config(&self) -> FleetConfig {
-        lock(&self.config).clone()
-    }
-
-    /// Changes the host list; readers see it after the lag.
-    pub fn change_hosts(&self, change: impl FnOnce(&mut HostList)) {
-        let mut hosts = lock(&self.hosts);
-        change(&mut hosts);
-        hosts.version += 1;
-        self.config_service.set_hosts(&hosts);
-    }
-
-    /// Engines in the order of the layout.
-    pub fn engines(&self) -> impl Iterator<Item = &ModelEngine> {
-        self.upstreams.iter().filter_map(FleetUpstream::engine)
-    }
-
-    /// Engines that serve this manifest now.
-    #[must_use]
-    pub fn replicas(&self, manifest: &str) -> usize {
-        self.engines().filter(|engine| engine.loaded().iter().any(|held| held == manifest)).count()
-    }
-
-    /// Waits until `count` engines serve the manifest; returns the time waited.
-    ///
-    /// # Errors
-    /// Fails after `limit`.
-    pub async fn wait_replicas(
-        &self,
-        manifest: &str,
-        count: usize,
-        limit: Duration,
-    ) -> Result<Duration, StandinError> {
-        let what = format!("{count} replicas of {}", &manifest[..8]);
-        wait_until(&what, limit, || self.replicas(manifest) >= count).await
-    }
-
-    /// Lets every upstream bear its warm limit.
-    pub fn turn_warm(&self) {
-        for upstream in &self.upstreams {
-            upstream.gauge().turn_warm();
-        }
-    }
-
-    /// What the upstreams ran.
-    #[must_use]
-    pub fn work(&self) -> Vec<UpstreamWork> {
-        let hosts = self.layout.agents.iter().zip(&self.upstreams);
-        hosts
-            .map(|(plan, upstream)| UpstreamWork {
-                data_centre: plan.data_centre.clone(),
-                records: upstream.gauge().log().records(),
-                over_limit_peak: upstream.gauge().over_limit_peak(),
-                crashes: upstream.gauge().crashes(),
-            })
-            .collect()
-    }
-}
-
-/// Waits until `holds` is true; returns the time waited.
-///
-/// # Errors
-/// Fails after `limit`.
-pub async fn wait_until(
-    what: &str,
-    limit: Duration,
-    holds: impl Fn() -> bool,
-) -> Result<Duration, StandinError> {
-    let start = Instant::now();
-    while !holds() {
-        if start.elapsed() >= limit {
-            let what = what.to_owned();
-            return Err(StandinError::NotReached { what, seconds: limit.as_secs() });
-        }
-        tokio::time::sleep(LOOK_INTERVAL).await;
-    }
-    Ok(start.elapsed())
-}
-
-async fn start_upstream(
-    plan: &HostPlan,
-    layout: &FleetLayout,
-    options: &FleetOptions,
-    catalog: &Arc<WeightCatalog>,
-) -> Result<FleetUpstream, StandinError> {
-    let (cold_limit, warm_limit) = (layout.options.cold_limit, layout.options.warm_limit);
-    let address = plan.upstream_address;
-    if plan.service.is_some() {
-        let options = ServiceOptions { cold_limit, warm_limit, ..options.service.clone() };
-        return Ok(FleetUpstream::Service(PlainService::start(address, options).await?));
-    }
-    let options = EngineOptions { cold_limit, warm_limit, ..options.engine.clone() };
-    let engine = ModelEngine::start(address, Arc::clone(catalog), options).await?;
-    Ok(FleetUpstream::Engine(engine))
-}
-
 impl StandinFleet {
     /// Starts entries and agents on top of the stand-ins.
     ///
