Date publications before they are served; halve the demo's chunks

Cause: the time from publication was taken after readers were woken, so it was slightly too short; chunks of 1 MiB fill an 80 Mbit/s link for 0.1 s each. Change: the time is taken first; chunks of 512 KiB.

--- a/crates/standin/src/demo.rs
+++ b/crates/standin/src/demo.rs
@@ -30,7 +30,7 @@
 /// Model that is published under load.
 const PUBLISHED_MODEL: &str = "survey";
 const PUBLISHED_BYTES: usize = 64 * MIB;
-const CHUNK_BYTES: usize = MIB;
+const CHUNK_BYTES: usize = MIB / 2;
 /// Speed of every host's link and of the store's link, in Mbit/s.
 const LINK_MBIT: u64 = 80;
 /// Longest wait for each step.
--- a/crates/standin/src/fleet/platform.rs
+++ b/crates/standin/src/fleet/platform.rs
@@ -101,13 +101,14 @@
         Ok(Self { layout, catalog, config_service, store, origin, upstreams, config, hosts })
     }
 
-    /// Changes the configuration and publishes it under the next revision; returns when it was published.
+    /// Changes the configuration and publishes it under the next revision; returns the time just before.
     pub fn publish(&self, change: impl FnOnce(&mut FleetConfig)) -> Instant {
         let mut config = lock(&self.config);
         change(&mut config);
         config.revision += 1;
+        let published_at = Instant::now();
         self.config_service.publish(&config);
-        Instant::now()
+        published_at
     }
 
     /// The configuration that was published last.
