Show alarms and the readers' health in the administration API

Cause: refused documents, revision conflicts and a silent configuration service stood in the log only; status showed no alarm at all. Change: AlarmBoard (bounded, expiring, cleared when a sound configuration is in force) on entry and agent; an entry adds agents that do not answer, are behind, drain with requests held, or have lost their upstream. Figures: before, the field "alarms" of status was absent; after, 3 tests cover refusal, expiry, bound and silence.

--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -27,6 +27,7 @@
 use self::{core::CallCore, forward::ForwardHandler};
 use crate::{
     admin::{AdminApi, AdminSource},
+    alarm::AlarmBoard,
     context::{NodeContext, NodeListeners},
     control, http,
     peer::PeerPool,
@@ -81,7 +82,12 @@
         handlers.push(forward.clone());
         let server = FrameServer::new(key, settings.common.host.clone(), handlers);
         server.spawn(&context, listeners.peer);
-        let source = Arc::new(AgentStatus { forward: forward.clone(), view: control.view });
+        let source = Arc::new(AgentStatus {
+            forward: forward.clone(),
+            view: control.view,
+            alarms: control.alarms,
+            context: context.clone(),
+        });
         http::spawn_server(&context, listeners.admin, AdminApi::new(source));
         info!("event=agent_started host={} upstream={}", settings.common.host, settings.upstream);
         Self { context, forward, settings }
@@ -104,6 +110,8 @@
 struct AgentStatus {
     forward: Arc<ForwardHandler>,
     view: ViewReader,
+    alarms: Arc<AlarmBoard>,
+    context: NodeContext,
 }
 
 impl AdminSource for AgentStatus {
@@ -122,6 +130,10 @@
             "incarnation": status.incarnation,
             "uptime_ms": status.uptime_ms,
             "draining": status.draining,
+            "reader": self.alarms.reader_json(),
+            "alarms": self.alarms.list(self.context.clock.now()),
+            "held_bytes": status.held_bytes,
+            "wanted_bytes": status.wanted_bytes,
             "upstream_up": status.upstream_up,
             "limit": status.load.limit,
             "in_use": status.load.in_use,
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -19,6 +19,7 @@
     shell::{ControlShell, INBOX_MESSAGES},
 };
 use crate::{
+    alarm::AlarmBoard,
     context::NodeContext,
     peer::PeerPool,
     server::FrameHandler,
@@ -33,6 +34,8 @@
     pub handler: Arc<dyn FrameHandler>,
     /// Counters.
     pub counters: Arc<ControlCounters>,
+    /// Alarms about configurations and their readers.
+    pub alarms: Arc<AlarmBoard>,
 }
 
 /// Starts the control part of a process.
@@ -59,6 +62,7 @@
     let (writer, view) = view::channel();
     let (sender, inbox) = mpsc::channel(INBOX_MESSAGES);
     let counters = Arc::<ControlCounters>::default();
+    let alarms = Arc::<AlarmBoard>::default();
     let options = SpreadOptions {
         host: settings.host.clone(),
         data_centre: settings.data_centre.clone(),
@@ -74,6 +78,7 @@
         sources,
         writer,
         counters: counters.clone(),
+        alarms: alarms.clone(),
         inbox,
         sender: sender.clone(),
         view: None,
@@ -82,5 +87,5 @@
     };
     context.spawn_control(shell.run());
     let handler = Arc::new(ControlHandler { inbox: sender, counters: counters.clone() });
-    ControlPart { view, handler, counters }
+    ControlPart { view, handler, counters, alarms }
 }
--- a/crates/node/src/control/shell.rs
+++ b/crates/node/src/control/shell.rs
@@ -25,6 +25,7 @@
 
 use super::convert;
 use crate::{
+    alarm::AlarmBoard,
     context::NodeContext,
     peer::PeerPool,
     view::{FleetView, ViewWriter},
@@ -102,6 +103,7 @@
     pub(super) sources: ControlSources,
     pub(super) writer: ViewWriter,
     pub(super) counters: Arc<ControlCounters>,
+    pub(super) alarms: Arc<AlarmBoard>,
     pub(super) inbox: mpsc::Receiver<ControlMessage>,
     pub(super) sender: mpsc::Sender<ControlMessage>,
     pub(super) view: Option<FleetView>,
@@ -119,6 +121,8 @@
                 _ = ticks.tick() => {
                     self.feed(SpreadEvent::Tick);
                     self.writer.beat();
+                    let summary = self.core.summary(self.context.clock.now());
+                    self.alarms.set_reader(summary.read_age_ms, self.core.reader_rank());
                 }
                 message = self.inbox.recv() => match message {
                     Some(message) => self.receive(message),
@@ -213,6 +217,7 @@
         if matches!(report, SpreadReport::Refused { .. }) {
             self.counters.refused.fetch_add(1, Ordering::Relaxed);
         }
+        self.alarms.take_report(self.context.clock.now(), report);
         if report.is_alarm() { warn!("{report}") } else { info!("{report}") }
     }
 
--- a/crates/node/src/entry/agents.rs
+++ b/crates/node/src/entry/agents.rs
@@ -68,6 +68,26 @@
         }
     }
 
+    /// What operators should know about the agent while `revision` is in force here.
+    #[must_use]
+    pub fn alarm(&self, revision: base::Revision) -> Option<String> {
+        let upstream = &self.upstream;
+        let Some(status) = &self.status else {
+            return Some(format!("agent of {upstream} does not answer"));
+        };
+        if status.revision < revision {
+            let behind = status.revision;
+            return Some(format!(
+                "agent of {upstream} has revision {behind} in force, not {revision}"
+            ));
+        }
+        if status.draining {
+            let held = status.load.in_use + status.load.queued;
+            return Some(format!("agent of {upstream} drains and still holds {held} requests"));
+        }
+        (!status.upstream_up).then(|| format!("upstream {upstream} does not answer its agent"))
+    }
+
     /// State for operators.
     #[must_use]
     pub fn to_json(&self) -> Value {
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -34,6 +34,7 @@
 };
 use crate::{
     admin::{AdminApi, AdminSource},
+    alarm::AlarmBoard,
     context::{NodeContext, NodeListeners},
     control, http,
     peer::PeerPool,
@@ -97,8 +98,11 @@
         let api = CallerApi::new(&settings, signer, forwarder.clone());
         let listener = listeners.http.expect("an entry has a listener for callers");
         let callers = http::spawn_server(&context, listener, api);
-        let source =
-            Arc::new(EntryStatus { settings: settings.clone(), forwarder: forwarder.clone() });
+        let source = Arc::new(EntryStatus {
+            settings: settings.clone(),
+            forwarder: forwarder.clone(),
+            alarms: control.alarms,
+        });
         http::spawn_server(&context, listeners.admin, AdminApi::new(source));
         info!("event=entry_started host={}", settings.common.host);
         Self { context, forwarder, settings, callers }
@@ -130,6 +134,15 @@
 struct EntryStatus {
     settings: EntrySettings,
     forwarder: Arc<Forwarder>,
+    alarms: Arc<AlarmBoard>,
+}
+
+impl EntryStatus {
+    /// Alarms of this process and of the agents that it probes.
+    fn alarm_lines(&self, revision: base::Revision, agents: &[KnownAgent]) -> Vec<String> {
+        let own = self.alarms.list(self.forwarder.context.clock.now());
+        own.into_iter().chain(agents.iter().filter_map(|agent| agent.alarm(revision))).collect()
+    }
 }
 
 impl AdminSource for EntryStatus {
@@ -151,6 +164,8 @@
             "data_centres": view.as_ref().map(|view| view.config.data_centres.clone()),
             "hosts": view.as_ref().map(|view| view.hosts.hosts.clone()),
             "upstreams": agents.iter().map(|agent| agent.to_json()).collect::<Vec<_>>(),
+            "reader": self.alarms.reader_json(),
+            "alarms": self.alarm_lines(view.as_ref().map_or(0, |view| view.config.revision), &agents),
             "draining": self.forwarder.context.draining.is_cancelled(),
             "in_progress": self.forwarder.in_progress(),
             "crash_records": self.forwarder.state.lock().crashes.len(),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod admin;
 pub mod agent;
+pub mod alarm;
 pub mod context;
 pub mod control;
 pub mod entry;
--- /dev/null
+++ b/crates/node/tests/alarm.rs
@@ -0,0 +1,59 @@
+//! Alarms of the administration API: lost, repeated for ever, or without bound.
+
+use std::time::{Duration, Instant};
+
+use base::ContentDigest;
+use node::alarm::AlarmBoard;
+use spread::{DocumentKind, SpreadReport};
+
+fn refused() -> SpreadReport {
+    let digest = ContentDigest::of(b"faulty");
+    SpreadReport::Refused {
+        kind: DocumentKind::Config,
+        digest,
+        fault: "models[0].current".into(),
+        from: None,
+    }
+}
+
+#[test]
+fn refused_document_is_an_alarm_until_another_is_in_force() {
+    let (board, now) = (AlarmBoard::default(), Instant::now());
+    board.set_reader(0, Some(0));
+    board.take_report(now, &refused());
+    board.take_report(now + Duration::from_secs(5), &refused());
+    let alarms = board.list(now + Duration::from_secs(9));
+    assert_eq!(alarms.len(), 1);
+    assert!(
+        alarms[0].contains("was refused: models[0].current (for 9 s, seen 2 times)"),
+        "{alarms:?}"
+    );
+    let digest = ContentDigest::of(b"sound");
+    let adopted =
+        SpreadReport::Adopted { kind: DocumentKind::Config, revision: 2, digest, from: None };
+    board.take_report(now + Duration::from_secs(10), &adopted);
+    assert!(board.list(now + Duration::from_secs(10)).is_empty());
+}
+
+#[test]
+fn alarms_expire_and_are_bounded() {
+    let (board, now) = (AlarmBoard::default(), Instant::now());
+    board.set_reader(0, None);
+    for number in 0..200 {
+        board.raise(now + Duration::from_millis(number), format!("alarm {number}").into());
+    }
+    let alarms = board.list(now + Duration::from_secs(1));
+    assert_eq!(alarms.len(), 64);
+    assert!(alarms.iter().any(|alarm| alarm.starts_with("alarm 199 ")));
+    assert!(board.list(now + Duration::from_secs(3_600)).is_empty());
+}
+
+#[test]
+fn silent_configuration_service_is_an_alarm() {
+    let (board, now) = (AlarmBoard::default(), Instant::now());
+    assert!(board.list(now)[0].contains("no read of the configuration service is known"));
+    board.set_reader(61_000, None);
+    assert!(board.list(now)[0].contains("for 61 s"));
+    board.set_reader(59_000, None);
+    assert!(board.list(now).is_empty());
+}
