node: keep the slot of failed work until the upstream has noticed

Cause: a request that was given up at its deadline or whose connection broke returned its slot at once, while the upstream might still work on it.

Change: such slots are kept for the settle time of a cancellation; only work that was never sent returns its slot at once.

--- a/crates/node/src/agent/admit.rs
+++ b/crates/node/src/agent/admit.rs
@@ -20,7 +20,7 @@
 
 use crate::context::NodeContext;
 
-/// Time until an upstream has noticed that a stream was cancelled; its slot is kept meanwhile.
+/// Time until an upstream has noticed that a request was cancelled or its connection broke; its slot is kept meanwhile.
 const CANCEL_SETTLE: Duration = Duration::from_millis(50);
 /// Longest time between two looks at the deadlines of waiting work.
 const MAX_TICK: Duration = Duration::from_secs(1);
@@ -241,10 +241,19 @@
 }
 
 impl WorkTicket {
-    /// Returns the slot with the result of the work.
+    /// Returns the slot with the result of the work. After a failure the upstream may still work on it for a moment, so
+    /// the slot is kept as after a cancellation.
     pub fn finish(mut self, result: WorkResult) {
+        if result != WorkResult::Neutral {
+            self.returned = true;
+            self.admitter.finish(self.id, result);
+        }
+    }
+
+    /// Returns the slot of work that was not sent.
+    pub fn release(mut self) {
         self.returned = true;
-        self.admitter.finish(self.id, result);
+        self.admitter.finish(self.id, WorkResult::Neutral);
     }
 }
 
--- a/crates/node/src/agent/core.rs
+++ b/crates/node/src/agent/core.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use config::AgentSettings;
 use hyper::Method;
-use limit::{AdmissionGate, WorkRefusal, WorkResult};
+use limit::{AdmissionGate, WorkRefusal};
 use platform::{
     CallRequest, GenerateRequest, ModelEngine, PlainService, PlatformError, UpstreamAnswer,
 };
@@ -145,9 +145,9 @@
                     progress.note_sent(incarnation);
                     return Ok(AdmittedWork { ticket, isolated, incarnation });
                 }
-                Ok(_) => ticket.finish(WorkResult::Neutral),
+                Ok(_) => ticket.release(),
                 Err(refusal) => {
-                    ticket.finish(WorkResult::Neutral);
+                    ticket.release();
                     return Err(refusal);
                 }
             }
--- a/crates/node/src/agent/keyed.rs
+++ b/crates/node/src/agent/keyed.rs
@@ -125,7 +125,7 @@
         // The record knows that the request is sent before its first byte leaves.
         if let Err(error) = self.lock().record.mark_sent(&key) {
             error!("event=keyed_send_refused error=\"{error}\"");
-            return work.ticket.finish(WorkResult::Neutral);
+            return work.ticket.release();
         }
         let started = self.core.now();
         let left = deadline.saturating_duration_since(started) + RUN_BOUND;
