Spread peers geometrically over the ring of hosts

Change: six peers in the data centre and six in the region, at distances that grow geometrically up to half the ring.

--- a/crates/standin/src/measure/weights.rs
+++ b/crates/standin/src/measure/weights.rs
@@ -29,6 +29,9 @@
 /// Clock ticks per second in /proc, fixed at 100 by Linux for user space.
 const TICKS_PER_S: f64 = 100.0;
 
+/// Exit status of a measurement that could not be carried out; 1 means that wrong bytes were served or none arrived.
+const STATUS_NOT_MEASURED: u8 = 2;
+
 /// Last line of the output.
 #[derive(Clone, Debug, Serialize)]
 struct WeightsReport {
@@ -44,8 +47,8 @@
     corrupt_served: usize,
     naive_time_s: Option<f64>,
     speedup: Option<f64>,
-    /// Part of the bytes that the naive transfer moved in its time; below 1 if it was cut off, and the speedup then is
-    /// a lower bound.
+    /// Part of the bytes that the naive transfer moved in its time; below 1 if it was cut off, and there is no speedup
+    /// then.
     naive_part: Option<f64>,
     cpu_s_per_host: f64,
     rss_mb: f64,
@@ -103,21 +106,24 @@
 /// Runs the command; the last line of its output is one JSON object.
 #[must_use]
 pub fn exec(matches: &ArgMatches) -> ExitCode {
-    let report = if matches.get_flag("core") {
-        Ok(core::measure(&options(matches)).to_string())
+    let (report, is_kept) = if matches.get_flag("core") {
+        let report = core::measure(&options(matches));
+        let is_kept = report["corrupt_served"] == 0 && report["unfinished"] == 0;
+        (report.to_string(), is_kept)
     } else {
-        measure(matches).map(|report| serde_json::to_string(&report).unwrap_or_default())
-    };
-    match report {
-        Ok(report) => {
-            println!("{report}");
-            ExitCode::SUCCESS
-        }
-        Err(error) => {
-            eprintln!("error: {error}");
-            ExitCode::FAILURE
+        match measure(matches) {
+            Ok(report) => {
+                let is_kept = report.corrupt_served == 0;
+                (serde_json::to_string(&report).unwrap_or_default(), is_kept)
+            }
+            Err(error) => {
+                eprintln!("error: {error}");
+                return ExitCode::from(STATUS_NOT_MEASURED);
+            }
         }
-    }
+    };
+    println!("{report}");
+    if is_kept { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
 fn options(matches: &ArgMatches) -> RunOptions {
@@ -180,7 +186,9 @@
         max_upload_copies: rounded(figures.max_upload_bytes as f64 / size),
         corrupt_served: figures.corrupt_served,
         naive_time_s: naive_time.map(rounded),
-        speedup: naive_time.map(|naive| rounded(naive / time_to_all)),
+        speedup: naive
+            .filter(|naive| naive.part >= 1.0)
+            .map(|naive| rounded(naive.time.as_secs_f64() / time_to_all)),
         naive_part: naive.map(|naive| rounded(naive.part)),
         cpu_s_per_host: rounded(cpu_s / options.hosts as f64),
         rss_mb: rounded(rss_mb),
--- a/crates/weights/src/ranks.rs
+++ b/crates/weights/src/ranks.rs
@@ -9,11 +9,9 @@
 
 /// Subject of the ring order of hosts.
 const RING_SUBJECT: &[u8] = b"weights ring v1";
-/// Peers of the own data centre at most.
-const MAX_NEAR_PEERS: usize = 8;
-/// Peers of all data centres of the own region at most, those of the own data centre included. Twelve peers keep the
-/// exchange of holdings below one message per peer and chunk, and the graph of 500 hosts about three hops wide.
-const MAX_PEERS: usize = 12;
+/// Peers of the own data centre at most, and as many again from the whole region. Twelve peers keep the exchange of
+/// holdings at about one message per peer and chunk.
+const MAX_RING_PEERS: usize = 6;
 
 /// A host that takes part in transfers.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -159,10 +157,10 @@
     value ^ (value >> 31)
 }
 
-/// Chooses peers at distances of powers of two on a ring of hosts, first in the own data centre, then in the region.
+/// Chooses peers at geometric distances on a ring of hosts, first in the own data centre, then in the region.
 ///
 /// Every host then is the peer of as many hosts as it has peers itself, which spreads uploads evenly, and any chunk
-/// reaches all hosts in a number of hops that grows with the logarithm of their number.
+/// reaches 500 hosts in about five hops. Distances of 1, 2, 4 and 8 only would take 25 hops around such a ring.
 fn choose_peers(own: &PeerRecord, hosts: &[PeerRecord]) -> Vec<usize> {
     let mut ring: Vec<(u64, Option<usize>)> = Vec::new();
     let own_position = (rendezvous_weight(RING_SUBJECT, &own.host), None);
@@ -179,31 +177,23 @@
         .filter(|(_, index)| index.is_none_or(|index| hosts[index].data_centre == own.data_centre))
         .collect();
     let mut peers = Vec::new();
-    add_ring_peers(&near, own_position, MAX_NEAR_PEERS, &mut peers);
-    add_ring_peers(&ring, own_position, MAX_PEERS, &mut peers);
+    add_ring_peers(&near, own_position, &mut peers);
+    add_ring_peers(&ring, own_position, &mut peers);
     peers
 }
 
 fn add_ring_peers(
     ring: &[(u64, Option<usize>)],
     own: (u64, Option<usize>),
-    limit: usize,
     peers: &mut Vec<usize>,
 ) {
     let Some(position) = ring.iter().position(|place| *place == own) else { return };
     let length = ring.len();
-    let mut distances: Vec<usize> = std::iter::successors(Some(1), |step| Some(step * 2))
-        .take_while(|step| *step < length)
-        .collect();
-    if length <= limit + 1 {
-        distances = (1..length).collect();
-    }
-    for distance in distances {
+    let limit = peers.len() + MAX_RING_PEERS;
+    for distance in ring_distances(length) {
         for place in [position + distance, position + length - distance] {
-            if peers.len() >= limit {
-                return;
-            }
             if let Some(index) = ring[place % length].1
+                && peers.len() < limit
                 && !peers.contains(&index)
             {
                 peers.push(index);
@@ -211,3 +201,27 @@
         }
     }
 }
+
+/// All distances of a small ring, otherwise as many as there are pairs of peers, spread geometrically.
+#[expect(
+    clippy::cast_precision_loss,
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a ring has far fewer than 2^52 hosts"
+)]
+fn ring_distances(length: usize) -> Vec<usize> {
+    let pairs = MAX_RING_PEERS / 2;
+    let farthest = length / 2;
+    if farthest <= pairs {
+        return (1..=farthest).collect();
+    }
+    let mut last = 0;
+    (0..pairs)
+        .map(|pair| {
+            let exponent = (pair as f64 + 0.5) / pairs as f64;
+            let distance = (farthest as f64).powf(exponent).round() as usize;
+            last = distance.max(last + 1).min(farthest);
+            last
+        })
+        .collect()
+}
