Test that a request which waited behind a crash is not blamed

Change: a suspect waits for its turn while another crashes the upstream; it has to be refused as "not run". Conclusion: the order of events that condemned neighbours is covered.

--- a/crates/node/tests/agent/streams.rs
+++ b/crates/node/tests/agent/streams.rs
@@ -7,7 +7,7 @@
 
 use base::{ContentDigest, Outcome, RefusalReason};
 use once::RecordOptions;
-use wire::{CrashNotice, Payload};
+use wire::{CrashNotice, Forward, Payload};
 
 use crate::{
     bench::{Bench, Reply, exchange, host_list, prompt, refused},
@@ -148,6 +148,27 @@
     assert!(started.elapsed() >= Duration::from_millis(300), "the suspects ran side by side");
 }
 
+/// Guards against blaming a crash on a request that waited for its turn and was not in flight.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_waited_behind_a_crash_is_not_blamed() {
+    let bench = start(4).await;
+    // Leaves an idle connection to the upstream, on which a request could still be sent after the crash.
+    assert_whole(&bench.send(prompt("p", 1)).await, 1);
+    *bench.upstream.call_time.lock().unwrap() = Duration::from_millis(30);
+    let isolated = |text| Forward { isolated: true, ..prompt(text, 50) };
+    let waiting = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        bench.send(isolated("b")).await
+    };
+    let crash = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        bench.upstream.restart(4, Duration::from_millis(500)).await;
+    };
+    let (running, waiting, ()) = tokio::join!(bench.send(isolated("a")), waiting, crash);
+    assert!(matches!(running, Reply::Answer { crashed: true, .. }), "{running:?}");
+    assert_eq!(waiting, refused(Outcome::NotRun, RefusalReason::NotReady));
+}
+
 /// Guards against streams that go on for callers who have left, and against their slots being used before the upstream
 /// has noticed.
 #[tokio::test(flavor = "multi_thread")]
