Rotate the readers of a data centre; survive an agent without weight sources

Cause: a reader receives the whole document for each change. Separately, an agent without weight sources and peers panicked at its first refused manifest (index out of range). Ruled out: smaller reads; the platform hands out whole values only. The plan tolerates an absent source. The panic test fails before the change and passes after it. 31 tests of weights and 39 of spread pass.

--- a/crates/spread/src/core.rs
+++ b/crates/spread/src/core.rs
@@ -1,5 +1,7 @@
 //! The state machine of dissemination.
 
+mod adoption;
+
 use std::{
     net::SocketAddr,
     time::{Duration, Instant},
@@ -16,7 +18,7 @@
         SpreadOptions,
     },
     line::{Arrival, DocumentLine},
-    neighbours::{Neighbour, choose_neighbours, reader_ranking},
+    neighbours::Neighbour,
     reader::{IsolationWatch, ReaderRole},
     refresh::{ASKED_PEERS, Refresh, RefreshCause},
     report::SpreadReport,
@@ -60,6 +62,8 @@
     turn: usize,
     failures: u32,
     retried: bool,
+    /// Term for which the readers were assigned.
+    term: u64,
     refused: Option<ContentDigest>,
     reported: Option<ContentDigest>,
     whole_window: (Instant, u32),
@@ -86,6 +90,7 @@
             turn: rng.random_range(0..1_usize << 16),
             failures: 0,
             retried: false,
+            term: 0,
             refused: None,
             reported: None,
             whole_window: (now, 0),
@@ -321,71 +326,6 @@
         }
     }
 
-    /// Publishes and passes on what was adopted, and reports what was refused.
-    fn settle(
-        &mut self,
-        now: Instant,
-        kind: DocumentKind,
-        arrival: Arrival,
-        from: Option<SocketAddr>,
-    ) {
-        match arrival {
-            Arrival::Known => {}
-            Arrival::Older(revision) => self.report(SpreadReport::OlderIgnored { kind, revision }),
-            Arrival::Refused(digest, fault) => {
-                if kind == DocumentKind::Config && from.is_none() {
-                    self.refused = Some(digest);
-                }
-                let fault = fault.to_string().into();
-                self.report(SpreadReport::Refused { kind, digest, fault, from });
-            }
-            Arrival::Adopted if kind == DocumentKind::Config => self.config_adopted(from),
-            Arrival::Adopted => self.hosts_adopted(now, from),
-        }
-    }
-
-    fn config_adopted(&mut self, from: Option<SocketAddr>) {
-        let Some(held) = self.config.held.clone() else { return };
-        let (revision, digest) = held.order();
-        self.refused = None;
-        self.actions.push(SpreadAction::PublishConfig(held));
-        self.report(SpreadReport::Adopted { kind: DocumentKind::Config, revision, digest, from });
-        self.notify(from);
-    }
-
-    fn hosts_adopted(&mut self, now: Instant, from: Option<SocketAddr>) {
-        let Some(held) = self.hosts.held.clone() else { return };
-        let (revision, digest) = held.order();
-        let (own, centre) = (&self.options.host, &self.options.data_centre);
-        self.neighbours = choose_neighbours(&held.value, own, centre);
-        let ranking = reader_ranking(&held.value, centre);
-        let rank = ranking.iter().position(|record| record.id == *own);
-        // Without listed hosts nobody would read for this data centre. Only seeds stand in, because every process of
-        // the fleet sees the same empty list.
-        let stands_alone =
-            ranking.is_empty() && RefreshCause::of_start(&self.options) == RefreshCause::SeedStart;
-        let rank = rank.or(stands_alone.then_some(0));
-        // A process that listens on every address is known to others by the one in the list.
-        let own_record = held.value.hosts.iter().find(|record| record.id == *own);
-        if let Some(record) = own_record.filter(|_| self.options.peer.ip().is_unspecified()) {
-            self.options.peer = record.peer;
-        }
-        self.readers = ranking.iter().take(2).map(|record| record.peer).collect();
-        if rank != self.role.rank() {
-            self.role.set_rank(rank);
-            self.role.restart(now);
-        }
-        self.actions.push(SpreadAction::PublishHosts(held.value));
-        self.report(SpreadReport::Adopted { kind: DocumentKind::Hosts, revision, digest, from });
-        self.notify(from);
-    }
-
-    fn notify(&mut self, from: Option<SocketAddr>) {
-        let peers = self.neighbours.iter().map(|neighbour| neighbour.peer);
-        let notices = peers.filter(|peer| Some(*peer) != from).map(SpreadAction::Exchange);
-        self.actions.extend(notices);
-    }
-
     fn advance_refresh(&mut self, now: Instant) {
         let Some(refresh) = &self.refresh else { return };
         let alone = self.neighbours.is_empty() && self.options.seeds.is_empty();
--- a/crates/spread/src/lib.rs
+++ b/crates/spread/src/lib.rs
@@ -21,6 +21,8 @@
         DocumentKind, ExchangeSummary, PullAnswer, ServiceRead, SpreadAction, SpreadEvent,
         SpreadOptions,
     },
-    neighbours::{Neighbour, READERS_MAX, choose_neighbours, reader_rank, reader_ranking},
+    neighbours::{
+        Neighbour, READERS_MAX, choose_neighbours, reader_rank, reader_ranking, reader_term,
+    },
     report::SpreadReport,
 };
--- a/crates/spread/src/neighbours.rs
+++ b/crates/spread/src/neighbours.rs
@@ -4,11 +4,13 @@
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
-use base::{HostId, rank_by_weight, rendezvous_weight};
+use base::{HostId, Revision, rank_by_weight, rendezvous_weight};
 use config::{HostList, HostRecord, HostState};
 
 /// Readers and stand-ins in one data centre at most.
 pub const READERS_MAX: usize = 4;
+/// Revisions for which the same hosts read. A change of readers costs a read of the host list.
+const REVISIONS_PER_TERM: u64 = 4;
 /// Neighbours in the own data centre, besides the successor in the ring.
 const OWN_CENTRE_LINKS: usize = 3;
 /// Neighbours in other data centres, each in another one.
@@ -86,19 +88,28 @@
     ranked.into_iter().take(count).map(|(_, record)| record)
 }
 
-/// The live hosts of a data centre that may read, the first first.
+/// The live hosts of a data centre that may read during a term, the first first.
+///
+/// A reader receives the whole document for each change, up to 1 MB, which no single host may pay for long. The role
+/// therefore moves to other hosts with each [`reader_term`].
 #[must_use]
-pub fn reader_ranking<'a>(list: &'a HostList, data_centre: &str) -> Vec<&'a HostRecord> {
+pub fn reader_ranking<'a>(list: &'a HostList, data_centre: &str, term: u64) -> Vec<&'a HostRecord> {
     let live: Vec<_> = list
         .hosts
         .iter()
         .filter(|record| record.state == HostState::Live && record.data_centre == data_centre)
         .collect();
-    best_of(&live, data_centre, READERS_MAX).collect()
+    best_of(&live, &format!("{data_centre}/{term}"), READERS_MAX).collect()
+}
+
+/// Term of the readers while `revision` is in force.
+#[must_use]
+pub fn reader_term(revision: Revision) -> u64 {
+    revision / REVISIONS_PER_TERM
 }
 
 /// Rank of `own` among the readers of its data centre; `None` if it is not one of the first [`READERS_MAX`].
 #[must_use]
-pub fn reader_rank(list: &HostList, own: &str, data_centre: &str) -> Option<usize> {
-    reader_ranking(list, data_centre).iter().position(|record| record.id == own)
+pub fn reader_rank(list: &HostList, own: &str, data_centre: &str, term: u64) -> Option<usize> {
+    reader_ranking(list, data_centre, term).iter().position(|record| record.id == own)
 }
--- a/crates/spread/tests/neighbours.rs
+++ b/crates/spread/tests/neighbours.rs
@@ -6,7 +6,7 @@
 
 use common::{CENTRES, host_list};
 use config::{HostList, HostState};
-use spread::{READERS_MAX, choose_neighbours, reader_rank, reader_ranking};
+use spread::{READERS_MAX, choose_neighbours, reader_rank, reader_ranking, reader_term};
 
 fn links(list: &HostList) -> HashMap<String, Vec<String>> {
     let neighbours = |record: &config::HostRecord| {
@@ -69,10 +69,29 @@
 #[test]
 fn leaving_hosts_neither_read_nor_relay() {
     let mut list = host_list(1, 30);
-    let first = reader_ranking(&list, CENTRES[0])[0].id.clone();
+    let first = reader_ranking(&list, CENTRES[0], 0)[0].id.clone();
     let record = list.hosts.iter_mut().find(|record| record.id == first).unwrap();
     record.state = HostState::Leaving;
-    assert_eq!(reader_rank(&list, &first, CENTRES[0]), None);
-    assert_eq!(reader_ranking(&list, CENTRES[0]).len(), READERS_MAX);
+    assert_eq!(reader_rank(&list, &first, CENTRES[0], 0), None);
+    assert_eq!(reader_ranking(&list, CENTRES[0], 0).len(), READERS_MAX);
     assert!(links(&list).values().flatten().all(|id| *id != first.as_str()));
 }
+
+/// Guards against one host that pays for all reads of its data centre: whole documents of up to 1 MB for each change.
+#[test]
+fn reading_moves_through_the_data_centre() {
+    let mut list = host_list(1, 120);
+    list.hosts.retain(|record| record.data_centre == CENTRES[0]);
+    let revisions = 4_000;
+    let mut reads: HashMap<_, u64> = HashMap::new();
+    for revision in 0..revisions {
+        let term = reader_term(revision);
+        for reader in reader_ranking(&list, CENTRES[0], term).into_iter().take(2) {
+            *reads.entry(reader.id.clone()).or_default() += 1;
+        }
+    }
+    let mean = 2 * revisions / list.hosts.len() as u64;
+    assert_eq!(reads.len(), list.hosts.len());
+    let most = reads.values().max().unwrap();
+    assert!(*most < 2 * mean, "one host reads {most} times, {mean} on average");
+}
--- a/crates/weights/src/plan.rs
+++ b/crates/weights/src/plan.rs
@@ -214,8 +214,9 @@
                 let wait = first.mul_f64(1.25_f64.powi(search.attempts.min(40).cast_signed()));
                 let wait = wait.min(longest).mul_f64(self.rng.random_range(0.75..1.25));
                 // A store that names a retry delay is left alone for that time; other sources are asked meanwhile.
-                if let Some(origin) = search.asked_origin.take() {
-                    search.origins[origin].record_fault(now, fault, self.rng.random());
+                let asked = search.asked_origin.take();
+                if let Some(health) = asked.and_then(|origin| search.origins.get_mut(origin)) {
+                    health.record_fault(now, fault, self.rng.random());
                 }
                 search.next_attempt = now + wait;
             }
@@ -312,8 +313,9 @@
                 }
                 search.flight = None;
                 actions.push(FetchAction::Cancel { ticket });
-                if let Some(origin) = search.asked_origin.take() {
-                    search.origins[origin].record_fault(now, FetchFault::Stalled, 0.5);
+                let asked = search.asked_origin.take();
+                if let Some(health) = asked.and_then(|origin| search.origins.get_mut(origin)) {
+                    health.record_fault(now, FetchFault::Stalled, 0.5);
                 }
             }
             if now < search.next_attempt {
--- a/crates/weights/tests/transfer.rs
+++ b/crates/weights/tests/transfer.rs
@@ -43,7 +43,12 @@
 
 impl Bench {
     fn new(hosts: usize) -> Self {
-        let transfer = TransferOptions { link_bytes_per_s: LINK, ..TransferOptions::default() };
+        Self::with_origins(hosts, TransferOptions::default().origins)
+    }
+
+    fn with_origins(hosts: usize, origins: usize) -> Self {
+        let transfer =
+            TransferOptions { link_bytes_per_s: LINK, origins, ..TransferOptions::default() };
         let options = FetchPlanOptions {
             memory_bytes: 2 * u64::from(CHUNKS) * CHUNK_BYTES as u64,
             transfer,
@@ -366,3 +371,19 @@
         bench.finish(2);
     }
 }
+
+/// Guards against a panic that an agent without sources ran into with each manifest that it could not obtain.
+#[test]
+fn host_without_sources_and_peers_survives_refusals() {
+    let mut bench = Bench::with_origins(1, 0);
+    let manifest = ContentDigest::of(b"never obtained");
+    let want = FetchWant { manifest, size_bytes: 100, fetch: true, hosts: bench.hosts.clone() };
+    bench.plan.set_wants(bench.now, vec![want]);
+    for _ in 0..200 {
+        for action in bench.plan.poll(bench.now) {
+            let FetchAction::Manifest { manifest, ticket, .. } = action else { continue };
+            bench.plan.record_manifest(bench.now, manifest, ticket, Err(FetchFault::NotHeld));
+        }
+        bench.now += STEP;
+    }
+}
