Carry cache events from agents to entries

Cause: entries knew only the prompt prefixes that they had served themselves; with 8 entries most prompts of a template met an upstream that had to prefill again, although another upstream held the prefix. StatusRequest names generation and event.

--- a/crates/node/src/agent/core.rs
+++ b/crates/node/src/agent/core.rs
@@ -19,6 +19,7 @@
 
 use super::{
     admit::{AdmitRequest, WorkAdmitter, WorkTicket},
+    cache::CacheFeed,
     crash::CrashWatch,
     gate::WorkGate,
     monitor::UpstreamMonitor,
@@ -47,6 +48,8 @@
     pub crashes: Arc<CrashWatch>,
     /// Requests in progress.
     pub progress: Arc<ProgressTable>,
+    /// Cache events of the engine.
+    pub cache: Arc<CacheFeed>,
     started: Instant,
     engine: Arc<dyn ModelEngine>,
     service: Arc<dyn PlainService>,
@@ -85,6 +88,7 @@
         let progress = Arc::<ProgressTable>::default();
         let crashes =
             CrashWatch::new(context, settings, monitor.clone(), admitter.clone(), progress.clone());
+        let cache = CacheFeed::spawn(context, monitor.clone(), engine.clone());
         Arc::new(Self {
             context: context.clone(),
             upstream: settings.upstream.clone(),
@@ -94,6 +98,7 @@
             gate,
             crashes,
             progress,
+            cache,
             started: context.clock.now(),
             engine,
             service,
--- a/crates/node/src/agent/forward.rs
+++ b/crates/node/src/agent/forward.rs
@@ -14,7 +14,7 @@
 use once::{KEY_SIGNING_CONTEXT, KeySigner, RecordOptions, RecordedResult, RetainedAnswer};
 use wire::{
     Ack, Body, ChannelError, End, FleetKey, Forward, FrameChannel, Head, Payload, ReadyModel,
-    StatusReply,
+    StatusReply, StatusRequest,
 };
 
 use super::{
@@ -85,9 +85,18 @@
             upstream_up: upstream.up,
             held_bytes,
             wanted_bytes,
+            cache_generation: 0,
+            cache_events: Vec::new(),
         }
     }
 
+    fn answer_status(&self, request: StatusRequest) -> StatusReply {
+        let feed = &self.core.cache;
+        let (cache_generation, cache_events) =
+            feed.since(request.cache_generation, request.cache_after);
+        StatusReply { cache_generation, cache_events, ..self.status() }
+    }
+
     async fn forward(
         &self,
         forward: Forward,
@@ -270,7 +279,11 @@
                     self.core.crashes.apply(&notice);
                     channel.sender.send(Payload::Ack(Ack {})).await
                 }
-                _ => channel.sender.send(Payload::StatusReply(self.status())).await,
+                Payload::StatusRequest(request) => {
+                    let status = self.answer_status(request);
+                    channel.sender.send(Payload::StatusReply(status)).await
+                }
+                _ => Err(ChannelError::Unexpected),
             }
         })
     }
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -2,6 +2,7 @@
 
 mod admit;
 mod answer;
+mod cache;
 mod core;
 mod crash;
 mod forward;
--- a/crates/node/src/agent/monitor.rs
+++ b/crates/node/src/agent/monitor.rs
@@ -157,6 +157,12 @@
         Ok(UpstreamState { incarnation: status.incarnation, in_use: status.in_use, ..answered })
     }
 
+    /// True if the upstream is a model engine, as far as the configuration in force tells.
+    #[must_use]
+    pub fn is_model(&self) -> bool {
+        self.kind() == Some(UpstreamKind::Model)
+    }
+
     /// Kind of the upstream; `None` while no configuration that registers it is in force.
     fn kind(&self) -> Option<UpstreamKind> {
         let view = self.view.get()?;
--- a/crates/node/src/entry/agents.rs
+++ b/crates/node/src/entry/agents.rs
@@ -21,6 +21,7 @@
 use wire::{Payload, StatusReply, StatusRequest};
 
 use super::{
+    cache::apply_cache_events,
     gate::PauseGate,
     state::{SharedState, report_of},
 };
@@ -281,7 +282,10 @@
     }
 
     async fn probe(self: Arc<Self>, upstream: UpstreamId, peer: SocketAddr, asked: Instant) {
-        let request = Payload::StatusRequest(StatusRequest {});
+        let generation = self.cache_generation(&upstream);
+        let cache_after = self.state.lock().prefixes.last_seq(&upstream).unwrap_or(0);
+        let request = StatusRequest { cache_generation: generation, cache_after };
+        let request = Payload::StatusRequest(request);
         let answer = self.pool.call(peer, request, PROBE_TIMEOUT).await;
         let refused = matches!(answer, Err(PeerError::Connect { .. }));
         let Ok(Payload::StatusReply(status)) = answer else {
@@ -301,6 +305,7 @@
             if state.board.record_report(asked, received_at, &upstream, report) {
                 state.prefixes.forget(&upstream);
             }
+            apply_cache_events(&mut state.prefixes, received_at, &upstream, generation, &status);
             drop(state);
             if let Some(agent) = self.lock().get_mut(&upstream).filter(|agent| agent.peer == peer) {
                 agent.failures = 0;
@@ -310,6 +315,13 @@
         self.handle(MemberEvent::ProbeAnswered { peer, asked, answer });
     }
 
+    /// Lifetime of the engine's cache that the last reply named; 0 if none did.
+    fn cache_generation(&self, upstream: &str) -> u64 {
+        let agents = self.lock();
+        let status = agents.get(upstream).and_then(|agent| agent.status.as_ref());
+        status.map_or(0, |status| status.cache_generation)
+    }
+
     fn count_failure(&self, upstream: &str, peer: SocketAddr) {
         let lost = {
             let mut agents = self.lock();
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod agents;
 mod api;
+mod cache;
 mod exchange;
 mod forward;
 mod gate;
--- a/crates/node/src/weights/rollout.rs
+++ b/crates/node/src/weights/rollout.rs
@@ -85,7 +85,7 @@
         let probes = open.take(MAX_PROBES).filter_map(|id| {
             let address = view.hosts.agent_of(id)?.peer;
             Some(async move {
-                let request = Payload::StatusRequest(StatusRequest {});
+                let request = Payload::StatusRequest(StatusRequest::default());
                 let answer = pool.call(address, request, PROBE_TIMEOUT).await;
                 (id.clone(), answer.ok())
             })
--- a/crates/node/tests/agent/bench.rs
+++ b/crates/node/tests/agent/bench.rs
@@ -105,7 +105,7 @@
 
     pub async fn status(&self) -> StatusReply {
         let mut channel = self.connect().await;
-        match channel.call(Payload::StatusRequest(StatusRequest {})).await {
+        match channel.call(Payload::StatusRequest(StatusRequest::default())).await {
             Ok(Payload::StatusReply(status)) => status,
             other => panic!("expected a status, got {other:?}"),
         }
--- a/crates/node/tests/entry/support/agent.rs
+++ b/crates/node/tests/entry/support/agent.rs
@@ -156,6 +156,7 @@
             upstream_up: true,
             held_bytes: 0,
             wanted_bytes: 0,
+            ..StatusReply::default()
         })
     }
 
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -98,7 +98,28 @@
 
 /// Asks an agent for its status.
 #[derive(Clone, Copy, Message, PartialEq)]
-pub struct StatusRequest {}
+pub struct StatusRequest {
+    /// `StatusReply::cache_generation` of the last reply; 0 if none.
+    #[prost(uint64, tag = "1")]
+    pub cache_generation: u64,
+    /// Number of the last cache event that the sender applied; 0 if none.
+    #[prost(uint64, tag = "2")]
+    pub cache_after: u64,
+}
+
+/// An event of an engine's prefix cache.
+#[derive(Clone, Message, PartialEq)]
+pub struct CacheNotice {
+    /// Number of the event; a missing number is a gap.
+    #[prost(uint64, tag = "1")]
+    pub seq: u64,
+    /// Prefix of prompts.
+    #[prost(string, tag = "2")]
+    pub prefix: String,
+    /// True if the prefix is no longer cached.
+    #[prost(bool, tag = "3")]
+    pub evicted: bool,
+}
 
 /// A model that an engine names as loaded.
 #[derive(Clone, Message, PartialEq)]
@@ -152,12 +173,18 @@
     /// True if the upstream answers.
     #[prost(bool, tag = "8")]
     pub upstream_up: bool,
-    /// Bytes of weights held for the models wanted, and
+    /// Bytes of weights held.
     #[prost(uint64, tag = "9")]
     pub held_bytes: u64,
-    /// bytes wanted.
+    /// Bytes of the weights wanted.
     #[prost(uint64, tag = "10")]
     pub wanted_bytes: u64,
+    /// Lifetime of the engine's prefix cache; 0 if unknown.
+    #[prost(uint64, tag = "11")]
+    pub cache_generation: u64,
+    /// Cache events after those that the request names.
+    #[prost(message, repeated, tag = "12")]
+    pub cache_events: Vec<CacheNotice>,
 }
 
 /// Asks an agent to run a request.
