Let the burst of cold-burst reach four fifths of the warm capacity

Cause: at 300 a second every answer was in time, so the plan did not show how fast the limits grow. Change: cold-burst sends 500 a second by default.

--- a/crates/standin/src/measure/plan.rs
+++ b/crates/standin/src/measure/plan.rs
@@ -72,7 +72,7 @@
     /// between them; the other plans leave room for the loss of a third of the fleet.
     #[must_use]
     pub fn default_rate(self) -> f64 {
-        if self == Self::ColdBurst { 300.0 } else { 120.0 }
+        if self == Self::ColdBurst { 500.0 } else { 120.0 }
     }
 
     /// Upstreams that the plan's own requests may crash.
