Take a dead fetcher's chunks over as soon as later chunks overtake them

Change: chunks are drawn in order, so a chunk waits from the moment at which a later one was seen in the region.

--- a/crates/weights/src/transfer.rs
+++ b/crates/weights/src/transfer.rs
@@ -26,9 +26,9 @@
 };
 
 /// Shortest and longest time that a substitute waits for the designated fetcher to make progress.
-const PATIENCE_RANGE: (Duration, Duration) = (Duration::from_millis(60), Duration::from_secs(10));
+const PATIENCE_RANGE: (Duration, Duration) = (Duration::from_millis(180), Duration::from_secs(30));
 /// Part of the transfer's shortest duration that a substitute waits.
-const PATIENCE_PART: f64 = 0.1;
+const PATIENCE_PART: f64 = 0.3;
 /// Ranks behind this one wait no longer than it, so that the last host alive in a region starts soon enough.
 const LAST_WAITING_RANK: u32 = 8;
 /// Interval between the first requests of successive chunks from the origin, in chunk times of a host's link. Asked for
@@ -53,8 +53,13 @@
     origins: Vec<SourceHealth>,
     flights: FlightTable,
     started: Instant,
-    /// Last time that a chunk was seen in the region for the first time.
+    /// Last time that a chunk was seen in the region for the first time, or that the process resumed.
     seed_progress: Instant,
+    /// For each chunk up to the highest one seen in the region: when that chunk or a later one was seen first. Chunks
+    /// are drawn in order, so a chunk that others have overtaken for long has lost its fetcher.
+    overtaken: Vec<Instant>,
+    /// Waiting times start no earlier than this.
+    resumed: Instant,
     /// Factor of this host on every waiting time, so that substitutes do not act at the same moment.
     jitter: f64,
 }
@@ -85,6 +90,8 @@
             view,
             started: now,
             seed_progress: now,
+            overtaken: Vec::new(),
+            resumed: now,
             jitter: rng.random_range(0.75..1.25),
         }
     }
@@ -129,13 +136,23 @@
     /// Restarts every waiting time after a pause, since nothing observed before it says anything about now.
     pub fn resume(&mut self, now: Instant) {
         self.seed_progress = now;
+        self.resumed = now;
         self.peers.forget_questions();
     }
 
     /// Records the chunks that a peer says it holds.
     pub fn record_have(&mut self, now: Instant, peer: &str, bitmap: &[u8], queued: u32) {
-        if self.peers.record_have(now, peer, bitmap, queued) {
-            self.seed_progress = now;
+        if let Some(highest) = self.peers.record_have(now, peer, bitmap, queued) {
+            self.record_seen(now, highest);
+        }
+    }
+
+    /// Records that a chunk was seen in the region for the first time.
+    fn record_seen(&mut self, now: Instant, index: u32) {
+        self.seed_progress = now;
+        let seen = index as usize + 1;
+        if self.overtaken.len() < seen {
+            self.overtaken.resize(seen, now);
         }
     }
 
@@ -154,7 +171,7 @@
         let mut actions = Vec::new();
         if self.held.insert(index) {
             if self.peers.holders(index) == 0 {
-                self.seed_progress = now;
+                self.record_seen(now, index);
             }
             self.announce(index, &mut actions);
         }
@@ -286,8 +303,11 @@
         if now < scheduled {
             return None;
         }
-        let waited = now.saturating_duration_since(self.seed_progress.max(scheduled));
-        if waited < patience * rank.own_rank.min(LAST_WAITING_RANK) * 2 {
+        let overtaken = self.overtaken.get(index as usize).copied();
+        let since = overtaken.unwrap_or(self.seed_progress).max(scheduled).max(self.resumed);
+        let waited = now.saturating_duration_since(since);
+        let turn = rank.own_rank.min(LAST_WAITING_RANK);
+        if waited < patience * turn {
             return None;
         }
         let far = self.peers.best_holder(now, index, self.options.max_per_peer, true, rng);
@@ -297,7 +317,7 @@
         let home_is_gone = rank
             .home_fetcher
             .is_none_or(|fetcher| self.peers.is_failing(&self.view.host(fetcher).host));
-        if !rank.is_home && !home_is_gone && waited < patience * (rank.own_rank + 1) {
+        if !rank.is_home && !home_is_gone && waited < patience * (turn + 1) {
             return None;
         }
         self.choose_origin(now)
--- a/crates/weights/src/transfer/peers.rs
+++ b/crates/weights/src/transfer/peers.rs
@@ -81,22 +81,30 @@
         self.holders.get(index as usize).copied().unwrap_or(0)
     }
 
-    /// Records what a peer holds; returns true if a chunk is seen in the region for the first time.
-    pub fn record_have(&mut self, now: Instant, host: &str, bitmap: &[u8], queued: u32) -> bool {
+    /// Records what a peer holds; returns the highest chunk that is seen in the region for the first time.
+    pub fn record_have(
+        &mut self,
+        now: Instant,
+        host: &str,
+        bitmap: &[u8],
+        queued: u32,
+    ) -> Option<u32> {
         let chunks = self.chunks();
-        let Some(position) = self.position(host) else { return false };
+        let position = self.position(host)?;
         let state = &mut self.peers[position];
         state.asked = None;
         state.answers.record_success();
         state.heard = Some(now);
         state.queued = queued;
         let have = ChunkSet::from_bitmap(chunks, bitmap);
-        let mut first_seen = false;
+        let mut first_seen = None;
         if state.proximity != Proximity::Abroad {
             for index in 0..chunks {
                 let (before, after) = (state.have.contains(index), have.contains(index));
                 let count = &mut self.holders[index as usize];
-                first_seen |= after && !before && *count == 0;
+                if after && !before && *count == 0 {
+                    first_seen = Some(index);
+                }
                 *count = *count + u32::from(after) - u32::from(before);
             }
         }
