--- a/crates/spread/src/core.rs
+++ b/crates/spread/src/core.rs
@@ -1,5 +1,7 @@
 //! The state machine of dissemination.
 
+mod adoption;
+
 use std::{
     net::SocketAddr,
     time::{Duration, Instant},
@@ -16,8 +18,8 @@
         SpreadOptions,
     },
     line::{Arrival, DocumentLine},
-    neighbours::{Neighbour, choose_neighbours, reader_ranking},
-    reader::ReaderRole,
+    neighbours::Neighbour,
+    reader::{IsolationWatch, ReaderRole},
     refresh::{ASKED_PEERS, Refresh, RefreshCause},
     report::SpreadReport,
 };
@@ -53,12 +55,15 @@
     neighbours: Vec<Neighbour>,
     readers: Vec<SocketAddr>,
     role: ReaderRole,
+    isolation: IsolationWatch,
     refresh: Option<Refresh>,
     last_tick: Instant,
     next_exchange: Instant,
     turn: usize,
     failures: u32,
     retried: bool,
+    /// Term for which the readers were assigned.
+    term: u64,
     refused: Option<ContentDigest>,
     reported: Option<ContentDigest>,
     whole_window: (Instant, u32),
@@ -69,7 +74,7 @@
     /// Creates the core of a process that has just started and holds nothing.
     #[must_use]
     pub fn new(options: SpreadOptions, mut rng: Box<dyn Rng + Send>, now: Instant) -> Self {
-        let refresh = Refresh::new(now, start_cause(&options), &mut *rng);
+        let refresh = Refresh::new(now, RefreshCause::of_start(&options), &mut *rng);
         let phase = rng.random_range(Duration::ZERO..EXCHANGE_INTERVAL);
         Self {
             options,
@@ -78,12 +83,14 @@
             neighbours: Vec::new(),
             readers: Vec::new(),
             role: ReaderRole::new(now),
+            isolation: IsolationWatch::new(now),
             refresh: Some(refresh),
             last_tick: now,
             next_exchange: now + phase,
             turn: rng.random_range(0..1_usize << 16),
             failures: 0,
             retried: false,
+            term: 0,
             refused: None,
             reported: None,
             whole_window: (now, 0),
@@ -161,7 +168,10 @@
         self.detect_pause(now);
         match event {
             SpreadEvent::Tick => self.last_tick = now,
-            SpreadEvent::ExchangeReceived(summary) => self.learn(now, summary.peer, &summary),
+            SpreadEvent::ExchangeReceived(summary) => {
+                self.isolation.record_contact(now);
+                self.learn(now, summary.peer, &summary);
+            }
             SpreadEvent::ExchangeAnswered { peer, asked, summary } => {
                 self.exchange_answered(now, peer, asked, &summary);
             }
@@ -187,7 +197,8 @@
         self.last_tick = now;
         self.role.restart(now);
         let starting = self.config.held.is_none();
-        let cause = if starting { start_cause(&self.options) } else { RefreshCause::Pause };
+        let cause =
+            if starting { RefreshCause::of_start(&self.options) } else { RefreshCause::Pause };
         self.refresh = Some(Refresh::new(now, cause, &mut *self.rng));
         self.actions.push(SpreadAction::SetFresh(false));
         self.report(SpreadReport::Paused { gap });
@@ -236,6 +247,7 @@
         summary: &ExchangeSummary,
     ) {
         self.failures = 0;
+        self.isolation.record_contact(now);
         self.learn(now, peer, summary);
         if let Some(refresh) = self.refresh.as_mut().filter(|refresh| refresh.covers(asked)) {
             refresh.record_answer(peer, summary.config, summary.hosts_version);
@@ -314,71 +326,6 @@
         }
     }
 
-    /// Publishes and passes on what was adopted, and reports what was refused.
-    fn settle(
-        &mut self,
-        now: Instant,
-        kind: DocumentKind,
-        arrival: Arrival,
-        from: Option<SocketAddr>,
-    ) {
-        match arrival {
-            Arrival::Known => {}
-            Arrival::Older(revision) => self.report(SpreadReport::OlderIgnored { kind, revision }),
-            Arrival::Refused(digest, fault) => {
-                if kind == DocumentKind::Config && from.is_none() {
-                    self.refused = Some(digest);
-                }
-                let fault = fault.to_string().into();
-                self.report(SpreadReport::Refused { kind, digest, fault, from });
-            }
-            Arrival::Adopted if kind == DocumentKind::Config => self.config_adopted(from),
-            Arrival::Adopted => self.hosts_adopted(now, from),
-        }
-    }
-
-    fn config_adopted(&mut self, from: Option<SocketAddr>) {
-        let Some(held) = self.config.held.clone() else { return };
-        let (revision, digest) = held.order();
-        self.refused = None;
-        self.actions.push(SpreadAction::PublishConfig(held));
-        self.report(SpreadReport::Adopted { kind: DocumentKind::Config, revision, digest, from });
-        self.notify(from);
-    }
-
-    fn hosts_adopted(&mut self, now: Instant, from: Option<SocketAddr>) {
-        let Some(held) = self.hosts.held.clone() else { return };
-        let (revision, digest) = held.order();
-        let (own, centre) = (&self.options.host, &self.options.data_centre);
-        self.neighbours = choose_neighbours(&held.value, own, centre);
-        let ranking = reader_ranking(&held.value, centre);
-        let rank = ranking.iter().position(|record| record.id == *own);
-        // Without listed hosts nobody would read for this data centre. Only seeds stand in, because every process of
-        // the fleet sees the same empty list.
-        let stands_alone =
-            ranking.is_empty() && start_cause(&self.options) == RefreshCause::SeedStart;
-        let rank = rank.or(stands_alone.then_some(0));
-        // A process that listens on every address is known to others by the one in the list.
-        let own_record = held.value.hosts.iter().find(|record| record.id == *own);
-        if let Some(record) = own_record.filter(|_| self.options.peer.ip().is_unspecified()) {
-            self.options.peer = record.peer;
-        }
-        self.readers = ranking.iter().take(2).map(|record| record.peer).collect();
-        if rank != self.role.rank() {
-            self.role.set_rank(rank);
-            self.role.restart(now);
-        }
-        self.actions.push(SpreadAction::PublishHosts(held.value));
-        self.report(SpreadReport::Adopted { kind: DocumentKind::Hosts, revision, digest, from });
-        self.notify(from);
-    }
-
-    fn notify(&mut self, from: Option<SocketAddr>) {
-        let peers = self.neighbours.iter().map(|neighbour| neighbour.peer);
-        let notices = peers.filter(|peer| Some(*peer) != from).map(SpreadAction::Exchange);
-        self.actions.extend(notices);
-    }
-
     fn advance_refresh(&mut self, now: Instant) {
         let Some(refresh) = &self.refresh else { return };
         let alone = self.neighbours.is_empty() && self.options.seeds.is_empty();
@@ -421,6 +368,7 @@
             Some(due) => (due, false),
             None => self.role.reads(now),
         };
+        let reads = reads || self.isolation.read_due(now, &mut *self.rng);
         if took_over && let Some(rank) = self.role.rank() {
             self.report(SpreadReport::TookOver { rank });
         }
@@ -486,10 +434,3 @@
         }
     }
 }
-
-/// A process that has nobody else to ask, or that the others ask first, reads the service early.
-fn start_cause(options: &SpreadOptions) -> RefreshCause {
-    let has_others = options.seeds.iter().any(|seed| *seed != options.peer);
-    let is_seed = options.seeds.contains(&options.peer);
-    if is_seed || !has_others { RefreshCause::SeedStart } else { RefreshCause::Start }
-}
