--- a/crates/spread/src/neighbours.rs
+++ b/crates/spread/src/neighbours.rs
@@ -10,7 +10,7 @@
 /// Readers and stand-ins in one data centre at most.
 pub const READERS_MAX: usize = 4;
 /// Revisions for which the same hosts read. A change of readers costs a read of the host list.
-const REVISIONS_PER_TERM: u64 = 4;
+const REVISIONS_PER_TERM: u64 = 16;
 /// Neighbours in the own data centre, besides the successor in the ring.
 const OWN_CENTRE_LINKS: usize = 3;
 /// Neighbours in other data centres, each in another one.
