Share the status read of the adapters; drop an unused pool

Cause: the read-through found the same status read in both upstream adapters, a parameter of control::spawn that nothing read, and a second peer pool that the entry created only to pass it there. Change: HttpClient::read_status serves both adapters; the parameter and the pool are gone. Behaviour is unchanged.

--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -64,7 +64,7 @@
     ) -> Self {
         let key = FleetKey::new(&settings.common.fleet_key);
         let pool = PeerPool::new(key.clone(), settings.common.host.clone());
-        let control = control::spawn(&context, &settings.common, &pool);
+        let control = control::spawn(&context, &settings.common);
         let engine: Arc<dyn ModelEngine> = Arc::new(HttpEngine::new(settings.upstream_address));
         let service: Arc<dyn PlainService> = Arc::new(HttpService::new(settings.upstream_address));
         let core = CallCore::spawn(
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -40,11 +40,7 @@
 
 /// Starts the control part of a process.
 #[must_use]
-pub fn spawn(
-    context: &NodeContext,
-    settings: &CommonSettings,
-    _pool: &Arc<PeerPool>,
-) -> ControlPart {
+pub fn spawn(context: &NodeContext, settings: &CommonSettings) -> ControlPart {
     let sources = ControlSources {
         service: Arc::new(HttpConfigService::new(settings.platform)),
         directory: Arc::new(HttpHostDirectory::new(settings.platform)),
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -62,8 +62,7 @@
     pub fn start(context: NodeContext, settings: EntrySettings, listeners: NodeListeners) -> Self {
         let key = FleetKey::new(&settings.common.fleet_key);
         let signer = KeySigner::new(key.derive(KEY_SIGNING_CONTEXT));
-        let pool = PeerPool::new(key.clone(), settings.common.host.clone());
-        let control = control::spawn(&context, &settings.common, &pool);
+        let control = control::spawn(&context, &settings.common);
         let view = control.view;
         let now = context.clock.now();
         let state = Arc::new(SharedState::new(now, &settings.objectives));
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -11,12 +11,11 @@
 
 use crate::{
     error::PlatformError,
-    http::{HttpClient, UpstreamAnswer, collect, parse},
+    http::{HttpClient, MAX_STATUS_BYTES, UpstreamAnswer, collect, parse},
 };
 
-const STATUS_TIMEOUT: Duration = Duration::from_secs(1);
+const EVENTS_TIMEOUT: Duration = Duration::from_secs(1);
 const ORDER_TIMEOUT: Duration = Duration::from_secs(10);
-const MAX_STATUS_BYTES: usize = 64 << 10;
 const MAX_EVENTS_BYTES: usize = 1 << 20;
 /// Header that tells the engine the priority of a request.
 const PRIORITY_HEADER: &str = "x-priority";
@@ -183,16 +182,7 @@
 
 impl ModelEngine for HttpEngine {
     fn status(&self) -> BoxFuture<'_, Result<EngineStatus, PlatformError>> {
-        Box::pin(async move {
-            let call = self.client.fetch(
-                Method::GET,
-                "/v1/status",
-                Bytes::new(),
-                MAX_STATUS_BYTES,
-                STATUS_TIMEOUT,
-            );
-            parse(&call.await?.1)
-        })
+        Box::pin(self.client.read_status())
     }
 
     fn put_weights(
@@ -235,7 +225,7 @@
                 &path,
                 Bytes::new(),
                 MAX_EVENTS_BYTES,
-                STATUS_TIMEOUT,
+                EVENTS_TIMEOUT,
             );
             Ok(parse::<CacheEvents>(&call.await?.1)?.events)
         })
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -21,6 +21,9 @@
 use crate::error::{MalformedSnafu, PlatformError, RateLimitedSnafu, RequestSnafu, TooLargeSnafu};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const STATUS_TIMEOUT: Duration = Duration::from_secs(1);
+/// Largest status; it lists the loaded models.
+pub(crate) const MAX_STATUS_BYTES: usize = 64 << 10;
 const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(250);
 /// Header with the retry delay in milliseconds; `Retry-After` has only whole seconds.
@@ -159,6 +162,17 @@
     }
 }
 
+impl HttpClient {
+    /// Reads the status that engines and plain services give of themselves.
+    pub(crate) async fn read_status<T: serde::de::DeserializeOwned>(
+        &self,
+    ) -> Result<T, PlatformError> {
+        let body = Bytes::new();
+        let call = self.fetch(Method::GET, "/v1/status", body, MAX_STATUS_BYTES, STATUS_TIMEOUT);
+        parse(&call.await?.1)
+    }
+}
+
 /// Collects the body of a success; statuses that are no success become errors.
 pub(crate) async fn collect(
     answer: UpstreamAnswer,
--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -1,6 +1,6 @@
 //! Plain services beside the model engines.
 
-use std::{net::SocketAddr, time::Duration};
+use std::net::SocketAddr;
 
 use base::Incarnation;
 use bytes::Bytes;
@@ -11,12 +11,9 @@
 
 use crate::{
     error::PlatformError,
-    http::{HttpClient, UpstreamAnswer, parse},
+    http::{HttpClient, UpstreamAnswer},
 };
 
-const STATUS_TIMEOUT: Duration = Duration::from_secs(1);
-const MAX_STATUS_BYTES: usize = 64 << 10;
-
 /// What a plain service says of itself.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ServiceStatus {
@@ -75,16 +72,7 @@
 
 impl PlainService for HttpService {
     fn status(&self) -> BoxFuture<'_, Result<ServiceStatus, PlatformError>> {
-        Box::pin(async move {
-            let call = self.client.fetch(
-                Method::GET,
-                "/v1/status",
-                Bytes::new(),
-                MAX_STATUS_BYTES,
-                STATUS_TIMEOUT,
-            );
-            parse(&call.await?.1)
-        })
+        Box::pin(self.client.read_status())
     }
 
     fn call(&self, request: CallRequest) -> BoxFuture<'_, Result<UpstreamAnswer, PlatformError>> {
