--- /dev/null
+++ b/crates/balance/src/board.rs
@@ -0,0 +1,367 @@
+//! Chooses an upstream for a request, or refuses the request while it is known that none can serve it.
+
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use base::{DataCentreId, RegionId, ServiceId, UpstreamId};
+use fleet::{FleetView, ServiceRecord, UpstreamRecord, WeightsVersion};
+use rand::{Rng, RngExt};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    forecast::EngineForecast,
+    share::{ColdShare, MIN_ENTRIES, ShareOptions},
+    upstream::{AgentReport, SendOutcome, UpstreamState},
+};
+
+/// Upstreams that are compared for one request. Fewer than all, so that entries with the same picture do not all send
+/// to the one upstream that is least loaded in it.
+const COMPARED: usize = 4;
+/// Slots that one hop to another region counts for: the price of its bytes and a few milliseconds.
+const REMOTE_PENALTY: f64 = 1.5;
+/// Slots that a certain failure counts for.
+const FAILURE_PENALTY: f64 = 16.0;
+/// Part of the target within which the first event must be predicted, as reports are up to two intervals old.
+const TARGET_PART: f64 = 0.85;
+/// Slots that must be free for a request that is already late: it earns a fraction, so it only takes what is left over.
+const LATE_RESERVE: f64 = 3.0;
+/// Requests per slot that may wait at a plain service.
+const SERVICE_DEPTH: f64 = 3.0;
+/// Shortest and longest delay before a refused caller returns. Callers that are refused together come back apart.
+const RETRY_RANGE: (Duration, Duration) =
+    (Duration::from_millis(400), Duration::from_millis(1_600));
+
+/// Properties of the fleet that the board needs besides the view.
+#[derive(Clone, Debug, Default)]
+pub struct BoardOptions {
+    /// Region of each data centre.
+    pub regions: HashMap<DataCentreId, RegionId>,
+    /// This entry's region.
+    pub region: RegionId,
+    /// Limits that all entries share.
+    pub shares: ShareOptions,
+}
+
+/// A request that is to be placed.
+#[derive(Clone, Debug)]
+pub struct WorkRequest<'a> {
+    /// The service.
+    pub service: &'a ServiceId,
+    /// Tokens of the prompt; 0 for plain services.
+    pub prompt_tokens: u32,
+    /// Regions that may serve it, of the route and of the team; empty lists allow all.
+    pub allowed_regions: [&'a [RegionId]; 2],
+    /// Upstreams that have had the request already.
+    pub tried: &'a [UpstreamId],
+    /// Oldest version of the weights on which it may begin.
+    pub min_version: Option<WeightsVersion>,
+    /// Time left until the first event is late; `None` if it already is.
+    pub target_left: Option<Duration>,
+    /// True for a request that was accepted before and is continued elsewhere: it is never refused for load.
+    pub is_continued: bool,
+}
+
+/// Why a request was refused.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum RefusalCause {
+    /// No upstream of the service is known to be usable.
+    NoUpstream,
+    /// Every usable upstream has more work than fits into the target.
+    Overloaded,
+    /// Only cold upstreams are left, and each has had its share.
+    Cold,
+}
+
+impl RefusalCause {
+    /// Name in logs.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NoUpstream => "no_upstream",
+            Self::Overloaded => "overloaded",
+            Self::Cold => "cold",
+        }
+    }
+}
+
+/// A refusal and when to come back.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PlacementRefusal {
+    /// Why.
+    pub cause: RefusalCause,
+    /// Delay after which the caller may return.
+    pub retry_after: Duration,
+}
+
+/// Result of a choice.
+#[derive(Clone, Debug)]
+pub enum Placement {
+    /// Send it there.
+    Upstream {
+        /// The upstream.
+        record: Arc<UpstreamRecord>,
+        /// Requests that run or wait there, as far as this entry can tell.
+        occupancy: f64,
+    },
+    /// Refuse it.
+    Refused(PlacementRefusal),
+}
+
+#[derive(Debug)]
+struct ServiceState {
+    record: Arc<ServiceRecord>,
+    forecast: Option<EngineForecast>,
+    upstreams: Vec<UpstreamId>,
+}
+
+/// Everything that an entry knows of its upstreams.
+#[derive(Debug)]
+pub struct LoadBoard {
+    options: BoardOptions,
+    entries: usize,
+    cold: ColdShare,
+    services: HashMap<ServiceId, ServiceState>,
+    upstreams: HashMap<UpstreamId, UpstreamState>,
+    evacuated: HashSet<DataCentreId>,
+    by_address: HashMap<SocketAddr, UpstreamId>,
+}
+
+impl LoadBoard {
+    /// Creates an empty board.
+    #[must_use]
+    pub fn new(options: BoardOptions) -> Self {
+        Self {
+            cold: ColdShare::new(options.shares),
+            options,
+            entries: 1,
+            services: HashMap::new(),
+            upstreams: HashMap::new(),
+            evacuated: HashSet::new(),
+            by_address: HashMap::new(),
+        }
+    }
+
+    /// Takes over a new view of the fleet.
+    pub fn set_view(&mut self, view: &FleetView, now: Instant) {
+        self.evacuated.clone_from(&view.evacuated);
+        self.services = view
+            .services()
+            .map(|record| {
+                let forecast = record.engine.as_ref().map(EngineForecast::new);
+                let state =
+                    ServiceState { record: record.clone(), forecast, upstreams: Vec::new() };
+                (record.service.clone(), state)
+            })
+            .collect();
+        self.by_address.clear();
+        for (record, changed) in view.upstreams() {
+            let state = self
+                .upstreams
+                .entry(record.upstream.clone())
+                .or_insert_with(|| UpstreamState::new(record.clone()));
+            state.set_record(record.clone());
+            let cold_until = changed.unwrap_or(now) + record.cold_for;
+            state.cold_until =
+                (!record.cold_for.is_zero() && cold_until > now).then_some(cold_until);
+            self.by_address.insert(record.address, record.upstream.clone());
+            if let Some(service) = self.services.get_mut(&record.service) {
+                service.upstreams.push(record.upstream.clone());
+            }
+        }
+        self.upstreams.retain(|upstream, _| view.upstream(upstream).is_some());
+        for service in self.services.values_mut() {
+            service.upstreams.sort_unstable();
+        }
+        let upstreams = &self.upstreams;
+        self.cold.retain(|upstream| upstreams.contains_key(upstream));
+    }
+
+    /// Sets the number of entries that are known.
+    pub fn set_entries(&mut self, entries: usize) {
+        self.entries = entries.max(1);
+        self.cold.set_entries(entries);
+    }
+
+    /// Takes over the report of the agent beside the upstream at `address`.
+    pub fn record_report(&mut self, address: SocketAddr, report: AgentReport, now: Instant) {
+        let state = self.by_address.get(&address).and_then(|id| self.upstreams.get_mut(id));
+        if let Some(state) = state {
+            state.record_report(report, now);
+        }
+    }
+
+    /// Records that an upstream is cold for `span` from now on.
+    pub fn record_cold(&mut self, upstream: &str, span: Duration, now: Instant) {
+        if let Some(state) = self.upstreams.get_mut(upstream) {
+            state.cold_until = Some(now + span);
+        }
+    }
+
+    /// Records that a request leaves for an upstream.
+    pub fn record_sent(&mut self, upstream: &UpstreamId, now: Instant) {
+        let Some(state) = self.upstreams.get_mut(upstream) else { return };
+        state.record_sent(now);
+        if state.cold_until.is_some_and(|until| now < until) {
+            self.cold.record(upstream, now);
+        }
+    }
+
+    /// Records how a send ended.
+    pub fn record_outcome(&mut self, upstream: &str, outcome: SendOutcome, now: Instant) {
+        if let Some(state) = self.upstreams.get_mut(upstream) {
+            state.record_outcome(outcome, now);
+        }
+    }
+
+    /// Slots of a service's usable upstreams, and how many of them are taken.
+    #[must_use]
+    pub fn usage(&self, service: &str, now: Instant) -> (f64, f64) {
+        let Some(service) = self.services.get(service) else { return (0.0, 0.0) };
+        let usable = service.upstreams.iter().filter_map(|id| self.upstreams.get(id));
+        usable.filter(|state| !state.record.draining).fold((0.0, 0.0), |(slots, taken), state| {
+            let limit = f64::from(state.record.slots);
+            (slots + limit, taken + state.occupancy(now, self.entries as f64).min(limit))
+        })
+    }
+
+    /// Chooses an upstream.
+    pub fn choose(
+        &mut self,
+        work: &WorkRequest<'_>,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Placement {
+        let Some(service) = self.services.get(work.service) else {
+            return refuse(RefusalCause::NoUpstream, rng);
+        };
+        let cold_rate = service.record.cold_per_second;
+        let mut cause = RefusalCause::NoUpstream;
+        let mut candidates: Vec<&UpstreamId> = Vec::with_capacity(service.upstreams.len());
+        let mut suspended: Vec<&UpstreamId> = Vec::new();
+        for id in &service.upstreams {
+            let Some(state) = self.upstreams.get(id) else { continue };
+            if !self.is_usable(state, service, work, now) {
+                continue;
+            }
+            let is_cold = state.cold_until.is_some_and(|until| now < until);
+            if is_cold && cold_rate > 0.0 && !self.cold.has_room(id, cold_rate, now) {
+                cause = RefusalCause::Cold;
+            } else if state.suspended_until.is_some_and(|until| now < until) {
+                suspended.push(id);
+            } else {
+                candidates.push(id);
+            }
+        }
+        if candidates.is_empty() {
+            // Every upstream failed lately: trying one is better than refusing all.
+            candidates = suspended;
+        }
+        if candidates.is_empty() {
+            return refuse(cause, rng);
+        }
+        self.pick(work, service, candidates, now, rng)
+    }
+
+    fn pick(
+        &self,
+        work: &WorkRequest<'_>,
+        service: &ServiceState,
+        mut candidates: Vec<&UpstreamId>,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Placement {
+        let room = self.room(service, work);
+        let mut best: Option<(f64, f64, &UpstreamState)> = None;
+        let mut compared = 0;
+        while !candidates.is_empty() {
+            let id = candidates.swap_remove(rng.random_range(0..candidates.len()));
+            let state = &self.upstreams[id];
+            let occupancy = state.occupancy(now, self.entries as f64);
+            let slots = f64::from(state.record.slots.max(1));
+            let limit = room.unwrap_or(slots * SERVICE_DEPTH);
+            if occupancy > limit && !work.is_continued {
+                continue;
+            }
+            let remote = if self.is_remote(&state.record) { REMOTE_PENALTY } else { 0.0 };
+            let cost = occupancy + remote + state.failing() * FAILURE_PENALTY;
+            if best.is_none_or(|(lowest, ..)| cost < lowest) {
+                best = Some((cost, occupancy, state));
+            }
+            compared += 1;
+            if compared >= COMPARED {
+                break;
+            }
+        }
+        match best {
+            Some((_, occupancy, state)) => {
+                Placement::Upstream { record: state.record.clone(), occupancy }
+            }
+            None => refuse(RefusalCause::Overloaded, rng),
+        }
+    }
+
+    /// Requests that may run or wait at an upstream for the request to be placed there.
+    fn room(&self, service: &ServiceState, work: &WorkRequest<'_>) -> Option<f64> {
+        let forecast = service.forecast.as_ref()?;
+        let slots = f64::from(service.record.engine.as_ref()?.slots);
+        let room = match work.target_left {
+            Some(left) => forecast.room_within(left.mul_f64(TARGET_PART), work.prompt_tokens),
+            None => slots - LATE_RESERVE,
+        };
+        Some(room.max(slots - LATE_RESERVE))
+    }
+
+    fn is_usable(
+        &self,
+        state: &UpstreamState,
+        service: &ServiceState,
+        work: &WorkRequest<'_>,
+        now: Instant,
+    ) -> bool {
+        let record = &state.record;
+        if record.draining
+            || self.evacuated.contains(&record.data_centre)
+            || work.tried.contains(&record.upstream)
+        {
+            return false;
+        }
+        let connections = service.record.max_connections / self.entries.max(MIN_ENTRIES) as u32;
+        if !self.is_allowed(record, work) || state.in_flight >= connections.max(1) {
+            return false;
+        }
+        if service.record.engine.is_none() {
+            return true;
+        }
+        match state.report(now) {
+            Some(report) => {
+                !report.switching
+                    && report.version > 0
+                    && work.min_version.is_none_or(|version| report.version >= version)
+            }
+            None => record.weights.iter().any(|weights| {
+                weights.complete
+                    && work.min_version.is_none_or(|version| weights.version >= version)
+            }),
+        }
+    }
+
+    fn is_allowed(&self, record: &UpstreamRecord, work: &WorkRequest<'_>) -> bool {
+        let region = self.options.regions.get(&record.data_centre);
+        work.allowed_regions.iter().all(|allowed| {
+            allowed.is_empty() || region.is_some_and(|region| allowed.contains(region))
+        })
+    }
+
+    fn is_remote(&self, record: &UpstreamRecord) -> bool {
+        self.options.regions.get(&record.data_centre) != Some(&self.options.region)
+    }
+}
+
+fn refuse(cause: RefusalCause, rng: &mut impl Rng) -> Placement {
+    let retry_after = rng.random_range(RETRY_RANGE.0..RETRY_RANGE.1);
+    Placement::Refused(PlacementRefusal { cause, retry_after })
+}
--- /dev/null
+++ b/crates/balance/src/upstream.rs
@@ -0,0 +1,166 @@
+//! What an entry knows of one upstream's load and behaviour.
+
+use std::{
+    collections::VecDeque,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use fleet::{UpstreamRecord, WeightsVersion};
+use serde::{Deserialize, Serialize};
+
+/// Reports that are older than this say nothing about now.
+const REPORT_LIFETIME: Duration = Duration::from_millis(1_500);
+/// A send counts on top of a report if it left less than this before the report arrived: the report was taken before
+/// the request could have reached the engine.
+const REPORT_DELAY: Duration = Duration::from_millis(12);
+/// Weight of one outcome in the mean of failures.
+const OUTCOME_WEIGHT: f64 = 0.15;
+/// Failed connections in a row after which an upstream is left alone for a while.
+const CONNECT_FAILURES: u32 = 1;
+/// First and longest time for which an upstream that cannot be reached is left alone.
+const SUSPENSION_RANGE: (Duration, Duration) = (Duration::from_millis(400), Duration::from_secs(4));
+/// Mean of failures above which an upstream is left alone for a while.
+const FAILING_SHARE: f64 = 0.6;
+/// Sends after which the mean of failures says something.
+const MIN_OUTCOMES: u32 = 4;
+
+/// State of an upstream as the agent beside it reports it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct AgentReport {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub queued: u32,
+    /// Version of the weights of which all layers are loaded; 0 if there is none.
+    pub version: WeightsVersion,
+    /// True while an order keeps the engine from accepting requests.
+    pub switching: bool,
+}
+
+/// How a send to an upstream ended.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum SendOutcome {
+    /// The upstream answered.
+    Answered,
+    /// The upstream said that it did not run the request.
+    NotRun,
+    /// No connection could be made.
+    Unreachable,
+    /// The connection broke or nothing came in time.
+    Failed,
+    /// The caller left or the deadline passed; says nothing about the upstream.
+    Abandoned,
+}
+
+#[derive(Debug)]
+pub(crate) struct UpstreamState {
+    pub(crate) record: Arc<UpstreamRecord>,
+    /// Cold until this moment.
+    pub(crate) cold_until: Option<Instant>,
+    report: Option<(AgentReport, Instant)>,
+    /// Own sends that the last report does not contain yet.
+    unreported: VecDeque<Instant>,
+    pub(crate) in_flight: u32,
+    failing: f64,
+    outcomes: u32,
+    unreachable: u32,
+    pub(crate) suspended_until: Option<Instant>,
+}
+
+impl UpstreamState {
+    pub(crate) fn new(record: Arc<UpstreamRecord>) -> Self {
+        Self {
+            record,
+            cold_until: None,
+            report: None,
+            unreported: VecDeque::new(),
+            in_flight: 0,
+            failing: 0.0,
+            outcomes: 0,
+            unreachable: 0,
+            suspended_until: None,
+        }
+    }
+
+    /// Replaces the record. Another start of the process knows nothing of what was before.
+    pub(crate) fn set_record(&mut self, record: Arc<UpstreamRecord>) {
+        if record.born != self.record.born || record.address != self.record.address {
+            *self = Self::new(record);
+        } else {
+            self.record = record;
+        }
+    }
+
+    pub(crate) fn record_report(&mut self, report: AgentReport, now: Instant) {
+        while self
+            .unreported
+            .front()
+            .is_some_and(|sent| now.saturating_duration_since(*sent) > REPORT_DELAY)
+        {
+            self.unreported.pop_front();
+        }
+        self.report = Some((report, now));
+    }
+
+    pub(crate) fn report(&self, now: Instant) -> Option<AgentReport> {
+        let (report, taken) = self.report?;
+        (now.saturating_duration_since(taken) <= REPORT_LIFETIME).then_some(report)
+    }
+
+    pub(crate) fn record_sent(&mut self, now: Instant) {
+        self.in_flight += 1;
+        self.unreported.push_back(now);
+    }
+
+    /// Requests that run or wait, as far as this entry can tell.
+    pub(crate) fn occupancy(&self, now: Instant, entries: f64) -> f64 {
+        match self.report(now) {
+            Some(report) => {
+                f64::from(report.running + report.queued) + self.unreported.len() as f64
+            }
+            None => f64::from(self.in_flight) * entries,
+        }
+    }
+
+    pub(crate) fn failing(&self) -> f64 {
+        self.failing
+    }
+
+    pub(crate) fn record_outcome(&mut self, outcome: SendOutcome, now: Instant) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        match outcome {
+            SendOutcome::Answered => {
+                self.unreachable = 0;
+                self.suspended_until = None;
+                self.count(0.0);
+            }
+            // A refusal is an answer: the process is there.
+            SendOutcome::NotRun => self.unreachable = 0,
+            SendOutcome::Unreachable => {
+                self.unreachable += 1;
+                if self.unreachable >= CONNECT_FAILURES {
+                    self.suspend(self.unreachable - CONNECT_FAILURES, now);
+                }
+            }
+            SendOutcome::Failed => {
+                self.count(1.0);
+                if self.outcomes >= MIN_OUTCOMES && self.failing > FAILING_SHARE {
+                    self.suspend(1, now);
+                }
+            }
+            SendOutcome::Abandoned => {}
+        }
+    }
+
+    fn count(&mut self, failed: f64) {
+        self.outcomes = self.outcomes.saturating_add(1);
+        self.failing += (failed - self.failing) * OUTCOME_WEIGHT;
+    }
+
+    fn suspend(&mut self, doublings: u32, now: Instant) {
+        let (first, longest) = SUSPENSION_RANGE;
+        let span = first.saturating_mul(1 << doublings.min(4)).min(longest);
+        self.suspended_until = Some(now + span);
+    }
+}
--- a/crates/cli/src/admin_client.rs
+++ b/crates/cli/src/admin_client.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use platform::{HttpClient, PlatformError};
+use ports::{HttpClient, PlatformError};
 use serde_json::Value;
 use snafu::{ResultExt, Snafu};
 
--- a/crates/cli/tests/support/fleet.rs
+++ b/crates/cli/tests/support/fleet.rs
@@ -15,7 +15,7 @@
 use config::{FleetConfig, HostList, HostRecord, HostRole, HostState};
 use futures_util::TryStreamExt;
 use hyper::Method;
-use platform::HttpClient;
+use ports::HttpClient;
 use serde_json::{Value, json};
 use standin::{
     ConfigService, EngineOptions, ModelEngine, PlainService, ServiceOptions, StoreOptions,
--- /dev/null
+++ b/crates/fleet/src/view.rs
@@ -0,0 +1,181 @@
+//! An immutable snapshot of the knowledge, as the threads that carry traffic read it.
+
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use base::{DataCentreId, ModelId, Revision, ServiceId, UpstreamId};
+use compact_str::CompactString;
+
+use crate::record::{
+    ClientLimits, RouteRecord, RoutingConfig, ServiceRecord, TeamRecord, UpstreamRecord,
+    WeightsVersion,
+};
+
+/// Result of looking up a request's route.
+#[derive(Clone, Debug)]
+pub enum RouteMatch {
+    /// The route.
+    Found(Arc<RouteRecord>),
+    /// No route of this configuration takes the request.
+    Unknown,
+    /// No configuration is known yet.
+    NoConfig,
+}
+
+/// Versions of a model's weights in the order of their declaration.
+#[derive(Clone, Debug, Default)]
+pub struct WeightsState {
+    versions: Vec<(WeightsVersion, Option<Instant>)>,
+}
+
+impl WeightsState {
+    /// Creates the state; a version without a time was declared before this process could see it.
+    #[must_use]
+    pub fn new(versions: Vec<(WeightsVersion, Option<Instant>)>) -> Self {
+        Self { versions }
+    }
+
+    /// The version that all upstreams are to hold.
+    #[must_use]
+    pub fn declared(&self) -> Option<WeightsVersion> {
+        self.versions.last().map(|(version, _)| *version)
+    }
+
+    /// When the newest version was declared, if this process or a peer saw it.
+    #[must_use]
+    pub fn declared_at(&self) -> Option<Instant> {
+        self.versions.last().and_then(|(_, seen)| *seen)
+    }
+
+    /// Oldest version on which a request may still begin at `now`, if each version must be in use within `bound`.
+    #[must_use]
+    pub fn oldest_allowed(&self, now: Instant, bound: Duration) -> Option<WeightsVersion> {
+        self.versions
+            .iter()
+            .filter(|(_, seen)| {
+                seen.is_none_or(|seen| now.saturating_duration_since(seen) >= bound)
+            })
+            .map(|(version, _)| *version)
+            .max()
+    }
+}
+
+/// Snapshot of the fleet.
+#[derive(Clone, Debug, Default)]
+pub struct FleetView {
+    /// Highest revision that it contains.
+    pub revision: Revision,
+    /// Data centres whose upstreams are to get no new work.
+    pub evacuated: HashSet<DataCentreId>,
+    /// Declared weights by model.
+    pub weights: HashMap<ModelId, WeightsState>,
+    config: Option<Arc<RoutingConfig>>,
+    /// Routes by host name, longest prefix first.
+    routes: HashMap<CompactString, Vec<Arc<RouteRecord>>>,
+    services: HashMap<ServiceId, Arc<ServiceRecord>>,
+    /// Teams by key.
+    teams: HashMap<CompactString, Arc<TeamRecord>>,
+    upstreams: HashMap<UpstreamId, (Arc<UpstreamRecord>, Option<Instant>)>,
+}
+
+impl FleetView {
+    /// Replaces the configuration.
+    pub fn set_config(&mut self, config: Arc<RoutingConfig>) {
+        self.routes.clear();
+        for route in &config.routes {
+            self.routes.entry(route.host.clone()).or_default().push(Arc::new(route.clone()));
+        }
+        for routes in self.routes.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        self.services = config
+            .services
+            .iter()
+            .map(|service| (service.service.clone(), Arc::new(service.clone())))
+            .collect();
+        self.teams.clear();
+        for team in config.teams.iter().flatten() {
+            let team = Arc::new(team.clone());
+            for key in &team.keys {
+                self.teams.insert(key.clone(), team.clone());
+            }
+        }
+        self.config = Some(config);
+    }
+
+    /// Replaces the upstreams; with each comes the time at which its record was seen to change.
+    pub fn set_upstreams(&mut self, upstreams: Vec<(Arc<UpstreamRecord>, Option<Instant>)>) {
+        self.upstreams = upstreams
+            .into_iter()
+            .map(|(record, changed)| (record.upstream.clone(), (record, changed)))
+            .collect();
+    }
+
+    /// The configuration.
+    #[must_use]
+    pub fn config(&self) -> Option<&Arc<RoutingConfig>> {
+        self.config.as_ref()
+    }
+
+    /// Limits for callers; `None` before a configuration is known.
+    #[must_use]
+    pub fn limits(&self) -> Option<ClientLimits> {
+        self.config.as_ref().map(|config| config.limits)
+    }
+
+    /// Finds the route with the longest prefix that begins `path`.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> RouteMatch {
+        if self.config.is_none() {
+            return RouteMatch::NoConfig;
+        }
+        let routes = self.routes.get(host).map_or(&[][..], Vec::as_slice);
+        routes
+            .iter()
+            .find(|route| path.starts_with(route.prefix.as_str()))
+            .map_or(RouteMatch::Unknown, |route| RouteMatch::Found(route.clone()))
+    }
+
+    /// Routes of a host name.
+    #[must_use]
+    pub fn routes_of(&self, host: &str) -> &[Arc<RouteRecord>] {
+        self.routes.get(host).map_or(&[], Vec::as_slice)
+    }
+
+    /// True if callers need keys.
+    #[must_use]
+    pub fn needs_keys(&self) -> bool {
+        self.config.as_ref().is_some_and(|config| config.teams.is_some())
+    }
+
+    /// Team that holds a key.
+    #[must_use]
+    pub fn team(&self, key: &str) -> Option<&Arc<TeamRecord>> {
+        self.teams.get(key)
+    }
+
+    /// A service by id.
+    #[must_use]
+    pub fn service(&self, service: &str) -> Option<&Arc<ServiceRecord>> {
+        self.services.get(service)
+    }
+
+    /// All services.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<ServiceRecord>> {
+        self.services.values()
+    }
+
+    /// All upstreams with the time at which each record was seen to change.
+    pub fn upstreams(&self) -> impl Iterator<Item = &(Arc<UpstreamRecord>, Option<Instant>)> {
+        self.upstreams.values()
+    }
+
+    /// An upstream by id.
+    #[must_use]
+    pub fn upstream(&self, upstream: &str) -> Option<&Arc<UpstreamRecord>> {
+        self.upstreams.get(upstream).map(|(record, _)| record)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/agent/beats.rs
@@ -0,0 +1,172 @@
+//! Reads the engine's load and reports it to the entries.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use log::{info, warn};
+use member::EntryMember;
+use pieces::PieceSet;
+use tokio::time::{MissedTickBehavior, interval};
+use wire::{AgentBeat, EntryContact, HoldingNotice, Notice};
+
+use super::shared::AgentShared;
+use crate::peers::NoticeSocket;
+
+/// Interval at which the load is read; a request takes about a second, so the load changes little meanwhile.
+const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+/// Ticks between two beats to entries in other regions, whose bytes are priced.
+const REMOTE_TICKS: u64 = 2;
+/// Ticks after which a beat is sent although nothing has changed.
+const IDLE_TICKS: u64 = 4;
+/// Ticks between two beats that carry contacts.
+const CONTACT_TICKS: u64 = 20;
+const MAX_CONTACTS: usize = 16;
+
+/// Sends beats until the task is dropped.
+pub(super) async fn send(shared: Arc<AgentShared>, socket: NoticeSocket) {
+    let mut ticks = interval(REPORT_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut sequence = 0_u64;
+    let mut last: Option<(AgentBeat, u64)> = None;
+    let mut is_lost = false;
+    loop {
+        let is_urgent = tokio::select! {
+            _ = ticks.tick() => false,
+            () = shared.wake_beats.notified() => true,
+        };
+        sequence += 1;
+        super::engine::read_report(&shared, &mut is_lost).await;
+        let now = shared.clock.now();
+        let beat = make_beat(&shared, sequence, now);
+        let has_changed = last.as_ref().is_none_or(|(sent, at)| {
+            sequence - at >= IDLE_TICKS
+                || (sent.running, sent.queued, sent.version, sent.switching)
+                    != (beat.running, beat.queued, beat.version, beat.switching)
+        });
+        if !has_changed && !is_urgent {
+            continue;
+        }
+        let is_remote_turn = is_urgent || sequence.is_multiple_of(REMOTE_TICKS);
+        let targets = targets(&shared, is_remote_turn, now);
+        last = Some((beat.clone(), sequence));
+        socket.send(Notice::Agent(beat), targets);
+    }
+}
+
+fn targets(shared: &AgentShared, is_remote_turn: bool, now: Instant) -> Vec<SocketAddr> {
+    let common = &shared.settings.common;
+    let region = common.region();
+    let roster = shared.roster();
+    roster
+        .alive(now)
+        .filter(|entry| is_remote_turn || common.regions.get(&entry.data_centre) == Some(&region))
+        .map(|entry| entry.peer)
+        .collect()
+}
+
+fn make_beat(shared: &AgentShared, sequence: u64, now: Instant) -> AgentBeat {
+    let report = shared.report().unwrap_or_default();
+    let contacts = if sequence % CONTACT_TICKS == 1 {
+        let mut roster = shared.roster();
+        roster.expire(now);
+        roster
+            .heard(now)
+            .take(MAX_CONTACTS)
+            .map(|(entry, age)| EntryContact {
+                peer: entry.peer.to_string(),
+                age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+            })
+            .collect()
+    } else {
+        Vec::new()
+    };
+    AgentBeat {
+        sequence,
+        upstream: shared.settings.engine.to_string(),
+        running: report.running,
+        queued: report.queued,
+        version: shared.loaded_version(),
+        switching: shared.is_switching() || report.busy,
+        incarnation: shared.incarnation,
+        contacts,
+    }
+}
+
+/// Receives notices until the task is dropped.
+pub(super) async fn receive(shared: Arc<AgentShared>, socket: NoticeSocket) {
+    loop {
+        match socket.receive().await {
+            (Notice::Entry(beat), _) => {
+                let (Ok(peer), Ok(caller_address)) =
+                    (beat.peer.parse(), beat.caller_address.parse())
+                else {
+                    warn!("event=beat_unreadable peer={}", beat.peer);
+                    continue;
+                };
+                let member = EntryMember {
+                    name: beat.name.as_str().into(),
+                    incarnation: beat.incarnation,
+                    sequence: beat.sequence,
+                    data_centre: beat.data_centre.as_str().into(),
+                    caller_address,
+                    peer,
+                    ready: beat.ready,
+                    leaving: beat.leaving,
+                    head: beat.head,
+                    brief: beat.brief,
+                };
+                shared.roster().record_beat(member, shared.clock.now());
+                let known = shared.brief().map(|brief| brief.digest);
+                if known != Some(beat.brief) {
+                    shared.wake.notify_one();
+                }
+            }
+            (Notice::Holding(notice), peer) => record_holding(&shared, &socket, &notice, peer),
+            (Notice::Agent(_), _) => {}
+        }
+    }
+}
+
+fn record_holding(
+    shared: &AgentShared,
+    socket: &NoticeSocket,
+    notice: &HoldingNotice,
+    peer: SocketAddr,
+) {
+    let mut swarm = shared.swarm();
+    let Some(swarm) = swarm.as_mut() else { return };
+    let name = swarm.name();
+    if name.model != notice.model || name.version != notice.version {
+        return;
+    }
+    let pieces = PieceSet::with_bytes(notice.pieces.to_vec());
+    swarm.record_holding(peer, pieces, shared.clock.now());
+    if notice.wanted && swarm.held().count() > 0 {
+        socket.send(Notice::Holding(holding(swarm, false)), [peer]);
+    }
+    if !swarm.is_complete() {
+        shared.wake.notify_one();
+    }
+}
+
+/// Notice of what this agent holds.
+pub(super) fn holding(swarm: &pieces::PieceSwarm, wanted: bool) -> HoldingNotice {
+    HoldingNotice {
+        model: swarm.name().model.to_string(),
+        version: swarm.name().version,
+        pieces: swarm.held().as_bytes().to_vec().into(),
+        wanted,
+    }
+}
+
+/// Logs a lost or regained engine.
+pub(super) fn log_engine(is_lost: bool, address: SocketAddr, cause: &str) {
+    if is_lost {
+        warn!("event=engine_lost address={address} error=\"{cause}\"");
+    } else {
+        info!("event=engine_regained address={address}");
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/agent/mod.rs
@@ -0,0 +1,108 @@
+//! The agent: brings weights to the engine beside it and reports the engine's load to the entries.
+
+mod beats;
+mod engine;
+mod shared;
+mod transfer;
+mod uploads;
+
+use std::{sync::Arc, time::Duration};
+
+use base::Clock;
+use log::info;
+use snafu::ResultExt;
+use tokio::{
+    runtime::Builder,
+    signal::unix::{SignalKind, signal},
+    time::sleep,
+};
+
+use self::shared::AgentShared;
+use crate::{
+    frames::{NodeError, ThreadSnafu, bind, serve_frames},
+    log_sink::LogSink,
+    metrics::serve_metrics,
+    peers::NoticeSocket,
+    port::{EngineControl, PieceOrigin},
+    settings::AgentSettings,
+};
+
+const LOG_INTERVAL: Duration = Duration::from_millis(200);
+/// Time after a request to stop in which pieces that are being sent still arrive.
+const STOP_DELAY: Duration = Duration::from_millis(150);
+
+/// Parts of the platform that an agent uses.
+pub struct AgentPorts {
+    /// The engine beside the agent.
+    pub engine: Arc<dyn EngineControl>,
+    /// The origin of weights.
+    pub origin: Arc<dyn PieceOrigin>,
+}
+
+/// Runs an agent until it is told to stop.
+///
+/// # Errors
+/// Fails if an address cannot be bound.
+pub fn run_agent(
+    settings: AgentSettings,
+    ports: AgentPorts,
+    clock: Arc<dyn Clock>,
+    logs: LogSink,
+) -> Result<(), NodeError> {
+    info!(
+        "event=start role=agent name={} data_centre={} engine={} service={}",
+        settings.common.name, settings.common.data_centre, settings.engine, settings.service
+    );
+    let runtime = Builder::new_current_thread().enable_all().build().context(ThreadSnafu)?;
+    let result = runtime.block_on(run(settings, ports, clock, logs.clone()));
+    info!("event=stop");
+    logs.flush_out();
+    result
+}
+
+async fn run(
+    settings: AgentSettings,
+    ports: AgentPorts,
+    clock: Arc<dyn Clock>,
+    logs: LogSink,
+) -> Result<(), NodeError> {
+    let peer = settings.common.peer;
+    let metrics = settings.common.metrics;
+    let shared = Arc::new(AgentShared::new(settings, ports, clock));
+    let socket = NoticeSocket::bind(peer, shared.key.clone()).await?;
+    let listener = bind(peer).await?;
+    let handler = Arc::new(uploads::AgentFrames::new(shared.clone()));
+    let name = shared.settings.common.name.to_string();
+    tokio::spawn(serve_frames(listener, shared.key.clone(), name, handler));
+    if let Some(address) = metrics {
+        tokio::spawn(serve_metrics(address, shared.metrics.clone()));
+    }
+    tokio::spawn(async move {
+        loop {
+            sleep(LOG_INTERVAL).await;
+            logs.flush_out();
+        }
+    });
+    tokio::spawn(beats::receive(shared.clone(), socket.clone()));
+    tokio::spawn(beats::send(shared.clone(), socket.clone()));
+    tokio::spawn(transfer::run(shared.clone(), socket));
+    wait_for_stop().await;
+    sleep(STOP_DELAY).await;
+    Ok(())
+}
+
+async fn wait_for_stop() {
+    let (Ok(mut terminate), Ok(mut reload)) =
+        (signal(SignalKind::terminate()), signal(SignalKind::hangup()))
+    else {
+        log::error!("event=signals_unavailable");
+        return;
+    };
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = reload.recv() => info!("event=reload result=kept"),
+        }
+    }
+    info!("event=stop_requested signal=SIGTERM");
+}
--- /dev/null
+++ b/crates/gateway/src/agent/transfer.rs
@@ -0,0 +1,485 @@
+//! Brings the declared weights into the staging area and makes the engine load them.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::{Duration, Instant},
+};
+
+use base::rendezvous_weight;
+use bytes::Bytes;
+use log::{info, warn};
+use pieces::{
+    FetchTicket, PieceIndex, PieceList, PieceSet, PieceSource, PieceSwarm, SwarmFetch,
+    SwarmOptions, SwitchPlan, SwitchView, WeightsName,
+};
+use rand::{RngExt, seq::IndexedRandom};
+use tokio::{
+    sync::mpsc,
+    time::{sleep, timeout},
+};
+use wire::{BriefRequest, Notice, Payload, PieceListRequest, PieceRequest};
+
+use super::{
+    beats::holding,
+    engine::{order_load, verify_staged},
+    shared::{AgentBrief, AgentShared},
+};
+use crate::peers::NoticeSocket;
+
+/// Interval at which the transfer looks at everything, besides being woken.
+const TICK: Duration = Duration::from_millis(100);
+/// Interval between two notices of what this agent holds while it still lacks pieces.
+const NOTICE_INTERVAL: Duration = Duration::from_millis(40);
+/// Interval at which an agent that lacks pieces asks what others hold; notices may be lost.
+const QUESTION_INTERVAL: Duration = Duration::from_millis(300);
+const BRIEF_TIMEOUT: Duration = Duration::from_millis(800);
+const LIST_TIMEOUT: Duration = Duration::from_millis(700);
+/// Longest time for a piece: about ten times what it takes on an idle link, since three may wait before it.
+const PIECE_TIMEOUT: Duration = Duration::from_millis(900);
+const STAGE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Agents up to which all of them read the list of pieces at the origin: it has a few kilobytes.
+const MAX_LIST_READERS: usize = 32;
+/// Fetches of one piece with wrong bytes after which the list of digests itself is doubted.
+const MAX_MISMATCHES: u32 = 3;
+/// Time after an order in which the engine is expected to have loaded; then it is ordered again.
+const LOAD_TIMEOUT: Duration = Duration::from_secs(12);
+/// Link overhead of a transfer beside the bytes themselves.
+const LINK_OVERHEAD: f64 = 1.1;
+
+struct FetchResult {
+    fetch: SwarmFetch,
+    name: WeightsName,
+    end: FetchEnd,
+}
+
+enum FetchEnd {
+    Staged,
+    Busy,
+    Failed,
+    Mismatch,
+}
+
+/// State of the transfer task.
+struct TransferTask {
+    shared: Arc<AgentShared>,
+    socket: NoticeSocket,
+    results: mpsc::UnboundedSender<FetchResult>,
+    noticed: Option<Instant>,
+    asked: Option<Instant>,
+    has_news: bool,
+    mismatches: HashMap<PieceIndex, u32>,
+    ordered: Option<(WeightsName, Instant)>,
+    started: Option<Instant>,
+    was_complete: bool,
+}
+
+/// Runs until the task is dropped.
+pub(super) async fn run(shared: Arc<AgentShared>, socket: NoticeSocket) {
+    let (results, mut arrived) = mpsc::unbounded_channel();
+    let mut task = TransferTask {
+        shared,
+        socket,
+        results,
+        noticed: None,
+        asked: None,
+        has_news: false,
+        mismatches: HashMap::new(),
+        ordered: None,
+        started: None,
+        was_complete: false,
+    };
+    loop {
+        tokio::select! {
+            Some(result) = arrived.recv() => task.take_result(result),
+            () = task.shared.wake.notified() => {}
+            () = sleep(TICK) => {}
+        }
+        while let Ok(result) = arrived.try_recv() {
+            task.take_result(result);
+        }
+        task.step().await;
+    }
+}
+
+impl TransferTask {
+    async fn step(&mut self) {
+        self.refresh_brief().await;
+        let Some(brief) = self.shared.brief() else { return };
+        if self.shared.report().is_none() {
+            return;
+        }
+        self.settle_order(&brief);
+        let is_current =
+            self.shared.swarm().as_ref().is_some_and(|swarm| *swarm.name() == brief.name);
+        if !is_current && !self.start_swarm(&brief).await {
+            return;
+        }
+        let now = self.shared.clock.now();
+        let (fetches, is_complete) = {
+            let mut swarm = self.shared.swarm();
+            let Some(swarm) = swarm.as_mut() else { return };
+            let origin = brief.origin.as_ref().map(|(_, data_centre)| data_centre.clone());
+            swarm.update_peers(&brief.agents, origin);
+            (swarm.next_fetches(now, &mut rand::rng()), swarm.is_complete())
+        };
+        for fetch in fetches {
+            self.spawn_fetch(fetch, &brief);
+        }
+        self.send_notices(&brief, is_complete, now);
+        if is_complete {
+            if !std::mem::replace(&mut self.was_complete, true) {
+                let span =
+                    self.started.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+                info!(
+                    "event=weights_staged model={} version={} ms={}",
+                    brief.name.model,
+                    brief.name.version,
+                    span.as_millis()
+                );
+            }
+            self.load_when_due(&brief, now).await;
+        } else {
+            self.was_complete = false;
+        }
+    }
+
+    /// Asks an entry again if it has other news than this agent knows.
+    async fn refresh_brief(&self) {
+        let now = self.shared.clock.now();
+        let known = self.shared.brief();
+        let common = &self.shared.settings.common;
+        let region = common.region();
+        let mut entries: Vec<(bool, u64, SocketAddr)> = self
+            .shared
+            .roster()
+            .alive(now)
+            .filter(|entry| known.as_ref().is_none_or(|brief| brief.digest != entry.brief))
+            .filter(|entry| known.as_ref().is_none_or(|brief| entry.head >= brief.revision))
+            .map(|entry| {
+                (common.regions.get(&entry.data_centre) == Some(&region), entry.head, entry.peer)
+            })
+            .collect();
+        if entries.is_empty() && known.is_none() {
+            let port = common.peer.port();
+            entries.extend(
+                common.seeds.iter().map(|seed| (false, 0, SocketAddr::new(seed.ip(), port))),
+            );
+        }
+        entries.sort_unstable_by(|left, right| right.cmp(left));
+        let Some((_, _, entry)) = entries.first().copied() else { return };
+        let entry = if known.is_some() {
+            entry
+        } else {
+            entries.choose(&mut rand::rng()).map_or(entry, |entry| entry.2)
+        };
+        let request = Payload::BriefRequest(BriefRequest {
+            service: self.shared.settings.service.to_string(),
+        });
+        match self.shared.client.call(entry, request, BRIEF_TIMEOUT).await {
+            Ok(Payload::BriefReply(reply)) => {
+                let (version, revision, agents) =
+                    (reply.version, reply.revision, reply.agents.len());
+                let has_changed = known.as_ref().is_none_or(|brief| brief.name.version != version);
+                if self.shared.set_brief(reply) && has_changed {
+                    info!(
+                        "event=weights_wanted version={version} revision={revision} agents={agents} entry={entry}"
+                    );
+                }
+            }
+            Ok(_) => warn!("event=brief_failed entry={entry} error=\"unexpected message\""),
+            Err(error) => warn!("event=brief_failed entry={entry} error=\"{error}\""),
+        }
+    }
+
+    /// Begins the transfer of other weights; false if their list of pieces cannot be had yet.
+    async fn start_swarm(&mut self, brief: &AgentBrief) -> bool {
+        let Some(list) = self.fetch_list(brief).await else { return false };
+        let now = self.shared.clock.now();
+        let held = if self.shared.loaded_version() == 0 || self.holds(brief) {
+            self.verified_held(brief, &list).await
+        } else {
+            PieceSet::new()
+        };
+        info!(
+            "event=transfer_started model={} version={} held={} pieces={}",
+            brief.name.model,
+            brief.name.version,
+            held.count(),
+            list.len()
+        );
+        let own = self.shared.own_peer();
+        let swarm = PieceSwarm::new(Arc::new(list), own, held, SwarmOptions::default(), now);
+        *self.shared.swarm() = Some(swarm);
+        self.mismatches.clear();
+        self.started = Some(now);
+        self.asked = None;
+        true
+    }
+
+    fn holds(&self, brief: &AgentBrief) -> bool {
+        self.shared.loaded_version() == brief.name.version
+    }
+
+    /// Pieces that lie staged and are whole. Beside loaded weights they are only listed: each is verified before it is
+    /// passed on.
+    async fn verified_held(&self, brief: &AgentBrief, list: &PieceList) -> PieceSet {
+        let engine = &self.shared.ports.engine;
+        let mut held = PieceSet::new();
+        let staged = match engine.staged_list(&brief.name.model).await {
+            Ok(staged) => staged,
+            Err(error) => {
+                warn!("event=staged_unreadable error=\"{error}\"");
+                return held;
+            }
+        };
+        for index in staged {
+            let is_whole = self.holds(brief)
+                || engine
+                    .staged(&brief.name.model, index)
+                    .await
+                    .is_ok_and(|bytes| list.verify(index, &bytes));
+            if is_whole && index < list.len() {
+                held.insert(index);
+            }
+        }
+        held
+    }
+
+    async fn fetch_list(&self, brief: &AgentBrief) -> Option<PieceList> {
+        let is_reader =
+            brief.agents.len() < MAX_LIST_READERS || self.place(brief) < MAX_LIST_READERS as u32;
+        if is_reader && let Some((origin, _)) = &brief.origin {
+            match timeout(LIST_TIMEOUT, self.shared.ports.origin.digests(*origin, &brief.name))
+                .await
+            {
+                Ok(Ok(digests)) if digests.len() == brief.piece_count as usize => {
+                    return Some(PieceList { name: brief.name.clone(), digests });
+                }
+                Ok(Ok(digests)) => warn!(
+                    "event=list_refused pieces={} expected={}",
+                    digests.len(),
+                    brief.piece_count
+                ),
+                Ok(Err(error)) => warn!("event=list_failed error=\"{error}\""),
+                Err(_) => warn!("event=list_failed error=\"timeout\""),
+            }
+        }
+        let peer = brief.agents.choose(&mut rand::rng())?.address;
+        let request =
+            PieceListRequest { model: brief.name.model.to_string(), version: brief.name.version };
+        let reply =
+            self.shared.client.call(peer, Payload::PieceListRequest(request), LIST_TIMEOUT).await;
+        let Ok(Payload::PieceListReply(reply)) = reply else { return None };
+        let digests: Option<Vec<_>> =
+            reply.digests.iter().map(|digest| digest.as_ref().try_into().ok()).collect();
+        let digests = digests.filter(|digests| digests.len() == brief.piece_count as usize)?;
+        (brief.piece_count > 0).then(|| PieceList { name: brief.name.clone(), digests })
+    }
+
+    fn spawn_fetch(&self, fetch: SwarmFetch, brief: &AgentBrief) {
+        let shared = self.shared.clone();
+        let results = self.results.clone();
+        let name = brief.name.clone();
+        let origin = brief.origin.as_ref().map(|(address, _)| *address);
+        tokio::spawn(async move {
+            let end = fetch_piece(&shared, &name, fetch, origin).await;
+            // The receiver lives as long as the process.
+            let _ = results.send(FetchResult { fetch, name, end });
+        });
+    }
+
+    fn take_result(&mut self, result: FetchResult) {
+        let now = self.shared.clock.now();
+        let FetchResult { fetch, name, end } = result;
+        let ticket: FetchTicket = fetch.ticket;
+        let mut guard = self.shared.swarm();
+        let Some(swarm) = guard.as_mut().filter(|swarm| *swarm.name() == name) else { return };
+        match end {
+            FetchEnd::Staged => {
+                swarm.record_staged(ticket, now);
+                self.has_news = true;
+            }
+            FetchEnd::Busy => swarm.record_failed(ticket, true, now),
+            FetchEnd::Failed => swarm.record_failed(ticket, false, now),
+            FetchEnd::Mismatch => {
+                swarm.record_failed(ticket, false, now);
+                let count = self.mismatches.entry(fetch.index).or_default();
+                *count += 1;
+                if *count >= MAX_MISMATCHES {
+                    warn!("event=list_doubted piece={} mismatches={count}", fetch.index);
+                    *guard = None;
+                }
+            }
+        }
+    }
+
+    fn send_notices(&mut self, brief: &AgentBrief, is_complete: bool, now: Instant) {
+        let has_passed = |at: Option<Instant>, span| {
+            at.is_none_or(|at| now.saturating_duration_since(at) >= span)
+        };
+        let asks = !is_complete && has_passed(self.asked, QUESTION_INTERVAL);
+        let tells = self.has_news && (is_complete || has_passed(self.noticed, NOTICE_INTERVAL));
+        if !asks && !tells {
+            return;
+        }
+        if asks {
+            self.asked = Some(now);
+        }
+        self.noticed = Some(now);
+        self.has_news = false;
+        let swarm = self.shared.swarm();
+        let Some(swarm) = swarm.as_ref() else { return };
+        let peers = brief.agents.iter().map(|agent| agent.address);
+        self.socket.send(Notice::Holding(holding(swarm, asks)), peers);
+    }
+
+    /// Place of this agent in the order in which the engines change to a version.
+    fn place(&self, brief: &AgentBrief) -> u32 {
+        let subject = format!("change/{}/{}", brief.name.model, brief.name.version);
+        let weight =
+            |address: SocketAddr| rendezvous_weight(subject.as_bytes(), &address.to_string());
+        let own = weight(self.shared.settings.common.peer);
+        let before = brief.agents.iter().filter(|agent| weight(agent.address) > own).count();
+        u32::try_from(before).unwrap_or(u32::MAX)
+    }
+
+    async fn load_when_due(&mut self, brief: &AgentBrief, now: Instant) {
+        let loaded = self.shared.loaded_version();
+        if loaded >= brief.name.version || self.ordered.is_some() {
+            return;
+        }
+        let common = &self.shared.settings.common;
+        let bytes = u64::from(brief.piece_count) * u64::from(brief.piece_bytes);
+        let transfer = bytes as f64 / common.link_bytes_per_s.max(1) as f64 * LINK_OVERHEAD;
+        let plan = SwitchPlan::new(common.version_bound, Duration::from_secs_f64(transfer));
+        let agents = u32::try_from(brief.agents.len() + 1).unwrap_or(u32::MAX);
+        let view =
+            SwitchView { loaded, declared: brief.name.version, place: self.place(brief), agents };
+        if now < plan.start(&view, brief.declared_at, now) {
+            return;
+        }
+        // What lies staged may have turned bad since it was verified, so it is read once more.
+        let spoilt = verify_staged(&self.shared, &brief.name).await;
+        if !spoilt.is_empty() {
+            info!("event=pieces_spoilt model={} pieces={}", brief.name.model, spoilt.len());
+            if let Some(swarm) = self.shared.swarm().as_mut() {
+                spoilt.into_iter().for_each(|index| swarm.record_spoilt(index));
+            }
+            self.shared.wake.notify_one();
+            return;
+        }
+        self.shared.switching.store(true, Ordering::Relaxed);
+        self.shared.wake_beats.notify_one();
+        if order_load(&self.shared, &brief.name).await {
+            self.ordered = Some((brief.name.clone(), self.shared.clock.now()));
+        } else {
+            self.shared.switching.store(false, Ordering::Relaxed);
+            let pause = Duration::from_millis(rand::rng().random_range(20..60));
+            sleep(pause).await;
+        }
+    }
+
+    /// Ends the wait for an order once the engine serves the weights, or after too long a time.
+    fn settle_order(&mut self, brief: &AgentBrief) {
+        let Some((name, at)) = &self.ordered else { return };
+        let now = self.shared.clock.now();
+        let elapsed = now.saturating_duration_since(*at);
+        let is_loaded = self.shared.loaded_version() >= name.version;
+        let is_idle = self.shared.report().is_none_or(|report| !report.busy);
+        let is_lost = is_idle && elapsed > Duration::from_secs(1) && !is_loaded;
+        if is_loaded || is_lost || elapsed > LOAD_TIMEOUT {
+            info!(
+                "event=load_settled model={} version={} loaded={is_loaded} ms={} wanted={}",
+                name.model,
+                name.version,
+                elapsed.as_millis(),
+                brief.name.version
+            );
+            self.ordered = None;
+            self.shared.switching.store(false, Ordering::Relaxed);
+            self.shared.wake_beats.notify_one();
+        }
+    }
+}
+
+async fn fetch_piece(
+    shared: &AgentShared,
+    name: &WeightsName,
+    fetch: SwarmFetch,
+    origin: Option<SocketAddr>,
+) -> FetchEnd {
+    let bytes = match fetch.source {
+        PieceSource::Peer(peer) => {
+            let request = PieceRequest {
+                model: name.model.to_string(),
+                version: name.version,
+                index: fetch.index,
+            };
+            match shared.client.call(peer, Payload::PieceRequest(request), PIECE_TIMEOUT).await {
+                Ok(Payload::PieceReply(reply)) => match reply.bytes {
+                    Some(bytes) => bytes,
+                    None if reply.busy => return FetchEnd::Busy,
+                    None => return FetchEnd::Failed,
+                },
+                Ok(_) => return FetchEnd::Failed,
+                Err(error) => {
+                    info!(
+                        "event=fetch_failed piece={} source={peer} error=\"{error}\"",
+                        fetch.index
+                    );
+                    return FetchEnd::Failed;
+                }
+            }
+        }
+        PieceSource::Origin => match fetch_from_origin(shared, name, fetch.index, origin).await {
+            Some(bytes) => bytes,
+            None => return FetchEnd::Failed,
+        },
+    };
+    let is_whole = shared
+        .swarm()
+        .as_ref()
+        .is_some_and(|swarm| swarm.name() == name && swarm.list().verify(fetch.index, &bytes));
+    if !is_whole {
+        info!(
+            "event=piece_refused piece={} source={:?} bytes={}",
+            fetch.index,
+            fetch.source,
+            bytes.len()
+        );
+        return FetchEnd::Mismatch;
+    }
+    match timeout(STAGE_TIMEOUT, shared.ports.engine.stage(&name.model, fetch.index, bytes)).await {
+        Ok(Ok(())) => FetchEnd::Staged,
+        Ok(Err(error)) => {
+            warn!("event=stage_failed piece={} error=\"{error}\"", fetch.index);
+            FetchEnd::Failed
+        }
+        Err(_) => {
+            warn!("event=stage_failed piece={} error=\"timeout\"", fetch.index);
+            FetchEnd::Failed
+        }
+    }
+}
+
+async fn fetch_from_origin(
+    shared: &AgentShared,
+    name: &WeightsName,
+    index: PieceIndex,
+    origin: Option<SocketAddr>,
+) -> Option<Bytes> {
+    shared.metrics.count("origin_pieces_total");
+    match timeout(PIECE_TIMEOUT, shared.ports.origin.piece(origin?, name, index)).await {
+        Ok(Ok(bytes)) => Some(bytes),
+        Ok(Err(error)) => {
+            info!("event=fetch_failed piece={index} source=origin error=\"{error}\"");
+            None
+        }
+        Err(_) => {
+            info!("event=fetch_failed piece={index} source=origin error=\"timeout\"");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/agent/uploads.rs
@@ -0,0 +1,114 @@
+//! Passes staged pieces on to other agents.
+
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use log::{info, warn};
+use pieces::WeightsName;
+use wire::{Payload, PieceListReply, PieceReply, PieceRequest};
+
+use super::shared::AgentShared;
+use crate::frames::FrameHandler;
+
+/// Pieces that wait for the link at most. A peer that would wait longer asks another.
+const MAX_WAITING: u32 = 3;
+
+/// Answers the frames of other agents.
+pub(super) struct AgentFrames {
+    shared: Arc<AgentShared>,
+    /// Moment at which the link has sent all pieces that were answered so far.
+    link_free: Mutex<Instant>,
+}
+
+impl AgentFrames {
+    pub(super) fn new(shared: Arc<AgentShared>) -> Self {
+        let now = shared.clock.now();
+        Self { shared, link_free: Mutex::new(now) }
+    }
+
+    /// Reserves the link for a piece; false if too many wait.
+    fn reserve(&self, bytes: u32) -> bool {
+        let rate = self.shared.settings.common.link_bytes_per_s.max(1);
+        let span = Duration::from_secs_f64(f64::from(bytes) / rate as f64);
+        let now = self.shared.clock.now();
+        let mut free = self.link_free.lock().unwrap_or_else(PoisonError::into_inner);
+        if free.saturating_duration_since(now) > span * MAX_WAITING {
+            return false;
+        }
+        *free = (*free).max(now) + span;
+        true
+    }
+
+    async fn piece(&self, request: PieceRequest) -> PieceReply {
+        let refused = PieceReply { bytes: None, busy: false };
+        let list = match self.shared.swarm().as_ref() {
+            Some(swarm)
+                if swarm.name().model == request.model
+                    && swarm.name().version == request.version
+                    && swarm.held().contains(request.index) =>
+            {
+                swarm.list().clone()
+            }
+            _ => return refused,
+        };
+        let size = self.shared.brief().map_or(0, |brief| brief.piece_bytes);
+        if !self.reserve(size) {
+            return PieceReply { bytes: None, busy: true };
+        }
+        let name = WeightsName { model: request.model.as_str().into(), version: request.version };
+        match self.shared.ports.engine.staged(&name.model, request.index).await {
+            Ok(bytes) if list.verify(request.index, &bytes) => {
+                self.shared.metrics.count("pieces_sent_total");
+                PieceReply { bytes: Some(bytes), busy: false }
+            }
+            Ok(_) => {
+                info!("event=piece_spoilt model={} piece={}", name.model, request.index);
+                self.forget(&name, request.index);
+                refused
+            }
+            Err(error) => {
+                warn!("event=staged_unreadable piece={} error=\"{error}\"", request.index);
+                self.forget(&name, request.index);
+                refused
+            }
+        }
+    }
+
+    fn forget(&self, name: &WeightsName, index: u32) {
+        if let Some(swarm) = self.shared.swarm().as_mut().filter(|swarm| swarm.name() == name) {
+            swarm.record_spoilt(index);
+            self.shared.wake.notify_one();
+        }
+    }
+
+    fn piece_list(&self, model: &str, version: u64) -> PieceListReply {
+        let swarm = self.shared.swarm();
+        let digests = match swarm.as_ref() {
+            Some(swarm) if swarm.name().model == model && swarm.name().version == version => {
+                swarm.list().digests.iter().map(|digest| Bytes::copy_from_slice(digest)).collect()
+            }
+            _ => Vec::new(),
+        };
+        PieceListReply { digests }
+    }
+}
+
+impl FrameHandler for AgentFrames {
+    fn answer(&self, payload: Payload) -> BoxFuture<'_, Option<Payload>> {
+        Box::pin(async move {
+            match payload {
+                Payload::PieceRequest(request) => {
+                    Some(Payload::PieceReply(self.piece(request).await))
+                }
+                Payload::PieceListRequest(request) => {
+                    Some(Payload::PieceListReply(self.piece_list(&request.model, request.version)))
+                }
+                _ => None,
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/entry/call.rs
@@ -0,0 +1,648 @@
+//! One request of a caller: checks, placement, attempts, answer.
+
+use std::{
+    sync::{Arc, Mutex, PoisonError, atomic::Ordering},
+    time::{Duration, Instant},
+};
+
+use balance::{
+    AttemptEnd, AttemptLog, FinalStatus, Placement, PlacementRefusal, RefusalCause, SendOutcome,
+    WorkRequest,
+};
+use base::{ServiceId, UpstreamId};
+use bytes::Bytes;
+use compact_str::CompactString;
+use fleet::{FleetView, RouteMatch, RouteRecord, TeamRecord, UpstreamRecord, WeightsVersion};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    HeaderMap, Method, Request, Response, StatusCode, Uri,
+    body::{Body, Incoming},
+    header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER},
+    http::response,
+};
+use log::info;
+use rand::RngExt;
+use tokio::time::timeout_at;
+
+use super::{
+    http::AnswerBody,
+    pool::UpstreamConnection,
+    relay::{OpenStream, RelayBody},
+    shared::EntryShared,
+};
+use crate::port::{CallFacts, SendFacts};
+
+/// Bytes of request bodies that an entry holds at most, well below the memory of its host.
+const MAX_HELD_BODIES: usize = 48 << 20;
+/// Largest answer that is collected before it is passed on.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+/// Body limit before a configuration is known.
+const DEFAULT_BODY_BYTES: usize = 4 << 20;
+/// Time to receive a body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Factor on the target after which an idempotent request without any answer is sent to another upstream.
+const SILENCE_TARGETS: u32 = 3;
+/// Shortest such time: a plain service answers in tens of milliseconds.
+const MIN_SILENCE: Duration = Duration::from_millis(250);
+/// Time beyond the target after which a stream without a first event is started at another upstream.
+const FIRST_EVENT_SLACK: Duration = Duration::from_millis(700);
+/// Reserve within the bound on the change of version, for the way to the engine and the wait there.
+const VERSION_RESERVE: Duration = Duration::from_millis(1_000);
+/// Age of the knowledge up to which an unknown route or key is refused for good: the longest time between two
+/// confirmations of the store. Beyond it the configuration may have changed, so the caller is told to come back.
+const FRESH_KNOWLEDGE: Duration = Duration::from_millis(3_500);
+/// Delay after which a caller returns when this entry lacks current knowledge.
+const STALE_RETRY: Duration = Duration::from_millis(500);
+/// Least time worth an attempt.
+const MIN_ATTEMPT: Duration = Duration::from_millis(10);
+/// Rank of a request at the engine if the configuration states none.
+const MAX_PRIORITY: u8 = 9;
+
+type Answer = Response<AnswerBody>;
+
+/// Counts a request as long as it is not answered in full.
+pub(crate) struct InFlight {
+    shared: Arc<EntryShared>,
+    body_bytes: usize,
+}
+
+impl InFlight {
+    fn new(shared: Arc<EntryShared>) -> Self {
+        shared.in_flight.fetch_add(1, Ordering::Relaxed);
+        Self { shared, body_bytes: 0 }
+    }
+
+    /// Reserves memory for the body; false if too much is held already.
+    fn reserve(&mut self, bytes: usize) -> bool {
+        let held = self.shared.body_bytes.fetch_add(bytes, Ordering::Relaxed);
+        self.body_bytes += bytes;
+        held + bytes <= MAX_HELD_BODIES
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.shared.in_flight.fetch_sub(1, Ordering::Relaxed);
+        self.shared.body_bytes.fetch_sub(self.body_bytes, Ordering::Relaxed);
+    }
+}
+
+/// Records how a send ended, also if the caller leaves in the middle of it.
+pub(crate) struct SendGuard {
+    shared: Arc<EntryShared>,
+    upstream: UpstreamId,
+    outcome: SendOutcome,
+}
+
+impl SendGuard {
+    fn new(shared: Arc<EntryShared>, upstream: UpstreamId) -> Self {
+        shared.board().record_sent(&upstream, shared.clock.now());
+        Self { shared, upstream, outcome: SendOutcome::Abandoned }
+    }
+
+    pub(crate) fn upstream(&self) -> &UpstreamId {
+        &self.upstream
+    }
+
+    fn end(mut self, outcome: SendOutcome) {
+        self.outcome = outcome;
+    }
+
+    pub(crate) fn answer(self) {
+        self.end(SendOutcome::Answered);
+    }
+
+    pub(crate) fn fail(self) {
+        self.end(SendOutcome::Failed);
+    }
+}
+
+impl Drop for SendGuard {
+    fn drop(&mut self) {
+        let now = self.shared.clock.now();
+        self.shared.board().record_outcome(&self.upstream, self.outcome, now);
+    }
+}
+
+/// A request that has been read and accepted.
+pub(crate) struct CallContext {
+    pub(crate) shared: Arc<EntryShared>,
+    pub(crate) facts: CallFacts,
+    pub(crate) route: Arc<RouteRecord>,
+    /// Moment by which the caller must have its final answer.
+    pub(crate) answer_by: Instant,
+    team: Option<Arc<TeamRecord>>,
+    service: ServiceId,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+    started: Instant,
+    /// Deadline of the caller, from its own statement.
+    caller_by: Option<Instant>,
+    progress: Mutex<CallProgress>,
+}
+
+struct CallProgress {
+    attempts: AttemptLog,
+    tried: Vec<UpstreamId>,
+}
+
+/// Result of one attempt.
+enum Attempt {
+    Stream(response::Parts, OpenStream),
+    Whole(response::Parts, Bytes),
+    Ended(AttemptEnd, Option<(response::Parts, Bytes)>),
+}
+
+/// Result of all attempts.
+enum CallEnd {
+    Stream(response::Parts, OpenStream),
+    Whole(response::Parts, Bytes),
+    Refused(PlacementRefusal),
+    Failed(FinalStatus),
+    Expired(FinalStatus),
+}
+
+/// Answers a request.
+pub(crate) async fn answer(shared: Arc<EntryShared>, request: Request<Incoming>) -> Answer {
+    let started = shared.clock.now();
+    let mut in_flight = InFlight::new(shared.clone());
+    let (head, body) = request.into_parts();
+    let facts = match shared.ports.codec.read_call(&head) {
+        Ok(facts) => facts,
+        Err(error) => {
+            info!("event=refused cause=malformed error=\"{error}\"");
+            return own_answer(&shared, "", StatusCode::BAD_REQUEST, None);
+        }
+    };
+    let id = facts.id.clone();
+    let body = match read_body(&shared, &mut in_flight, body).await {
+        Ok(body) => body,
+        Err(status) => {
+            info!("event=refused request={id} cause=body status={}", status.as_u16());
+            return own_answer(&shared, &id, status, None);
+        }
+    };
+    let view = shared.view.load_full();
+    let (route, team) = match admit(&shared, &view, &facts, head.uri.path()) {
+        Ok(admitted) => admitted,
+        Err((status, cause)) => {
+            let retry = (status == StatusCode::SERVICE_UNAVAILABLE).then_some(STALE_RETRY);
+            info!(
+                "event=refused request={id} cause={cause} status={} revision={} age_ms={}",
+                status.as_u16(),
+                view.revision,
+                shared.knowledge_age().map_or(-1, |age| age.as_millis() as i64)
+            );
+            shared.metrics.count(&format!("requests_total{{result=\"{cause}\"}}"));
+            return own_answer(&shared, &id, status, retry);
+        }
+    };
+    let service = pick_service(&route);
+    shared.retries().record_request(&service, started);
+    let caller_by = facts.time_left.map(|left| started + left);
+    let timeout_by = started + route.timeout;
+    let call = Arc::new(CallContext {
+        answer_by: caller_by.map_or(timeout_by, |by| by.min(timeout_by)),
+        progress: Mutex::new(CallProgress {
+            attempts: AttemptLog::new(route.repeat, route.max_attempts),
+            tried: Vec::new(),
+        }),
+        method: head.method,
+        uri: head.uri,
+        headers: head.headers,
+        shared,
+        facts,
+        route,
+        team,
+        service,
+        body,
+        started,
+        caller_by,
+    });
+    let end = call.run(None).await;
+    call.finish(end, in_flight)
+}
+
+async fn read_body(
+    shared: &EntryShared,
+    in_flight: &mut InFlight,
+    body: Incoming,
+) -> Result<Bytes, StatusCode> {
+    let limit =
+        shared.view.load().limits().map_or(DEFAULT_BODY_BYTES, |limits| limits.max_body_bytes);
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    if body.size_hint().lower() > limit as u64 {
+        return Err(StatusCode::PAYLOAD_TOO_LARGE);
+    }
+    let collected = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await;
+    let body = match collected {
+        Ok(Ok(collected)) => collected.to_bytes(),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            return Err(StatusCode::PAYLOAD_TOO_LARGE);
+        }
+        Ok(Err(_)) => return Err(StatusCode::BAD_REQUEST),
+        Err(_) => return Err(StatusCode::REQUEST_TIMEOUT),
+    };
+    if in_flight.reserve(body.len()) { Ok(body) } else { Err(StatusCode::SERVICE_UNAVAILABLE) }
+}
+
+type Admitted = (Arc<RouteRecord>, Option<Arc<TeamRecord>>);
+
+/// Finds route and team. While this entry's knowledge may be old, nothing is refused for good.
+fn admit(
+    shared: &EntryShared,
+    view: &FleetView,
+    facts: &CallFacts,
+    path: &str,
+) -> Result<Admitted, (StatusCode, &'static str)> {
+    if shared.refusing.load(Ordering::Relaxed) {
+        return Err((StatusCode::SERVICE_UNAVAILABLE, "stopping"));
+    }
+    let is_fresh = shared.knowledge_age().is_some_and(|age| age <= FRESH_KNOWLEDGE);
+    let unless_stale = |status, cause| {
+        if is_fresh {
+            (status, cause)
+        } else {
+            (StatusCode::SERVICE_UNAVAILABLE, "stale_knowledge")
+        }
+    };
+    let route = match view.route(&facts.host, path) {
+        RouteMatch::Found(route) => route,
+        RouteMatch::Unknown => return Err(unless_stale(StatusCode::NOT_FOUND, "no_route")),
+        RouteMatch::NoConfig => return Err((StatusCode::SERVICE_UNAVAILABLE, "no_config")),
+    };
+    if !view.needs_keys() {
+        return Ok((route, None));
+    }
+    let team = facts.key.as_ref().and_then(|key| view.team(key)).cloned();
+    if team.is_none() && !route.public {
+        return Err(unless_stale(StatusCode::UNAUTHORIZED, "unknown_key"));
+    }
+    Ok((route, team))
+}
+
+fn pick_service(route: &RouteRecord) -> ServiceId {
+    let total: u32 = route.backends.iter().map(|backend| backend.weight).sum();
+    let mut drawn = if total == 0 { 0 } else { rand::rng().random_range(0..total) };
+    for backend in &route.backends {
+        if drawn < backend.weight {
+            return backend.service.clone();
+        }
+        drawn -= backend.weight;
+    }
+    route.backends.first().map(|backend| backend.service.clone()).unwrap_or_default()
+}
+
+impl CallContext {
+    fn progress(&self) -> std::sync::MutexGuard<'_, CallProgress> {
+        self.progress.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// True if a stream that broke off may be continued at another upstream.
+    pub(crate) fn may_resume(&self) -> bool {
+        let left = self.answer_by.saturating_duration_since(self.shared.clock.now());
+        self.route.repeat.is_repeatable()
+            && left > MIN_ATTEMPT
+            && !self.progress().attempts.is_last()
+    }
+
+    /// Continues a stream after the event `after`.
+    pub(crate) async fn resume(
+        self: Arc<Self>,
+        after: Option<CompactString>,
+    ) -> Option<OpenStream> {
+        if !self.may_repeat(AttemptEnd::Lost) {
+            return None;
+        }
+        match self.run(after).await {
+            CallEnd::Stream(_, stream) => {
+                info!(
+                    "event=stream_resumed request={} upstream={}",
+                    self.facts.id,
+                    stream.guard.upstream()
+                );
+                Some(stream)
+            }
+            _ => None,
+        }
+    }
+
+    /// Sends the request until an upstream answers or nothing more may be tried.
+    async fn run(&self, resume_after: Option<CompactString>) -> CallEnd {
+        let mut failure: Option<(response::Parts, Bytes)> = None;
+        loop {
+            let now = self.shared.clock.now();
+            if self.answer_by.saturating_duration_since(now) < MIN_ATTEMPT {
+                return CallEnd::Expired(self.progress().attempts.final_status());
+            }
+            let upstream = match self.place(now, resume_after.is_some()) {
+                Ok(upstream) => upstream,
+                Err(refusal) => {
+                    if let Some((head, body)) = failure {
+                        return CallEnd::Whole(head, body);
+                    }
+                    return match self.progress().attempts.final_status() {
+                        FinalStatus::NotRun => CallEnd::Refused(refusal),
+                        FinalStatus::Unknown => CallEnd::Failed(FinalStatus::Unknown),
+                    };
+                }
+            };
+            match self.attempt(&upstream, resume_after.as_deref()).await {
+                Attempt::Stream(head, stream) => return CallEnd::Stream(head, stream),
+                Attempt::Whole(head, body) => return CallEnd::Whole(head, body),
+                Attempt::Ended(end, answer) => {
+                    failure = answer.or(failure);
+                    info!(
+                        "event=attempt_ended request={} upstream={} end={end:?} waited_ms={}",
+                        self.facts.id,
+                        upstream.upstream,
+                        self.waited().as_millis()
+                    );
+                    self.progress().tried.push(upstream.upstream.clone());
+                    if !self.may_repeat(end) {
+                        if let Some((head, body)) = failure {
+                            return CallEnd::Whole(head, body);
+                        }
+                        let status = self.progress().attempts.final_status();
+                        let is_over = self.shared.clock.now() >= self.answer_by;
+                        return if is_over {
+                            CallEnd::Expired(status)
+                        } else {
+                            CallEnd::Failed(status)
+                        };
+                    }
+                }
+            }
+        }
+    }
+
+    fn may_repeat(&self, end: AttemptEnd) -> bool {
+        let is_allowed = self.progress().attempts.record(end);
+        let now = self.shared.clock.now();
+        is_allowed && (end == AttemptEnd::NotSent || self.shared.retries().take(&self.service, now))
+    }
+
+    fn place(
+        &self,
+        now: Instant,
+        is_continued: bool,
+    ) -> Result<Arc<UpstreamRecord>, PlacementRefusal> {
+        let tried = self.progress().tried.clone();
+        let target_by = self.started + self.route.target_latency;
+        let regions = self.team.as_ref().map_or(&[][..], |team| team.allowed_regions.as_slice());
+        let work = WorkRequest {
+            service: &self.service,
+            prompt_tokens: self.facts.prompt_tokens,
+            allowed_regions: [&self.route.allowed_regions, regions],
+            tried: &tried,
+            min_version: self.min_version(now),
+            target_left: self.is_on_time().then(|| target_by.saturating_duration_since(now)),
+            is_continued,
+        };
+        match self.shared.board().choose(&work, now, &mut rand::rng()) {
+            Placement::Upstream { record, .. } => Ok(record),
+            Placement::Refused(refusal) => Err(refusal),
+        }
+    }
+
+    /// False for a caller that returns after its first attempt: it has less time than the route grants.
+    fn is_on_time(&self) -> bool {
+        self.facts
+            .time_left
+            .is_none_or(|left| left + self.route.target_latency >= self.route.timeout)
+    }
+
+    fn min_version(&self, now: Instant) -> Option<WeightsVersion> {
+        let model = self.facts.model.as_ref()?;
+        let view = self.shared.view.load();
+        let bound = self.shared.settings.common.version_bound.saturating_sub(VERSION_RESERVE);
+        view.weights.get(model)?.oldest_allowed(now, bound)
+    }
+
+    fn waited(&self) -> Duration {
+        self.shared.clock.now().saturating_duration_since(self.started)
+    }
+
+    async fn connection(&self, upstream: &UpstreamRecord) -> Option<UpstreamConnection> {
+        // A request that must not run twice never meets a connection that the upstream may be closing, or on which a
+        // late answer to another request may arrive.
+        let pooled = if self.route.repeat.is_repeatable() {
+            self.shared.pool.take(&upstream.upstream)
+        } else {
+            None
+        };
+        match pooled {
+            Some(connection) => Some(connection),
+            None => self.shared.pool.connect(upstream.address).await,
+        }
+    }
+
+    async fn attempt(&self, upstream: &Arc<UpstreamRecord>, resume_after: Option<&str>) -> Attempt {
+        let shared = &self.shared;
+        let guard = SendGuard::new(shared.clone(), upstream.upstream.clone());
+        let Some(mut connection) = self.connection(upstream).await else {
+            guard.end(SendOutcome::Unreachable);
+            return Attempt::Ended(AttemptEnd::NotSent, None);
+        };
+        let now = shared.clock.now();
+        let request = self.upstream_request(upstream, resume_after, now);
+        let silent_by = self.silent_by(now);
+        let sent = timeout_at(silent_by.into(), connection.sender.send_request(request)).await;
+        let response = match sent {
+            Ok(Ok(response)) => response,
+            Ok(Err(error)) if error.is_canceled() => {
+                guard.end(SendOutcome::Unreachable);
+                return Attempt::Ended(AttemptEnd::NotSent, None);
+            }
+            Ok(Err(_)) | Err(_) => {
+                guard.fail();
+                return Attempt::Ended(AttemptEnd::Lost, None);
+            }
+        };
+        self.read_response(upstream, response, connection, guard).await
+    }
+
+    fn upstream_request(
+        &self,
+        upstream: &UpstreamRecord,
+        resume_after: Option<&str>,
+        now: Instant,
+    ) -> Request<Full<Bytes>> {
+        let priority =
+            self.team.as_ref().and_then(|team| team.priority).unwrap_or(self.route.priority);
+        let send = SendFacts {
+            time_left: self
+                .caller_by
+                .map(|by| by.min(self.answer_by).saturating_duration_since(now)),
+            upstream: &upstream.upstream,
+            team: self.team.as_ref().map(|team| team.team.as_str()),
+            priority: self.facts.model.is_some().then_some(priority.min(MAX_PRIORITY)),
+            version: self.min_version(now),
+            resume_after,
+        };
+        let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        // The path was parsed from a request, so it parses again.
+        *request.uri_mut() = path.parse().unwrap_or_default();
+        *request.headers_mut() = self.shared.ports.codec.upstream_headers(&self.headers, &send);
+        request
+    }
+
+    /// Moment at which an upstream that has not answered is given up.
+    fn silent_by(&self, now: Instant) -> Instant {
+        let target = self.route.target_latency;
+        let patience = match () {
+            () if self.progress().attempts.is_last() => return self.answer_by,
+            () if self.route.repeat.is_stream() => target + FIRST_EVENT_SLACK,
+            () => (target * SILENCE_TARGETS).max(MIN_SILENCE),
+        };
+        self.answer_by.min(now + patience)
+    }
+
+    async fn read_response(
+        &self,
+        upstream: &Arc<UpstreamRecord>,
+        response: Response<Incoming>,
+        connection: UpstreamConnection,
+        guard: SendGuard,
+    ) -> Attempt {
+        let (head, body) = response.into_parts();
+        let facts = self.shared.ports.codec.read_answer(&head);
+        if let Some(cold) = facts.cold_for {
+            self.shared.board().record_cold(&upstream.upstream, cold, self.shared.clock.now());
+        }
+        let is_foreign = facts.id.as_ref().is_some_and(|id| *id != self.facts.id);
+        if is_foreign || (head.status.is_success() && !facts.signed) {
+            info!(
+                "event=answer_refused request={} upstream={} foreign={is_foreign} signed={}",
+                self.facts.id, upstream.upstream, facts.signed
+            );
+            guard.fail();
+            return Attempt::Ended(AttemptEnd::Lost, None);
+        }
+        if facts.not_run || facts.other_upstream {
+            guard.end(SendOutcome::NotRun);
+            return Attempt::Ended(AttemptEnd::NotRun, None);
+        }
+        if self.route.repeat.is_stream() && head.status.is_success() {
+            let stream =
+                OpenStream { body, connection, guard, keep: facts.keep_idle, closes: facts.closes };
+            return Attempt::Stream(head, stream);
+        }
+        let collected = Limited::new(body, MAX_ANSWER_BYTES).collect();
+        let Ok(Ok(collected)) = timeout_at(self.answer_by.into(), collected).await else {
+            guard.fail();
+            return Attempt::Ended(AttemptEnd::Lost, None);
+        };
+        let body = collected.to_bytes();
+        if !facts.closes {
+            self.shared.pool.put(&upstream.upstream, connection, facts.keep_idle);
+        }
+        if head.status.is_server_error() {
+            guard.fail();
+            return Attempt::Ended(AttemptEnd::Failed, Some((head, body)));
+        }
+        guard.answer();
+        Attempt::Whole(head, body)
+    }
+
+    /// Turns the end of all attempts into the answer for the caller.
+    fn finish(self: &Arc<Self>, end: CallEnd, in_flight: InFlight) -> Answer {
+        let id = &self.facts.id;
+        match end {
+            CallEnd::Stream(head, stream) => {
+                self.shared.metrics.observe("first_event_seconds", self.waited());
+                let body = RelayBody::new(self.clone(), stream, in_flight);
+                self.relayed(head, AnswerBody::Relay(Box::new(body)))
+            }
+            CallEnd::Whole(head, body) => {
+                self.log_end("answered", Some(head.status.as_u16()));
+                self.relayed(head, AnswerBody::Whole(Full::new(body)))
+            }
+            CallEnd::Refused(refusal) => {
+                self.log_end(refusal.cause.as_str(), Some(503));
+                own_answer(
+                    &self.shared,
+                    id,
+                    StatusCode::SERVICE_UNAVAILABLE,
+                    Some(refusal.retry_after),
+                )
+            }
+            CallEnd::Failed(FinalStatus::NotRun) | CallEnd::Expired(FinalStatus::NotRun) => {
+                self.log_end(RefusalCause::NoUpstream.as_str(), Some(503));
+                own_answer(&self.shared, id, StatusCode::SERVICE_UNAVAILABLE, Some(STALE_RETRY))
+            }
+            CallEnd::Failed(FinalStatus::Unknown) => {
+                self.log_end("lost", Some(502));
+                own_answer(&self.shared, id, StatusCode::BAD_GATEWAY, None)
+            }
+            CallEnd::Expired(FinalStatus::Unknown) => {
+                self.log_end("expired", Some(504));
+                own_answer(&self.shared, id, StatusCode::GATEWAY_TIMEOUT, None)
+            }
+        }
+    }
+
+    fn relayed(&self, head: response::Parts, body: AnswerBody) -> Answer {
+        let mut answer = Response::new(body);
+        *answer.status_mut() = head.status;
+        *answer.headers_mut() = self.shared.ports.codec.caller_headers(&head.headers);
+        close_if_leaving(&self.shared, answer.headers_mut());
+        answer
+    }
+
+    /// Writes the line that tells how the request ended.
+    pub(crate) fn log_end(&self, result: &str, status: Option<u16>) {
+        let progress = self.progress();
+        let waited = self.waited();
+        info!(
+            "event=request_ended request={} result={result} status={} route={} team={} sends={} tried={} ms={} \
+             revision={}",
+            self.facts.id,
+            status.unwrap_or(0),
+            self.route.name,
+            self.team.as_ref().map_or("none", |team| team.team.as_str()),
+            progress.attempts.sends(),
+            progress.tried.len(),
+            waited.as_millis(),
+            self.shared.view.load().revision
+        );
+        self.shared.metrics.count(&format!("requests_total{{result=\"{result}\"}}"));
+        self.shared.metrics.observe("request_seconds", waited);
+    }
+}
+
+fn close_if_leaving(shared: &EntryShared, headers: &mut HeaderMap) {
+    if shared.is_leaving() {
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+}
+
+/// An answer of this system; it never carries an upstream's signature.
+fn own_answer(
+    shared: &EntryShared,
+    id: &str,
+    status: StatusCode,
+    retry: Option<Duration>,
+) -> Answer {
+    let text = format!("{{\"error\":\"{}\"}}", status.canonical_reason().unwrap_or("error"));
+    let mut answer = Response::new(AnswerBody::Whole(Full::new(Bytes::from(text))));
+    *answer.status_mut() = status;
+    let headers = answer.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Some(retry) = retry
+        && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", retry.as_secs_f64()))
+    {
+        headers.insert(RETRY_AFTER, value);
+    }
+    if !id.is_empty() {
+        shared.ports.codec.mark_answer(headers, id);
+    }
+    close_if_leaving(shared, headers);
+    answer
+}
--- /dev/null
+++ b/crates/gateway/src/entry/control.rs
@@ -0,0 +1,421 @@
+//! The control thread of an entry: reads the store, exchanges knowledge with other entries, follows the agents.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use balance::AgentReport;
+use bytes::Bytes;
+use fleet::{FactSource, KnowledgeDelta, RawItem};
+use futures_util::future::BoxFuture;
+use log::{info, warn};
+use member::EntryMember;
+use rand::RngExt;
+use tokio::{
+    sync::watch,
+    time::{MissedTickBehavior, interval, sleep},
+};
+use wire::{
+    AgentBeat, BriefReply, EntryBeat, EntryContact, FleetItem, ItemsReply, ItemsRequest, Notice,
+    Payload,
+};
+
+use super::{
+    brief::{brief_digest, make_brief},
+    shared::EntryShared,
+};
+use crate::{
+    frames::{FrameClient, FrameHandler, NodeError, bind, serve_frames},
+    metrics::serve_metrics,
+    peers::NoticeSocket,
+    port::StoreError,
+};
+
+/// Interval of the beats to other entries; six of them fit into the time after which an entry counts as gone.
+const BEAT_INTERVAL: Duration = Duration::from_millis(250);
+/// Beats to entries for one beat to the agents, which only need to know whom to report to.
+const BEATS_PER_AGENT_BEAT: u64 = 4;
+/// Time for which one call waits for changes: a call that returns without changes confirms what is known.
+const WATCH_WAIT: Duration = Duration::from_millis(2_500);
+/// Pause after a call that brought changes, so that a storm of changes comes in few calls. It stays far below the
+/// shortest time in which a change must be in force.
+const WATCH_PAUSE: Duration = Duration::from_millis(250);
+/// Shortest and longest delay before the store is asked again after a failure.
+const BACKOFF_RANGE: (Duration, Duration) =
+    (Duration::from_millis(150), Duration::from_millis(1_200));
+/// Time for which another entry may be ahead before it is asked for what it knows: the store usually brings it sooner.
+const BEHIND_PATIENCE: Duration = Duration::from_millis(300);
+const ITEMS_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Contacts in one beat at most, so that it fits into a datagram.
+const MAX_CONTACTS: usize = 24;
+
+/// Runs the control state until the sender of `stopped` is gone.
+pub(crate) async fn run(
+    shared: Arc<EntryShared>,
+    mut stopped: watch::Receiver<bool>,
+) -> Result<(), NodeError> {
+    let common = &shared.settings.common;
+    let socket = NoticeSocket::bind(common.peer, shared.key.clone()).await?;
+    let name = common.name.to_string();
+    let client = Arc::new(FrameClient::new(shared.key.clone(), name.clone(), shared.clock.clone()));
+    let handler = Arc::new(EntryFrames { shared: shared.clone() });
+    for address in [Some(common.peer), shared.settings.control].into_iter().flatten() {
+        let listener = bind(address).await?;
+        let (key, name) = (shared.key.clone(), name.clone());
+        tokio::spawn(serve_frames(listener, key, name, handler.clone()));
+    }
+    if let Some(address) = common.metrics {
+        tokio::spawn(serve_metrics(address, shared.metrics.clone()));
+    }
+    tokio::spawn(follow_store(shared.clone()));
+    tokio::spawn(send_beats(shared.clone(), socket.clone()));
+    tokio::spawn(catch_up(shared.clone(), client));
+    tokio::select! {
+        () = receive_notices(&shared, &socket) => {}
+        _ = stopped.changed() => {}
+    }
+    Ok(())
+}
+
+/// Keeps the knowledge current: lists the store once, then waits for changes.
+async fn follow_store(shared: Arc<EntryShared>) {
+    let mut backoff = BACKOFF_RANGE.0;
+    let mut failing = false;
+    loop {
+        let after = shared.knowledge().as_of();
+        let result = match after {
+            None => shared.ports.store.list().await,
+            Some(after) => shared.ports.store.watch(after, WATCH_WAIT).await,
+        };
+        let now = shared.clock.now();
+        shared.metrics.count("store_calls_total");
+        match result {
+            Ok(listing) => {
+                if failing {
+                    info!("event=store_regained as_of={}", listing.as_of);
+                }
+                (failing, backoff) = (false, BACKOFF_RANGE.0);
+                let has_changes = !listing.items.is_empty();
+                let deltas = take_over(&shared, listing.items, listing.as_of, after.is_none());
+                shared.record_confirmed(now);
+                if deltas || after.is_none() {
+                    publish(&shared);
+                }
+                if has_changes {
+                    sleep(WATCH_PAUSE).await;
+                }
+            }
+            Err(StoreError::Forgotten) => {
+                info!("event=store_history_lost after={}", after.unwrap_or_default());
+                if let Err(error) = list_again(&shared).await {
+                    warn!("event=store_list_failed error=\"{error}\"");
+                    sleep(jittered(backoff)).await;
+                    backoff = (backoff * 2).min(BACKOFF_RANGE.1);
+                }
+            }
+            Err(error) => {
+                shared.knowledge().record_unavailable(now);
+                shared.metrics.count("store_failures_total");
+                if !failing {
+                    warn!("event=store_lost error=\"{error}\"");
+                }
+                failing = true;
+                sleep(jittered(backoff)).await;
+                backoff = (backoff * 2).min(BACKOFF_RANGE.1);
+            }
+        }
+    }
+}
+
+fn jittered(span: Duration) -> Duration {
+    span.mul_f64(rand::rng().random_range(0.7..1.3))
+}
+
+async fn list_again(shared: &EntryShared) -> Result<(), StoreError> {
+    let listing = shared.ports.store.list().await?;
+    take_over(shared, listing.items, listing.as_of, true);
+    shared.record_confirmed(shared.clock.now());
+    publish(shared);
+    Ok(())
+}
+
+/// Applies items; true if any of them was new.
+fn take_over(shared: &EntryShared, items: Vec<RawItem>, as_of: u64, is_complete: bool) -> bool {
+    let now = shared.clock.now();
+    let decoder = &*shared.ports.decoder;
+    let mut knowledge = shared.knowledge();
+    let deltas = if is_complete {
+        knowledge.apply_listing(items, as_of, decoder, now)
+    } else {
+        let deltas = items
+            .into_iter()
+            .filter_map(|item| knowledge.apply(item, FactSource::Change, decoder, now))
+            .collect();
+        knowledge.advance(as_of);
+        deltas
+    };
+    deltas.iter().for_each(log_delta);
+    !deltas.is_empty()
+}
+
+fn log_delta(delta: &KnowledgeDelta) {
+    let KnowledgeDelta { key, revision, before, after, error } = delta;
+    if let Some(error) = error {
+        warn!("event=item_unreadable key={key} revision={revision} error=\"{error}\"");
+        return;
+    }
+    let describe = |fact: &Option<fleet::FleetFact>| match fact {
+        None => "none".to_owned(),
+        Some(fleet::FleetFact::Routing(config)) => format!("config:{}", config.version),
+        Some(fleet::FleetFact::Evacuated(data_centre)) => format!("evacuated:{data_centre}"),
+        Some(fleet::FleetFact::Declared { model, version }) => format!("weights:{model}:{version}"),
+        Some(fleet::FleetFact::Upstream(record)) => {
+            let state = if record.draining { "draining" } else { "ready" };
+            format!("upstream:{}:{state}:cold_ms={}", record.address, record.cold_for.as_millis())
+        }
+        Some(fleet::FleetFact::Other) => "other".to_owned(),
+    };
+    info!(
+        "event=item_changed key={key} revision={revision} before={} after={}",
+        describe(before),
+        describe(after)
+    );
+}
+
+/// Gives the traffic thread a new snapshot.
+fn publish(shared: &EntryShared) {
+    let now = shared.clock.now();
+    let view = Arc::new(shared.knowledge().view());
+    shared.board().set_view(&view, now);
+    shared.pool.retain(|upstream| view.upstream(upstream).is_some());
+    let digest = brief_digest(&view, now);
+    shared.view.store(view);
+    if shared.set_brief(digest) {
+        shared.wake_control.notify_one();
+    }
+}
+
+/// Tells the other entries and the agents that this entry is alive.
+async fn send_beats(shared: Arc<EntryShared>, socket: NoticeSocket) {
+    let mut ticks = interval(BEAT_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut count = 0_u64;
+    loop {
+        let is_urgent = tokio::select! {
+            _ = ticks.tick() => false,
+            () = shared.wake_control.notified() => true,
+        };
+        let now = shared.clock.now();
+        if shared.knowledge().expire_lapsed(now) {
+            publish(&shared);
+        }
+        let (beat, mut targets) = make_beat(&shared);
+        if is_urgent || count.is_multiple_of(BEATS_PER_AGENT_BEAT) {
+            targets.extend(agent_addresses(&shared));
+        }
+        count += 1;
+        targets.retain(|target| *target != shared.settings.common.peer);
+        targets.sort_unstable();
+        targets.dedup();
+        socket.send(Notice::Entry(beat), targets);
+    }
+}
+
+fn make_beat(shared: &EntryShared) -> (EntryBeat, Vec<SocketAddr>) {
+    let now = shared.clock.now();
+    let own = shared.own_member();
+    let mut roster = shared.roster();
+    roster.expire(now);
+    let contacts = roster
+        .heard(now)
+        .take(MAX_CONTACTS)
+        .map(|(member, age)| EntryContact { peer: member.peer.to_string(), age_ms: millis(age) })
+        .collect();
+    let port = shared.settings.common.peer.port();
+    let seeds = shared.seeds().into_iter().map(|seed| SocketAddr::new(seed.ip(), port));
+    let targets = roster.addresses().chain(seeds).collect();
+    let entries = roster.heard(now).count() + 1;
+    drop(roster);
+    shared.board().set_entries(entries);
+    shared.retries().set_entries(entries);
+    let beat = EntryBeat {
+        name: own.name.to_string(),
+        incarnation: own.incarnation,
+        sequence: own.sequence,
+        data_centre: own.data_centre.to_string(),
+        caller_address: own.caller_address.to_string(),
+        peer: own.peer.to_string(),
+        ready: own.ready,
+        leaving: own.leaving,
+        head: own.head,
+        brief: own.brief,
+        contacts,
+    };
+    (beat, targets)
+}
+
+/// Agents stand beside the upstreams that serve models, at the port that all processes share.
+fn agent_addresses(shared: &EntryShared) -> Vec<SocketAddr> {
+    let view = shared.view.load();
+    let port = shared.settings.common.peer.port();
+    view.upstreams()
+        .filter(|(record, _)| {
+            view.service(&record.service).is_some_and(|service| service.engine.is_some())
+        })
+        .map(|(record, _)| SocketAddr::new(record.address.ip(), port))
+        .collect()
+}
+
+async fn receive_notices(shared: &EntryShared, socket: &NoticeSocket) {
+    loop {
+        let (notice, _) = socket.receive().await;
+        match notice {
+            Notice::Entry(beat) => record_entry(shared, &beat),
+            Notice::Agent(beat) => record_agent(shared, &beat),
+            Notice::Holding(_) => {}
+        }
+    }
+}
+
+fn record_entry(shared: &EntryShared, beat: &EntryBeat) {
+    let (Ok(peer), Ok(caller_address)) = (beat.peer.parse(), beat.caller_address.parse()) else {
+        warn!("event=beat_unreadable peer={} caller_address={}", beat.peer, beat.caller_address);
+        return;
+    };
+    let now = shared.clock.now();
+    let member = EntryMember {
+        name: beat.name.as_str().into(),
+        incarnation: beat.incarnation,
+        sequence: beat.sequence,
+        data_centre: beat.data_centre.as_str().into(),
+        caller_address,
+        peer,
+        ready: beat.ready,
+        leaving: beat.leaving,
+        head: beat.head,
+        brief: beat.brief,
+    };
+    let mut roster = shared.roster();
+    roster.record_beat(member, now);
+    record_contacts(&mut roster, &beat.contacts, shared);
+}
+
+fn record_contacts(
+    roster: &mut member::EntryRoster,
+    contacts: &[EntryContact],
+    shared: &EntryShared,
+) {
+    let now = shared.clock.now();
+    for contact in contacts {
+        if let Ok(peer) = contact.peer.parse()
+            && peer != shared.settings.common.peer
+        {
+            roster.record_contact(peer, Duration::from_millis(contact.age_ms.into()), now);
+        }
+    }
+}
+
+fn record_agent(shared: &EntryShared, beat: &AgentBeat) {
+    let Ok(upstream) = beat.upstream.parse() else {
+        warn!("event=beat_unreadable upstream={}", beat.upstream);
+        return;
+    };
+    let report = AgentReport {
+        running: beat.running,
+        queued: beat.queued,
+        version: beat.version,
+        switching: beat.switching,
+    };
+    shared.board().record_report(upstream, report, shared.clock.now());
+    record_contacts(&mut shared.roster(), &beat.contacts, shared);
+}
+
+/// Asks another entry for what it knows if it has been ahead for a while, or if the store gives nothing at the start.
+async fn catch_up(shared: Arc<EntryShared>, client: Arc<FrameClient>) {
+    let mut behind_since = None;
+    loop {
+        sleep(BEHIND_PATIENCE / 2).await;
+        let now = shared.clock.now();
+        let head = shared.knowledge().head();
+        let ahead = {
+            let roster = shared.roster();
+            roster
+                .alive(now)
+                .filter(|member| member.head > head)
+                .max_by_key(|member| member.head)
+                .cloned()
+        };
+        let Some(ahead) = ahead else {
+            behind_since = None;
+            continue;
+        };
+        let since = *behind_since.get_or_insert(now);
+        if now.saturating_duration_since(since) < BEHIND_PATIENCE {
+            continue;
+        }
+        behind_since = None;
+        let after = shared.knowledge().as_of().unwrap_or_default();
+        let request = Payload::ItemsRequest(ItemsRequest { after });
+        match client.call(ahead.peer, request, ITEMS_TIMEOUT).await {
+            Ok(Payload::ItemsReply(reply)) if reply.as_of > 0 => {
+                info!(
+                    "event=caught_up peer={} after={after} as_of={} items={}",
+                    ahead.name,
+                    reply.as_of,
+                    reply.items.len()
+                );
+                let items = reply.items.into_iter().map(read_item).collect();
+                if take_over(&shared, items, reply.as_of, reply.snapshot || after == 0) {
+                    publish(&shared);
+                }
+            }
+            Ok(_) => warn!("event=catch_up_failed peer={} error=\"no items\"", ahead.name),
+            Err(error) => warn!("event=catch_up_failed peer={} error=\"{error}\"", ahead.name),
+        }
+    }
+}
+
+fn read_item(item: FleetItem) -> RawItem {
+    RawItem {
+        key: item.key.into(),
+        value: item.value,
+        revision: item.revision,
+        age: item.age_ms.map(Duration::from_millis),
+    }
+}
+
+fn millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
+
+/// Answers the frames of other processes.
+struct EntryFrames {
+    shared: Arc<EntryShared>,
+}
+
+impl FrameHandler for EntryFrames {
+    fn answer(&self, payload: Payload) -> BoxFuture<'_, Option<Payload>> {
+        let now = self.shared.clock.now();
+        let answer = match payload {
+            Payload::ItemsRequest(request) => {
+                let knowledge = self.shared.knowledge();
+                let (items, snapshot) = knowledge.items_after(request.after, now);
+                let items = items
+                    .into_iter()
+                    .map(|item| FleetItem {
+                        key: item.key.to_string(),
+                        value: item.value.map(Bytes::from),
+                        revision: item.revision,
+                        age_ms: item.age.map(|age| u64::from(millis(age))),
+                    })
+                    .collect();
+                let as_of = knowledge.as_of().unwrap_or_default();
+                Some(Payload::ItemsReply(ItemsReply { items, as_of, snapshot }))
+            }
+            Payload::BriefRequest(request) => {
+                let brief = make_brief(&self.shared.view.load(), &request.service, now);
+                Some(Payload::BriefReply(brief.unwrap_or_else(BriefReply::default)))
+            }
+            _ => None,
+        };
+        Box::pin(async move { answer })
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/entry/http.rs
@@ -0,0 +1,203 @@
+//! Listeners for callers, address queries and readiness checks.
+
+use std::{
+    convert::Infallible,
+    net::SocketAddr,
+    pin::Pin,
+    sync::{Arc, atomic::Ordering},
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    Request, Response, StatusCode,
+    body::{Body, Frame, Incoming, SizeHint},
+    header::{CONTENT_TYPE, HeaderValue},
+    server::conn::http1::Builder,
+    service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use log::{debug, info, warn};
+use member::CallerPlace;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::sleep,
+};
+
+use super::{
+    call,
+    relay::{RelayBody, RelayError},
+    shared::EntryShared,
+};
+use crate::frames::{NodeError, bind};
+
+/// Limits that hold before a configuration is known.
+const DEFAULT_HEADER_BYTES: usize = 16 << 10;
+const DEFAULT_IDLE: Duration = Duration::from_secs(15);
+/// Smallest buffer that the HTTP library accepts.
+const MIN_BUFFER: usize = 8 << 10;
+/// Time to live of an answer about addresses; short, so that callers leave a stopping entry soon.
+const ADDRESS_TTL: Duration = Duration::from_secs(2);
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// Body of an answer: whole, or relayed from an upstream.
+pub(crate) enum AnswerBody {
+    Whole(Full<Bytes>),
+    Relay(Box<RelayBody>),
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = RelayError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
+        match &mut *self {
+            Self::Whole(body) => Pin::new(body)
+                .poll_frame(context)
+                .map(|frame| frame.map(|result| result.map_err(|never| match never {}))),
+            Self::Relay(body) => Pin::new(&mut **body).poll_frame(context),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(body) => body.size_hint(),
+            Self::Relay(_) => SizeHint::default(),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(body) => body.is_end_stream(),
+            Self::Relay(_) => false,
+        }
+    }
+}
+
+/// Serves all listeners; returns only if one cannot be bound.
+pub(crate) async fn serve(shared: Arc<EntryShared>) -> Result<(), NodeError> {
+    let callers = bind(shared.settings.callers).await?;
+    let ready = bind(shared.settings.ready).await?;
+    let addresses = bind(shared.settings.addresses).await?;
+    shared.listening.store(true, Ordering::Relaxed);
+    info!(
+        "event=listening callers={} addresses={}",
+        shared.settings.callers, shared.settings.addresses
+    );
+    tokio::join!(
+        accept(callers, |stream| serve_caller(shared.clone(), stream)),
+        accept(ready, |stream| serve_small(shared.clone(), stream, answer_ready)),
+        accept(addresses, |stream| serve_small(shared.clone(), stream, answer_addresses)),
+    );
+    Ok(())
+}
+
+async fn accept<F>(listener: TcpListener, serve: impl Fn(TcpStream) -> F)
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                if let Err(error) = stream.set_nodelay(true) {
+                    debug!("event=socket_option_failed error=\"{error}\"");
+                }
+                tokio::spawn(serve(stream));
+            }
+            Err(error) => {
+                warn!("event=accept_failed error=\"{error}\"");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_caller(shared: Arc<EntryShared>, stream: TcpStream) {
+    let limits = shared.view.load().limits();
+    let header_bytes = limits.map_or(DEFAULT_HEADER_BYTES, |limits| limits.max_header_bytes);
+    // The timer of the HTTP library also runs while a connection is idle, so it gets the longer of the two limits.
+    let idle = limits.map_or(DEFAULT_IDLE, |limits| limits.idle_timeout.max(limits.header_timeout));
+    let service = service_fn(|request| {
+        let shared = shared.clone();
+        async move { Ok::<_, Infallible>(call::answer(shared, request).await) }
+    });
+    let served = Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(header_bytes.max(MIN_BUFFER))
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+    if let Err(error) = served {
+        debug!("event=caller_connection_ended error=\"{error}\"");
+    }
+}
+
+type SmallAnswer = Response<Full<Bytes>>;
+
+async fn serve_small(
+    shared: Arc<EntryShared>,
+    stream: TcpStream,
+    answer: fn(&EntryShared, &Request<Incoming>) -> SmallAnswer,
+) {
+    let service = service_fn(|request| {
+        let answer = answer(&shared, &request);
+        async move { Ok::<_, Infallible>(answer) }
+    });
+    let served = Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(DEFAULT_IDLE)
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+    if let Err(error) = served {
+        debug!("event=connection_ended error=\"{error}\"");
+    }
+}
+
+fn small(status: StatusCode, body: Bytes) -> SmallAnswer {
+    let mut answer = Response::new(Full::new(body));
+    *answer.status_mut() = status;
+    answer
+}
+
+fn answer_ready(shared: &EntryShared, request: &Request<Incoming>) -> SmallAnswer {
+    if request.uri().path() != shared.ports.codec.paths().ready {
+        return small(StatusCode::NOT_FOUND, Bytes::new());
+    }
+    let status = if shared.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    small(status, Bytes::new())
+}
+
+fn answer_addresses(shared: &EntryShared, request: &Request<Incoming>) -> SmallAnswer {
+    let codec = &shared.ports.codec;
+    if request.uri().path() != codec.paths().addresses {
+        return small(StatusCode::NOT_FOUND, Bytes::new());
+    }
+    let query = codec.read_address_query(request.uri().query().unwrap_or_default());
+    let addresses = addresses_for(shared, &query);
+    if addresses.is_empty() {
+        return small(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+    }
+    let ttl = ADDRESS_TTL.min(shared.settings.max_ttl);
+    let mut answer = small(StatusCode::OK, codec.address_answer(&addresses, ttl));
+    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    answer
+}
+
+fn addresses_for(shared: &EntryShared, query: &crate::port::AddressQuery) -> Vec<SocketAddr> {
+    let view = shared.view.load();
+    let routes = view.routes_of(&query.host);
+    let homes = routes
+        .iter()
+        .map(|route| &route.allowed_regions)
+        .find(|regions| !regions.is_empty())
+        .map_or(&[][..], Vec::as_slice);
+    let place = CallerPlace { data_centre: &query.data_centre, region: &query.region, homes };
+    let own = shared.own_member();
+    let regions = &shared.settings.common.regions;
+    shared.roster().addresses_for(&own, &place, regions, shared.clock.now(), &mut rand::rng())
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,115 @@
+//! Counters and latency histograms, served in the Prometheus text format.
+
+use std::{
+    collections::BTreeMap,
+    fmt::Write,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use http_body_util::Full;
+use hyper::{Request, Response, body::Incoming, service::service_fn};
+use hyper_util::rt::TokioIo;
+use log::{debug, info, warn};
+
+/// Longest latency that the histograms tell apart, in microseconds.
+const MAX_LATENCY_US: u64 = 60_000_000;
+const QUANTILES: [f64; 3] = [0.5, 0.95, 0.99];
+
+#[derive(Default)]
+struct MetricState {
+    counters: BTreeMap<String, u64>,
+    latencies: BTreeMap<String, (Histogram<u64>, u64)>,
+}
+
+/// Counters and histograms of one process.
+#[derive(Clone, Default)]
+pub(crate) struct MetricSet {
+    state: Arc<Mutex<MetricState>>,
+}
+
+impl MetricSet {
+    /// Adds one to a counter. `name` may carry labels in the text format.
+    pub(crate) fn count(&self, name: &str) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        match state.counters.get_mut(name) {
+            Some(value) => *value += 1,
+            None => {
+                state.counters.insert(name.to_owned(), 1);
+            }
+        }
+    }
+
+    /// Records a latency.
+    pub(crate) fn observe(&self, name: &str, latency: Duration) {
+        let micros = u64::try_from(latency.as_micros()).unwrap_or(MAX_LATENCY_US);
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        if !state.latencies.contains_key(name) {
+            let Ok(histogram) = Histogram::new_with_max(MAX_LATENCY_US, 2) else { return };
+            state.latencies.insert(name.to_owned(), (histogram, 0));
+        }
+        if let Some((histogram, sum)) = state.latencies.get_mut(name) {
+            histogram.saturating_record(micros);
+            *sum += micros;
+        }
+    }
+
+    /// All metrics in the text format.
+    pub(crate) fn render(&self) -> String {
+        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut text = String::new();
+        for (name, value) in &state.counters {
+            // Writing to a string cannot fail.
+            let _ = writeln!(text, "{name} {value}");
+        }
+        for (name, (histogram, sum)) in &state.latencies {
+            for quantile in QUANTILES {
+                let micros = histogram.value_at_quantile(quantile);
+                let seconds = Duration::from_micros(micros).as_secs_f64();
+                let _ = writeln!(text, "{name}{{quantile=\"{quantile}\"}} {seconds}");
+            }
+            let seconds = Duration::from_micros(*sum).as_secs_f64();
+            let _ = writeln!(text, "{name}_sum {seconds}\n{name}_count {}", histogram.len());
+        }
+        text
+    }
+}
+
+/// Serves the metrics until the task is dropped.
+pub(crate) async fn serve_metrics(address: SocketAddr, metrics: MetricSet) {
+    let listener = match tokio::net::TcpListener::bind(address).await {
+        Ok(listener) => listener,
+        Err(error) => {
+            warn!("event=metrics_unavailable address={address} error=\"{error}\"");
+            return;
+        }
+    };
+    info!("event=metrics_served address={address}");
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                warn!("event=accept_failed error=\"{error}\"");
+                tokio::time::sleep(Duration::from_millis(100)).await;
+                continue;
+            }
+        };
+        let metrics = metrics.clone();
+        tokio::spawn(async move {
+            let answer = service_fn(move |_: Request<Incoming>| {
+                let body = Full::new(Bytes::from(metrics.render()));
+                async move { Ok::<_, std::convert::Infallible>(Response::new(body)) }
+            });
+            let served = hyper::server::conn::http1::Builder::new()
+                .keep_alive(false)
+                .serve_connection(TokioIo::new(stream), answer)
+                .await;
+            if let Err(error) = served {
+                debug!("event=metrics_connection_failed error=\"{error}\"");
+            }
+        });
+    }
+}
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -5,11 +5,13 @@
 mod agent;
 mod core;
 mod groups;
+mod roster;
 mod subset;
 
 pub use crate::{
     agent::{AgentHealth, AgentView},
     core::{MemberAction, MemberCore, MemberEvent, MemberOptions, MemberReport, ProbeAnswer},
     groups::{AgentGroup, agent_groups},
+    roster::{CallerPlace, EntryMember, EntryRoster},
     subset::choose_subset,
 };
--- a/crates/node/src/agent/cache.rs
+++ b/crates/node/src/agent/cache.rs
@@ -9,7 +9,7 @@
 };
 
 use limit::UpstreamEpoch;
-use platform::{CacheEvent, CacheEventKind, ModelEngine};
+use ports::{CacheEvent, CacheEventKind, ModelEngine};
 use wire::CacheNotice;
 
 use super::monitor::UpstreamMonitor;
--- a/crates/node/src/agent/core.rs
+++ b/crates/node/src/agent/core.rs
@@ -10,7 +10,7 @@
 use config::AgentSettings;
 use hyper::Method;
 use limit::{AdmissionGate, WorkRefusal};
-use platform::{
+use ports::{
     CallRequest, GenerateRequest, ModelEngine, PlainService, PlatformError, UpstreamAnswer,
 };
 use route::CrashVerdict;
--- a/crates/node/src/agent/keyed.rs
+++ b/crates/node/src/agent/keyed.rs
@@ -16,7 +16,7 @@
     AttemptId, BeginVerdict, KeyOwner, RecordError, RecordOptions, RecordedResult, RequestKey,
     RequestRecord, RetainedAnswer, SettledKey,
 };
-use platform::PlatformError;
+use ports::PlatformError;
 use tokio::{sync::oneshot, time::timeout};
 use wire::Forward;
 
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -17,7 +17,7 @@
 use config::AgentSettings;
 use log::info;
 use once::RecordOptions;
-use platform::{HttpEngine, HttpService, ModelEngine, PlainService};
+use ports::{HttpEngine, HttpService, ModelEngine, PlainService};
 use serde_json::{Value, json};
 use wire::FleetKey;
 
--- a/crates/node/src/agent/monitor.rs
+++ b/crates/node/src/agent/monitor.rs
@@ -8,7 +8,7 @@
 use base::{Clock, ContentDigest, Incarnation, UpstreamId};
 use config::{AgentSettings, UpstreamKind};
 use limit::UpstreamEpoch;
-use platform::{LoadedModel, ModelEngine, PlainService, PlatformError};
+use ports::{LoadedModel, ModelEngine, PlainService, PlatformError};
 use tokio::{
     sync::{Mutex, watch},
     time::timeout,
--- a/crates/node/src/agent/relay.rs
+++ b/crates/node/src/agent/relay.rs
@@ -12,7 +12,7 @@
 use hyper::StatusCode;
 use limit::WorkResult;
 use log::warn;
-use platform::{PlatformError, UpstreamAnswer};
+use ports::{PlatformError, UpstreamAnswer};
 use tokio::net::TcpStream;
 use wire::{Body, ChannelError, End, Forward, FrameSender, Head, LoadReport, Payload, Refusal};
 
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use config::{HostList, settings::CommonSettings};
-use platform::{HttpConfigService, HttpHostDirectory};
+use ports::{HttpConfigService, HttpHostDirectory};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use spread::{SpreadCore, SpreadOptions};
--- a/crates/node/src/control/shell.rs
+++ b/crates/node/src/control/shell.rs
@@ -12,7 +12,7 @@
 use base::ContentDigest;
 use config::HostList;
 use log::{debug, info, warn};
-use platform::{ConfigService, HostDirectory, PlatformError};
+use ports::{ConfigService, HostDirectory, PlatformError};
 use spread::{
     DocumentKind, ExchangeSummary, HeldDocument, PullAnswer, ServiceRead, SpreadAction, SpreadCore,
     SpreadEvent, SpreadReport,
--- a/crates/node/src/weights/activate.rs
+++ b/crates/node/src/weights/activate.rs
@@ -8,7 +8,7 @@
 use base::PauseDetector;
 use config::{AgentSettings, FencingMode};
 use log::{info, warn};
-use platform::{EngineStatus, FencingNumber, LoadOrder, ModelEngine};
+use ports::{EngineStatus, FencingNumber, LoadOrder, ModelEngine};
 use tokio::sync::mpsc;
 use weights::{
     ActivationAction, ActivationControl, ActivationEvent, ActivationOptions, EngineView, LiveLoad,
--- a/crates/node/src/weights/mod.rs
+++ b/crates/node/src/weights/mod.rs
@@ -17,7 +17,7 @@
 use base::HostId;
 use config::AgentSettings;
 use futures_util::future::BoxFuture;
-use platform::{HttpWeightSource, ModelEngine, WeightSource};
+use ports::{HttpWeightSource, ModelEngine, WeightSource};
 use weights::{
     FetchFault, FetchPlan, FetchPlanOptions, LinkPacer, PeerRecord, TransferOptions, UploadOptions,
 };
--- a/crates/node/src/weights/transfer.rs
+++ b/crates/node/src/weights/transfer.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use log::debug;
-use platform::{PlatformError, WeightSource};
+use ports::{PlatformError, WeightSource};
 use tokio_util::sync::CancellationToken;
 use weights::{
     ChunkManifest, ChunkSource, FetchAction, FetchFault, FetchPlan, FetchTicket, FetchWant,
--- a/crates/standin/src/measure/control/node.rs
+++ b/crates/standin/src/measure/control/node.rs
@@ -19,7 +19,7 @@
     control::{self, ControlCounters, ControlSources},
     server::FrameServer,
 };
-use platform::{ConfigService, HostDirectory, HttpConfigService, HttpHostDirectory, PlatformError};
+use ports::{ConfigService, HostDirectory, HttpConfigService, HttpHostDirectory, PlatformError};
 use tokio::runtime::Handle;
 use wire::FleetKey;
 
--- a/crates/standin/src/measure/weights/host.rs
+++ b/crates/standin/src/measure/weights/host.rs
@@ -14,7 +14,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::future::BoxFuture;
 use node::weights::{ChunkServer, PeerLink, TransferShell};
-use platform::{PlatformError, WeightSource};
+use ports::{PlatformError, WeightSource};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 use weights::{ChunkSet, FetchFault, FetchPlan, LinkPacer, PeerRecord};
--- a/crates/standin/src/measure/weights/naive.rs
+++ b/crates/standin/src/measure/weights/naive.rs
@@ -10,7 +10,7 @@
 
 use base::ContentDigest;
 use futures_util::StreamExt;
-use platform::{HttpWeightSource, WeightSource};
+use ports::{HttpWeightSource, WeightSource};
 
 use super::run::{RunOptions, start_origin};
 use crate::{error::StandinError, platform::catalog::WeightCatalog};
--- a/crates/standin/src/measure/weights/run.rs
+++ b/crates/standin/src/measure/weights/run.rs
@@ -9,7 +9,7 @@
 
 use compact_str::format_compact;
 use hyper::{StatusCode, header};
-use platform::{HttpWeightSource, WeightSource};
+use ports::{HttpWeightSource, WeightSource};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use weights::{
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,6 +4,7 @@
 //! can read what is sent, and anyone who holds the fleet key can speak as any process.
 
 mod channel;
+mod datagram;
 mod message;
 
 pub use crate::{
@@ -11,5 +12,6 @@
         ChannelError, ChannelLimits, FleetKey, FrameChannel, FrameReceiver, FrameSender,
         PROTOCOL_VERSION, accept, connect,
     },
+    datagram::{DatagramError, MAX_DATAGRAM_BYTES, open_datagram, seal_datagram},
     message::*,
 };
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -1,11 +1,12 @@
 //! The messages, as prost derives.
 
+mod fleet;
 mod transfer;
 
 use bytes::Bytes;
 use prost::{Message, Oneof};
 
-pub use self::transfer::*;
+pub use self::{fleet::*, transfer::*};
 
 /// One frame: exactly one message.
 #[derive(Clone, Message, PartialEq)]
@@ -13,7 +14,7 @@
     /// The message.
     #[prost(
         oneof = "Payload",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29"
     )]
     pub payload: Option<Payload>,
 }
@@ -84,6 +85,30 @@
     /// Acknowledges a message that has no other answer.
     #[prost(message, tag = "21")]
     Ack(Ack),
+    /// Asks an entry for the items that the sender lacks.
+    #[prost(message, tag = "22")]
+    ItemsRequest(ItemsRequest),
+    /// Answer to [`ItemsRequest`].
+    #[prost(message, tag = "23")]
+    ItemsReply(ItemsReply),
+    /// Asks an entry what an agent needs to know.
+    #[prost(message, tag = "24")]
+    BriefRequest(BriefRequest),
+    /// Answer to [`BriefRequest`].
+    #[prost(message, tag = "25")]
+    BriefReply(BriefReply),
+    /// Asks an agent for a piece of staged weights.
+    #[prost(message, tag = "26")]
+    PieceRequest(PieceRequest),
+    /// A piece.
+    #[prost(message, tag = "27")]
+    PieceReply(PieceReply),
+    /// Asks an agent for the digests of all pieces of a version.
+    #[prost(message, tag = "28")]
+    PieceListRequest(PieceListRequest),
+    /// Digests of all pieces of a version.
+    #[prost(message, tag = "29")]
+    PieceListReply(PieceListReply),
 }
 
 /// First frame of each side.
