Yield the link to requests, evict at a change of weights and announce it

Cause: in the 8 s after a new version most streams were late.

Change: an agent sends one piece after the other at 0.85 of its link; engines cut what runs, the entries continue it elsewhere; agents report the time until their change, and entries avoid an engine whose change is near.

--- a/crates/balance/src/board.rs
+++ b/crates/balance/src/board.rs
@@ -27,6 +27,11 @@
 const FAILURE_PENALTY: f64 = 16.0;
 /// Part of the target within which the first event must be predicted, as reports are up to two intervals old.
 const TARGET_PART: f64 = 0.85;
+/// Time that a usual stream takes. A stream that begins less than this before its engine changes weights is cut and has
+/// to be read again elsewhere.
+const STREAM_TIME: Duration = Duration::from_millis(1_500);
+/// Slots that a certain cut counts for: the engine time of the second reading and the risk of a late event.
+const CHANGE_PENALTY: f64 = 8.0;
 /// Slots that must be free for a request that is already late: it earns a fraction, so it only takes what is left over.
 const LATE_RESERVE: f64 = 3.0;
 /// Requests per slot that may wait at a plain service.
@@ -287,7 +292,11 @@
                 continue;
             }
             let remote = if self.is_remote(&state.record) { REMOTE_PENALTY } else { 0.0 };
-            let cost = occupancy + remote + state.failing() * FAILURE_PENALTY;
+            let cut = state.change_in(now).map_or(0.0, |left| {
+                1.0 - left.as_secs_f64().min(STREAM_TIME.as_secs_f64()) / STREAM_TIME.as_secs_f64()
+            });
+            let cost =
+                occupancy + remote + cut * CHANGE_PENALTY + state.failing() * FAILURE_PENALTY;
             if best.is_none_or(|(lowest, ..)| cost < lowest) {
                 best = Some((cost, occupancy, state));
             }
--- a/crates/balance/src/upstream.rs
+++ b/crates/balance/src/upstream.rs
@@ -36,6 +36,8 @@
     pub version: WeightsVersion,
     /// True while an order keeps the engine from accepting requests.
     pub switching: bool,
+    /// Time from the report until the engine drops what it runs to change its weights.
+    pub change_in: Option<Duration>,
 }
 
 /// How a send to an upstream ended.
@@ -108,6 +110,12 @@
         (now.saturating_duration_since(taken) <= REPORT_LIFETIME).then_some(report)
     }
 
+    /// Time until the engine drops what it runs.
+    pub(crate) fn change_in(&self, now: Instant) -> Option<Duration> {
+        let (report, taken) = self.report?;
+        Some(report.change_in?.saturating_sub(now.saturating_duration_since(taken)))
+    }
+
     pub(crate) fn record_sent(&mut self, now: Instant) {
         self.in_flight += 1;
         self.unreported.push_back(now);
--- a/crates/gateway/src/agent/beats.rs
+++ b/crates/gateway/src/agent/beats.rs
@@ -92,6 +92,10 @@
         switching: shared.is_switching() || report.busy,
         incarnation: shared.incarnation,
         contacts,
+        change_in_ms: shared.change_at().map(|at| {
+            let left = at.saturating_duration_since(now).as_millis();
+            u32::try_from(left).unwrap_or(u32::MAX)
+        }),
     }
 }
 
--- a/crates/gateway/src/agent/shared.rs
+++ b/crates/gateway/src/agent/shared.rs
@@ -48,6 +48,7 @@
     /// The engine changes its weights and accepts nothing.
     pub(super) switching: AtomicBool,
     roster: Mutex<EntryRoster>,
+    change_at: Mutex<Option<Instant>>,
     brief: Mutex<Option<AgentBrief>>,
     report: Mutex<Option<EngineReport>>,
     swarm: Mutex<Option<PieceSwarm>>,
@@ -66,6 +67,7 @@
             wake_beats: Notify::new(),
             switching: AtomicBool::new(false),
             roster: Mutex::default(),
+            change_at: Mutex::default(),
             brief: Mutex::default(),
             report: Mutex::default(),
             swarm: Mutex::default(),
@@ -95,6 +97,15 @@
         *self.report.lock().unwrap_or_else(PoisonError::into_inner) = report;
     }
 
+    /// Time at which the engine will be told to change its weights.
+    pub(super) fn change_at(&self) -> Option<Instant> {
+        *self.change_at.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(super) fn set_change_at(&self, at: Option<Instant>) {
+        *self.change_at.lock().unwrap_or_else(PoisonError::into_inner) = at;
+    }
+
     pub(super) fn is_switching(&self) -> bool {
         self.switching.load(Ordering::Relaxed)
     }
--- a/crates/gateway/src/agent/transfer.rs
+++ b/crates/gateway/src/agent/transfer.rs
@@ -45,8 +45,11 @@
 const MAX_MISMATCHES: u32 = 3;
 /// Time after an order in which the engine is expected to have loaded; then it is ordered again.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(12);
-/// Link overhead of a transfer beside the bytes themselves.
-const LINK_OVERHEAD: f64 = 1.1;
+/// Duration of a transfer to all hosts, in times that the bytes take on an idle link: pieces travel over several hosts,
+/// and transfers leave a part of each link to requests.
+const TRANSFER_FACTOR: f64 = 1.3;
+/// Time between the announcement of a change and the order, so that requests which are under way arrive before it.
+const ANNOUNCE_TIME: Duration = Duration::from_millis(40);
 
 struct FetchResult {
     fetch: SwarmFetch,
@@ -352,12 +355,14 @@
         }
         let common = &self.shared.settings.common;
         let bytes = u64::from(brief.piece_count) * u64::from(brief.piece_bytes);
-        let transfer = bytes as f64 / common.link_bytes_per_s.max(1) as f64 * LINK_OVERHEAD;
+        let transfer = bytes as f64 / common.link_bytes_per_s.max(1) as f64 * TRANSFER_FACTOR;
         let plan = SwitchPlan::new(common.version_bound, Duration::from_secs_f64(transfer));
         let agents = u32::try_from(brief.agents.len() + 1).unwrap_or(u32::MAX);
         let view =
             SwitchView { loaded, declared: brief.name.version, place: self.place(brief), agents };
-        if now < plan.start(&view, brief.declared_at, now) {
+        let start = plan.start(&view, brief.declared_at, now);
+        self.shared.set_change_at((loaded != 0).then_some(start));
+        if now < start {
             return;
         }
         // What lies staged may have turned bad since it was verified, so it is read once more.
@@ -372,6 +377,10 @@
         }
         self.shared.switching.store(true, Ordering::Relaxed);
         self.shared.wake_beats.notify_one();
+        if loaded != 0 {
+            sleep(ANNOUNCE_TIME).await;
+        }
+        self.shared.set_change_at(None);
         if order_load(&self.shared, &brief.name).await {
             self.ordered = Some((brief.name.clone(), self.shared.clock.now()));
         } else {
--- a/crates/gateway/src/agent/uploads.rs
+++ b/crates/gateway/src/agent/uploads.rs
@@ -9,6 +9,7 @@
 use futures_util::future::BoxFuture;
 use log::{info, warn};
 use pieces::WeightsName;
+use tokio::time::sleep;
 use wire::{Payload, PieceListReply, PieceReply, PieceRequest};
 
 use super::shared::AgentShared;
@@ -16,6 +17,9 @@
 
 /// Pieces that wait for the link at most. A peer that would wait longer asks another.
 const MAX_WAITING: u32 = 3;
+/// Part of the link that transfers use. The engine's requests and events share it, and an event that is late by a
+/// tenth of a second spoils its stream.
+const LINK_PART: f64 = 0.85;
 
 /// Answers the frames of other agents.
 pub(super) struct AgentFrames {
@@ -30,17 +34,19 @@
         Self { shared, link_free: Mutex::new(now) }
     }
 
-    /// Reserves the link for a piece; false if too many wait.
-    fn reserve(&self, bytes: u32) -> bool {
-        let rate = self.shared.settings.common.link_bytes_per_s.max(1);
-        let span = Duration::from_secs_f64(f64::from(bytes) / rate as f64);
+    /// Reserves the link for a piece and returns the time until its turn; `None` if too many wait. Pieces are sent one
+    /// after the other, so that an event of the engine waits for one piece at most.
+    fn reserve(&self, bytes: u32) -> Option<Duration> {
+        let rate = self.shared.settings.common.link_bytes_per_s.max(1) as f64 * LINK_PART;
+        let span = Duration::from_secs_f64(f64::from(bytes) / rate);
         let now = self.shared.clock.now();
         let mut free = self.link_free.lock().unwrap_or_else(PoisonError::into_inner);
-        if free.saturating_duration_since(now) > span * MAX_WAITING {
-            return false;
+        let wait = free.saturating_duration_since(now);
+        if wait > span * MAX_WAITING {
+            return None;
         }
         *free = (*free).max(now) + span;
-        true
+        Some(wait)
     }
 
     async fn piece(&self, request: PieceRequest) -> PieceReply {
@@ -56,9 +62,10 @@
             _ => return refused,
         };
         let size = self.shared.brief().map_or(0, |brief| brief.piece_bytes);
-        if !self.reserve(size) {
+        let Some(wait) = self.reserve(size) else {
             return PieceReply { bytes: None, busy: true };
-        }
+        };
+        sleep(wait).await;
         let name = WeightsName { model: request.model.as_str().into(), version: request.version };
         match self.shared.ports.engine.staged(&name.model, request.index).await {
             Ok(bytes) if list.verify(request.index, &bytes) => {
--- a/crates/gateway/src/entry/control.rs
+++ b/crates/gateway/src/entry/control.rs
@@ -323,6 +323,7 @@
         queued: beat.queued,
         version: beat.version,
         switching: beat.switching,
+        change_in: beat.change_in_ms.map(|span| Duration::from_millis(span.into())),
     };
     shared.board().record_report(upstream, report, shared.clock.now());
     record_contacts(&mut shared.roster(), &beat.contacts, shared);
--- a/crates/pieces/src/plan.rs
+++ b/crates/pieces/src/plan.rs
@@ -9,9 +9,8 @@
 use fleet::WeightsVersion;
 use serde::{Deserialize, Serialize};
 
-/// Time from the order until the engine serves again: what runs finishes first, which takes up to a few seconds for
-/// long streams.
-const CHANGE_TIME: Duration = Duration::from_millis(2_600);
+/// Time from the order until the engine serves again, with a reserve for an order that has to be repeated.
+const CHANGE_TIME: Duration = Duration::from_millis(1_600);
 
 /// Facts that decide when this engine's turn is.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/crates/pieces/src/swarm.rs
+++ b/crates/pieces/src/swarm.rs
@@ -45,7 +45,7 @@
 
 impl Default for SwarmOptions {
     fn default() -> Self {
-        Self { max_in_flight: 4, max_per_peer: 1, max_from_origin: 2 }
+        Self { max_in_flight: 3, max_per_peer: 1, max_from_origin: 1 }
     }
 }
 
--- a/crates/wire/src/message/fleet.rs
+++ b/crates/wire/src/message/fleet.rs
@@ -101,6 +101,9 @@
     /// Entries that it has heard of lately; only in some beats.
     #[prost(message, repeated, tag = "8")]
     pub contacts: Vec<EntryContact>,
+    /// Time until the engine drops what it runs to change its weights, in milliseconds; absent if no change is due.
+    #[prost(uint32, optional, tag = "9")]
+    pub change_in_ms: Option<u32>,
 }
 
 /// Sent by an agent to other agents.
