Keep pieces in memory until they can be staged; finish an older version beside a newer one

Agents dropped the second version half-way, no engine had it when its time was up, and entries refused everything for 4 s.

Change: an agent holds up to two transfers. The older one goes on if a quarter of it is there, and is skipped at its turn if the newer one will be there in time; only the pieces of the older lie staged. An agent whose engine still starts collects pieces in memory.

--- a/crates/gateway/src/agent/beats.rs
+++ b/crates/gateway/src/agent/beats.rs
@@ -8,7 +8,7 @@
 
 use log::{info, warn};
 use member::EntryMember;
-use pieces::PieceSet;
+use pieces::{PieceSet, WeightsName};
 use tokio::time::{MissedTickBehavior, interval};
 use wire::{AgentBeat, EntryContact, HoldingNotice, Notice};
 
@@ -140,12 +140,10 @@
     notice: &HoldingNotice,
     peer: SocketAddr,
 ) {
-    let mut swarm = shared.swarm();
-    let Some(swarm) = swarm.as_mut() else { return };
-    let name = swarm.name();
-    if name.model != notice.model || name.version != notice.version {
-        return;
-    }
+    let name = WeightsName { model: notice.model.as_str().into(), version: notice.version };
+    let mut transfers = shared.transfers();
+    let Some(slot) = transfers.get_mut(&name) else { return };
+    let swarm = &mut slot.swarm;
     let pieces = PieceSet::with_bytes(notice.pieces.to_vec());
     swarm.record_holding(peer, pieces, shared.clock.now());
     if notice.wanted && swarm.held().count() > 0 {
--- a/crates/gateway/src/agent/engine.rs
+++ b/crates/gateway/src/agent/engine.rs
@@ -24,7 +24,7 @@
                 );
                 shared.switching.store(false, Ordering::Relaxed);
                 // What lies staged may be gone, so it is read again.
-                *shared.swarm() = None;
+                shared.staging_unknown.store(true, Ordering::Relaxed);
             }
             let has_changed = before.as_ref().is_none_or(|before| before.loaded != report.loaded);
             if has_changed {
@@ -49,7 +49,7 @@
 
 /// Reads every staged piece back; returns those that are missing or spoilt.
 pub(super) async fn verify_staged(shared: &AgentShared, name: &WeightsName) -> Vec<PieceIndex> {
-    let Some(list) = shared.swarm().as_ref().map(|swarm| swarm.list().clone()) else {
+    let Some(list) = shared.transfers().get(name).map(|slot| slot.swarm.list().clone()) else {
         return Vec::new();
     };
     let mut spoilt = Vec::new();
--- a/crates/gateway/src/agent/shared.rs
+++ b/crates/gateway/src/agent/shared.rs
@@ -11,7 +11,7 @@
 
 use base::{Clock, DataCentreId, Incarnation};
 use member::EntryRoster;
-use pieces::{PieceSwarm, SwarmPeer, WeightsName};
+use pieces::{SwarmPeer, TransferSet, WeightsName};
 use tokio::sync::Notify;
 use wire::{BriefReply, FleetKey};
 
@@ -43,6 +43,8 @@
     pub(super) client: FrameClient,
     /// Wakes the transfer task.
     pub(super) wake: Notify,
+    /// The engine has restarted, so what lies staged must be read again.
+    pub(super) staging_unknown: AtomicBool,
     /// Wakes the task that sends beats.
     pub(super) wake_beats: Notify,
     /// The engine changes its weights and accepts nothing.
@@ -51,7 +53,7 @@
     change_at: Mutex<Option<Instant>>,
     brief: Mutex<Option<AgentBrief>>,
     report: Mutex<Option<EngineReport>>,
-    swarm: Mutex<Option<PieceSwarm>>,
+    transfers: Mutex<TransferSet>,
 }
 
 impl AgentShared {
@@ -64,13 +66,14 @@
             incarnation: rand::random(),
             metrics: MetricSet::default(),
             wake: Notify::new(),
+            staging_unknown: AtomicBool::new(true),
             wake_beats: Notify::new(),
             switching: AtomicBool::new(false),
             roster: Mutex::default(),
             change_at: Mutex::default(),
             brief: Mutex::default(),
             report: Mutex::default(),
-            swarm: Mutex::default(),
+            transfers: Mutex::default(),
             settings,
             ports,
             clock,
@@ -81,8 +84,8 @@
         self.roster.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub(super) fn swarm(&self) -> MutexGuard<'_, Option<PieceSwarm>> {
-        self.swarm.lock().unwrap_or_else(PoisonError::into_inner)
+    pub(super) fn transfers(&self) -> MutexGuard<'_, TransferSet> {
+        self.transfers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     pub(super) fn brief(&self) -> Option<AgentBrief> {
--- a/crates/gateway/src/agent/transfer.rs
+++ b/crates/gateway/src/agent/transfer.rs
@@ -1,7 +1,7 @@
 //! Brings the declared weights into the staging area and makes the engine load them.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
@@ -12,7 +12,7 @@
 use log::{info, warn};
 use pieces::{
     FetchTicket, PieceIndex, PieceList, PieceSet, PieceSource, PieceSwarm, SwarmFetch,
-    SwarmOptions, SwitchPlan, SwitchView, WeightsName,
+    SwarmOptions, SwitchPlan, SwitchView, TransferSlot, WeightsName,
 };
 use rand::{RngExt, seq::IndexedRandom};
 use tokio::{
@@ -58,7 +58,7 @@
 }
 
 enum FetchEnd {
-    Staged,
+    Fetched(Bytes),
     Busy,
     Failed,
     Mismatch,
@@ -71,11 +71,12 @@
     results: mpsc::UnboundedSender<FetchResult>,
     noticed: Option<Instant>,
     asked: Option<Instant>,
-    has_news: bool,
+    /// Weights of which pieces have arrived since the last notice.
+    news: HashSet<WeightsName>,
     mismatches: HashMap<PieceIndex, u32>,
     ordered: Option<(WeightsName, Instant)>,
-    started: Option<Instant>,
-    was_complete: bool,
+    /// Version whose pieces were last seen to lie staged completely.
+    staged: u64,
 }
 
 /// Runs until the task is dropped.
@@ -87,11 +88,10 @@
         results,
         noticed: None,
         asked: None,
-        has_news: false,
+        news: HashSet::new(),
         mismatches: HashMap::new(),
         ordered: None,
-        started: None,
-        was_complete: false,
+        staged: 0,
     };
     loop {
         tokio::select! {
@@ -110,41 +110,98 @@
     async fn step(&mut self) {
         self.refresh_brief().await;
         let Some(brief) = self.shared.brief() else { return };
-        if self.shared.report().is_none() {
+        let loaded = self.shared.loaded_version();
+        self.settle_order(&brief, loaded);
+        let is_known = self.shared.transfers().get(&brief.name).is_some();
+        if !is_known && !self.begin(&brief, loaded).await {
             return;
         }
-        self.settle_order(&brief);
-        let is_current =
-            self.shared.swarm().as_ref().is_some_and(|swarm| *swarm.name() == brief.name);
-        if !is_current && !self.start_swarm(&brief).await {
-            return;
+        self.shared.transfers().settle(loaded);
+        if self.shared.report().is_some() {
+            self.read_staging(loaded).await;
+            self.stage();
         }
         let now = self.shared.clock.now();
-        let (fetches, is_complete) = {
-            let mut swarm = self.shared.swarm();
-            let Some(swarm) = swarm.as_mut() else { return };
-            let origin = brief.origin.as_ref().map(|(_, data_centre)| data_centre.clone());
-            swarm.update_peers(&brief.agents, origin);
-            (swarm.next_fetches(now, &mut rand::rng()), swarm.is_complete())
+        self.start_fetches(&brief, now);
+        self.send_notices(&brief, now);
+        self.load_when_due(&brief, loaded).await;
+    }
+
+    fn start_fetches(&self, brief: &AgentBrief, now: Instant) {
+        let origin = brief.origin.as_ref().map(|(_, data_centre)| data_centre.clone());
+        let mut fetches = Vec::new();
+        {
+            let mut transfers = self.shared.transfers();
+            let mut goes_first = true;
+            for slot in transfers.slots_mut() {
+                slot.swarm.update_peers(&brief.agents, origin.clone());
+                let name = slot.swarm.name().clone();
+                let next = slot.swarm.next_fetches(goes_first, now, &mut rand::rng());
+                fetches.extend(next.into_iter().map(|fetch| (name.clone(), fetch)));
+                goes_first &= slot.swarm.is_complete();
+            }
+        }
+        for (name, fetch) in fetches {
+            self.spawn_fetch(name, fetch, brief);
+        }
+    }
+
+    /// Puts pieces into the staging area, as many at a time as the engine's host copies quickly.
+    fn stage(&self) {
+        let Some((name, pieces)) = self
+            .shared
+            .transfers()
+            .staging()
+            .map(|slot| (slot.swarm.name().clone(), slot.next_to_stage()))
+        else {
+            return;
         };
-        for fetch in fetches {
-            self.spawn_fetch(fetch, &brief);
+        for (index, bytes) in pieces {
+            let (shared, name) = (self.shared.clone(), name.clone());
+            tokio::spawn(async move {
+                let staged =
+                    timeout(STAGE_TIMEOUT, shared.ports.engine.stage(&name.model, index, bytes));
+                let error = match staged.await {
+                    Ok(Ok(())) => None,
+                    Ok(Err(error)) => Some(error.to_string()),
+                    Err(_) => Some("timeout".to_owned()),
+                };
+                if let Some(error) = &error {
+                    warn!("event=stage_failed piece={index} error=\"{error}\"");
+                }
+                if let Some(slot) = shared.transfers().get_mut(&name) {
+                    slot.record_staged(index, error.is_none());
+                }
+                if error.is_none() {
+                    shared.wake.notify_one();
+                }
+            });
         }
-        self.send_notices(&brief, is_complete, now);
-        if is_complete {
-            if !std::mem::replace(&mut self.was_complete, true) {
-                let span =
-                    self.started.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-                info!(
-                    "event=weights_staged model={} version={} ms={}",
-                    brief.name.model,
-                    brief.name.version,
-                    span.as_millis()
-                );
-            }
-            self.load_when_due(&brief, now).await;
-        } else {
-            self.was_complete = false;
+    }
+
+    /// Reads what lies staged after a start of this process or of the engine.
+    async fn read_staging(&self, loaded: u64) {
+        if !self.shared.staging_unknown.swap(false, Ordering::Relaxed) {
+            return;
+        }
+        let Some((name, list)) = self
+            .shared
+            .transfers()
+            .staging()
+            .map(|slot| (slot.swarm.name().clone(), slot.swarm.list().clone()))
+        else {
+            self.shared.staging_unknown.store(true, Ordering::Relaxed);
+            return;
+        };
+        let staged = self.whole_staged(&name, &list, loaded).await;
+        info!(
+            "event=staging_read model={} version={} staged={}",
+            name.model,
+            name.version,
+            staged.count()
+        );
+        if let Some(slot) = self.shared.transfers().get_mut(&name) {
+            slot.reset_staged(&staged);
         }
     }
 
@@ -197,62 +254,66 @@
     }
 
     /// Begins the transfer of other weights; false if their list of pieces cannot be had yet.
-    async fn start_swarm(&mut self, brief: &AgentBrief) -> bool {
+    async fn begin(&mut self, brief: &AgentBrief, loaded: u64) -> bool {
         let Some(list) = self.fetch_list(brief).await else { return false };
         let now = self.shared.clock.now();
-        let held = if self.shared.loaded_version() == 0 || self.holds(brief) {
-            self.verified_held(brief, &list).await
+        // What lies staged belongs to the version that is loaded, or to the one that the engine was to load when it
+        // restarted.
+        let is_first = self.shared.transfers().newest().is_none();
+        let staged = if is_first && self.shared.report().is_some() {
+            self.shared.staging_unknown.store(false, Ordering::Relaxed);
+            self.whole_staged(&brief.name, &list, loaded).await
         } else {
             PieceSet::new()
         };
         info!(
-            "event=transfer_started model={} version={} held={} pieces={}",
+            "event=transfer_started model={} version={} staged={} pieces={}",
             brief.name.model,
             brief.name.version,
-            held.count(),
+            staged.count(),
             list.len()
         );
         let own = self.shared.own_peer();
-        let swarm = PieceSwarm::new(Arc::new(list), own, held, SwarmOptions::default(), now);
-        *self.shared.swarm() = Some(swarm);
+        let swarm =
+            PieceSwarm::new(Arc::new(list), own, staged.clone(), SwarmOptions::default(), now);
+        let slot = TransferSlot::new(swarm, staged, brief.declared_at, now);
+        self.shared.transfers().begin(slot, loaded);
         self.mismatches.clear();
-        self.started = Some(now);
         self.asked = None;
         true
     }
 
-    fn holds(&self, brief: &AgentBrief) -> bool {
-        self.shared.loaded_version() == brief.name.version
-    }
-
-    /// Pieces that lie staged and are whole. Beside loaded weights they are only listed: each is verified before it is
-    /// passed on.
-    async fn verified_held(&self, brief: &AgentBrief, list: &PieceList) -> PieceSet {
+    /// Pieces that lie staged and are whole. Beside the loaded weights they are only listed: each is verified before it
+    /// is passed on.
+    async fn whole_staged(&self, name: &WeightsName, list: &PieceList, loaded: u64) -> PieceSet {
         let engine = &self.shared.ports.engine;
-        let mut held = PieceSet::new();
-        let staged = match engine.staged_list(&brief.name.model).await {
+        let mut whole = PieceSet::new();
+        let staged = match engine.staged_list(&name.model).await {
             Ok(staged) => staged,
             Err(error) => {
                 warn!("event=staged_unreadable error=\"{error}\"");
-                return held;
+                return whole;
             }
         };
-        for index in staged {
-            let is_whole = self.holds(brief)
+        if loaded != 0 && loaded != name.version {
+            return whole;
+        }
+        for index in staged.into_iter().filter(|index| *index < list.len()) {
+            let is_whole = loaded == name.version
                 || engine
-                    .staged(&brief.name.model, index)
+                    .staged(&name.model, index)
                     .await
                     .is_ok_and(|bytes| list.verify(index, &bytes));
-            if is_whole && index < list.len() {
-                held.insert(index);
+            if is_whole {
+                whole.insert(index);
             }
         }
-        held
+        whole
     }
 
     async fn fetch_list(&self, brief: &AgentBrief) -> Option<PieceList> {
-        let is_reader =
-            brief.agents.len() < MAX_LIST_READERS || self.place(brief) < MAX_LIST_READERS as u32;
+        let is_reader = brief.agents.len() < MAX_LIST_READERS
+            || self.place(brief, &brief.name) < MAX_LIST_READERS as u32;
         if is_reader && let Some((origin, _)) = &brief.origin {
             match timeout(LIST_TIMEOUT, self.shared.ports.origin.digests(*origin, &brief.name))
                 .await
@@ -281,10 +342,9 @@
         (brief.piece_count > 0).then(|| PieceList { name: brief.name.clone(), digests })
     }
 
-    fn spawn_fetch(&self, fetch: SwarmFetch, brief: &AgentBrief) {
+    fn spawn_fetch(&self, name: WeightsName, fetch: SwarmFetch, brief: &AgentBrief) {
         let shared = self.shared.clone();
         let results = self.results.clone();
-        let name = brief.name.clone();
         let origin = brief.origin.as_ref().map(|(address, _)| *address);
         tokio::spawn(async move {
             let end = fetch_piece(&shared, &name, fetch, origin).await;
@@ -297,50 +357,58 @@
         let now = self.shared.clock.now();
         let FetchResult { fetch, name, end } = result;
         let ticket: FetchTicket = fetch.ticket;
-        let mut guard = self.shared.swarm();
-        let Some(swarm) = guard.as_mut().filter(|swarm| *swarm.name() == name) else { return };
+        let mut transfers = self.shared.transfers();
+        let Some(slot) = transfers.get_mut(&name) else { return };
         match end {
-            FetchEnd::Staged => {
-                swarm.record_staged(ticket, now);
-                self.has_news = true;
+            FetchEnd::Fetched(bytes) => {
+                slot.record_fetched(ticket, bytes, now);
+                self.news.insert(name);
             }
-            FetchEnd::Busy => swarm.record_failed(ticket, true, now),
-            FetchEnd::Failed => swarm.record_failed(ticket, false, now),
+            FetchEnd::Busy => slot.swarm.record_failed(ticket, true, now),
+            FetchEnd::Failed => slot.swarm.record_failed(ticket, false, now),
             FetchEnd::Mismatch => {
-                swarm.record_failed(ticket, false, now);
+                slot.swarm.record_failed(ticket, false, now);
                 let count = self.mismatches.entry(fetch.index).or_default();
                 *count += 1;
                 if *count >= MAX_MISMATCHES {
                     warn!("event=list_doubted piece={} mismatches={count}", fetch.index);
-                    *guard = None;
+                    self.mismatches.clear();
+                    transfers.remove(&name);
                 }
             }
         }
     }
 
-    fn send_notices(&mut self, brief: &AgentBrief, is_complete: bool, now: Instant) {
+    fn send_notices(&mut self, brief: &AgentBrief, now: Instant) {
         let has_passed = |at: Option<Instant>, span| {
             at.is_none_or(|at| now.saturating_duration_since(at) >= span)
         };
-        let asks = !is_complete && has_passed(self.asked, QUESTION_INTERVAL);
-        let tells = self.has_news && (is_complete || has_passed(self.noticed, NOTICE_INTERVAL));
-        if !asks && !tells {
-            return;
+        let may_ask = has_passed(self.asked, QUESTION_INTERVAL);
+        let may_tell = has_passed(self.noticed, NOTICE_INTERVAL);
+        let peers: Vec<SocketAddr> = brief.agents.iter().map(|agent| agent.address).collect();
+        let mut has_sent = false;
+        for slot in self.shared.transfers().slots_mut() {
+            let is_complete = slot.swarm.is_complete();
+            let asks = may_ask && !is_complete;
+            let tells = self.news.contains(slot.swarm.name()) && (may_tell || is_complete);
+            if asks || tells {
+                has_sent = true;
+                self.news.remove(slot.swarm.name());
+                let notice = holding(&slot.swarm, asks);
+                self.socket.send(Notice::Holding(notice), peers.iter().copied());
+            }
+        }
+        if has_sent {
+            self.noticed = Some(now);
         }
-        if asks {
+        if may_ask {
             self.asked = Some(now);
         }
-        self.noticed = Some(now);
-        self.has_news = false;
-        let swarm = self.shared.swarm();
-        let Some(swarm) = swarm.as_ref() else { return };
-        let peers = brief.agents.iter().map(|agent| agent.address);
-        self.socket.send(Notice::Holding(holding(swarm, asks)), peers);
     }
 
     /// Place of this agent in the order in which the engines change to a version.
-    fn place(&self, brief: &AgentBrief) -> u32 {
-        let subject = format!("change/{}/{}", brief.name.model, brief.name.version);
+    fn place(&self, brief: &AgentBrief, name: &WeightsName) -> u32 {
+        let subject = format!("change/{}/{}", name.model, name.version);
         let weight =
             |address: SocketAddr| rendezvous_weight(subject.as_bytes(), &address.to_string());
         let own = weight(self.shared.settings.common.peer);
@@ -348,29 +416,66 @@
         u32::try_from(before).unwrap_or(u32::MAX)
     }
 
-    async fn load_when_due(&mut self, brief: &AgentBrief, now: Instant) {
-        let loaded = self.shared.loaded_version();
-        if loaded >= brief.name.version || self.ordered.is_some() {
+    async fn load_when_due(&mut self, brief: &AgentBrief, loaded: u64) {
+        if self.ordered.is_some() || self.shared.report().is_none() {
             return;
         }
+        let now = self.shared.clock.now();
         let common = &self.shared.settings.common;
-        let bytes = u64::from(brief.piece_count) * u64::from(brief.piece_bytes);
-        let transfer = bytes as f64 / common.link_bytes_per_s.max(1) as f64 * TRANSFER_FACTOR;
-        let plan = SwitchPlan::new(common.version_bound, Duration::from_secs_f64(transfer));
+        let piece_time = Duration::from_secs_f64(
+            f64::from(brief.piece_bytes) / common.link_bytes_per_s.max(1) as f64,
+        );
+        let plan = SwitchPlan::new(
+            common.version_bound,
+            piece_time.mul_f64(f64::from(brief.piece_count) * TRANSFER_FACTOR),
+        );
+        let Some((name, declared_at, is_staged, elapsed)) =
+            self.shared.transfers().staging().map(|slot| {
+                let name = slot.swarm.name().clone();
+                (name, slot.declared_at, slot.is_staged(), slot.elapsed(now))
+            })
+        else {
+            return;
+        };
+        if loaded >= name.version {
+            self.shared.set_change_at(None);
+            return;
+        }
         let agents = u32::try_from(brief.agents.len() + 1).unwrap_or(u32::MAX);
-        let view =
-            SwitchView { loaded, declared: brief.name.version, place: self.place(brief), agents };
-        let start = plan.start(&view, brief.declared_at, now);
+        let place = self.place(brief, &name);
+        let view = SwitchView { loaded, declared: name.version, place, agents };
+        let start = plan.start(&view, declared_at, now);
         self.shared.set_change_at((loaded != 0).then_some(start));
+        if !is_staged {
+            return;
+        }
+        if self.staged != name.version {
+            self.staged = name.version;
+            info!(
+                "event=weights_staged model={} version={} ms={}",
+                name.model,
+                name.version,
+                elapsed.as_millis()
+            );
+        }
         if now < start {
             return;
         }
+        let due = declared_at.map_or(now, |at| plan.last_start(at));
+        if self.shared.transfers().skip_oldest(due, piece_time, now) {
+            info!("event=version_skipped model={} version={}", name.model, name.version);
+            return;
+        }
+        self.load(&name, loaded).await;
+    }
+
+    async fn load(&mut self, name: &WeightsName, loaded: u64) {
         // What lies staged may have turned bad since it was verified, so it is read once more.
-        let spoilt = verify_staged(&self.shared, &brief.name).await;
+        let spoilt = verify_staged(&self.shared, name).await;
         if !spoilt.is_empty() {
-            info!("event=pieces_spoilt model={} pieces={}", brief.name.model, spoilt.len());
-            if let Some(swarm) = self.shared.swarm().as_mut() {
-                spoilt.into_iter().for_each(|index| swarm.record_spoilt(index));
+            info!("event=pieces_spoilt model={} pieces={}", name.model, spoilt.len());
+            if let Some(slot) = self.shared.transfers().get_mut(name) {
+                spoilt.into_iter().for_each(|index| slot.record_spoilt(index));
             }
             self.shared.wake.notify_one();
             return;
@@ -381,8 +486,9 @@
             sleep(ANNOUNCE_TIME).await;
         }
         self.shared.set_change_at(None);
-        if order_load(&self.shared, &brief.name).await {
-            self.ordered = Some((brief.name.clone(), self.shared.clock.now()));
+        if order_load(&self.shared, name).await {
+            self.ordered = Some((name.clone(), self.shared.clock.now()));
+            self.shared.transfers().release_staging(name);
         } else {
             self.shared.switching.store(false, Ordering::Relaxed);
             let pause = Duration::from_millis(rand::rng().random_range(20..60));
@@ -391,11 +497,11 @@
     }
 
     /// Ends the wait for an order once the engine serves the weights, or after too long a time.
-    fn settle_order(&mut self, brief: &AgentBrief) {
+    fn settle_order(&mut self, brief: &AgentBrief, loaded: u64) {
         let Some((name, at)) = &self.ordered else { return };
         let now = self.shared.clock.now();
         let elapsed = now.saturating_duration_since(*at);
-        let is_loaded = self.shared.loaded_version() >= name.version;
+        let is_loaded = loaded >= name.version;
         let is_idle = self.shared.report().is_none_or(|report| !report.busy);
         let is_lost = is_idle && elapsed > Duration::from_secs(1) && !is_loaded;
         if is_loaded || is_lost || elapsed > LOAD_TIMEOUT {
@@ -448,29 +554,19 @@
         },
     };
     let is_whole = shared
-        .swarm()
-        .as_ref()
-        .is_some_and(|swarm| swarm.name() == name && swarm.list().verify(fetch.index, &bytes));
-    if !is_whole {
-        info!(
-            "event=piece_refused piece={} source={:?} bytes={}",
-            fetch.index,
-            fetch.source,
-            bytes.len()
-        );
-        return FetchEnd::Mismatch;
-    }
-    match timeout(STAGE_TIMEOUT, shared.ports.engine.stage(&name.model, fetch.index, bytes)).await {
-        Ok(Ok(())) => FetchEnd::Staged,
-        Ok(Err(error)) => {
-            warn!("event=stage_failed piece={} error=\"{error}\"", fetch.index);
-            FetchEnd::Failed
-        }
-        Err(_) => {
-            warn!("event=stage_failed piece={} error=\"timeout\"", fetch.index);
-            FetchEnd::Failed
-        }
+        .transfers()
+        .get(name)
+        .is_some_and(|slot| slot.swarm.list().verify(fetch.index, &bytes));
+    if is_whole {
+        return FetchEnd::Fetched(bytes);
     }
+    info!(
+        "event=piece_refused piece={} source={:?} bytes={}",
+        fetch.index,
+        fetch.source,
+        bytes.len()
+    );
+    FetchEnd::Mismatch
 }
 
 async fn fetch_from_origin(
--- a/crates/gateway/src/agent/uploads.rs
+++ b/crates/gateway/src/agent/uploads.rs
@@ -51,13 +51,10 @@
 
     async fn piece(&self, request: PieceRequest) -> PieceReply {
         let refused = PieceReply { bytes: None, busy: false };
-        let list = match self.shared.swarm().as_ref() {
-            Some(swarm)
-                if swarm.name().model == request.model
-                    && swarm.name().version == request.version
-                    && swarm.held().contains(request.index) =>
-            {
-                swarm.list().clone()
+        let name = WeightsName { model: request.model.as_str().into(), version: request.version };
+        let (list, buffered) = match self.shared.transfers().get(&name) {
+            Some(slot) if slot.swarm.held().contains(request.index) => {
+                (slot.swarm.list().clone(), slot.buffered(request.index))
             }
             _ => return refused,
         };
@@ -66,7 +63,10 @@
             return PieceReply { bytes: None, busy: true };
         };
         sleep(wait).await;
-        let name = WeightsName { model: request.model.as_str().into(), version: request.version };
+        if buffered.is_some() {
+            self.shared.metrics.count("pieces_sent_total");
+            return PieceReply { bytes: buffered, busy: false };
+        }
         match self.shared.ports.engine.staged(&name.model, request.index).await {
             Ok(bytes) if list.verify(request.index, &bytes) => {
                 self.shared.metrics.count("pieces_sent_total");
@@ -86,20 +86,19 @@
     }
 
     fn forget(&self, name: &WeightsName, index: u32) {
-        if let Some(swarm) = self.shared.swarm().as_mut().filter(|swarm| swarm.name() == name) {
-            swarm.record_spoilt(index);
+        if let Some(slot) = self.shared.transfers().get_mut(name) {
+            slot.record_spoilt(index);
             self.shared.wake.notify_one();
         }
     }
 
     fn piece_list(&self, model: &str, version: u64) -> PieceListReply {
-        let swarm = self.shared.swarm();
-        let digests = match swarm.as_ref() {
-            Some(swarm) if swarm.name().model == model && swarm.name().version == version => {
-                swarm.list().digests.iter().map(|digest| Bytes::copy_from_slice(digest)).collect()
-            }
-            _ => Vec::new(),
-        };
+        let name = WeightsName { model: model.into(), version };
+        let transfers = self.shared.transfers();
+        let digests = transfers.get(&name).map_or_else(Vec::new, |slot| {
+            let digests = &slot.swarm.list().digests;
+            digests.iter().map(|digest| Bytes::copy_from_slice(digest)).collect()
+        });
         PieceListReply { digests }
     }
 }
--- a/crates/pieces/src/lib.rs
+++ b/crates/pieces/src/lib.rs
@@ -7,9 +7,11 @@
 mod list;
 mod plan;
 mod swarm;
+mod transfers;
 
 pub use crate::{
     list::{PieceDigest, PieceIndex, PieceList, PieceSet, WeightsName, verify_piece},
     plan::{SwitchPlan, SwitchView},
     swarm::{FetchTicket, PieceSource, PieceSwarm, SwarmFetch, SwarmOptions, SwarmPeer},
+    transfers::{TransferSet, TransferSlot},
 };
--- a/crates/pieces/src/plan.rs
+++ b/crates/pieces/src/plan.rs
@@ -49,4 +49,10 @@
         let part = f64::from(view.place) / f64::from(view.agents.max(1));
         declared_at + self.transfer + span.mul_f64(part.min(1.0))
     }
+
+    /// Latest moment at which an engine may be told to load, so that it serves the version within the bound.
+    #[must_use]
+    pub fn last_start(&self, declared_at: Instant) -> Instant {
+        declared_at + self.bound.saturating_sub(CHANGE_TIME)
+    }
 }
--- a/crates/pieces/src/swarm.rs
+++ b/crates/pieces/src/swarm.rs
@@ -150,7 +150,7 @@
         &self.list
     }
 
-    /// Pieces that lie verified in the staging area.
+    /// Pieces that are in memory or lie verified in the staging area.
     #[must_use]
     pub fn held(&self) -> &PieceSet {
         &self.held
@@ -197,9 +197,15 @@
         self.holdings.insert(peer, pieces);
     }
 
-    /// Records that a piece lies verified in the staging area.
-    pub fn record_staged(&mut self, ticket: FetchTicket, now: Instant) {
-        let Some(flight) = self.flights.remove(&ticket) else { return };
+    /// True if every piece is at this or another agent, so that the origin is not needed any more.
+    #[must_use]
+    pub fn is_all_in_fleet(&self) -> bool {
+        self.seen_in_fleet.count() >= self.list.len()
+    }
+
+    /// Records that a piece has arrived whole; returns its number.
+    pub fn record_fetched(&mut self, ticket: FetchTicket, now: Instant) -> Option<PieceIndex> {
+        let flight = self.flights.remove(&ticket)?;
         self.held.insert(flight.index);
         if self.seen_in_fleet.insert(flight.index) {
             self.fleet_progress = now;
@@ -207,6 +213,7 @@
         if self.seen_in_region.insert(flight.index) {
             self.region_progress = now;
         }
+        Some(flight.index)
     }
 
     /// Records that a fetch failed or brought wrong bytes.
@@ -227,11 +234,17 @@
         self.held.remove(index);
     }
 
-    /// Fetches to start now.
-    pub fn next_fetches(&mut self, now: Instant, rng: &mut impl Rng) -> Vec<SwarmFetch> {
+    /// Fetches to start now. While another transfer goes first, only one is in flight.
+    pub fn next_fetches(
+        &mut self,
+        goes_first: bool,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Vec<SwarmFetch> {
         self.paused.retain(|_, until| *until > now);
+        let limit = if goes_first { self.options.max_in_flight } else { 1 };
         let mut fetches = Vec::new();
-        while self.flights.len() < self.options.max_in_flight {
+        while self.flights.len() < limit {
             let Some((index, source)) = self.pick(now, rng) else { break };
             self.next_ticket += 1;
             self.flights.insert(self.next_ticket, PieceFlight { index, source });
