Place requests by the predicted first event, prompts that are not read yet included

Cause: after a change of weights an engine looks empty, so all entries sent it up to 16 requests at once; their prompts are read one after the other between the steps of running requests (18 tokens a ms, not 32), so most were late. And a refused caller came back within 1.6 s, while engines without weights need 2 s and more: refused twice.

Change: the forecast counts the growth of the occupancy in the last 300 ms and own sends as unread prompts; placement compares times, not slots; a caller returns after 0.9 to 2.0 s, or 1.8 to 2.6 s if no engine can serve. The origin is drawn by four agents, after 40 ms of listening, and turns are spread over the time after the transfer.

--- a/crates/balance/src/board.rs
+++ b/crates/balance/src/board.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    forecast::EngineForecast,
+    forecast::{EngineForecast, EngineLoad},
     share::{ColdShare, MIN_ENTRIES, ShareOptions},
     upstream::{AgentReport, SendOutcome, UpstreamState},
 };
@@ -21,24 +21,32 @@
 /// Upstreams that are compared for one request. Fewer than all, so that entries with the same picture do not all send
 /// to the one upstream that is least loaded in it.
 const COMPARED: usize = 4;
-/// Slots that one hop to another region counts for: the price of its bytes and a few milliseconds.
-const REMOTE_PENALTY: f64 = 1.5;
-/// Slots that a certain failure counts for.
-const FAILURE_PENALTY: f64 = 16.0;
-/// Part of the target within which the first event must be predicted, as reports are up to two intervals old.
-const TARGET_PART: f64 = 0.85;
+/// Time that one hop to another region counts for: a few milliseconds and the price of its bytes.
+const REMOTE_PENALTY: Duration = Duration::from_millis(15);
+/// Time that a certain failure counts for.
+const FAILURE_PENALTY: Duration = Duration::from_millis(250);
+/// Time that each request at an upstream counts for although it delays no other yet: it takes a slot for a second.
+const OCCUPANCY_PENALTY: Duration = Duration::from_millis(6);
+/// Time that a request at a plain service counts for.
+const SERVICE_PENALTY: Duration = Duration::from_millis(10);
 /// Time that a usual stream takes. A stream that begins less than this before its engine changes weights is cut and has
 /// to be read again elsewhere.
 const STREAM_TIME: Duration = Duration::from_millis(1_500);
-/// Slots that a certain cut counts for: the engine time of the second reading and the risk of a late event.
-const CHANGE_PENALTY: f64 = 8.0;
+/// Time that a certain cut counts for: the second reading and the risk of a late event.
+const CHANGE_PENALTY: Duration = Duration::from_millis(60);
+/// Part of the target within which the first event must be predicted, as reports are up to two intervals old.
+const TARGET_PART: f64 = 0.9;
 /// Slots that must be free for a request that is already late: it earns a fraction, so it only takes what is left over.
-const LATE_RESERVE: f64 = 3.0;
+const LATE_RESERVE: f64 = 1.0;
 /// Requests per slot that may wait at a plain service.
 const SERVICE_DEPTH: f64 = 3.0;
-/// Shortest and longest delay before a refused caller returns. Callers that are refused together come back apart.
+/// Shortest and longest delay before a refused caller returns. Callers that are refused together come back apart, and
+/// late enough for a burst to pass: a caller returns only once.
 const RETRY_RANGE: (Duration, Duration) =
-    (Duration::from_millis(400), Duration::from_millis(1_600));
+    (Duration::from_millis(900), Duration::from_millis(2_000));
+/// The same if no upstream can serve at all: engines need two seconds or more to receive their weights.
+const EMPTY_RETRY_RANGE: (Duration, Duration) =
+    (Duration::from_millis(1_800), Duration::from_millis(2_600));
 
 /// Properties of the fleet that the board needs besides the view.
 #[derive(Clone, Debug, Default)]
@@ -279,24 +287,16 @@
         now: Instant,
         rng: &mut impl Rng,
     ) -> Placement {
-        let room = self.room(service, work);
-        let mut best: Option<(f64, f64, &UpstreamState)> = None;
+        let mut best: Option<(Duration, f64, &UpstreamState)> = None;
         let mut compared = 0;
         while !candidates.is_empty() {
             let id = candidates.swap_remove(rng.random_range(0..candidates.len()));
             let state = &self.upstreams[id];
             let occupancy = state.occupancy(now, self.entries as f64);
-            let slots = f64::from(state.record.slots.max(1));
-            let limit = room.unwrap_or(slots * SERVICE_DEPTH);
-            if occupancy > limit && !work.is_continued {
+            let Some(delay) = self.expected_delay(service, work, state, occupancy) else {
                 continue;
-            }
-            let remote = if self.is_remote(&state.record) { REMOTE_PENALTY } else { 0.0 };
-            let cut = state.change_in(now).map_or(0.0, |left| {
-                1.0 - left.as_secs_f64().min(STREAM_TIME.as_secs_f64()) / STREAM_TIME.as_secs_f64()
-            });
-            let cost =
-                occupancy + remote + cut * CHANGE_PENALTY + state.failing() * FAILURE_PENALTY;
+            };
+            let cost = delay + self.penalties(state, occupancy, now);
             if best.is_none_or(|(lowest, ..)| cost < lowest) {
                 best = Some((cost, occupancy, state));
             }
@@ -313,15 +313,39 @@
         }
     }
 
-    /// Requests that may run or wait at an upstream for the request to be placed there.
-    fn room(&self, service: &ServiceState, work: &WorkRequest<'_>) -> Option<f64> {
-        let forecast = service.forecast.as_ref()?;
-        let slots = f64::from(service.record.engine.as_ref()?.slots);
-        let room = match work.target_left {
-            Some(left) => forecast.room_within(left.mul_f64(TARGET_PART), work.prompt_tokens),
-            None => slots - LATE_RESERVE,
+    /// Time until the upstream answers, or until the first event of a stream; `None` if that is too long.
+    fn expected_delay(
+        &self,
+        service: &ServiceState,
+        work: &WorkRequest<'_>,
+        state: &UpstreamState,
+        occupancy: f64,
+    ) -> Option<Duration> {
+        let slots = f64::from(state.record.slots.max(1));
+        let Some(forecast) = &service.forecast else {
+            let has_room = occupancy <= slots * SERVICE_DEPTH;
+            return has_room.then(|| SERVICE_PENALTY.mul_f64(occupancy));
+        };
+        let load = EngineLoad { occupancy, unread: state.unread() };
+        let delay = forecast.first_event(load, work.prompt_tokens);
+        let has_room = match work.target_left {
+            _ if work.is_continued => true,
+            Some(left) => delay <= left.mul_f64(TARGET_PART) || occupancy + LATE_RESERVE < slots,
+            None => occupancy + LATE_RESERVE < slots,
         };
-        Some(room.max(slots - LATE_RESERVE))
+        has_room.then_some(delay)
+    }
+
+    /// What speaks against an upstream besides the delay, as a time.
+    fn penalties(&self, state: &UpstreamState, occupancy: f64, now: Instant) -> Duration {
+        let remote = if self.is_remote(&state.record) { REMOTE_PENALTY } else { Duration::ZERO };
+        let cut = state.change_in(now).map_or(0.0, |left| {
+            1.0 - left.as_secs_f64().min(STREAM_TIME.as_secs_f64()) / STREAM_TIME.as_secs_f64()
+        });
+        remote
+            + OCCUPANCY_PENALTY.mul_f64(occupancy)
+            + CHANGE_PENALTY.mul_f64(cut)
+            + FAILURE_PENALTY.mul_f64(state.failing())
     }
 
     fn is_usable(
@@ -371,6 +395,10 @@
 }
 
 fn refuse(cause: RefusalCause, rng: &mut impl Rng) -> Placement {
-    let retry_after = rng.random_range(RETRY_RANGE.0..RETRY_RANGE.1);
+    let (shortest, longest) = match cause {
+        RefusalCause::NoUpstream => EMPTY_RETRY_RANGE,
+        RefusalCause::Overloaded | RefusalCause::Cold => RETRY_RANGE,
+    };
+    let retry_after = rng.random_range(shortest..longest);
     Placement::Refused(PlacementRefusal { cause, retry_after })
 }
--- a/crates/balance/src/forecast.rs
+++ b/crates/balance/src/forecast.rs
@@ -4,9 +4,19 @@
 
 use fleet::EngineRecord;
 
-/// Network and pass time that every request spends before its first event, whatever the load: two hops of a few
-/// milliseconds, and on average half a pass until the engine admits new work.
+/// Network time that every request spends before its first event, whatever the load: two hops of a few milliseconds.
 const FIXED_DELAY: Duration = Duration::from_millis(15);
+/// Passes until the first event: on average half of one until the engine takes new work, and the one that makes it.
+const FIRST_PASSES: f64 = 1.5;
+
+/// Load of an engine, as far as an entry can tell.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct EngineLoad {
+    /// Requests that run or wait.
+    pub occupancy: f64,
+    /// Requests among them whose prompts have not been read yet.
+    pub unread: f64,
+}
 
 /// Predicts service times of one service's engines from the costs that the configuration states.
 #[derive(Clone, Copy, Debug)]
@@ -14,7 +24,9 @@
     slots: f64,
     step: f64,
     stride: f64,
-    read_per_second: f64,
+    /// Prompt tokens per second that an engine reads between the steps of running requests.
+    read_rate: f64,
+    usual_prompt: f64,
     /// Seconds of engine time that a usual request takes from the others.
     usual_cost: f64,
 }
@@ -31,9 +43,13 @@
             + slots
                 * (costs.step_per_request.as_secs_f64()
                     + costs.step_per_context.as_secs_f64() * context_k);
-        let read_per_second = costs.read_per_second.max(1.0);
-        let usual_cost = f64::from(answer) * step / slots + f64::from(prompt) / read_per_second;
-        Self { slots, step, stride: f64::from(costs.stride.max(1)), read_per_second, usual_cost }
+        let stride = f64::from(costs.stride.max(1));
+        let idle_rate = costs.read_per_second.max(1.0);
+        // Each pass reads one chunk and makes one stride of steps.
+        let chunk = f64::from(costs.chunk.max(1));
+        let read_rate = chunk / (chunk / idle_rate + stride * step);
+        let usual_cost = f64::from(answer) * step / slots + f64::from(prompt) / idle_rate;
+        Self { slots, step, stride, read_rate, usual_prompt: f64::from(prompt), usual_cost }
     }
 
     /// Engine time that a usual request takes; its inverse is the rate that one engine sustains.
@@ -42,19 +58,13 @@
         Duration::from_secs_f64(self.usual_cost)
     }
 
-    /// Time from sending to the first event when `ahead` requests run or wait at the engine.
-    #[must_use]
-    pub fn first_event(&self, ahead: f64, prompt_tokens: u32) -> Duration {
-        let waiting = (ahead + 1.0 - self.slots).max(0.0) * self.usual_cost;
-        let pass = self.step * self.stride;
-        let reading = f64::from(prompt_tokens) / self.read_per_second;
-        FIXED_DELAY + Duration::from_secs_f64(waiting + 1.5 * pass + reading)
-    }
-
-    /// Requests that may run or wait at an engine so that the next one still gets its first event within `target`.
+    /// Time from sending to the first event. An engine with free slots may still have many prompts to read first, for
+    /// example right after it has changed its weights.
     #[must_use]
-    pub fn room_within(&self, target: Duration, prompt_tokens: u32) -> f64 {
-        let spare = target.saturating_sub(self.first_event(0.0, prompt_tokens)).as_secs_f64();
-        self.slots - 1.0 + spare / self.usual_cost
+    pub fn first_event(&self, load: EngineLoad, prompt_tokens: u32) -> Duration {
+        let waiting = (load.occupancy + 1.0 - self.slots).max(0.0) * self.usual_cost;
+        let passes = FIRST_PASSES * self.step * self.stride;
+        let tokens = load.unread * self.usual_prompt + f64::from(prompt_tokens);
+        FIXED_DELAY + Duration::from_secs_f64(waiting + passes + tokens / self.read_rate)
     }
 }
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -12,7 +12,7 @@
 pub use crate::{
     attempt::{AttemptEnd, AttemptLog, FinalStatus},
     board::{BoardOptions, LoadBoard, Placement, PlacementRefusal, RefusalCause, WorkRequest},
-    forecast::EngineForecast,
+    forecast::{EngineForecast, EngineLoad},
     share::{ColdShare, RetryShare, ShareOptions},
     upstream::{AgentReport, SendOutcome},
 };
--- a/crates/balance/src/upstream.rs
+++ b/crates/balance/src/upstream.rs
@@ -14,6 +14,8 @@
 /// A send counts on top of a report if it left less than this before the report arrived: the report was taken before
 /// the request could have reached the engine.
 const REPORT_DELAY: Duration = Duration::from_millis(12);
+/// Time over which the growth of the occupancy counts as prompts that are still to be read: a few passes of an engine.
+const UNREAD_WINDOW: Duration = Duration::from_millis(300);
 /// Weight of one outcome in the mean of failures.
 const OUTCOME_WEIGHT: f64 = 0.15;
 /// Failed connections in a row after which an upstream is left alone for a while.
@@ -61,6 +63,8 @@
     /// Cold until this moment.
     pub(crate) cold_until: Option<Instant>,
     report: Option<(AgentReport, Instant)>,
+    /// Occupancy in the reports of the last moments.
+    history: VecDeque<(Instant, u32)>,
     /// Own sends that the last report does not contain yet.
     unreported: VecDeque<Instant>,
     pub(crate) in_flight: u32,
@@ -76,6 +80,7 @@
             record,
             cold_until: None,
             report: None,
+            history: VecDeque::new(),
             unreported: VecDeque::new(),
             in_flight: 0,
             failing: 0.0,
@@ -103,6 +108,22 @@
             self.unreported.pop_front();
         }
         self.report = Some((report, now));
+        self.history.push_back((now, report.running + report.queued));
+        while self
+            .history
+            .front()
+            .is_some_and(|(taken, _)| now.saturating_duration_since(*taken) > UNREAD_WINDOW)
+        {
+            self.history.pop_front();
+        }
+    }
+
+    /// Requests whose prompts are probably not read yet: own sends that no report contains, and the growth of the
+    /// occupancy within the last moments.
+    pub(crate) fn unread(&self) -> f64 {
+        let latest = self.history.back().map_or(0, |(_, occupancy)| *occupancy);
+        let lowest = self.history.iter().map(|(_, occupancy)| *occupancy).min().unwrap_or(latest);
+        f64::from(latest - lowest) + self.unreported.len() as f64
     }
 
     pub(crate) fn report(&self, now: Instant) -> Option<AgentReport> {
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -88,6 +88,8 @@
     pub read_per_second: f64,
     /// Steps that are executed between two admissions of new work.
     pub stride: u32,
+    /// Prompt tokens that are read at most in one pass between the steps of running requests.
+    pub chunk: u32,
 }
 
 /// A model that an engine can load.
--- a/crates/gateway/src/agent/transfer.rs
+++ b/crates/gateway/src/agent/transfer.rs
@@ -47,7 +47,7 @@
 const LOAD_TIMEOUT: Duration = Duration::from_secs(12);
 /// Duration of a transfer to all hosts, in times that the bytes take on an idle link: pieces travel over several hosts,
 /// and transfers leave a part of each link to requests.
-const TRANSFER_FACTOR: f64 = 1.3;
+const TRANSFER_FACTOR: f64 = 1.6;
 /// Time between the announcement of a change and the order, so that requests which are under way arrive before it.
 const ANNOUNCE_TIME: Duration = Duration::from_millis(40);
 
--- a/crates/gateway/src/entry/call.rs
+++ b/crates/gateway/src/entry/call.rs
@@ -146,6 +146,9 @@
 struct CallProgress {
     attempts: AttemptLog,
     tried: Vec<UpstreamId>,
+    /// Time until the first event of a stream, and the longest pause between two events.
+    first_event: Option<Duration>,
+    longest_pause: Duration,
 }
 
 /// Result of one attempt.
@@ -208,6 +211,8 @@
         progress: Mutex::new(CallProgress {
             attempts: AttemptLog::new(route.repeat, route.max_attempts),
             tried: Vec::new(),
+            first_event: None,
+            longest_pause: Duration::ZERO,
         }),
         method: head.method,
         uri: head.uri,
@@ -310,6 +315,17 @@
             && !self.progress().attempts.is_last()
     }
 
+    /// Records an event that was passed on `pause` after the one before.
+    pub(crate) fn record_event(&self, pause: Duration) {
+        let waited = self.waited();
+        let mut progress = self.progress();
+        if progress.first_event.is_none() {
+            progress.first_event = Some(waited);
+        } else {
+            progress.longest_pause = progress.longest_pause.max(pause);
+        }
+    }
+
     /// Continues a stream after the event `after`.
     pub(crate) async fn resume(
         self: Arc<Self>,
@@ -602,7 +618,7 @@
         let waited = self.waited();
         info!(
             "event=request_ended request={} result={result} status={} route={} team={} sends={} tried={} ms={} \
-             revision={}",
+             first_ms={} pause_ms={} revision={}",
             self.facts.id,
             status.unwrap_or(0),
             self.route.name,
@@ -610,6 +626,8 @@
             progress.attempts.sends(),
             progress.tried.len(),
             waited.as_millis(),
+            progress.first_event.map_or(-1, |first| first.as_millis() as i64),
+            progress.longest_pause.as_millis(),
             self.shared.view.load().revision
         );
         self.shared.metrics.count(&format!("requests_total{{result=\"{result}\"}}"));
--- a/crates/gateway/src/entry/relay.rs
+++ b/crates/gateway/src/entry/relay.rs
@@ -192,7 +192,9 @@
             let RelayState::Reading(stream) = &mut self.state else { return Poll::Ready(None) };
             match Pin::new(&mut stream.body).poll_frame(context) {
                 Poll::Ready(Some(Ok(frame))) => {
-                    self.last_event = Instant::now();
+                    let now = Instant::now();
+                    self.call.record_event(now - self.last_event);
+                    self.last_event = now;
                     let Ok(bytes) = frame.into_data() else { continue };
                     if let Some(events) = self.splitter.push(bytes) {
                         return Poll::Ready(Some(Ok(events)));
--- a/crates/pieces/src/swarm.rs
+++ b/crates/pieces/src/swarm.rs
@@ -23,6 +23,8 @@
 /// Time without any new piece after which the next agent in the order takes over, for each place in the order. A piece
 /// takes about 50 ms on a link of 9.4 Mbit/s; several of them fit, so that a busy link is not taken for a dead agent.
 const TAKEOVER: Duration = Duration::from_millis(350);
+/// Time after the start of a transfer in which the other agents say what they hold, before the origin is asked.
+const LISTEN_TIME: Duration = Duration::from_millis(40);
 /// Places in the order that wait for one another; all later ones wait as long as the last of them.
 const MAX_PLACES: u32 = 6;
 /// Time for which a source that failed is not asked.
@@ -31,6 +33,9 @@
 const BUSY_PAUSE: Duration = Duration::from_millis(40);
 /// Agents in the origin's data centre that are enough to draw all pieces there.
 const MIN_LOCAL_FETCHERS: usize = 2;
+/// Agents that draw pieces from the origin while all goes well. More of them share its link, so that each piece, and
+/// each list of digests, takes longer to arrive; fewer could not pass the pieces on as fast as they come.
+const ORIGIN_FETCHERS: u32 = 4;
 
 /// Limits of a swarm.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -99,6 +104,7 @@
     flights: HashMap<FetchTicket, PieceFlight>,
     paused: HashMap<PieceSource, Instant>,
     next_ticket: FetchTicket,
+    started: Instant,
     /// Last time at which a piece was seen for the first time in the fleet, and in this region.
     fleet_progress: Instant,
     region_progress: Instant,
@@ -133,6 +139,7 @@
             flights: HashMap::new(),
             paused: HashMap::new(),
             next_ticket: 0,
+            started: now,
             fleet_progress: now,
             region_progress: now,
         }
@@ -173,13 +180,34 @@
         self.holdings.retain(|address, _| peers.iter().any(|peer| peer.address == *address));
         self.peers = peers;
         self.origin_data_centre = origin;
-        self.places = (0..self.list.len())
+        let mut fetchers: Vec<&SwarmPeer> = self
+            .peers
+            .iter()
+            .chain([&self.own])
+            .filter(|peer| self.draws_from_origin(peer))
+            .collect();
+        let name = format!("{}/{}", self.list.name.model, self.list.name.version);
+        let weight =
+            |peer: &SwarmPeer| rendezvous_weight(name.as_bytes(), &peer.address.to_string());
+        fetchers.sort_by_cached_key(|peer| std::cmp::Reverse(weight(peer)));
+        fetchers.truncate(ORIGIN_FETCHERS as usize);
+        let is_fetcher =
+            |peer: &SwarmPeer| fetchers.iter().any(|fetcher| fetcher.address == peer.address);
+        let is_own = is_fetcher(&self.own);
+        let places = (0..self.list.len())
             .map(|index| {
-                let origin = self.place(index, |peer| self.draws_from_origin(peer));
-                let origin = origin + u32::from(!self.draws_from_origin(&self.own));
+                // All others come after the fetchers, those of the origin's data centre first.
+                let origin = match () {
+                    () if is_own => self.place(index, is_fetcher),
+                    () if self.draws_from_origin(&self.own) => {
+                        ORIGIN_FETCHERS + self.place(index, |peer| self.draws_from_origin(peer))
+                    }
+                    () => MAX_PLACES,
+                };
                 (origin, self.place(index, |peer| peer.region == self.own.region))
             })
             .collect();
+        self.places = places;
     }
 
     /// Records which pieces a peer holds.
@@ -300,7 +328,8 @@
         }
         let from_origin =
             self.flights.values().filter(|flight| flight.source == PieceSource::Origin).count();
-        let may_ask = self.has_waited(self.fleet_progress, places.0, now)
+        let may_ask = now.saturating_duration_since(self.started) >= LISTEN_TIME
+            && self.has_waited(self.fleet_progress, places.0, now)
             && from_origin < self.options.max_from_origin
             && !self.paused.contains_key(&PieceSource::Origin);
         may_ask.then_some((0, PieceSource::Origin))
