Share free slots between entries by a dithered estimate of the others' sends

Change: admission adds the expected sends of half of the other entries, with a random part drawn at each report; late requests need one free slot by the same estimate.

--- a/crates/balance/src/board.rs
+++ b/crates/balance/src/board.rs
@@ -36,6 +36,9 @@
 const CHANGE_PENALTY: Duration = Duration::from_millis(60);
 /// Part of the target within which the first event must be predicted, as reports are up to two intervals old.
 const TARGET_PART: f64 = 0.9;
+/// Part of the other entries that is taken to send to the same upstream before its next report: each compares a few
+/// upstreams drawn at random, and agents report to entries of their region twice as often.
+const CROWD_PART: f64 = 0.5;
 /// Slots that must be free for a request that is already late: it earns a fraction, so it only takes what is left over.
 const LATE_RESERVE: f64 = 1.0;
 /// Requests per slot that may wait at a plain service.
@@ -200,10 +203,16 @@
     }
 
     /// Takes over the report of the agent beside the upstream at `address`.
-    pub fn record_report(&mut self, address: SocketAddr, report: AgentReport, now: Instant) {
+    pub fn record_report(
+        &mut self,
+        address: SocketAddr,
+        report: AgentReport,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) {
         let state = self.by_address.get(&address).and_then(|id| self.upstreams.get_mut(id));
         if let Some(state) = state {
-            state.record_report(report, now);
+            state.record_report(report, rng.random(), now);
         }
     }
 
@@ -293,7 +302,7 @@
             let id = candidates.swap_remove(rng.random_range(0..candidates.len()));
             let state = &self.upstreams[id];
             let occupancy = state.occupancy(now, self.entries as f64);
-            let Some(delay) = self.expected_delay(service, work, state, occupancy) else {
+            let Some(delay) = self.expected_delay(service, work, state, now) else {
                 continue;
             };
             let cost = delay + self.penalties(state, occupancy, now);
@@ -319,21 +328,26 @@
         service: &ServiceState,
         work: &WorkRequest<'_>,
         state: &UpstreamState,
-        occupancy: f64,
+        now: Instant,
     ) -> Option<Duration> {
         let slots = f64::from(state.record.slots.max(1));
+        let entries = self.entries as f64;
+        let occupancy = state.occupancy(now, entries);
         let Some(forecast) = &service.forecast else {
             let has_room = occupancy <= slots * SERVICE_DEPTH;
             return has_room.then(|| SERVICE_PENALTY.mul_f64(occupancy));
         };
-        let load = EngineLoad { occupancy, unread: state.unread() };
-        let delay = forecast.first_event(load, work.prompt_tokens);
+        let delay_at = |occupancy| {
+            let load = EngineLoad { occupancy, unread: state.unread() };
+            forecast.first_event(load, work.prompt_tokens)
+        };
+        let crowded = state.crowded_occupancy(now, entries * CROWD_PART);
         let has_room = match work.target_left {
             _ if work.is_continued => true,
-            Some(left) => delay <= left.mul_f64(TARGET_PART) || occupancy + LATE_RESERVE < slots,
-            None => occupancy + LATE_RESERVE < slots,
+            Some(left) => delay_at(crowded) <= left.mul_f64(TARGET_PART),
+            None => crowded + LATE_RESERVE < slots,
         };
-        has_room.then_some(delay)
+        has_room.then(|| delay_at(occupancy))
     }
 
     /// What speaks against an upstream besides the delay, as a time.
--- a/crates/balance/src/upstream.rs
+++ b/crates/balance/src/upstream.rs
@@ -67,6 +67,8 @@
     history: VecDeque<(Instant, u32)>,
     /// Own sends that the last report does not contain yet.
     unreported: VecDeque<Instant>,
+    /// Drawn between 0 and 1 with each report; see [`UpstreamState::crowded_occupancy`].
+    dither: f64,
     pub(crate) in_flight: u32,
     failing: f64,
     outcomes: u32,
@@ -82,6 +84,7 @@
             report: None,
             history: VecDeque::new(),
             unreported: VecDeque::new(),
+            dither: 0.0,
             in_flight: 0,
             failing: 0.0,
             outcomes: 0,
@@ -99,7 +102,8 @@
         }
     }
 
-    pub(crate) fn record_report(&mut self, report: AgentReport, now: Instant) {
+    pub(crate) fn record_report(&mut self, report: AgentReport, dither: f64, now: Instant) {
+        self.dither = dither;
         while self
             .unreported
             .front()
@@ -152,6 +156,18 @@
         }
     }
 
+    /// Occupancy if every other entry sends as much as this one before the next report. All entries see the same free
+    /// slots; the dither makes each of them use its part of these, also where that part is less than one request.
+    pub(crate) fn crowded_occupancy(&self, now: Instant, entries: f64) -> f64 {
+        match self.report(now) {
+            Some(report) => {
+                let own = self.unreported.len() as f64;
+                f64::from(report.running + report.queued) + entries * (own + self.dither)
+            }
+            None => self.occupancy(now, entries),
+        }
+    }
+
     pub(crate) fn failing(&self) -> f64 {
         self.failing
     }
--- a/crates/gateway/src/entry/control.rs
+++ b/crates/gateway/src/entry/control.rs
@@ -232,7 +232,7 @@
     let port = shared.settings.common.peer.port();
     let seeds = shared.seeds().into_iter().map(|seed| SocketAddr::new(seed.ip(), port));
     let targets = roster.addresses().chain(seeds).collect();
-    let entries = roster.heard(now).count() + 1;
+    let entries = roster.alive(now).count() + 1;
     drop(roster);
     shared.board().set_entries(entries);
     shared.retries().set_entries(entries);
@@ -325,7 +325,8 @@
         switching: beat.switching,
         change_in: beat.change_in_ms.map(|span| Duration::from_millis(span.into())),
     };
-    shared.board().record_report(upstream, report, shared.clock.now());
+    let now = shared.clock.now();
+    shared.board().record_report(upstream, report, now, &mut rand::rng());
     record_contacts(&mut shared.roster(), &beat.contacts, shared);
 }
 
