Spread changes of weights to 6.8 s; wait for engines at the first start

Cause: the last turn came at 6.4 s of 8 s, though a change takes half a second and entries avoid old engines from 7 s on. At the first start of the system agents run before their engines and drew a whole copy that the engines hold already.

--- a/crates/gateway/src/agent/transfer.rs
+++ b/crates/gateway/src/agent/transfer.rs
@@ -77,6 +77,7 @@
     ordered: Option<(WeightsName, Instant)>,
     /// Version whose pieces were last seen to lie staged completely.
     staged: u64,
+    has_seen_engine: bool,
 }
 
 /// Runs until the task is dropped.
@@ -92,6 +93,7 @@
         mismatches: HashMap::new(),
         ordered: None,
         staged: 0,
+        has_seen_engine: false,
     };
     loop {
         tokio::select! {
@@ -110,6 +112,11 @@
     async fn step(&mut self) {
         self.refresh_brief().await;
         let Some(brief) = self.shared.brief() else { return };
+        let has_report = self.shared.report().is_some();
+        if !has_report && self.shared.settings.is_first_start && !self.has_seen_engine {
+            return;
+        }
+        self.has_seen_engine |= has_report;
         let loaded = self.shared.loaded_version();
         self.settle_order(&brief, loaded);
         let is_known = self.shared.transfers().get(&brief.name).is_some();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -69,4 +69,6 @@
     pub engine: SocketAddr,
     /// Service of the engine.
     pub service: ServiceId,
+    /// True at the first start of the whole system, when engines hold weights already but start after the agents.
+    pub is_first_start: bool,
 }
--- a/crates/pieces/src/plan.rs
+++ b/crates/pieces/src/plan.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Time from the order until the engine serves again, with a reserve for an order that has to be repeated.
-const CHANGE_TIME: Duration = Duration::from_millis(1_600);
+const CHANGE_TIME: Duration = Duration::from_millis(1_200);
 
 /// Facts that decide when this engine's turn is.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
