Test the decisions of the platform path; bound the sends that no report contains

Found by a test: sends to an upstream whose agent never reports were kept for ever, so a plain service's entry grew by 16 bytes a request and an unreachable upstream was avoided for good. They expire after 1.5 s now, and a send that was refused or never left is taken back.

--- a/crates/balance/src/board.rs
+++ b/crates/balance/src/board.rs
@@ -338,7 +338,7 @@
             return has_room.then(|| SERVICE_PENALTY.mul_f64(occupancy));
         };
         let delay_at = |occupancy| {
-            let load = EngineLoad { occupancy, unread: state.unread() };
+            let load = EngineLoad { occupancy, unread: state.unread(now) };
             forecast.first_event(load, work.prompt_tokens)
         };
         let crowded = state.crowded_occupancy(now, entries * CROWD_PART);
--- a/crates/balance/src/upstream.rs
+++ b/crates/balance/src/upstream.rs
@@ -124,10 +124,12 @@
 
     /// Requests whose prompts are probably not read yet: own sends that no report contains, and the growth of the
     /// occupancy within the last moments.
-    pub(crate) fn unread(&self) -> f64 {
+    pub(crate) fn unread(&self, now: Instant) -> f64 {
+        let recent = |sent: &&Instant| now.saturating_duration_since(**sent) <= REPORT_LIFETIME;
+        let own = self.unreported.iter().filter(recent).count();
         let latest = self.history.back().map_or(0, |(_, occupancy)| *occupancy);
         let lowest = self.history.iter().map(|(_, occupancy)| *occupancy).min().unwrap_or(latest);
-        f64::from(latest - lowest) + self.unreported.len() as f64
+        f64::from(latest - lowest) + own as f64
     }
 
     pub(crate) fn report(&self, now: Instant) -> Option<AgentReport> {
@@ -143,6 +145,14 @@
 
     pub(crate) fn record_sent(&mut self, now: Instant) {
         self.in_flight += 1;
+        // Upstreams without an agent never report.
+        while self
+            .unreported
+            .front()
+            .is_some_and(|sent| now.saturating_duration_since(*sent) > REPORT_LIFETIME)
+        {
+            self.unreported.pop_front();
+        }
         self.unreported.push_back(now);
     }
 
@@ -181,8 +191,12 @@
                 self.count(0.0);
             }
             // A refusal is an answer: the process is there.
-            SendOutcome::NotRun => self.unreachable = 0,
+            SendOutcome::NotRun => {
+                self.unreachable = 0;
+                self.unreported.pop_back();
+            }
             SendOutcome::Unreachable => {
+                self.unreported.pop_back();
                 self.unreachable += 1;
                 if self.unreachable >= CONNECT_FAILURES {
                     self.suspend(self.unreachable - CONNECT_FAILURES, now);
--- /dev/null
+++ b/crates/balance/tests/attempt.rs
@@ -0,0 +1,71 @@
+//! Guards against a second run of a request that may run once, and against a refusal that is not true.
+
+use balance::{AttemptEnd, AttemptLog, FinalStatus};
+use fleet::RepeatRule;
+use proptest::prelude::*;
+
+const ENDS: [AttemptEnd; 4] =
+    [AttemptEnd::NotSent, AttemptEnd::NotRun, AttemptEnd::Lost, AttemptEnd::Failed];
+const RULES: [RepeatRule; 4] = [
+    RepeatRule::Idempotent,
+    RepeatRule::Once,
+    RepeatRule::Stream { resumable: true },
+    RepeatRule::Stream { resumable: false },
+];
+
+#[test]
+fn unsafe_request_is_not_sent_again_after_a_lost_answer() {
+    let mut log = AttemptLog::new(RepeatRule::Once, 3);
+    assert!(!log.record(AttemptEnd::Lost));
+    assert_eq!(log.final_status(), FinalStatus::Unknown);
+}
+
+#[test]
+fn refusal_of_the_upstream_allows_another_attempt_of_any_request() {
+    let mut log = AttemptLog::new(RepeatRule::Once, 2);
+    assert!(log.record(AttemptEnd::NotRun));
+    assert!(!log.record(AttemptEnd::NotRun), "two upstreams at most");
+    assert_eq!(log.final_status(), FinalStatus::NotRun);
+}
+
+#[test]
+fn refusal_after_a_lost_attempt_does_not_become_not_run() {
+    let mut log = AttemptLog::new(RepeatRule::Idempotent, 3);
+    log.record(AttemptEnd::Lost);
+    log.record(AttemptEnd::NotRun);
+    assert_eq!(log.final_status(), FinalStatus::Unknown);
+}
+
+#[test]
+fn failure_of_a_stream_is_not_repeated() {
+    let mut log = AttemptLog::new(RepeatRule::Stream { resumable: true }, 2);
+    assert!(!log.record(AttemptEnd::Failed));
+}
+
+proptest! {
+    #[test]
+    fn promises_hold_for_every_sequence(
+        rule in 0_usize..4,
+        max in 1_u32..5,
+        ends in prop::collection::vec(0_usize..4, 1..12),
+    ) {
+        let rule = RULES[rule];
+        let mut log = AttemptLog::new(rule, max);
+        let mut possible_runs = 0;
+        for end in ends {
+            let end = ENDS[end];
+            if matches!(end, AttemptEnd::Lost | AttemptEnd::Failed) {
+                possible_runs += 1;
+            }
+            let may_repeat = log.record(end);
+            prop_assert_eq!(log.final_status() == FinalStatus::NotRun, possible_runs == 0);
+            prop_assert!(log.sends() <= max);
+            if !may_repeat {
+                break;
+            }
+        }
+        if !rule.is_repeatable() {
+            prop_assert!(possible_runs <= 1);
+        }
+    }
+}
