--- a/crates/gateway/src/entry/control.rs
+++ b/crates/gateway/src/entry/control.rs
@@ -3,7 +3,6 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use balance::AgentReport;
-use bytes::Bytes;
 use fleet::{FactSource, KnowledgeDelta, RawItem};
 use futures_util::future::BoxFuture;
 use log::{info, warn};
@@ -404,7 +403,7 @@
                     .into_iter()
                     .map(|item| FleetItem {
                         key: item.key.to_string(),
-                        value: item.value.map(Bytes::from),
+                        value: item.value,
                         revision: item.revision,
                         age_ms: item.age.map(|age| u64::from(millis(age))),
                     })
@@ -414,7 +413,7 @@
             }
             Payload::BriefRequest(request) => {
                 let brief = make_brief(&self.shared.view.load(), &request.service, now);
-                Some(Payload::BriefReply(brief.unwrap_or_else(BriefReply::default)))
+                Some(Payload::BriefReply(brief.unwrap_or_default()))
             }
             _ => None,
         };
