--- a/crates/gateway/src/entry/control.rs
+++ b/crates/gateway/src/entry/control.rs
@@ -13,8 +13,7 @@
     time::{MissedTickBehavior, interval, sleep},
 };
 use wire::{
-    AgentBeat, BriefReply, EntryBeat, EntryContact, FleetItem, ItemsReply, ItemsRequest, Notice,
-    Payload,
+    AgentBeat, EntryBeat, EntryContact, FleetItem, ItemsReply, ItemsRequest, Notice, Payload,
 };
 
 use super::{
