Rank continued streams first and late requests last in the engines' queues

Hypothesis: a continued stream has a long pause behind it, a late request earns a fraction; the engines' own order should know.

--- a/crates/gateway/src/entry/call.rs
+++ b/crates/gateway/src/entry/call.rs
@@ -55,7 +55,7 @@
 const STALE_RETRY: Duration = Duration::from_millis(500);
 /// Least time worth an attempt.
 const MIN_ATTEMPT: Duration = Duration::from_millis(10);
-/// Rank of a request at the engine if the configuration states none.
+/// Rank of the least urgent requests at an engine.
 const MAX_PRIORITY: u8 = 9;
 
 type Answer = Response<AnswerBody>;
@@ -488,15 +488,21 @@
         resume_after: Option<&str>,
         now: Instant,
     ) -> Request<Full<Bytes>> {
-        let priority =
-            self.team.as_ref().and_then(|team| team.priority).unwrap_or(self.route.priority);
+        let stated = self.team.as_ref().and_then(|team| team.priority);
+        let priority = match () {
+            // The pause in a stream that goes on elsewhere is already long.
+            () if resume_after.is_some() => 0,
+            // What is late already must not make others late.
+            () if !self.is_on_time() => MAX_PRIORITY,
+            () => stated.unwrap_or(self.route.priority).min(MAX_PRIORITY),
+        };
         let send = SendFacts {
             time_left: self
                 .caller_by
                 .map(|by| by.min(self.answer_by).saturating_duration_since(now)),
             upstream: &upstream.upstream,
             team: self.team.as_ref().map(|team| team.team.as_str()),
-            priority: self.facts.model.is_some().then_some(priority.min(MAX_PRIORITY)),
+            priority: self.facts.model.is_some().then_some(priority),
             version: self.min_version(now),
             resume_after,
         };
