Use only the process that was started last at each address

Cause: after a loss of power the old entries of all workers stayed in the store beside the new ones for some seconds. Agents without reports also get every beat of the entries, not each fourth.

A test with two entries at one address failed first.

--- a/crates/balance/src/board.rs
+++ b/crates/balance/src/board.rs
@@ -216,6 +216,13 @@
         }
     }
 
+    /// True if the agent beside the upstream at `address` has reported lately.
+    #[must_use]
+    pub fn has_report(&self, address: SocketAddr, now: Instant) -> bool {
+        let state = self.by_address.get(&address).and_then(|id| self.upstreams.get(id));
+        state.is_some_and(|state| state.report(now).is_some())
+    }
+
     /// Records that an upstream is cold for `span` from now on.
     pub fn record_cold(&mut self, upstream: &str, span: Duration, now: Instant) {
         if let Some(state) = self.upstreams.get_mut(upstream) {
--- a/crates/fleet/src/knowledge.rs
+++ b/crates/fleet/src/knowledge.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{HashMap, HashSet},
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -292,16 +293,18 @@
                 Some(FleetFact::Evacuated(data_centre)) => {
                     view.evacuated.insert(data_centre.clone());
                 }
-                Some(FleetFact::Upstream(record)) => upstreams.push((record.clone(), item.changed)),
+                Some(FleetFact::Upstream(record)) => {
+                    upstreams.push((record.clone(), item.changed, item.revision));
+                }
                 Some(FleetFact::Declared { .. } | FleetFact::Other) => {}
                 None => {
                     if let Some((record, _)) = &item.lapsed {
-                        upstreams.push((record.clone(), None));
+                        upstreams.push((record.clone(), None, item.revision));
                     }
                 }
             }
         }
-        view.set_upstreams(upstreams);
+        view.set_upstreams(newest_at_each_address(upstreams));
         for (model, versions) in &self.declared {
             view.weights.insert(model.clone(), WeightsState::new(versions.clone()));
         }
@@ -341,3 +344,21 @@
         }
     }
 }
+
+type ListedUpstream = (Arc<UpstreamRecord>, Option<Instant>, Revision);
+
+/// Leaves one upstream at each address. After a crash the entry of the process before stays until it lapses, and only the
+/// process that was started last can be there.
+fn newest_at_each_address(
+    listed: Vec<ListedUpstream>,
+) -> Vec<(Arc<UpstreamRecord>, Option<Instant>)> {
+    let mut newest: HashMap<SocketAddr, ListedUpstream> = HashMap::new();
+    for upstream in listed {
+        let rank = |(record, _, revision): &ListedUpstream| (record.born, *revision);
+        let address = upstream.0.address;
+        if newest.get(&address).is_none_or(|known| rank(known) < rank(&upstream)) {
+            newest.insert(address, upstream);
+        }
+    }
+    newest.into_values().map(|(record, changed, _)| (record, changed)).collect()
+}
--- a/crates/fleet/tests/knowledge.rs
+++ b/crates/fleet/tests/knowledge.rs
@@ -12,24 +12,30 @@
 };
 use proptest::prelude::*;
 
-/// Reads "u:STATE" as an upstream, "w:N" as a declared version, anything else as an error.
+/// Reads "u:STATE" as an upstream at an address that follows from its key, "u:STATE:BORN" as one at a common address,
+/// "w:N" as a declared version, anything else as an error.
 struct TextDecoder;
 
 impl FactDecoder for TextDecoder {
     fn decode(&self, key: &str, value: &Bytes) -> Result<FleetFact, FactError> {
         let text = std::str::from_utf8(value).map_err(|_| FactError::new("no text"))?;
         match text.split_once(':') {
-            Some(("u", state)) => Ok(FleetFact::Upstream(Arc::new(UpstreamRecord {
-                upstream: key.into(),
-                service: "chat".into(),
-                address: SocketAddr::from(([127, 0, 0, 1], 80)),
-                data_centre: "north".into(),
-                slots: 4,
-                draining: state == "draining",
-                cold_for: Duration::ZERO,
-                weights: Vec::new(),
-                born: 1,
-            }))),
+            Some(("u", state)) => {
+                let (state, born) = state.split_once(':').unwrap_or((state, "0"));
+                let born = born.parse().map_err(|_| FactError::new("no number"))?;
+                let host = if born == 0 { key.as_bytes()[0] } else { 0 };
+                Ok(FleetFact::Upstream(Arc::new(UpstreamRecord {
+                    upstream: key.into(),
+                    service: "chat".into(),
+                    address: SocketAddr::from(([127, 0, 0, host], 80)),
+                    data_centre: "north".into(),
+                    slots: 4,
+                    draining: state == "draining",
+                    cold_for: Duration::ZERO,
+                    weights: Vec::new(),
+                    born,
+                })))
+            }
             Some(("w", version)) => Ok(FleetFact::Declared {
                 model: "m".into(),
                 version: version.parse().map_err(|_| FactError::new("no number"))?,
@@ -121,6 +127,18 @@
     assert!(knowledge.view().upstream("a").is_none());
 }
 
+/// After a crash of all upstreams their old entries stay in the store for seconds beside the new ones.
+#[test]
+fn only_the_process_started_last_is_used_at_an_address() {
+    let now = Instant::now();
+    let mut knowledge = FleetKnowledge::new();
+    change(&mut knowledge, item("new", Some("u:ready:200"), 5), now);
+    change(&mut knowledge, item("old", Some("u:ready:100"), 9), now);
+    let view = knowledge.view();
+    assert!(view.upstream("new").is_some());
+    assert!(view.upstream("old").is_none(), "its process ended before the other one started");
+}
+
 #[test]
 fn peer_receives_exactly_what_it_lacks() {
     let now = Instant::now();
--- a/crates/gateway/src/entry/control.rs
+++ b/crates/gateway/src/entry/control.rs
@@ -29,7 +29,8 @@
 
 /// Interval of the beats to other entries; six of them fit into the time after which an entry counts as gone.
 const BEAT_INTERVAL: Duration = Duration::from_millis(250);
-/// Beats to entries for one beat to the agents, which only need to know whom to report to.
+/// Beats to entries for one beat to the agents, which only need to know whom to report to. Agents that do not report
+/// may have just started and get every beat.
 const BEATS_PER_AGENT_BEAT: u64 = 4;
 /// Time for which one call waits for changes: a call that returns without changes confirms what is known.
 const WATCH_WAIT: Duration = Duration::from_millis(2_500);
@@ -206,9 +207,8 @@
             publish(&shared);
         }
         let (beat, mut targets) = make_beat(&shared);
-        if is_urgent || count.is_multiple_of(BEATS_PER_AGENT_BEAT) {
-            targets.extend(agent_addresses(&shared));
-        }
+        let all = is_urgent || count.is_multiple_of(BEATS_PER_AGENT_BEAT);
+        targets.extend(agent_addresses(&shared, all));
         count += 1;
         targets.retain(|target| *target != shared.settings.common.peer);
         targets.sort_unstable();
@@ -250,13 +250,17 @@
     (beat, targets)
 }
 
-/// Agents stand beside the upstreams that serve models, at the port that all processes share.
-fn agent_addresses(shared: &EntryShared) -> Vec<SocketAddr> {
+/// Agents stand beside the upstreams that serve models, at the port that all processes share. Unless `all` is set, only
+/// those that do not report are named.
+fn agent_addresses(shared: &EntryShared, all: bool) -> Vec<SocketAddr> {
     let view = shared.view.load();
+    let now = shared.clock.now();
+    let board = shared.board();
     let port = shared.settings.common.peer.port();
     view.upstreams()
         .filter(|(record, _)| {
             view.service(&record.service).is_some_and(|service| service.engine.is_some())
+                && (all || !board.has_report(record.address, now))
         })
         .map(|(record, _)| SocketAddr::new(record.address.ip(), port))
         .collect()
