--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod check;
 mod demo;
 pub mod diff;
+pub mod explain;
 mod report;
 pub mod status;
 
@@ -22,6 +23,7 @@
         .subcommand(diff::cli())
         .subcommand(status::cli())
         .subcommand(report::cli())
+        .subcommand(explain::cli())
         .subcommand(demo::cli())
 }
 
@@ -33,6 +35,7 @@
         Some(("diff", matches)) => diff::exec(matches),
         Some(("status", matches)) => status::exec(matches),
         Some(("report", matches)) => report::exec(matches),
+        Some(("explain", matches)) => explain::exec(matches),
         Some(("demo", matches)) => demo::exec(matches),
         _ => unreachable!("clap accepts only known subcommands"),
     }
--- a/crates/cli/tests/output.rs
+++ b/crates/cli/tests/output.rs
@@ -1,6 +1,6 @@
 //! Snapshots of what operators see.
 
-use cli::commands::{self, diff, status};
+use cli::commands::{self, diff, explain, status};
 use config::{ConfigDiff, FleetConfig};
 use insta::assert_snapshot;
 use serde_json::json;
@@ -40,3 +40,16 @@
     });
     assert_snapshot!(status::render(&status));
 }
+
+/// Guards against lines of other requests and against an order by file instead of by time.
+#[test]
+fn story_of_a_request_is_in_order() {
+    let first = "2026-09-13T20:38:07.689Z [INFO] event=request_ended request=0839 result=broken\n\
+                 2026-09-13T20:38:07.690Z [INFO] event=request_ended request=08391 result=answered\n";
+    let second = "2026-09-13T20:38:07.559Z [INFO] event=stream_broken request=0839 cause=stalled\n";
+    assert_snapshot!(explain::explain("0839", [first, second].into_iter()), @r"
+    2026-09-13T20:38:07.559Z [INFO] event=stream_broken request=0839 cause=stalled
+    2026-09-13T20:38:07.689Z [INFO] event=request_ended request=0839 result=broken
+    ");
+    assert_eq!(explain::explain("999", [first].into_iter()), "");
+}
--- a/crates/gateway/src/entry/call.rs
+++ b/crates/gateway/src/entry/call.rs
@@ -146,6 +146,8 @@
 struct CallProgress {
     attempts: AttemptLog,
     tried: Vec<UpstreamId>,
+    /// Upstream of the last attempt.
+    last: Option<UpstreamId>,
     /// Time until the first event of a stream, and the longest pause between two events.
     first_event: Option<Duration>,
     longest_pause: Duration,
@@ -211,6 +213,7 @@
         progress: Mutex::new(CallProgress {
             attempts: AttemptLog::new(route.repeat, route.max_attempts),
             tried: Vec::new(),
+            last: None,
             first_event: None,
             longest_pause: Duration::ZERO,
         }),
@@ -459,6 +462,7 @@
 
     async fn attempt(&self, upstream: &Arc<UpstreamRecord>, resume_after: Option<&str>) -> Attempt {
         let shared = &self.shared;
+        self.progress().last = Some(upstream.upstream.clone());
         let guard = SendGuard::new(shared.clone(), upstream.upstream.clone());
         let Some(mut connection) = self.connection(upstream).await else {
             guard.end(SendOutcome::Unreachable);
@@ -623,12 +627,13 @@
         let progress = self.progress();
         let waited = self.waited();
         info!(
-            "event=request_ended request={} result={result} status={} route={} team={} sends={} tried={} ms={} \
-             first_ms={} pause_ms={} revision={}",
+            "event=request_ended request={} result={result} status={} route={} team={} upstream={} sends={} \
+             tried={} ms={} first_ms={} pause_ms={} revision={}",
             self.facts.id,
             status.unwrap_or(0),
             self.route.name,
             self.team.as_ref().map_or("none", |team| team.team.as_str()),
+            progress.last.as_deref().unwrap_or("none"),
             progress.attempts.sends(),
             progress.tried.len(),
             waited.as_millis(),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -17,7 +17,8 @@
 
 /// Longest latency that the histograms tell apart, in microseconds.
 const MAX_LATENCY_US: u64 = 60_000_000;
-const QUANTILES: [f64; 3] = [0.5, 0.95, 0.99];
+/// Upper bounds of the buckets in milliseconds: the targets of the users' routes lie between 100 and 400 ms.
+const BUCKETS_MS: [u64; 12] = [10, 25, 50, 100, 200, 300, 400, 700, 1_000, 2_000, 5_000, 10_000];
 
 #[derive(Default)]
 struct MetricState {
@@ -66,11 +67,12 @@
             let _ = writeln!(text, "{name} {value}");
         }
         for (name, (histogram, sum)) in &state.latencies {
-            for quantile in QUANTILES {
-                let micros = histogram.value_at_quantile(quantile);
-                let seconds = Duration::from_micros(micros).as_secs_f64();
-                let _ = writeln!(text, "{name}{{quantile=\"{quantile}\"}} {seconds}");
+            for bound in BUCKETS_MS {
+                let count = histogram.count_between(0, bound * 1_000);
+                let seconds = Duration::from_millis(bound).as_secs_f64();
+                let _ = writeln!(text, "{name}_bucket{{le=\"{seconds}\"}} {count}");
             }
+            let _ = writeln!(text, "{name}_bucket{{le=\"+Inf\"}} {}", histogram.len());
             let seconds = Duration::from_micros(*sum).as_secs_f64();
             let _ = writeln!(text, "{name}_sum {seconds}\n{name}_count {}", histogram.len());
         }
