--- a/crates/balance/src/share.rs
+++ b/crates/balance/src/share.rs
@@ -10,8 +10,10 @@
 
 /// Entries that are taken to exist at least. An entry that cannot reach the others must not take their shares.
 pub(crate) const MIN_ENTRIES: usize = 12;
-/// Part of a share that is used, since clocks and counts of the entries differ a little.
-const SAFE_PART: f64 = 0.8;
+/// Part of the retry share that is used. Own counts are exact and the window is rounded up, so little is kept back.
+const RETRY_PART: f64 = 0.95;
+/// Part of the share of a cold upstream that is used: what was sent within a second may arrive within less.
+const COLD_PART: f64 = 0.8;
 /// Buckets into which the window of the retry budget is divided.
 const WINDOW_BUCKETS: u32 = 20;
 const COLD_WINDOW: Duration = Duration::from_secs(1);
@@ -83,7 +85,7 @@
             .iter()
             .fold((0, 0), |sum, bucket| (sum.0 + bucket.requests, sum.1 + bucket.repeats));
         let extra = self.options.retry_extra / self.entries as f64;
-        let allowed = SAFE_PART * (self.options.retry_ratio * f64::from(requests) + extra);
+        let allowed = RETRY_PART * (self.options.retry_ratio * f64::from(requests) + extra);
         if f64::from(repeats) + 1.0 > allowed {
             return false;
         }
@@ -132,7 +134,7 @@
 
     /// True if another request may be sent to an upstream that tolerates `per_second` while it is cold.
     pub fn has_room(&mut self, upstream: &UpstreamId, per_second: f64, now: Instant) -> bool {
-        let limit = SAFE_PART * (per_second * self.options.cold_factor + self.options.cold_extra)
+        let limit = COLD_PART * (per_second * self.options.cold_factor + self.options.cold_extra)
             / self.entries as f64;
         let sends = self.sends.get_mut(upstream).map_or(0, |sends| {
             while sends
