Let an agent that has taken over fetch on without a pause

Cause: an agent outside the origin's data centre waited 2.1 s before each piece if it was the only one alive, because its own pieces restarted its waiting time: 50 s for 24 pieces.

Now only what other agents bring restarts the waiting times. The tests of the seven crates pass.

--- a/crates/gateway/src/agent/transfer.rs
+++ b/crates/gateway/src/agent/transfer.rs
@@ -328,7 +328,7 @@
         let Some(slot) = transfers.get_mut(&name) else { return };
         match end {
             FetchEnd::Fetched(bytes) => {
-                slot.record_fetched(ticket, bytes, now);
+                slot.record_fetched(ticket, bytes);
                 self.news.insert(name);
             }
             FetchEnd::Busy => slot.swarm.record_failed(ticket, true, now),
--- a/crates/pieces/src/swarm.rs
+++ b/crates/pieces/src/swarm.rs
@@ -232,15 +232,12 @@
     }
 
     /// Records that a piece has arrived whole; returns its number.
-    pub fn record_fetched(&mut self, ticket: FetchTicket, now: Instant) -> Option<PieceIndex> {
+    pub fn record_fetched(&mut self, ticket: FetchTicket) -> Option<PieceIndex> {
         let flight = self.flights.remove(&ticket)?;
         self.held.insert(flight.index);
-        if self.seen_in_fleet.insert(flight.index) {
-            self.fleet_progress = now;
-        }
-        if self.seen_in_region.insert(flight.index) {
-            self.region_progress = now;
-        }
+        // Only what others bring restarts the waiting times: an agent that has taken over goes on without a pause.
+        self.seen_in_fleet.insert(flight.index);
+        self.seen_in_region.insert(flight.index);
         Some(flight.index)
     }
 
--- a/crates/pieces/src/transfers.rs
+++ b/crates/pieces/src/transfers.rs
@@ -69,8 +69,8 @@
     }
 
     /// Takes a verified piece.
-    pub fn record_fetched(&mut self, ticket: FetchTicket, bytes: Bytes, now: Instant) {
-        if let Some(index) = self.swarm.record_fetched(ticket, now) {
+    pub fn record_fetched(&mut self, ticket: FetchTicket, bytes: Bytes) {
+        if let Some(index) = self.swarm.record_fetched(ticket) {
             self.buffered.insert(index, bytes);
         }
     }
--- a/crates/pieces/tests/swarm.rs
+++ b/crates/pieces/tests/swarm.rs
@@ -99,7 +99,7 @@
                     }
                 };
                 if arrives {
-                    swarm.record_fetched(fetch.ticket, self.now);
+                    swarm.record_fetched(fetch.ticket);
                 } else {
                     swarm.record_failed(fetch.ticket, true, self.now);
                 }
