Bound times that come from outside; leave the broken upstream when a stream goes on

A stream that broke off could be continued at the upstream that had just broken it, because only attempts without an answer were noted as tried.

--- a/crates/gateway/src/entry/call.rs
+++ b/crates/gateway/src/entry/call.rs
@@ -24,6 +24,7 @@
     admit::{admit, pick_service, read_body},
     guards::{InFlight, SendGuard},
     http::AnswerBody,
+    outcome::{Attempt, CallEnd},
     pool::UpstreamConnection,
     relay::{OpenStream, RelayBody},
     reply::{Answer, close_if_leaving, own_answer},
@@ -45,6 +46,8 @@
 const STALE_RETRY: Duration = Duration::from_millis(500);
 /// Least time worth an attempt.
 const MIN_ATTEMPT: Duration = Duration::from_millis(10);
+/// Longest time for a request, whatever the configuration states.
+const MAX_TIMEOUT: Duration = Duration::from_secs(3_600);
 /// Rank of the least urgent requests at an engine.
 const MAX_PRIORITY: u8 = 9;
 
@@ -77,22 +80,6 @@
     longest_pause: Duration,
 }
 
-/// Result of one attempt.
-enum Attempt {
-    Stream(response::Parts, OpenStream),
-    Whole(response::Parts, Bytes),
-    Ended(AttemptEnd, Option<(response::Parts, Bytes)>),
-}
-
-/// Result of all attempts.
-enum CallEnd {
-    Stream(response::Parts, OpenStream),
-    Whole(response::Parts, Bytes),
-    Refused(PlacementRefusal),
-    Failed(FinalStatus),
-    Expired(FinalStatus),
-}
-
 /// Answers a request.
 pub(crate) async fn answer(shared: Arc<EntryShared>, request: Request<Incoming>) -> Answer {
     let started = shared.clock.now();
@@ -130,8 +117,9 @@
     };
     let service = pick_service(&route);
     shared.retries().record_request(&service, started);
-    let caller_by = facts.time_left.map(|left| started + left);
-    let timeout_by = started + route.timeout;
+    // A time that no clock can hold is as good as none.
+    let caller_by = facts.time_left.and_then(|left| started.checked_add(left));
+    let timeout_by = started + route.timeout.min(MAX_TIMEOUT);
     let call = Arc::new(CallContext {
         answer_by: caller_by.map_or(timeout_by, |by| by.min(timeout_by)),
         progress: Mutex::new(CallProgress {
@@ -189,6 +177,11 @@
         if !self.may_repeat(AttemptEnd::Lost) {
             return None;
         }
+        {
+            let mut progress = self.progress();
+            let last = progress.last.clone();
+            progress.tried.extend(last);
+        }
         match self.run(after).await {
             CallEnd::Stream(_, stream) => {
                 info!(
@@ -284,7 +277,7 @@
     fn is_on_time(&self) -> bool {
         self.facts
             .time_left
-            .is_none_or(|left| left + self.route.target_latency >= self.route.timeout)
+            .is_none_or(|left| left.saturating_add(self.route.target_latency) >= self.route.timeout)
     }
 
     fn min_version(&self, now: Instant) -> Option<WeightsVersion> {
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod control;
 mod guards;
 mod http;
+mod outcome;
 mod pool;
 mod relay;
 mod reply;
