Simplify the search for whole events; remove an unused figure of the board

Found in reading the whole change: the search returned Some(0) for nothing found, with a lint switched off for it; it returns None now. LoadBoard::usage had no caller.

--- a/crates/balance/src/board.rs
+++ b/crates/balance/src/board.rs
@@ -247,17 +247,6 @@
         }
     }
 
-    /// Slots of a service's usable upstreams, and how many of them are taken.
-    #[must_use]
-    pub fn usage(&self, service: &str, now: Instant) -> (f64, f64) {
-        let Some(service) = self.services.get(service) else { return (0.0, 0.0) };
-        let usable = service.upstreams.iter().filter_map(|id| self.upstreams.get(id));
-        usable.filter(|state| !state.record.draining).fold((0.0, 0.0), |(slots, taken), state| {
-            let limit = f64::from(state.record.slots);
-            (slots + limit, taken + state.occupancy(now, self.entries as f64).min(limit))
-        })
-    }
-
     /// Chooses an upstream.
     pub fn choose(
         &mut self,
--- a/crates/gateway/src/entry/relay.rs
+++ b/crates/gateway/src/entry/relay.rs
@@ -51,19 +51,15 @@
     /// Takes bytes and returns the events that are whole now.
     pub(crate) fn push(&mut self, bytes: Bytes) -> Option<Bytes> {
         let whole = if self.partial.is_empty() {
-            let end = end_of_events(&bytes)?.min(bytes.len());
-            if end == 0 {
+            let Some(end) = end_of_events(&bytes) else {
                 self.partial.extend_from_slice(&bytes);
                 return None;
-            }
+            };
             self.partial.extend_from_slice(&bytes[end..]);
             bytes.slice(..end)
         } else {
             self.partial.extend_from_slice(&bytes);
             let end = end_of_events(&self.partial)?;
-            if end == 0 {
-                return None;
-            }
             self.partial.split_to(end).freeze()
         };
         if let Some(id) = last_event_id(&whole) {
@@ -93,12 +89,11 @@
     }
 }
 
-/// Position behind the last blank line; 0 if there is none.
-#[allow(clippy::unnecessary_wraps, reason = "lets the caller use `?` for an early return")]
+/// Position behind the last blank line.
 fn end_of_events(bytes: &[u8]) -> Option<usize> {
-    let unix = bytes.windows(2).rposition(|pair| pair == b"\n\n").map_or(0, |at| at + 2);
-    let windows = bytes.windows(4).rposition(|four| four == b"\r\n\r\n").map_or(0, |at| at + 4);
-    Some(unix.max(windows))
+    let unix = bytes.windows(2).rposition(|pair| pair == b"\n\n").map(|at| at + 2);
+    let windows = bytes.windows(4).rposition(|four| four == b"\r\n\r\n").map(|at| at + 4);
+    unix.max(windows)
 }
 
 fn last_event_id(events: &[u8]) -> Option<CompactString> {
