Notice pauses and suspended hosts; read changed settings without a signal

Cause: a process that had stood still acted on what it knew before, and a settings file that changed without SIGHUP stayed unread. The monotonic clock does not count the time in which a host is suspended, so gaps between ticks do not show it. An agent orders no load until an entry has told it again what is wanted.

--- a/crates/gateway/src/agent/mod.rs
+++ b/crates/gateway/src/agent/mod.rs
@@ -10,21 +10,19 @@
 use std::{sync::Arc, time::Duration};
 
 use base::Clock;
-use log::info;
+use log::{info, warn};
+use serde_json::json;
 use snafu::ResultExt;
-use tokio::{
-    runtime::Builder,
-    signal::unix::{SignalKind, signal},
-    time::sleep,
-};
+use tokio::{runtime::Builder, time::sleep};
 
 use self::shared::AgentShared;
 use crate::{
     frames::{NodeError, ThreadSnafu, bind, serve_frames},
+    lifecycle::ProcessSignals,
     log_sink::LogSink,
     metrics::serve_metrics,
     peers::NoticeSocket,
-    port::{EngineControl, PieceOrigin},
+    port::{EngineControl, PieceOrigin, SettingsSource},
     settings::AgentSettings,
 };
 
@@ -38,6 +36,8 @@
     pub engine: Arc<dyn EngineControl>,
     /// The origin of weights.
     pub origin: Arc<dyn PieceOrigin>,
+    /// Source of the settings, which may change while the agent runs.
+    pub settings: Arc<dyn SettingsSource<AgentSettings>>,
 }
 
 /// Runs an agent until it is told to stop.
@@ -67,6 +67,7 @@
     clock: Arc<dyn Clock>,
     logs: LogSink,
 ) -> Result<(), NodeError> {
+    let mut signals = ProcessSignals::new()?;
     let peer = settings.common.peer;
     let metrics = settings.common.metrics;
     let shared = Arc::new(AgentShared::new(settings, ports, clock));
@@ -76,29 +77,40 @@
     let name = shared.settings.common.name.to_string();
     tokio::spawn(serve_frames(listener, shared.key.clone(), name, handler));
     if let Some(address) = metrics {
-        tokio::spawn(serve_metrics(address, shared.metrics.clone()));
+        let described = shared.clone();
+        let status = Arc::new(move || status_text(&described));
+        tokio::spawn(serve_metrics(address, shared.metrics.clone(), status));
     }
     tokio::spawn(logs.flush_forever(LOG_INTERVAL));
     tokio::spawn(beats::receive(shared.clone(), socket.clone()));
     tokio::spawn(beats::send(shared.clone(), socket.clone()));
     tokio::spawn(transfer::run(shared.clone(), socket));
-    wait_for_stop().await;
+    let source = shared.ports.settings.clone();
+    signals.wait_for_stop(&*source, |settings| take_over(&shared, settings)).await;
     sleep(STOP_DELAY).await;
     Ok(())
 }
 
-async fn wait_for_stop() {
-    let (Ok(mut terminate), Ok(mut reload)) =
-        (signal(SignalKind::terminate()), signal(SignalKind::hangup()))
-    else {
-        log::error!("event=signals_unavailable");
-        return;
-    };
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = reload.recv() => info!("event=reload result=kept"),
-        }
+/// State of the agent as JSON.
+fn status_text(shared: &AgentShared) -> String {
+    let brief = shared.brief();
+    json!({
+        "name": shared.settings.common.name,
+        "engine": shared.settings.engine,
+        "report": shared.report(),
+        "wanted": brief.as_ref().map(|brief| brief.name.version),
+        "revision": brief.map(|brief| brief.revision),
+        "switching": shared.is_switching(),
+    })
+    .to_string()
+}
+
+/// Seeds change with the fleet and are taken over; everything else needs a restart.
+fn take_over(shared: &AgentShared, settings: AgentSettings) {
+    let mut known = shared.settings.clone();
+    known.common.seeds.clone_from(&settings.common.seeds);
+    if known != settings {
+        warn!("event=restart_needed reason=\"settings other than the seeds have changed\"");
     }
-    info!("event=stop_requested signal=SIGTERM");
+    shared.set_seeds(settings.common.seeds);
 }
--- a/crates/gateway/src/agent/shared.rs
+++ b/crates/gateway/src/agent/shared.rs
@@ -9,7 +9,8 @@
     time::{Duration, Instant},
 };
 
-use base::{Clock, DataCentreId, Incarnation};
+use base::{Clock, DataCentreId, Incarnation, PauseDetector};
+use log::warn;
 use member::EntryRoster;
 use pieces::{SwarmPeer, TransferSet, WeightsName};
 use tokio::sync::Notify;
@@ -18,6 +19,9 @@
 use super::AgentPorts;
 use crate::{frames::FrameClient, metrics::MetricSet, port::EngineReport, settings::AgentSettings};
 
+/// Gap between two ticks of the transfer task, which come every 0.1 s, that only a pause of the process explains.
+const PAUSE_THRESHOLD: Duration = Duration::from_secs(1);
+
 /// What the entries told this agent.
 #[derive(Clone, Debug)]
 pub(super) struct AgentBrief {
@@ -52,6 +56,10 @@
     roster: Mutex<EntryRoster>,
     change_at: Mutex<Option<Instant>>,
     brief: Mutex<Option<AgentBrief>>,
+    seeds: Mutex<Vec<SocketAddr>>,
+    pauses: PauseDetector,
+    /// This process was paused, and no entry has told since what weights are wanted.
+    is_stale: AtomicBool,
     report: Mutex<Option<EngineReport>>,
     transfers: Mutex<TransferSet>,
 }
@@ -72,6 +80,9 @@
             roster: Mutex::default(),
             change_at: Mutex::default(),
             brief: Mutex::default(),
+            seeds: Mutex::new(settings.common.seeds.clone()),
+            pauses: PauseDetector::new(PAUSE_THRESHOLD),
+            is_stale: AtomicBool::new(false),
             report: Mutex::default(),
             transfers: Mutex::default(),
             settings,
@@ -88,6 +99,23 @@
         self.transfers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(super) fn seeds(&self) -> Vec<SocketAddr> {
+        self.seeds.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    pub(super) fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        *self.seeds.lock().unwrap_or_else(PoisonError::into_inner) = seeds;
+    }
+
+    /// Notices a pause of this process; true until an entry has told after it what weights are wanted.
+    pub(super) fn is_stale(&self) -> bool {
+        if let Some(gap) = self.pauses.tick(&*self.clock) {
+            warn!("event=pause_detected gap_ms={}", gap.as_millis());
+            self.is_stale.store(true, Ordering::Relaxed);
+        }
+        self.is_stale.load(Ordering::Relaxed)
+    }
+
     pub(super) fn brief(&self) -> Option<AgentBrief> {
         self.brief.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
@@ -126,6 +154,7 @@
     /// Takes over what an entry says; false if it is older than what is known or says nothing.
     pub(super) fn set_brief(&self, reply: BriefReply) -> bool {
         let now = self.clock.now();
+        self.is_stale.store(false, Ordering::Relaxed);
         let mut brief = self.brief.lock().unwrap_or_else(PoisonError::into_inner);
         if reply.model.is_empty()
             || brief.as_ref().is_some_and(|known| known.revision > reply.revision)
--- a/crates/gateway/src/agent/transfer.rs
+++ b/crates/gateway/src/agent/transfer.rs
@@ -204,13 +204,16 @@
     async fn refresh_brief(&self) {
         let now = self.shared.clock.now();
         let known = self.shared.brief();
+        let is_stale = self.shared.is_stale();
         let common = &self.shared.settings.common;
         let region = common.region();
         let mut entries: Vec<(bool, u64, SocketAddr)> = self
             .shared
             .roster()
             .alive(now)
-            .filter(|entry| known.as_ref().is_none_or(|brief| brief.digest != entry.brief))
+            .filter(|entry| {
+                is_stale || known.as_ref().is_none_or(|brief| brief.digest != entry.brief)
+            })
             .filter(|entry| known.as_ref().is_none_or(|brief| entry.head >= brief.revision))
             .map(|entry| {
                 (common.regions.get(&entry.data_centre) == Some(&region), entry.head, entry.peer)
@@ -219,7 +222,7 @@
         if entries.is_empty() && known.is_none() {
             let port = common.peer.port();
             entries.extend(
-                common.seeds.iter().map(|seed| (false, 0, SocketAddr::new(seed.ip(), port))),
+                self.shared.seeds().iter().map(|seed| (false, 0, SocketAddr::new(seed.ip(), port))),
             );
         }
         entries.sort_unstable_by(|left, right| right.cmp(left));
@@ -384,7 +387,7 @@
     }
 
     async fn load_when_due(&mut self, brief: &AgentBrief, loaded: u64) {
-        if self.ordered.is_some() || self.shared.report().is_none() {
+        if self.ordered.is_some() || self.shared.report().is_none() || self.shared.is_stale() {
             return;
         }
         let now = self.shared.clock.now();
--- a/crates/gateway/src/entry/admit.rs
+++ b/crates/gateway/src/entry/admit.rs
@@ -65,7 +65,8 @@
     if shared.refusing.load(Ordering::Relaxed) {
         return Err((StatusCode::SERVICE_UNAVAILABLE, "stopping"));
     }
-    let is_fresh = shared.knowledge_age().is_some_and(|age| age <= FRESH_KNOWLEDGE);
+    let is_stale = shared.is_stale_after_pause();
+    let is_fresh = !is_stale && shared.knowledge_age().is_some_and(|age| age <= FRESH_KNOWLEDGE);
     let unless_stale = |status, cause| {
         if is_fresh {
             (status, cause)
@@ -78,6 +79,9 @@
         RouteMatch::Unknown => return Err(unless_stale(StatusCode::NOT_FOUND, "no_route")),
         RouteMatch::NoConfig => return Err((StatusCode::SERVICE_UNAVAILABLE, "no_config")),
     };
+    if is_stale && !route.repeat.is_repeatable() {
+        return Err((StatusCode::SERVICE_UNAVAILABLE, "stale_after_pause"));
+    }
     if !view.needs_keys() {
         return Ok((route, None));
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,8 +7,9 @@
 pub mod agent;
 pub mod entry;
 mod frames;
+mod lifecycle;
 pub mod log_sink;
-mod metrics;
+pub mod metrics;
 mod peers;
 pub mod port;
 pub mod settings;
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -1,6 +1,6 @@
 //! Borders to the platform: what the processes need from it, in the words of this system.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{error::Error, net::SocketAddr, time::Duration};
 
 use base::{ModelId, Revision};
 use bytes::Bytes;
@@ -87,6 +87,18 @@
     },
 }
 
+/// Where the settings of a process come from, to be read again while it runs.
+pub trait SettingsSource<T>: Send + Sync {
+    /// True if the source has changed since it was last read.
+    fn has_changed(&self) -> bool;
+
+    /// Reads the settings.
+    ///
+    /// # Errors
+    /// Fails if the source cannot be read or states values that are not allowed.
+    fn read(&self) -> Result<T, Box<dyn Error + Send + Sync>>;
+}
+
 /// Translates between the heads of messages and what they say.
 pub trait CallCodec: Send + Sync {
     /// Reads the head of a caller's request.
@@ -193,6 +205,8 @@
     pub running: u32,
     /// Requests that wait.
     pub queued: u32,
+    /// Factor on the usual time of a step; above 1 if the engine is slow.
+    pub pace: f64,
     /// Models of which all layers are loaded, with their versions.
     pub loaded: Vec<(ModelId, WeightsVersion)>,
 }
--- a/crates/node/src/agent/gate.rs
+++ b/crates/node/src/agent/gate.rs
@@ -68,10 +68,9 @@
     /// Notices a pause before the next tick does; true until knowledge has been refreshed after one. A request asks
     /// last before it is sent, so that none slips in between.
     pub fn is_stale(&self) -> bool {
-        let now = self.clock.now();
-        if let Some(gap) = self.pauses.tick(now) {
+        if let Some(gap) = self.pauses.tick(&*self.clock) {
             warn!("event=pause_detected gap_ms={}", gap.as_millis());
-            *self.lock() = Some(now);
+            *self.lock() = Some(self.clock.now());
             self.admitter.set_gate(AdmissionGate::Held(RefusalReason::Refreshing));
         }
         self.lock().is_some()
--- a/crates/node/src/weights/activate.rs
+++ b/crates/node/src/weights/activate.rs
@@ -59,7 +59,7 @@
         loop {
             let event = tokio::time::timeout(TICK, inbox.recv()).await;
             let now = self.context.clock.now();
-            if let Some(gap) = pauses.tick(now) {
+            if let Some(gap) = pauses.tick(&*self.context.clock) {
                 info!("event=weights_paused gap_ms={}", gap.as_millis());
                 state.refresh_after = Some(now + REFRESH_GRACE);
                 self.shell.resume();
