--- a/crates/fleet/src/knowledge.rs
+++ b/crates/fleet/src/knowledge.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     record::{RoutingConfig, UpstreamRecord, WeightsVersion},
-    view::{FleetView, WeightsState},
+    view::{FleetView, RoutingIndex, WeightsState},
 };
 
 /// Key of an item in the platform's store.
@@ -132,6 +132,8 @@
     head: Revision,
     /// Last moment at which the store was known to be unavailable.
     unavailable: Option<Instant>,
+    /// Tables of the configuration in force.
+    routing: Option<Arc<RoutingIndex>>,
 }
 
 impl FleetKnowledge {
@@ -153,12 +155,6 @@
         self.head
     }
 
-    /// True if a configuration is known.
-    #[must_use]
-    pub fn has_config(&self) -> bool {
-        self.items.values().any(|item| matches!(item.fact, Some(FleetFact::Routing(_))))
-    }
-
     /// Records that the store does not answer at `now`.
     pub fn record_unavailable(&mut self, now: Instant) {
         self.unavailable = Some(now);
@@ -201,6 +197,14 @@
         let before = self.items.remove(&item.key);
         let lapsed = before.as_ref().and_then(|before| self.lapse(before, &item, now));
         let before = before.and_then(|before| before.fact);
+        match (&before, &fact) {
+            (_, Some(FleetFact::Routing(config))) => {
+                self.routing = Some(Arc::new(RoutingIndex::new(config.clone())));
+            }
+            // A configuration that cannot be read leaves the last one in force.
+            (Some(FleetFact::Routing(_)), None) if item.value.is_none() => self.routing = None,
+            _ => {}
+        }
         let delta = KnowledgeDelta {
             key: item.key.clone(),
             revision: item.revision,
@@ -286,17 +290,17 @@
     pub fn view(&self) -> FleetView {
         let mut view = FleetView::default();
         view.revision = self.head;
+        self.routing.iter().for_each(|routing| view.set_routing(routing.clone()));
         let mut upstreams = Vec::new();
         for item in self.items.values() {
             match &item.fact {
-                Some(FleetFact::Routing(config)) => view.set_config(config.clone()),
                 Some(FleetFact::Evacuated(data_centre)) => {
                     view.evacuated.insert(data_centre.clone());
                 }
                 Some(FleetFact::Upstream(record)) => {
                     upstreams.push((record.clone(), item.changed, item.revision));
                 }
-                Some(FleetFact::Declared { .. } | FleetFact::Other) => {}
+                Some(FleetFact::Declared { .. } | FleetFact::Other | FleetFact::Routing(_)) => {}
                 None => {
                     if let Some((record, _)) = &item.lapsed {
                         upstreams.push((record.clone(), None, item.revision));
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,5 +17,5 @@
         RepeatRule, RouteBackend, RouteRecord, RoutingConfig, ServiceRecord, TeamRecord,
         UpstreamRecord, WeightsVersion,
     },
-    view::{FleetView, RouteMatch, WeightsState},
+    view::{FleetView, RouteMatch, RoutingIndex, WeightsState},
 };
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -63,47 +63,68 @@
     }
 }
 
-/// Snapshot of the fleet.
-#[derive(Clone, Debug, Default)]
-pub struct FleetView {
-    /// Highest revision that it contains.
-    pub revision: Revision,
-    /// Data centres whose upstreams are to get no new work.
-    pub evacuated: HashSet<DataCentreId>,
-    /// Declared weights by model.
-    pub weights: HashMap<ModelId, WeightsState>,
-    config: Option<Arc<RoutingConfig>>,
+/// A configuration with the tables in which requests are looked up. Built once for each configuration, because a large
+/// one takes milliseconds and upstreams change far more often.
+#[derive(Debug)]
+pub struct RoutingIndex {
+    config: Arc<RoutingConfig>,
     /// Routes by host name, longest prefix first.
     routes: HashMap<CompactString, Vec<Arc<RouteRecord>>>,
     services: HashMap<ServiceId, Arc<ServiceRecord>>,
     /// Teams by key.
     teams: HashMap<CompactString, Arc<TeamRecord>>,
-    upstreams: HashMap<UpstreamId, (Arc<UpstreamRecord>, Option<Instant>)>,
 }
 
-impl FleetView {
-    /// Replaces the configuration.
-    pub fn set_config(&mut self, config: Arc<RoutingConfig>) {
-        self.routes.clear();
+impl RoutingIndex {
+    /// Builds the tables.
+    #[must_use]
+    pub fn new(config: Arc<RoutingConfig>) -> Self {
+        let mut routes: HashMap<CompactString, Vec<Arc<RouteRecord>>> = HashMap::new();
         for route in &config.routes {
-            self.routes.entry(route.host.clone()).or_default().push(Arc::new(route.clone()));
+            routes.entry(route.host.clone()).or_default().push(Arc::new(route.clone()));
         }
-        for routes in self.routes.values_mut() {
+        for routes in routes.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        self.services = config
+        let services = config
             .services
             .iter()
             .map(|service| (service.service.clone(), Arc::new(service.clone())))
             .collect();
-        self.teams.clear();
+        let mut teams = HashMap::new();
         for team in config.teams.iter().flatten() {
             let team = Arc::new(team.clone());
             for key in &team.keys {
-                self.teams.insert(key.clone(), team.clone());
+                teams.insert(key.clone(), team.clone());
             }
         }
-        self.config = Some(config);
+        Self { config, routes, services, teams }
+    }
+
+    /// The configuration.
+    #[must_use]
+    pub fn config(&self) -> &Arc<RoutingConfig> {
+        &self.config
+    }
+}
+
+/// Snapshot of the fleet.
+#[derive(Clone, Debug, Default)]
+pub struct FleetView {
+    /// Highest revision that it contains.
+    pub revision: Revision,
+    /// Data centres whose upstreams are to get no new work.
+    pub evacuated: HashSet<DataCentreId>,
+    /// Declared weights by model.
+    pub weights: HashMap<ModelId, WeightsState>,
+    routing: Option<Arc<RoutingIndex>>,
+    upstreams: HashMap<UpstreamId, (Arc<UpstreamRecord>, Option<Instant>)>,
+}
+
+impl FleetView {
+    /// Replaces the configuration.
+    pub fn set_routing(&mut self, routing: Arc<RoutingIndex>) {
+        self.routing = Some(routing);
     }
 
     /// Replaces the upstreams; with each comes the time at which its record was seen to change.
@@ -117,23 +138,22 @@
     /// The configuration.
     #[must_use]
     pub fn config(&self) -> Option<&Arc<RoutingConfig>> {
-        self.config.as_ref()
+        self.routing.as_ref().map(|routing| routing.config())
     }
 
     /// Limits for callers; `None` before a configuration is known.
     #[must_use]
     pub fn limits(&self) -> Option<ClientLimits> {
-        self.config.as_ref().map(|config| config.limits)
+        self.config().map(|config| config.limits)
     }
 
     /// Finds the route with the longest prefix that begins `path`.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> RouteMatch {
-        if self.config.is_none() {
+        if self.routing.is_none() {
             return RouteMatch::NoConfig;
         }
-        let routes = self.routes.get(host).map_or(&[][..], Vec::as_slice);
-        routes
+        self.routes_of(host)
             .iter()
             .find(|route| path.starts_with(route.prefix.as_str()))
             .map_or(RouteMatch::Unknown, |route| RouteMatch::Found(route.clone()))
@@ -142,30 +162,31 @@
     /// Routes of a host name.
     #[must_use]
     pub fn routes_of(&self, host: &str) -> &[Arc<RouteRecord>] {
-        self.routes.get(host).map_or(&[], Vec::as_slice)
+        let routing = self.routing.as_ref();
+        routing.and_then(|routing| routing.routes.get(host)).map_or(&[], Vec::as_slice)
     }
 
     /// True if callers need keys.
     #[must_use]
     pub fn needs_keys(&self) -> bool {
-        self.config.as_ref().is_some_and(|config| config.teams.is_some())
+        self.config().is_some_and(|config| config.teams.is_some())
     }
 
     /// Team that holds a key.
     #[must_use]
     pub fn team(&self, key: &str) -> Option<&Arc<TeamRecord>> {
-        self.teams.get(key)
+        self.routing.as_ref().and_then(|routing| routing.teams.get(key))
     }
 
     /// A service by id.
     #[must_use]
     pub fn service(&self, service: &str) -> Option<&Arc<ServiceRecord>> {
-        self.services.get(service)
+        self.routing.as_ref().and_then(|routing| routing.services.get(service))
     }
 
     /// All services.
     pub fn services(&self) -> impl Iterator<Item = &Arc<ServiceRecord>> {
-        self.services.values()
+        self.routing.iter().flat_map(|routing| routing.services.values())
     }
 
     /// All upstreams with the time at which each record was seen to change.
--- a/crates/fleet/tests/knowledge.rs
+++ b/crates/fleet/tests/knowledge.rs
@@ -8,7 +8,8 @@
 
 use bytes::Bytes;
 use fleet::{
-    FactDecoder, FactError, FactSource, FleetFact, FleetKnowledge, RawItem, UpstreamRecord,
+    ClientLimits, FactDecoder, FactError, FactSource, FleetFact, FleetKnowledge, RawItem,
+    RoutingConfig, UpstreamRecord,
 };
 use proptest::prelude::*;
 
@@ -199,3 +200,42 @@
         }
     }
 }
+
+/// Reads "c:VERSION" as a configuration, anything else as an error.
+struct ConfigDecoder;
+
+impl FactDecoder for ConfigDecoder {
+    fn decode(&self, _: &str, value: &Bytes) -> Result<FleetFact, FactError> {
+        let text = std::str::from_utf8(value).map_err(|_| FactError::new("no text"))?;
+        let version = text.strip_prefix("c:").and_then(|version| version.parse().ok());
+        Ok(FleetFact::Routing(Arc::new(RoutingConfig {
+            version: version.ok_or_else(|| FactError::new("unknown"))?,
+            routes: Vec::new(),
+            services: Vec::new(),
+            limits: ClientLimits {
+                max_header_bytes: 1,
+                max_body_bytes: 1,
+                header_timeout: Duration::ZERO,
+                idle_timeout: Duration::ZERO,
+            },
+            teams: None,
+        })))
+    }
+}
+
+/// Guards against a configuration with a typing error that takes all routes away.
+#[test]
+fn configuration_that_cannot_be_read_leaves_the_last_one_in_force() {
+    let mut knowledge = FleetKnowledge::new();
+    let now = Instant::now();
+    let mut apply = |revision, value: Option<&'static str>| {
+        let value = value.map(|text| Bytes::from_static(text.as_bytes()));
+        let item = RawItem { key: "config".into(), value, revision, age: None };
+        knowledge.apply(item, FactSource::Change, &ConfigDecoder, now);
+        knowledge.view().config().map(|config| config.version)
+    };
+    assert_eq!(apply(1, Some("c:7")), Some(7));
+    assert_eq!(apply(2, Some("broken")), Some(7));
+    assert_eq!(apply(3, Some("c:8")), Some(8));
+    assert_eq!(apply(4, None), None, "a configuration that was removed is in force no longer");
+}
