Share limits by all entries that may be alive; place by pace; know requests that crash upstreams

Cause: shares of the retry budget, of cold upstreams and of connections were divided by the entries in sight, so both sides of a partition took the whole; and a share of a cold upstream below one request a second was rounded up to one: forty entries would send forty requests in a second where 30 are tolerated (17/s x 1.5 + 5). Change: shares are divided by the most entries known in the last ten minutes; small shares are spread over time with a random start. Placement scales its forecast by the pace that an engine reports. CrashWatch counts confirmed crashes by request over all entries and refuses after three. The tests fail on the former code by construction (the functions that they call did not divide or spread).

--- a/crates/balance/src/board.rs
+++ b/crates/balance/src/board.rs
@@ -114,6 +114,19 @@
     pub retry_after: Duration,
 }
 
+/// Load of an upstream as this entry knows it.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct UpstreamLoad {
+    /// Last report of the agent, if it is current.
+    pub report: Option<AgentReport>,
+    /// Requests of this entry there.
+    pub in_flight: u32,
+    /// Time for which it stays cold.
+    pub cold_for: Duration,
+    /// True if it is left alone because it failed lately.
+    pub suspended: bool,
+}
+
 /// Result of a choice.
 #[derive(Clone, Debug)]
 pub enum Placement {
@@ -121,8 +134,8 @@
     Upstream {
         /// The upstream.
         record: Arc<UpstreamRecord>,
-        /// Requests that run or wait there, as far as this entry can tell.
-        occupancy: f64,
+        /// Predicted time until the upstream answers, or until the first event of a stream.
+        delay: Duration,
     },
     /// Refuse it.
     Refused(PlacementRefusal),
@@ -139,7 +152,10 @@
 #[derive(Debug)]
 pub struct LoadBoard {
     options: BoardOptions,
+    /// Entries that are alive.
     entries: usize,
+    /// Entries that may be alive, also out of sight.
+    sharers: usize,
     cold: ColdShare,
     services: HashMap<ServiceId, ServiceState>,
     upstreams: HashMap<UpstreamId, UpstreamState>,
@@ -155,6 +171,7 @@
             cold: ColdShare::new(options.shares),
             options,
             entries: 1,
+            sharers: MIN_ENTRIES,
             services: HashMap::new(),
             upstreams: HashMap::new(),
             evacuated: HashSet::new(),
@@ -200,6 +217,11 @@
     /// Sets the number of entries that are known.
     pub fn set_entries(&mut self, entries: usize) {
         self.entries = entries.max(1);
+    }
+
+    /// Sets the number of entries among which the limits of cold upstreams are divided.
+    pub fn set_sharers(&mut self, entries: usize) {
+        self.sharers = entries.max(MIN_ENTRIES);
         self.cold.set_entries(entries);
     }
 
@@ -224,6 +246,21 @@
         state.is_some_and(|state| state.report(now).is_some())
     }
 
+    /// What is known of the load of an upstream at `now`.
+    #[must_use]
+    pub fn load_of(&self, upstream: &str, now: Instant) -> UpstreamLoad {
+        let Some(state) = self.upstreams.get(upstream) else { return UpstreamLoad::default() };
+        let left = |until: Option<Instant>| {
+            until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+        };
+        UpstreamLoad {
+            report: state.report(now),
+            in_flight: state.in_flight,
+            cold_for: left(state.cold_until),
+            suspended: !left(state.suspended_until).is_zero(),
+        }
+    }
+
     /// Records that an upstream is cold for `span` from now on.
     pub fn record_cold(&mut self, upstream: &str, span: Duration, now: Instant) {
         if let Some(state) = self.upstreams.get_mut(upstream) {
@@ -267,7 +304,7 @@
                 continue;
             }
             let is_cold = state.cold_until.is_some_and(|until| now < until);
-            if is_cold && cold_rate > 0.0 && !self.cold.has_room(id, cold_rate, now) {
+            if is_cold && cold_rate > 0.0 && !self.cold.has_room(id, cold_rate, now, rng) {
                 cause = RefusalCause::Cold;
             } else if state.suspended_until.is_some_and(|until| now < until) {
                 suspended.push(id);
@@ -293,7 +330,7 @@
         now: Instant,
         rng: &mut impl Rng,
     ) -> Placement {
-        let mut best: Option<(Duration, f64, &UpstreamState)> = None;
+        let mut best: Option<(Duration, Duration, &UpstreamState)> = None;
         let mut compared = 0;
         while !candidates.is_empty() {
             let id = candidates.swap_remove(rng.random_range(0..candidates.len()));
@@ -304,7 +341,7 @@
             };
             let cost = delay + self.penalties(state, occupancy, now);
             if best.is_none_or(|(lowest, ..)| cost < lowest) {
-                best = Some((cost, occupancy, state));
+                best = Some((cost, delay, state));
             }
             compared += 1;
             if compared >= COMPARED {
@@ -312,9 +349,7 @@
             }
         }
         match best {
-            Some((_, occupancy, state)) => {
-                Placement::Upstream { record: state.record.clone(), occupancy }
-            }
+            Some((_, delay, state)) => Placement::Upstream { record: state.record.clone(), delay },
             None => refuse(RefusalCause::Overloaded, rng),
         }
     }
@@ -335,7 +370,7 @@
             return has_room.then(|| SERVICE_PENALTY.mul_f64(occupancy));
         };
         let delay_at = |occupancy| {
-            let load = EngineLoad { occupancy, unread: state.unread(now) };
+            let load = EngineLoad { occupancy, unread: state.unread(now), pace: state.pace(now) };
             forecast.first_event(load, work.prompt_tokens)
         };
         let crowded = state.crowded_occupancy(now, entries * CROWD_PART);
@@ -373,7 +408,7 @@
         {
             return false;
         }
-        let connections = service.record.max_connections / self.entries.max(MIN_ENTRIES) as u32;
+        let connections = service.record.max_connections / self.sharers as u32;
         if !self.is_allowed(record, work) || state.in_flight >= connections.max(1) {
             return false;
         }
--- a/crates/balance/src/forecast.rs
+++ b/crates/balance/src/forecast.rs
@@ -10,12 +10,20 @@
 const FIRST_PASSES: f64 = 1.5;
 
 /// Load of an engine, as far as an entry can tell.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct EngineLoad {
     /// Requests that run or wait.
     pub occupancy: f64,
     /// Requests among them whose prompts have not been read yet.
     pub unread: f64,
+    /// Factor on the usual time of a step; above 1 if the engine is slow.
+    pub pace: f64,
+}
+
+impl Default for EngineLoad {
+    fn default() -> Self {
+        Self { occupancy: 0.0, unread: 0.0, pace: 1.0 }
+    }
 }
 
 /// Predicts service times of one service's engines from the costs that the configuration states.
@@ -65,6 +73,7 @@
         let waiting = (load.occupancy + 1.0 - self.slots).max(0.0) * self.usual_cost;
         let passes = FIRST_PASSES * self.step * self.stride;
         let tokens = load.unread * self.usual_prompt + f64::from(prompt_tokens);
-        FIXED_DELAY + Duration::from_secs_f64(waiting + passes + tokens / self.read_rate)
+        let busy = waiting + passes + tokens / self.read_rate;
+        FIXED_DELAY + Duration::from_secs_f64(busy * load.pace.max(1.0))
     }
 }
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -5,13 +5,18 @@
 
 mod attempt;
 mod board;
+mod crash;
 mod forecast;
 mod share;
 mod upstream;
 
 pub use crate::{
     attempt::{AttemptEnd, AttemptLog, FinalStatus},
-    board::{BoardOptions, LoadBoard, Placement, PlacementRefusal, RefusalCause, WorkRequest},
+    board::{
+        BoardOptions, LoadBoard, Placement, PlacementRefusal, RefusalCause, UpstreamLoad,
+        WorkRequest,
+    },
+    crash::{CrashWatch, fingerprint_of},
     forecast::{EngineForecast, EngineLoad},
     share::{ColdShare, RetryShare, ShareOptions},
     upstream::{AgentReport, SendOutcome},
--- a/crates/balance/src/share.rs
+++ b/crates/balance/src/share.rs
@@ -6,6 +6,7 @@
 };
 
 use base::{ServiceId, UpstreamId};
+use rand::{Rng, RngExt};
 use serde::{Deserialize, Serialize};
 
 /// Entries that are taken to exist at least. An entry that cannot reach the others must not take their shares.
@@ -14,9 +15,16 @@
 const RETRY_PART: f64 = 0.95;
 /// Part of the share of a cold upstream that is used: what was sent within a second may arrive within less.
 const COLD_PART: f64 = 0.8;
+/// The same if the share is less than one request a second. Each entry then sends at times of its own, which may fall
+/// together: with 40 entries, the sum stays below the limit by four standard deviations.
+const SPARSE_COLD_PART: f64 = 0.6;
 /// Buckets into which the window of the retry budget is divided.
 const WINDOW_BUCKETS: u32 = 20;
 const COLD_WINDOW: Duration = Duration::from_secs(1);
+/// Sends that are remembered of one upstream, above every share of one entry.
+const MAX_COLD_SENDS: usize = 4_096;
+/// Longest pause between two sends of an entry to a cold upstream; upstreams are cold for seconds.
+const MAX_COLD_GAP: Duration = Duration::from_secs(60);
 
 /// Limits that bind all entries together, from the settings.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
@@ -118,13 +126,15 @@
     options: ShareOptions,
     entries: usize,
     sends: HashMap<UpstreamId, VecDeque<Instant>>,
+    /// Moment before which nothing is sent to an upstream, while the share is less than one request a second.
+    not_before: HashMap<UpstreamId, Instant>,
 }
 
 impl ColdShare {
     /// Creates the share.
     #[must_use]
     pub fn new(options: ShareOptions) -> Self {
-        Self { options, entries: MIN_ENTRIES, sends: HashMap::new() }
+        Self { options, entries: MIN_ENTRIES, sends: HashMap::new(), not_before: HashMap::new() }
     }
 
     /// Sets the number of entries that are known; it never counts for less than the assumed minimum.
@@ -133,9 +143,19 @@
     }
 
     /// True if another request may be sent to an upstream that tolerates `per_second` while it is cold.
-    pub fn has_room(&mut self, upstream: &UpstreamId, per_second: f64, now: Instant) -> bool {
-        let limit = COLD_PART * (per_second * self.options.cold_factor + self.options.cold_extra)
-            / self.entries as f64;
+    pub fn has_room(
+        &mut self,
+        upstream: &UpstreamId,
+        per_second: f64,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> bool {
+        let share =
+            (per_second * self.options.cold_factor + self.options.cold_extra) / self.entries as f64;
+        if COLD_PART * share < 1.0 {
+            return self.has_sparse_room(upstream, SPARSE_COLD_PART * share, now, rng);
+        }
+        let limit = COLD_PART * share;
         let sends = self.sends.get_mut(upstream).map_or(0, |sends| {
             while sends
                 .front()
@@ -145,16 +165,42 @@
             }
             sends.len()
         });
-        (sends as f64) + 1.0 <= limit.max(1.0)
+        (sends as f64) + 1.0 <= limit
+    }
+
+    /// One request in each `1 / rate` seconds. The first one waits for a random part of that time, because all entries
+    /// see at the same moment that the upstream is there.
+    fn has_sparse_room(
+        &mut self,
+        upstream: &UpstreamId,
+        rate: f64,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> bool {
+        if rate <= 0.0 {
+            return false;
+        }
+        let gap = Duration::try_from_secs_f64(1.0 / rate).unwrap_or(MAX_COLD_GAP).min(MAX_COLD_GAP);
+        let last = self.sends.get(upstream).and_then(|sends| sends.back()).copied();
+        let first = *self
+            .not_before
+            .entry(upstream.clone())
+            .or_insert_with(|| now + gap.mul_f64(rng.random()));
+        now >= first && last.is_none_or(|last| now.saturating_duration_since(last) >= gap)
     }
 
     /// Counts a request that was sent to a cold upstream.
     pub fn record(&mut self, upstream: &UpstreamId, now: Instant) {
-        self.sends.entry(upstream.clone()).or_default().push_back(now);
+        let sends = self.sends.entry(upstream.clone()).or_default();
+        while sends.len() >= MAX_COLD_SENDS {
+            sends.pop_front();
+        }
+        sends.push_back(now);
     }
 
     /// Forgets upstreams that `keep` does not know.
     pub fn retain(&mut self, keep: impl Fn(&UpstreamId) -> bool) {
         self.sends.retain(|upstream, _| keep(upstream));
+        self.not_before.retain(|upstream, _| keep(upstream));
     }
 }
--- a/crates/balance/src/upstream.rs
+++ b/crates/balance/src/upstream.rs
@@ -40,6 +40,8 @@
     pub switching: bool,
     /// Time from the report until the engine drops what it runs to change its weights.
     pub change_in: Option<Duration>,
+    /// Time of a step in percent of the usual one; 0 if unknown.
+    pub pace_percent: u32,
 }
 
 /// How a send to an upstream ended.
@@ -137,6 +139,12 @@
         (now.saturating_duration_since(taken) <= REPORT_LIFETIME).then_some(report)
     }
 
+    /// Factor on the usual time of a step, from the last report.
+    pub(crate) fn pace(&self, now: Instant) -> f64 {
+        let percent = self.report(now).map_or(100, |report| report.pace_percent.max(100));
+        f64::from(percent) / 100.0
+    }
+
     /// Time until the engine drops what it runs.
     pub(crate) fn change_in(&self, now: Instant) -> Option<Duration> {
         let (report, taken) = self.report?;
--- a/crates/balance/tests/board.rs
+++ b/crates/balance/tests/board.rs
@@ -14,7 +14,7 @@
 use base::{ServiceId, UpstreamId};
 use fleet::{
     ClientLimits, EngineCosts, EngineModel, EngineRecord, FleetView, LoadedWeights, RoutingConfig,
-    ServiceRecord, UpstreamRecord,
+    RoutingIndex, ServiceRecord, UpstreamRecord,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -60,7 +60,7 @@
             ..BoardOptions::default()
         };
         let mut view = FleetView::default();
-        view.set_config(Arc::new(RoutingConfig {
+        let config = Arc::new(RoutingConfig {
             version: 1,
             routes: Vec::new(),
             services: vec![ServiceRecord {
@@ -78,7 +78,8 @@
                 idle_timeout: Duration::from_secs(15),
             },
             teams: None,
-        }));
+        });
+        view.set_routing(Arc::new(RoutingIndex::new(config)));
         let now = Instant::now();
         let records = (0..upstreams).map(|index| (Arc::new(record(index)), None)).collect();
         view.set_upstreams(records);
@@ -105,7 +106,14 @@
     }
 
     fn report(&mut self, index: u8, running: u32, version: u64) {
-        let report = AgentReport { running, queued: 0, version, switching: false, change_in: None };
+        let report = AgentReport {
+            running,
+            queued: 0,
+            version,
+            switching: false,
+            change_in: None,
+            pace_percent: 100,
+        };
         self.board.record_report(address(index), report, self.now, &mut self.rng);
     }
 
@@ -233,7 +241,9 @@
 #[test]
 fn forecast_grows_with_waiting_and_unread_requests() {
     let forecast = EngineForecast::new(&engine());
-    let at = |occupancy, unread| forecast.first_event(EngineLoad { occupancy, unread }, 1_000);
+    let at = |occupancy, unread| {
+        forecast.first_event(EngineLoad { occupancy, unread, ..EngineLoad::default() }, 1_000)
+    };
     assert!(at(20.0, 0.0) > at(15.0, 0.0));
     assert!(at(8.0, 8.0) > at(8.0, 0.0));
     assert_eq!(at(0.0, 0.0), at(15.0, 0.0), "a free slot costs no time");
--- /dev/null
+++ b/crates/balance/tests/crash.rs
@@ -0,0 +1,99 @@
+//! Guards against a request that takes down one upstream after the other, and against innocent requests that are refused
+//! because they ran beside a crash.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use balance::{CrashWatch, fingerprint_of};
+use fleet::{FleetView, UpstreamRecord};
+use route::Fingerprint;
+
+fn request(body: &str) -> Fingerprint {
+    fingerprint_of("key", "/draft/1", body.as_bytes())
+}
+
+fn view(upstreams: &[(&str, u64)]) -> FleetView {
+    let mut view = FleetView::default();
+    let records = upstreams.iter().map(|(name, born)| {
+        let record = UpstreamRecord {
+            upstream: (*name).into(),
+            service: "llm".into(),
+            address: "10.0.0.1:80".parse().expect("an address"),
+            data_centre: "north".into(),
+            slots: 4,
+            draining: false,
+            cold_for: Duration::ZERO,
+            weights: Vec::new(),
+            born: *born,
+        };
+        (Arc::new(record), None)
+    });
+    view.set_upstreams(records.collect());
+    view
+}
+
+/// Lets the request crash an upstream; `round` keeps the crashes apart.
+fn crash(watch: &mut CrashWatch, now: Instant, fingerprint: Fingerprint, round: u64) -> usize {
+    let upstream = format!("u{round}").into();
+    watch.record_lost(now, fingerprint, &upstream, 1);
+    watch.record_unreachable(now, &upstream)
+}
+
+#[test]
+fn third_confirmed_crash_refuses_the_request_and_no_other() {
+    let mut watch = CrashWatch::new();
+    let now = Instant::now();
+    for round in 0..3 {
+        assert_eq!(watch.refused_for(now, || request("bad")), None, "after {round} crashes");
+        assert_eq!(crash(&mut watch, now, request("bad"), round), 1);
+    }
+    assert!(watch.refused_for(now, || request("bad")).is_some());
+    assert_eq!(watch.refused_for(now, || request("good")), None);
+    assert_eq!(watch.refused_for(now, || fingerprint_of("other", "/draft/1", b"bad")), None);
+    let later = now + Duration::from_secs(601);
+    assert_eq!(watch.refused_for(later, || request("bad")), None, "evidence expires");
+}
+
+#[test]
+fn broken_connections_to_upstreams_that_live_are_no_crashes() {
+    let mut watch = CrashWatch::new();
+    let now = Instant::now();
+    for round in 0..5 {
+        watch.record_lost(now, request("slow"), &format!("u{round}").into(), 1);
+    }
+    let known = [("u0", 1), ("u1", 1), ("u2", 1), ("u3", 2), ("u4", 1)];
+    assert_eq!(watch.record_view(now, &view(&known)), 1, "only u3 has started again");
+    let late = now + Duration::from_secs(6);
+    assert_eq!(watch.record_view(late, &view(&[])), 0, "what vanishes later is no crash");
+    assert_eq!(watch.refused_for(late, || request("slow")), None);
+}
+
+#[test]
+fn success_clears_a_request() {
+    let mut watch = CrashWatch::new();
+    let now = Instant::now();
+    for round in 0..3 {
+        crash(&mut watch, now, request("unlucky"), round);
+    }
+    watch.record_answered(now + Duration::from_secs(1), || request("unlucky"));
+    assert_eq!(watch.refused_for(now + Duration::from_secs(1), || request("unlucky")), None);
+}
+
+#[test]
+fn evidence_of_several_entries_adds_up() {
+    let now = Instant::now();
+    let mut watches = [CrashWatch::new(), CrashWatch::new(), CrashWatch::new()];
+    for (round, watch) in (0..).zip(&mut watches) {
+        crash(watch, now, request("bad"), round);
+    }
+    let due: Vec<_> = watches.iter_mut().flat_map(CrashWatch::take_due).collect();
+    let [first, ..] = &mut watches;
+    for evidence in &due {
+        first.record_evidence(now, evidence);
+    }
+    assert!(first.refused_for(now, || request("bad")).is_some());
+    let repeats = (0..9).map(|_| first.take_due().len()).sum::<usize>();
+    assert_eq!(repeats, 2, "evidence is sent three times in all");
+}
--- a/crates/balance/tests/share.rs
+++ b/crates/balance/tests/share.rs
@@ -4,6 +4,8 @@
 
 use balance::{ColdShare, RetryShare, ShareOptions};
 use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 
 const OPTIONS: ShareOptions = ShareOptions {
     retry_ratio: 0.2,
@@ -58,9 +60,10 @@
         let mut shares: Vec<ColdShare> = (0..9).map(|_| ColdShare::new(OPTIONS)).collect();
         let mut now = start;
         let mut sends = Vec::new();
+        let mut rng = ChaCha8Rng::seed_from_u64(1);
         for (entry, gap) in steps {
             now += Duration::from_millis(gap);
-            if shares[entry].has_room(&upstream, per_second, now) {
+            if shares[entry].has_room(&upstream, per_second, now, &mut rng) {
                 shares[entry].record(&upstream, now);
                 sends.push(now);
             }
@@ -74,3 +77,40 @@
         }
     }
 }
+
+/// Guards against a share of less than one request a second that is rounded up to one: forty entries that see a cold
+/// upstream at the same moment would send forty requests within a second where thirty are tolerated.
+#[test]
+fn many_entries_with_small_shares_stay_below_the_bound_of_a_cold_upstream() {
+    let per_second = 17.0;
+    let limit = per_second * OPTIONS.cold_factor + OPTIONS.cold_extra;
+    for seed in 0..200 {
+        let start = Instant::now();
+        let upstream = "u".into();
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut shares: Vec<ColdShare> = (0..40)
+            .map(|_| {
+                let mut share = ColdShare::new(OPTIONS);
+                share.set_entries(40);
+                share
+            })
+            .collect();
+        let mut sends = Vec::new();
+        for tick in 0..600 {
+            let now = start + Duration::from_millis(tick * 10);
+            for share in &mut shares {
+                if share.has_room(&upstream, per_second, now, &mut rng) {
+                    share.record(&upstream, now);
+                    sends.push(now);
+                }
+            }
+        }
+        for begin in &sends {
+            let within =
+                |at: &&Instant| *at >= begin && at.duration_since(*begin) < Duration::from_secs(1);
+            let count = sends.iter().filter(within).count();
+            assert!(count as f64 <= limit, "seed {seed}: {count} sends within a second");
+        }
+        assert!(sends.len() > 40, "the share is used: {} sends", sends.len());
+    }
+}
--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -14,6 +14,8 @@
 const BEAT_LIFETIME: Duration = Duration::from_millis(1_500);
 /// An entry that was silent for longer is not addressed any more, unless it is a seed.
 const CONTACT_LIFETIME: Duration = Duration::from_secs(20);
+/// Time for which the largest number of entries counts: regions may be parted for minutes.
+const MOST_LIFETIME: Duration = Duration::from_secs(600);
 /// Addresses in one answer to a caller at most, as the callers read no more.
 const MAX_ADDRESSES: usize = 64;
 /// Entries near the caller that make others needless.
@@ -60,6 +62,8 @@
 pub struct EntryRoster {
     members: HashMap<SocketAddr, (EntryMember, Instant)>,
     contacts: HashMap<SocketAddr, Instant>,
+    /// Most entries known at once, and when that was so last.
+    most: Option<(usize, Instant)>,
 }
 
 impl EntryRoster {
@@ -99,6 +103,19 @@
         self.contacts.retain(|_, heard| is_fresh(heard));
     }
 
+    /// Most other entries that were known at once lately. Limits that all entries share are divided by this number,
+    /// because entries out of sight go on serving.
+    pub fn most_known(&mut self, now: Instant) -> usize {
+        let known = self.members.len() + self.contacts.len();
+        let is_past = |(most, seen): (usize, Instant)| {
+            known >= most || now.saturating_duration_since(seen) > MOST_LIFETIME
+        };
+        if self.most.is_none_or(is_past) {
+            self.most = Some((known, now));
+        }
+        self.most.map_or(known, |(most, _)| most)
+    }
+
     /// Addresses of all entries that may be alive.
     pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> {
         self.members.keys().chain(self.contacts.keys()).copied()
@@ -111,6 +128,12 @@
             .map(move |(member, heard)| (member, now.saturating_duration_since(*heard)))
     }
 
+    /// Data centre of an entry that was heard of directly.
+    #[must_use]
+    pub fn data_centre_of(&self, peer: SocketAddr) -> Option<&DataCentreId> {
+        self.members.get(&peer).map(|(member, _)| &member.data_centre)
+    }
+
     /// Entries that are alive.
     pub fn alive(&self, now: Instant) -> impl Iterator<Item = &EntryMember> {
         self.heard(now).filter(|(_, age)| *age < BEAT_LIFETIME).map(|(member, _)| member)
--- a/crates/member/tests/roster.rs
+++ b/crates/member/tests/roster.rs
@@ -92,3 +92,19 @@
     roster.expire(now + Duration::from_secs(30));
     assert_eq!(roster.addresses().count(), 0);
 }
+
+/// Guards against limits of all entries that are divided by too small a number while some are out of sight.
+#[test]
+fn entries_out_of_sight_still_count_as_sharers() {
+    let now = Instant::now();
+    let mut roster = EntryRoster::new();
+    for index in 2..10 {
+        roster.record_beat(entry(index, "north"), now);
+    }
+    assert_eq!(roster.most_known(now), 8);
+    let later = now + Duration::from_secs(120);
+    roster.expire(later);
+    assert_eq!((roster.addresses().count(), roster.most_known(later)), (0, 8));
+    let much_later = now + Duration::from_secs(900);
+    assert_eq!(roster.most_known(much_later), 0, "entries that were removed count no longer");
+}
--- a/crates/route/src/crash.rs
+++ b/crates/route/src/crash.rs
@@ -20,7 +20,7 @@
 /// Crashes kept for one fingerprint; two are enough for the verdict, the rest tells late reports of them apart.
 const MAX_CRASHES_PER_RECORD: usize = 4;
 
-/// Crashes after which a fingerprint is refused even if none of them happened in isolation.
+/// Default of [`CrashTableOptions::shared_limit`]: one crash may be that of a neighbour.
 const SHARED_CRASH_LIMIT: u32 = 2;
 
 /// Limits of a [`CrashTable`].
@@ -32,6 +32,8 @@
     pub expiry: Duration,
     /// Time after the last crash until a fingerprint that crashed only in company is no longer refused but a suspect.
     pub shared_expiry: Duration,
+    /// Crashes after which a fingerprint is refused even if none of them happened in isolation.
+    pub shared_limit: u32,
 }
 
 impl Default for CrashTableOptions {
@@ -40,6 +42,7 @@
             capacity: 4_096,
             expiry: Duration::from_secs(600),
             shared_expiry: Duration::from_secs(60),
+            shared_limit: SHARED_CRASH_LIMIT,
         }
     }
 }
@@ -103,8 +106,8 @@
         u32::try_from(self.sightings.len()).unwrap_or(u32::MAX).max(self.reported)
     }
 
-    fn condemned(&self) -> bool {
-        !self.cleared && (self.isolated || self.crashes() >= SHARED_CRASH_LIMIT)
+    fn condemned(&self, shared_limit: u32) -> bool {
+        !self.cleared && (self.isolated || self.crashes() >= shared_limit)
     }
 
     /// Counts a crash unless it is known; returns true if it is new.
@@ -157,7 +160,7 @@
         // A neighbour of crashing requests may have shared two crashes, so its refusal is short. It stays a suspect.
         let refused_for =
             if record.isolated { self.options.expiry } else { self.options.shared_expiry };
-        if record.condemned() && age < refused_for {
+        if record.condemned(self.options.shared_limit) && age < refused_for {
             return CrashVerdict::Refuse { retry_after: refused_for - age };
         }
         CrashVerdict::Isolate
@@ -303,10 +306,11 @@
         }
         self.expire(now);
         while self.records.len() >= self.options.capacity.max(1) {
+            let limit = self.options.shared_limit;
             let least = self
                 .records
                 .iter()
-                .min_by_key(|(_, record)| (record.condemned(), record.last_crash))
+                .min_by_key(|(_, record)| (record.condemned(limit), record.last_crash))
                 .map(|(fingerprint, _)| *fingerprint);
             let Some(least) = least else { return };
             self.records.remove(&least);
--- a/crates/wire/src/message/fleet.rs
+++ b/crates/wire/src/message/fleet.rs
@@ -3,11 +3,13 @@
 use bytes::Bytes;
 use prost::{Message, Oneof};
 
+use super::CrashNotice;
+
 /// One datagram.
 #[derive(Clone, Message, PartialEq)]
 pub struct Datagram {
     /// The message.
-    #[prost(oneof = "Notice", tags = "1, 2, 3")]
+    #[prost(oneof = "Notice", tags = "1, 2, 3, 4")]
     pub notice: Option<Notice>,
 }
 
@@ -23,6 +25,9 @@
     /// Which pieces an agent holds.
     #[prost(message, tag = "3")]
     Holding(HoldingNotice),
+    /// A request crashes upstreams.
+    #[prost(message, tag = "4")]
+    Crash(CrashNotice),
 }
 
 /// An entry as another process describes it.
@@ -104,6 +109,9 @@
     /// Time until the engine drops what it runs to change its weights, in milliseconds; absent if no change is due.
     #[prost(uint32, optional, tag = "9")]
     pub change_in_ms: Option<u32>,
+    /// Time of a step in percent of the usual one; 0 if unknown.
+    #[prost(uint32, tag = "10")]
+    pub pace_percent: u32,
 }
 
 /// Sent by an agent to other agents.
--- a/crates/wire/tests/hostile_peers.rs
+++ b/crates/wire/tests/hostile_peers.rs
@@ -11,7 +11,8 @@
 };
 use wire::{
     Ack, ChannelError, ChannelLimits, Document, Envelope, FleetKey, FrameChannel, Hello,
-    PROTOCOL_VERSION, Payload, Pull, accept, connect,
+    HoldingNotice, Notice, PROTOCOL_VERSION, Payload, Pull, accept, connect, open_datagram,
+    seal_datagram,
 };
 
 const PIPE_BYTES: usize = 1 << 20;
@@ -326,3 +327,29 @@
         prop_assert!(matches!(received, Err(ChannelError::NotAuthentic)));
     }
 }
+
+proptest! {
+    /// Guards against datagrams of strangers: altered, cut or invented ones are refused and end nothing.
+    #[test]
+    fn altered_datagrams_are_refused(
+        position in any::<prop::sample::Index>(),
+        flipped in 1_u8..,
+        cut in any::<prop::sample::Index>(),
+        invented in prop::collection::vec(any::<u8>(), 0..200),
+    ) {
+        let notice = Notice::Holding(HoldingNotice {
+            model: "m".to_owned(),
+            version: 3,
+            pieces: Bytes::from(vec![7; 12]),
+            wanted: true,
+        });
+        let sealed = seal_datagram(notice.clone(), &key());
+        prop_assert_eq!(open_datagram(&sealed, &key()).expect("an authentic one"), notice);
+        let mut altered = sealed.to_vec();
+        altered[position.index(sealed.len())] ^= flipped;
+        prop_assert!(open_datagram(&altered, &key()).is_err());
+        prop_assert!(open_datagram(&sealed[..cut.index(sealed.len())], &key()).is_err());
+        prop_assert!(open_datagram(&invented, &key()).is_err());
+        prop_assert!(open_datagram(&sealed, &FleetKey::new("another")).is_err());
+    }
+}
