Attach crash evidence, status, head timer and fewer beats to the entry

Agents report to other regions every 0.5 s if more than 12 entries are there. A head must arrive within its own limit instead of the idle limit. One attempt of a call has a module of its own.

--- a/crates/gateway/src/agent/beats.rs
+++ b/crates/gateway/src/agent/beats.rs
@@ -18,10 +18,16 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
 /// Ticks between two beats to entries in other regions, whose bytes are priced.
 const REMOTE_TICKS: u64 = 2;
+/// The same if there are more than [`MANY_REMOTE`] of these: such fleets have enough engines in each region, so that
+/// requests seldom go to another one.
+const MANY_REMOTE_TICKS: u64 = 5;
+const MANY_REMOTE: usize = 12;
 /// Ticks after which a beat is sent although nothing has changed.
 const IDLE_TICKS: u64 = 4;
 /// Ticks between two beats that carry contacts.
 const CONTACT_TICKS: u64 = 20;
+/// Slowest pace that is told apart; an engine that is slower gets no requests anyway.
+const MAX_PACE: f64 = 1_000.0;
 const MAX_CONTACTS: usize = 16;
 
 /// Sends beats until the task is dropped.
@@ -30,6 +36,7 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut sequence = 0_u64;
     let mut last: Option<(AgentBeat, u64)> = None;
+    let mut last_remote = 0;
     let mut is_lost = false;
     loop {
         let is_urgent = tokio::select! {
@@ -42,28 +49,37 @@
         let beat = make_beat(&shared, sequence, now);
         let has_changed = last.as_ref().is_none_or(|(sent, at)| {
             sequence - at >= IDLE_TICKS
-                || (sent.running, sent.queued, sent.version, sent.switching)
-                    != (beat.running, beat.queued, beat.version, beat.switching)
+                || (sent.running, sent.queued, sent.version, sent.switching, sent.pace_percent)
+                    != (beat.running, beat.queued, beat.version, beat.switching, beat.pace_percent)
         });
         if !has_changed && !is_urgent {
             continue;
         }
-        let is_remote_turn = is_urgent || sequence.is_multiple_of(REMOTE_TICKS);
-        let targets = targets(&shared, is_remote_turn, now);
+        let quiet_ticks = if is_urgent { u64::MAX } else { sequence - last_remote };
+        let (targets, with_remote) = targets(&shared, quiet_ticks, now);
+        if with_remote {
+            last_remote = sequence;
+        }
         last = Some((beat.clone(), sequence));
         socket.send(Notice::Agent(beat), targets);
     }
 }
 
-fn targets(shared: &AgentShared, is_remote_turn: bool, now: Instant) -> Vec<SocketAddr> {
+/// Entries to which a beat goes, and whether those of other regions are among them; `quiet_ticks` is the number of ticks
+/// since these got the last one.
+fn targets(shared: &AgentShared, quiet_ticks: u64, now: Instant) -> (Vec<SocketAddr>, bool) {
     let common = &shared.settings.common;
     let region = common.region();
     let roster = shared.roster();
-    roster
+    let (mut targets, remote): (Vec<_>, Vec<_>) = roster
         .alive(now)
-        .filter(|entry| is_remote_turn || common.regions.get(&entry.data_centre) == Some(&region))
-        .map(|entry| entry.peer)
-        .collect()
+        .partition(|entry| common.regions.get(&entry.data_centre) == Some(&region));
+    let ticks = if remote.len() > MANY_REMOTE { MANY_REMOTE_TICKS } else { REMOTE_TICKS };
+    let with_remote = quiet_ticks >= ticks;
+    if with_remote {
+        targets.extend(remote);
+    }
+    (targets.into_iter().map(|entry| entry.peer).collect(), with_remote)
 }
 
 fn make_beat(shared: &AgentShared, sequence: u64, now: Instant) -> AgentBeat {
@@ -91,6 +107,7 @@
         switching: shared.is_switching() || report.busy,
         incarnation: shared.incarnation,
         contacts,
+        pace_percent: (report.pace.min(MAX_PACE) * 100.0) as u32,
         change_in_ms: shared.change_at().map(|at| {
             let left = at.saturating_duration_since(now).as_millis();
             u32::try_from(left).unwrap_or(u32::MAX)
@@ -111,7 +128,7 @@
                 }
             }
             (Notice::Holding(notice), peer) => record_holding(&shared, &socket, &notice, peer),
-            (Notice::Agent(_), _) => {}
+            (Notice::Agent(_) | Notice::Crash(_), _) => {}
         }
     }
 }
--- a/crates/gateway/src/entry/call.rs
+++ b/crates/gateway/src/entry/call.rs
@@ -6,40 +6,30 @@
 };
 
 use balance::{
-    AttemptEnd, AttemptLog, FinalStatus, Placement, PlacementRefusal, RefusalCause, SendOutcome,
-    WorkRequest,
+    AttemptEnd, AttemptLog, FinalStatus, Placement, PlacementRefusal, RefusalCause, WorkRequest,
+    fingerprint_of,
 };
 use base::{ServiceId, UpstreamId};
 use bytes::Bytes;
 use compact_str::CompactString;
 use fleet::{RouteRecord, TeamRecord, UpstreamRecord, WeightsVersion};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming, http::response,
 };
 use log::info;
-use tokio::time::timeout_at;
 
 use super::{
     admit::{admit, pick_service, read_body},
-    guards::{InFlight, SendGuard},
+    guards::InFlight,
     http::AnswerBody,
     outcome::{Attempt, CallEnd},
-    pool::UpstreamConnection,
     relay::{OpenStream, RelayBody},
     reply::{Answer, close_if_leaving, own_answer},
     shared::EntryShared,
 };
-use crate::port::{CallFacts, SendFacts};
+use crate::port::CallFacts;
 
-/// Largest answer that is collected before it is passed on.
-const MAX_ANSWER_BYTES: usize = 8 << 20;
-/// Factor on the target after which an idempotent request without any answer is sent to another upstream.
-const SILENCE_TARGETS: u32 = 3;
-/// Shortest such time: a plain service answers in tens of milliseconds.
-const MIN_SILENCE: Duration = Duration::from_millis(250);
-/// Time beyond the target after which a stream without a first event is started at another upstream.
-const FIRST_EVENT_SLACK: Duration = Duration::from_millis(700);
 /// Reserve within the bound on the change of version, for the way to the engine and the wait there.
 const VERSION_RESERVE: Duration = Duration::from_millis(1_000);
 /// Delay after which a caller returns when this entry lacks current knowledge.
@@ -48,8 +38,6 @@
 const MIN_ATTEMPT: Duration = Duration::from_millis(10);
 /// Longest time for a request, whatever the configuration states.
 const MAX_TIMEOUT: Duration = Duration::from_secs(3_600);
-/// Rank of the least urgent requests at an engine.
-const MAX_PRIORITY: u8 = 9;
 
 /// A request that has been read and accepted.
 pub(crate) struct CallContext {
@@ -58,26 +46,28 @@
     pub(crate) route: Arc<RouteRecord>,
     /// Moment by which the caller must have its final answer.
     pub(crate) answer_by: Instant,
-    team: Option<Arc<TeamRecord>>,
+    pub(super) team: Option<Arc<TeamRecord>>,
     service: ServiceId,
-    method: Method,
-    uri: Uri,
-    headers: HeaderMap,
-    body: Bytes,
+    pub(super) method: Method,
+    pub(super) uri: Uri,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
     started: Instant,
     /// Deadline of the caller, from its own statement.
-    caller_by: Option<Instant>,
+    pub(super) caller_by: Option<Instant>,
     progress: Mutex<CallProgress>,
 }
 
-struct CallProgress {
-    attempts: AttemptLog,
+pub(super) struct CallProgress {
+    pub(super) attempts: AttemptLog,
     tried: Vec<UpstreamId>,
     /// Upstream of the last attempt.
-    last: Option<UpstreamId>,
+    pub(super) last: Option<UpstreamId>,
     /// Time until the first event of a stream, and the longest pause between two events.
     first_event: Option<Duration>,
     longest_pause: Duration,
+    /// Time until the first event as it was predicted for the first attempt.
+    predicted: Option<Duration>,
 }
 
 /// Answers a request.
@@ -115,6 +105,13 @@
             return own_answer(&shared, &id, status, retry);
         }
     };
+    if let Some(refused) = shared.crashes().refused_for(started, || {
+        fingerprint_of(facts.key.as_deref().unwrap_or_default(), head.uri.path(), &body)
+    }) {
+        info!("event=refused request={id} cause=crashes_upstreams status=503");
+        shared.metrics.count("requests_total{result=\"crashes_upstreams\"}");
+        return own_answer(&shared, &id, StatusCode::SERVICE_UNAVAILABLE, Some(refused));
+    }
     let service = pick_service(&route);
     shared.retries().record_request(&service, started);
     // A time that no clock can hold is as good as none.
@@ -128,6 +125,7 @@
             last: None,
             first_event: None,
             longest_pause: Duration::ZERO,
+            predicted: None,
         }),
         method: head.method,
         uri: head.uri,
@@ -146,7 +144,7 @@
 }
 
 impl CallContext {
-    fn progress(&self) -> std::sync::MutexGuard<'_, CallProgress> {
+    pub(super) fn progress(&self) -> std::sync::MutexGuard<'_, CallProgress> {
         self.progress.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -247,6 +245,10 @@
     fn may_repeat(&self, end: AttemptEnd) -> bool {
         let is_allowed = self.progress().attempts.record(end);
         let now = self.shared.clock.now();
+        if self.shared.crashes().refused_for(now, || self.fingerprint()).is_some() {
+            info!("event=repeat_refused request={} cause=crashes_upstreams", self.facts.id);
+            return false;
+        }
         is_allowed && (end == AttemptEnd::NotSent || self.shared.retries().take(&self.service, now))
     }
 
@@ -268,160 +270,32 @@
             is_continued,
         };
         match self.shared.board().choose(&work, now, &mut rand::rng()) {
-            Placement::Upstream { record, .. } => Ok(record),
+            Placement::Upstream { record, delay } => {
+                self.progress().predicted.get_or_insert(delay);
+                Ok(record)
+            }
             Placement::Refused(refusal) => Err(refusal),
         }
     }
 
     /// False for a caller that returns after its first attempt: it has less time than the route grants.
-    fn is_on_time(&self) -> bool {
+    pub(super) fn is_on_time(&self) -> bool {
         self.facts
             .time_left
             .is_none_or(|left| left.saturating_add(self.route.target_latency) >= self.route.timeout)
     }
 
-    fn min_version(&self, now: Instant) -> Option<WeightsVersion> {
+    pub(super) fn min_version(&self, now: Instant) -> Option<WeightsVersion> {
         let model = self.facts.model.as_ref()?;
         let view = self.shared.view.load();
         let bound = self.shared.settings.common.version_bound.saturating_sub(VERSION_RESERVE);
         view.weights.get(model)?.oldest_allowed(now, bound)
     }
 
-    fn waited(&self) -> Duration {
+    pub(super) fn waited(&self) -> Duration {
         self.shared.clock.now().saturating_duration_since(self.started)
     }
 
-    async fn connection(&self, upstream: &UpstreamRecord) -> Option<UpstreamConnection> {
-        // A request that must not run twice never meets a connection that the upstream may be closing, or on which a
-        // late answer to another request may arrive.
-        let pooled = if self.route.repeat.is_repeatable() {
-            self.shared.pool.take(&upstream.upstream)
-        } else {
-            None
-        };
-        match pooled {
-            Some(connection) => Some(connection),
-            None => self.shared.pool.connect(upstream.address).await,
-        }
-    }
-
-    async fn attempt(&self, upstream: &Arc<UpstreamRecord>, resume_after: Option<&str>) -> Attempt {
-        let shared = &self.shared;
-        self.progress().last = Some(upstream.upstream.clone());
-        let guard = SendGuard::new(shared.clone(), upstream.upstream.clone());
-        let Some(mut connection) = self.connection(upstream).await else {
-            guard.end(SendOutcome::Unreachable);
-            return Attempt::Ended(AttemptEnd::NotSent, None);
-        };
-        let now = shared.clock.now();
-        let request = self.upstream_request(upstream, resume_after, now);
-        let silent_by = self.silent_by(now);
-        let sent = timeout_at(silent_by.into(), connection.sender.send_request(request)).await;
-        let response = match sent {
-            Ok(Ok(response)) => response,
-            Ok(Err(error)) if error.is_canceled() => {
-                guard.end(SendOutcome::Unreachable);
-                return Attempt::Ended(AttemptEnd::NotSent, None);
-            }
-            Ok(Err(_)) | Err(_) => {
-                guard.fail();
-                return Attempt::Ended(AttemptEnd::Lost, None);
-            }
-        };
-        self.read_response(upstream, response, connection, guard).await
-    }
-
-    fn upstream_request(
-        &self,
-        upstream: &UpstreamRecord,
-        resume_after: Option<&str>,
-        now: Instant,
-    ) -> Request<Full<Bytes>> {
-        let stated = self.team.as_ref().and_then(|team| team.priority);
-        let priority = match () {
-            // The pause in a stream that goes on elsewhere is already long.
-            () if resume_after.is_some() => 0,
-            // What is late already must not make others late.
-            () if !self.is_on_time() => MAX_PRIORITY,
-            () => stated.unwrap_or(self.route.priority).min(MAX_PRIORITY),
-        };
-        let send = SendFacts {
-            time_left: self
-                .caller_by
-                .map(|by| by.min(self.answer_by).saturating_duration_since(now)),
-            upstream: &upstream.upstream,
-            team: self.team.as_ref().map(|team| team.team.as_str()),
-            priority: self.facts.model.is_some().then_some(priority),
-            version: self.min_version(now),
-            resume_after,
-        };
-        let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
-        let mut request = Request::new(Full::new(self.body.clone()));
-        *request.method_mut() = self.method.clone();
-        // The path was parsed from a request, so it parses again.
-        *request.uri_mut() = path.parse().unwrap_or_default();
-        *request.headers_mut() = self.shared.ports.codec.upstream_headers(&self.headers, &send);
-        request
-    }
-
-    /// Moment at which an upstream that has not answered is given up.
-    fn silent_by(&self, now: Instant) -> Instant {
-        let target = self.route.target_latency;
-        let patience = match () {
-            () if self.progress().attempts.is_last() => return self.answer_by,
-            () if self.route.repeat.is_stream() => target + FIRST_EVENT_SLACK,
-            () => (target * SILENCE_TARGETS).max(MIN_SILENCE),
-        };
-        self.answer_by.min(now + patience)
-    }
-
-    async fn read_response(
-        &self,
-        upstream: &Arc<UpstreamRecord>,
-        response: Response<Incoming>,
-        connection: UpstreamConnection,
-        guard: SendGuard,
-    ) -> Attempt {
-        let (head, body) = response.into_parts();
-        let facts = self.shared.ports.codec.read_answer(&head);
-        if let Some(cold) = facts.cold_for {
-            self.shared.board().record_cold(&upstream.upstream, cold, self.shared.clock.now());
-        }
-        let is_foreign = facts.id.as_ref().is_some_and(|id| *id != self.facts.id);
-        if is_foreign || (head.status.is_success() && !facts.signed) {
-            info!(
-                "event=answer_refused request={} upstream={} foreign={is_foreign} signed={}",
-                self.facts.id, upstream.upstream, facts.signed
-            );
-            guard.fail();
-            return Attempt::Ended(AttemptEnd::Lost, None);
-        }
-        if facts.not_run || facts.other_upstream {
-            guard.end(SendOutcome::NotRun);
-            return Attempt::Ended(AttemptEnd::NotRun, None);
-        }
-        if self.route.repeat.is_stream() && head.status.is_success() {
-            let stream =
-                OpenStream { body, connection, guard, keep: facts.keep_idle, closes: facts.closes };
-            return Attempt::Stream(head, stream);
-        }
-        let collected = Limited::new(body, MAX_ANSWER_BYTES).collect();
-        let Ok(Ok(collected)) = timeout_at(self.answer_by.into(), collected).await else {
-            guard.fail();
-            return Attempt::Ended(AttemptEnd::Lost, None);
-        };
-        let body = collected.to_bytes();
-        if !facts.closes {
-            self.shared.pool.put(&upstream.upstream, connection, facts.keep_idle);
-        }
-        if head.status.is_server_error() {
-            guard.fail();
-            return Attempt::Ended(AttemptEnd::Failed, Some((head, body)));
-        }
-        guard.answer();
-        Attempt::Whole(head, body)
-    }
-
     /// Turns the end of all attempts into the answer for the caller.
     fn finish(self: &Arc<Self>, end: CallEnd, in_flight: InFlight) -> Answer {
         let id = &self.facts.id;
@@ -473,7 +347,7 @@
         let waited = self.waited();
         info!(
             "event=request_ended request={} result={result} status={} route={} team={} upstream={} sends={} \
-             tried={} ms={} first_ms={} pause_ms={} revision={}",
+             tried={} ms={} first_ms={} predicted_ms={} pause_ms={} revision={}",
             self.facts.id,
             status.unwrap_or(0),
             self.route.name,
@@ -483,6 +357,7 @@
             progress.tried.len(),
             waited.as_millis(),
             progress.first_event.map_or(-1, |first| first.as_millis() as i64),
+            progress.predicted.map_or(-1, |predicted| predicted.as_millis() as i64),
             progress.longest_pause.as_millis(),
             self.shared.view.load().revision
         );
--- a/crates/gateway/src/entry/control.rs
+++ b/crates/gateway/src/entry/control.rs
@@ -3,21 +3,25 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use balance::AgentReport;
+use base::ContentDigest;
 use fleet::{FactSource, KnowledgeDelta, RawItem};
 use futures_util::future::BoxFuture;
 use log::{info, warn};
-use rand::RngExt;
+use rand::{RngExt, seq::IteratorRandom};
+use route::CrashEvidence;
 use tokio::{
     sync::watch,
     time::{MissedTickBehavior, interval, sleep},
 };
 use wire::{
-    AgentBeat, EntryBeat, EntryContact, FleetItem, ItemsReply, ItemsRequest, Notice, Payload,
+    AgentBeat, CrashNotice, EntryBeat, EntryContact, FleetItem, ItemsReply, ItemsRequest, Notice,
+    Payload,
 };
 
 use super::{
     brief::{brief_digest, make_brief},
     shared::EntryShared,
+    status::entry_status,
 };
 use crate::{
     frames::{FrameClient, FrameHandler, NodeError, bind, serve_frames},
@@ -28,6 +32,12 @@
 
 /// Interval of the beats to other entries; six of them fit into the time after which an entry counts as gone.
 const BEAT_INTERVAL: Duration = Duration::from_millis(250);
+/// Beats to entries of this region for one beat to entries of other regions, whose bytes are priced: three of those
+/// still fit into the time after which an entry counts as gone.
+const BEATS_PER_REMOTE_BEAT: u64 = 2;
+/// Beats for one beat that names other entries: these make up most of its size, and only processes that have just
+/// started or lost sight of others need them.
+const BEATS_PER_CONTACTS: u64 = 4;
 /// Beats to entries for one beat to the agents, which only need to know whom to report to. Agents that do not report
 /// may have just started and get every beat.
 const BEATS_PER_AGENT_BEAT: u64 = 4;
@@ -61,7 +71,14 @@
         tokio::spawn(serve_frames(listener, key, name, handler.clone()));
     }
     if let Some(address) = common.metrics {
-        tokio::spawn(serve_metrics(address, shared.metrics.clone()));
+        let described = shared.clone();
+        let status = Arc::new(move || {
+            serde_json::to_string(&entry_status(&described)).unwrap_or_else(|error| {
+                warn!("event=status_failed error=\"{error}\"");
+                String::new()
+            })
+        });
+        tokio::spawn(serve_metrics(address, shared.metrics.clone(), status));
     }
     tokio::spawn(follow_store(shared.clone()));
     tokio::spawn(send_beats(shared.clone(), socket.clone()));
@@ -79,9 +96,18 @@
     let mut failing = false;
     loop {
         let after = shared.knowledge().as_of();
-        let result = match after {
-            None => shared.ports.store.list().await,
-            Some(after) => shared.ports.store.watch(after, WATCH_WAIT).await,
+        let pauses = shared.pauses();
+        // After a pause, what the store has now is wanted at once, and an answer from before the pause tells nothing.
+        let wait = if shared.is_stale_after_pause() { Duration::ZERO } else { WATCH_WAIT };
+        let call = async {
+            match after {
+                None => shared.ports.store.list().await,
+                Some(after) => shared.ports.store.watch(after, wait).await,
+            }
+        };
+        let result = tokio::select! {
+            () = shared.wake_store.notified() => continue,
+            result = call => result,
         };
         let now = shared.clock.now();
         shared.metrics.count("store_calls_total");
@@ -97,6 +123,7 @@
                 if deltas || after.is_none() {
                     publish(&shared);
                 }
+                shared.record_refreshed(pauses);
                 if has_changes {
                     sleep(WATCH_PAUSE).await;
                 }
@@ -178,12 +205,21 @@
     );
 }
 
+/// Logs crashes that were confirmed, and lets the other entries know soon.
+pub(super) fn log_crashes(shared: &EntryShared, confirmed: usize) {
+    if confirmed > 0 {
+        info!("event=crashes_confirmed requests={confirmed}");
+        shared.wake_control.notify_one();
+    }
+}
+
 /// Gives the traffic thread a new snapshot.
 fn publish(shared: &EntryShared) {
     let now = shared.clock.now();
     let view = Arc::new(shared.knowledge().view());
     shared.board().set_view(&view, now);
     shared.pool.retain(|upstream| view.upstream(upstream).is_some());
+    log_crashes(shared, shared.crashes().record_view(now, &view));
     let digest = brief_digest(&view, now);
     shared.view.store(view);
     if shared.set_brief(digest) {
@@ -201,12 +237,19 @@
             _ = ticks.tick() => false,
             () = shared.wake_control.notified() => true,
         };
+        shared.is_stale_after_pause();
         let now = shared.clock.now();
         if shared.knowledge().expire_lapsed(now) {
             publish(&shared);
         }
-        let (beat, mut targets) = make_beat(&shared);
         let all = is_urgent || count.is_multiple_of(BEATS_PER_AGENT_BEAT);
+        let with_contacts = count.is_multiple_of(BEATS_PER_CONTACTS);
+        let with_remote = is_urgent || count.is_multiple_of(BEATS_PER_REMOTE_BEAT);
+        let (beat, mut targets) = make_beat(&shared, with_contacts, with_remote);
+        for evidence in shared.crashes().take_due() {
+            let notice = Notice::Crash(crash_notice(&evidence));
+            socket.send(notice, shared.roster().addresses());
+        }
         targets.extend(agent_addresses(&shared, all));
         count += 1;
         targets.retain(|target| *target != shared.settings.common.peer);
@@ -216,23 +259,38 @@
     }
 }
 
-fn make_beat(shared: &EntryShared) -> (EntryBeat, Vec<SocketAddr>) {
+fn make_beat(
+    shared: &EntryShared,
+    with_contacts: bool,
+    with_remote: bool,
+) -> (EntryBeat, Vec<SocketAddr>) {
     let now = shared.clock.now();
     let own = shared.own_member();
     let mut roster = shared.roster();
     roster.expire(now);
+    let named = if with_contacts { MAX_CONTACTS } else { 0 };
     let contacts = roster
         .heard(now)
-        .take(MAX_CONTACTS)
+        .sample(&mut rand::rng(), named)
+        .into_iter()
         .map(|(member, age)| EntryContact { peer: member.peer.to_string(), age_ms: millis(age) })
         .collect();
-    let port = shared.settings.common.peer.port();
+    let common = &shared.settings.common;
+    let port = common.peer.port();
     let seeds = shared.seeds().into_iter().map(|seed| SocketAddr::new(seed.ip(), port));
-    let targets = roster.addresses().chain(seeds).collect();
+    let region = common.region();
+    let is_remote = |peer: &SocketAddr| {
+        let data_centre = roster.data_centre_of(*peer);
+        data_centre.and_then(|data_centre| common.regions.get(data_centre)) != Some(&region)
+    };
+    let targets =
+        roster.addresses().chain(seeds).filter(|peer| with_remote || !is_remote(peer)).collect();
     let entries = roster.alive(now).count() + 1;
+    let sharers = roster.most_known(now) + 1;
     drop(roster);
     shared.board().set_entries(entries);
-    shared.retries().set_entries(entries);
+    shared.board().set_sharers(sharers);
+    shared.retries().set_entries(sharers);
     let beat = EntryBeat {
         name: own.name.to_string(),
         incarnation: own.incarnation,
@@ -271,11 +329,48 @@
         match notice {
             Notice::Entry(beat) => record_entry(shared, &beat),
             Notice::Agent(beat) => record_agent(shared, &beat),
+            Notice::Crash(notice) => record_crash(shared, &notice),
             Notice::Holding(_) => {}
         }
     }
 }
 
+fn crash_notice(evidence: &CrashEvidence) -> CrashNotice {
+    CrashNotice {
+        fingerprint: evidence.fingerprint.as_bytes().to_vec().into(),
+        upstream: evidence.upstream.to_string(),
+        crashes: evidence.crashes,
+        isolated: evidence.isolated,
+        age_ms: u64::from(millis(evidence.age)),
+        hops: 0,
+        cleared: evidence.cleared,
+    }
+}
+
+fn record_crash(shared: &EntryShared, notice: &CrashNotice) {
+    let fingerprint = match ContentDigest::from_slice(&notice.fingerprint) {
+        Ok(fingerprint) => fingerprint,
+        Err(error) => {
+            warn!("event=crash_notice_unreadable error=\"{error}\"");
+            return;
+        }
+    };
+    let evidence = CrashEvidence {
+        fingerprint,
+        upstream: notice.upstream.as_str().into(),
+        crashes: notice.crashes,
+        isolated: false,
+        age: Duration::from_millis(notice.age_ms),
+        cleared: notice.cleared,
+    };
+    if shared.crashes().record_evidence(shared.clock.now(), &evidence) {
+        info!(
+            "event=crash_learned fingerprint={fingerprint} upstream={} crashes={} cleared={}",
+            notice.upstream, notice.crashes, notice.cleared
+        );
+    }
+}
+
 fn record_entry(shared: &EntryShared, beat: &EntryBeat) {
     let Some(member) = read_entry_beat(beat) else { return };
     let now = shared.clock.now();
@@ -309,6 +404,7 @@
         queued: beat.queued,
         version: beat.version,
         switching: beat.switching,
+        pace_percent: beat.pace_percent,
         change_in: beat.change_in_ms.map(|span| Duration::from_millis(span.into())),
     };
     let now = shared.clock.now();
@@ -323,11 +419,13 @@
         sleep(BEHIND_PATIENCE / 2).await;
         let now = shared.clock.now();
         let head = shared.knowledge().head();
+        let pauses = shared.pauses();
+        let is_stale = shared.is_stale_after_pause();
         let ahead = {
             let roster = shared.roster();
             roster
                 .alive(now)
-                .filter(|member| member.head > head)
+                .filter(|member| is_stale || member.head > head)
                 .max_by_key(|member| member.head)
                 .cloned()
         };
@@ -354,6 +452,7 @@
                 if take_over(&shared, items, reply.as_of, reply.snapshot || after == 0) {
                     publish(&shared);
                 }
+                shared.record_refreshed(pauses);
             }
             Ok(_) => warn!("event=catch_up_failed peer={} error=\"no items\"", ahead.name),
             Err(error) => warn!("event=catch_up_failed peer={} error=\"{error}\"", ahead.name),
--- a/crates/gateway/src/entry/guards.rs
+++ b/crates/gateway/src/entry/guards.rs
@@ -5,7 +5,7 @@
 use balance::SendOutcome;
 use base::UpstreamId;
 
-use super::shared::EntryShared;
+use super::{control::log_crashes, shared::EntryShared};
 
 /// Bytes of request bodies that an entry holds at most, well below the memory of its host.
 const MAX_HELD_BODIES: usize = 48 << 20;
@@ -71,5 +71,9 @@
     fn drop(&mut self) {
         let now = self.shared.clock.now();
         self.shared.board().record_outcome(&self.upstream, self.outcome, now);
+        if self.outcome == SendOutcome::Unreachable {
+            let confirmed = self.shared.crashes().record_unreachable(now, &self.upstream);
+            log_crashes(&self.shared, confirmed);
+        }
     }
 }
--- a/crates/gateway/src/entry/http.rs
+++ b/crates/gateway/src/entry/http.rs
@@ -28,6 +28,7 @@
 
 use super::{
     call,
+    head_timer::{PhaseGuard, RequestPhase, TimedStream},
     relay::{RelayBody, RelayError},
     shared::EntryShared,
 };
@@ -36,12 +37,39 @@
 /// Limits that hold before a configuration is known.
 const DEFAULT_HEADER_BYTES: usize = 16 << 10;
 const DEFAULT_IDLE: Duration = Duration::from_secs(15);
+const DEFAULT_HEAD: Duration = Duration::from_secs(5);
 /// Smallest buffer that the HTTP library accepts.
 const MIN_BUFFER: usize = 8 << 10;
 /// Time to live of an answer about addresses; short, so that callers leave a stopping entry soon.
 const ADDRESS_TTL: Duration = Duration::from_secs(2);
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
+/// Body of an answer to a caller, with the mark that its connection is busy.
+struct GuardedBody {
+    body: AnswerBody,
+    _busy: PhaseGuard,
+}
+
+impl Body for GuardedBody {
+    type Data = Bytes;
+    type Error = RelayError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+}
+
 /// Body of an answer: whole, or relayed from an upstream.
 pub(crate) enum AnswerBody {
     Whole(Full<Bytes>),
@@ -120,15 +148,22 @@
 async fn serve_caller(shared: Arc<EntryShared>, stream: TcpStream) {
     let limits = shared.view.load().limits();
     let header_bytes = limits.map_or(DEFAULT_HEADER_BYTES, |limits| limits.max_header_bytes);
-    // The timer of the HTTP library also runs while a connection is idle, so it gets the longer of the two limits.
-    let idle = limits.map_or(DEFAULT_IDLE, |limits| limits.idle_timeout.max(limits.header_timeout));
+    let (idle, head_limit) = limits.map_or((DEFAULT_IDLE, DEFAULT_HEAD), |limits| {
+        (limits.idle_timeout, limits.header_timeout)
+    });
+    let phase = RequestPhase::default();
+    let stream = TimedStream::new(stream, phase.clone(), head_limit);
     let service = service_fn(|request| {
-        let shared = shared.clone();
-        async move { Ok::<_, Infallible>(call::answer(shared, request).await) }
+        let (shared, busy) = (shared.clone(), phase.begin());
+        async move {
+            let answer = call::answer(shared, request).await;
+            Ok::<_, Infallible>(answer.map(|body| GuardedBody { body, _busy: busy }))
+        }
     });
     let served = Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(idle)
+        // This timer also runs while a connection is idle.
+        .header_read_timeout(idle.max(head_limit))
         .max_buf_size(header_bytes.max(MIN_BUFFER))
         .serve_connection(TokioIo::new(stream), service)
         .await;
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -1,16 +1,19 @@
 //! The entry: answers address queries, forwards callers' requests, keeps what it knows of the fleet current.
 
 mod admit;
+mod attempt;
 mod brief;
 mod call;
 mod control;
 mod guards;
+mod head_timer;
 mod http;
 mod outcome;
 mod pool;
 mod relay;
 mod reply;
 mod shared;
+pub mod status;
 
 use std::{
     sync::{Arc, atomic::Ordering},
@@ -20,20 +23,16 @@
 
 use base::Clock;
 use fleet::FactDecoder;
-use log::info;
+use log::{info, warn};
 use snafu::ResultExt;
-use tokio::{
-    runtime::Builder,
-    signal::unix::{SignalKind, signal},
-    sync::watch,
-    time::sleep,
-};
+use tokio::{runtime::Builder, sync::watch, time::sleep};
 
 use self::shared::EntryShared;
 use crate::{
     frames::{NodeError, ThreadSnafu},
+    lifecycle::ProcessSignals,
     log_sink::LogSink,
-    port::{CallCodec, StateStore},
+    port::{CallCodec, SettingsSource, StateStore},
     settings::EntrySettings,
 };
 
@@ -55,8 +54,8 @@
     pub decoder: Arc<dyn FactDecoder>,
     /// Translates requests and answers.
     pub codec: Arc<dyn CallCodec>,
-    /// Reads the settings again after a signal.
-    pub reload: Arc<dyn Fn() -> Option<EntrySettings> + Send + Sync>,
+    /// Source of the settings, which may change while the entry runs.
+    pub settings: Arc<dyn SettingsSource<EntrySettings>>,
 }
 
 /// Runs an entry until it is told to stop: one thread for control state, one for traffic.
@@ -96,32 +95,19 @@
 }
 
 async fn run_traffic(shared: &Arc<EntryShared>, logs: LogSink) -> Result<(), NodeError> {
+    let signals = ProcessSignals::new()?;
     let flushing = tokio::spawn(logs.flush_forever(LOG_INTERVAL));
     let served = tokio::select! {
         result = http::serve(shared.clone()) => result,
-        () = run_until_stopped(shared) => Ok(()),
+        () = run_until_stopped(shared, signals) => Ok(()),
     };
     flushing.abort();
     served
 }
 
-async fn run_until_stopped(shared: &EntryShared) {
-    let (Ok(mut terminate), Ok(mut reload)) =
-        (signal(SignalKind::terminate()), signal(SignalKind::hangup()))
-    else {
-        log::error!("event=signals_unavailable");
-        return;
-    };
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = reload.recv() => reload_settings(shared),
-        }
-    }
-    info!(
-        "event=stop_requested signal=SIGTERM in_flight={}",
-        shared.in_flight.load(Ordering::Relaxed)
-    );
+async fn run_until_stopped(shared: &EntryShared, mut signals: ProcessSignals) {
+    let source = shared.ports.settings.clone();
+    signals.wait_for_stop(&*source, |settings| take_over(shared, settings)).await;
     let begun = shared.clock.now();
     shared.leaving.store(true, Ordering::Relaxed);
     shared.wake_control.notify_one();
@@ -139,17 +125,13 @@
     }
 }
 
-/// Settings that bind addresses need a restart; the others are taken over.
-fn reload_settings(shared: &EntryShared) {
-    match (shared.ports.reload)() {
-        Some(settings) => {
-            let needs_restart = settings.callers != shared.settings.callers
-                || settings.addresses != shared.settings.addresses
-                || settings.common.peer != shared.settings.common.peer;
-            info!("event=reload result=read needs_restart={needs_restart}");
-            shared.set_seeds(settings.common.seeds);
-            shared.wake_control.notify_one();
-        }
-        None => info!("event=reload result=kept"),
+/// Seeds change with the fleet and are taken over; everything else needs a restart.
+fn take_over(shared: &EntryShared, settings: EntrySettings) {
+    let mut known = shared.settings.clone();
+    known.common.seeds.clone_from(&settings.common.seeds);
+    if known != settings {
+        warn!("event=restart_needed reason=\"settings other than the seeds have changed\"");
     }
+    shared.set_seeds(settings.common.seeds);
+    shared.wake_control.notify_one();
 }
--- a/crates/gateway/src/entry/pool.rs
+++ b/crates/gateway/src/entry/pool.rs
@@ -12,7 +12,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
-use log::debug;
+use log::{debug, info};
 use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
 
 use crate::frames::bound_silence;
@@ -25,10 +25,18 @@
 const KEEP_RESERVE: Duration = Duration::from_millis(500);
 /// Idle connections kept per upstream.
 const MAX_IDLE: usize = 16;
+/// Part of the rest after which a kept connection turned out to be gone that later ones are granted.
+const RESET_PART: f64 = 0.7;
+/// Shortest rest that is granted, so that connections are still reused under load.
+const MIN_REST: Duration = Duration::from_millis(30);
+/// Time for which such a finding holds: upstreams that forget connections early mostly do so for a while only.
+const REST_LIFETIME: Duration = Duration::from_secs(20);
 
 /// One connection. Dropping it closes it, which cancels whatever the upstream does for it.
 pub(crate) struct UpstreamConnection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
+    /// Time for which it was idle before its present use; `None` if it is new.
+    pub(crate) rested: Option<Duration>,
     task: JoinHandle<()>,
 }
 
@@ -38,30 +46,64 @@
     }
 }
 
+struct IdleConnection {
+    connection: UpstreamConnection,
+    since: Instant,
+    until: Instant,
+}
+
+/// Longest rest after which connections are reused, and how long that holds.
+type RestLimit = Option<(Duration, Instant)>;
+
 /// Idle connections by upstream.
 pub(crate) struct ConnectionPool {
     clock: Arc<dyn Clock>,
-    idle: Mutex<HashMap<UpstreamId, Vec<(UpstreamConnection, Instant)>>>,
+    idle: Mutex<HashMap<UpstreamId, Vec<IdleConnection>>>,
+    rest_limit: Mutex<RestLimit>,
 }
 
 impl ConnectionPool {
     pub(crate) fn new(clock: Arc<dyn Clock>) -> Self {
-        Self { clock, idle: Mutex::default() }
+        Self { clock, idle: Mutex::default(), rest_limit: Mutex::default() }
     }
 
     /// An idle connection that can still be used.
     pub(crate) fn take(&self, upstream: &UpstreamId) -> Option<UpstreamConnection> {
         let now = self.clock.now();
+        let limit = self.rest_limit(now);
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(upstream)?;
-        while let Some((connection, until)) = connections.pop() {
-            if now < until && connection.sender.is_ready() && !connection.sender.is_closed() {
+        while let Some(IdleConnection { mut connection, since, until }) = connections.pop() {
+            let rested = now.saturating_duration_since(since);
+            let is_usable = now < until && limit.is_none_or(|limit| rested < limit);
+            if is_usable && connection.sender.is_ready() && !connection.sender.is_closed() {
+                connection.rested = Some(rested);
                 return Some(connection);
             }
         }
         None
     }
 
+    fn rest_limit(&self, now: Instant) -> Option<Duration> {
+        let limit = *self.rest_limit.lock().unwrap_or_else(PoisonError::into_inner);
+        limit.filter(|(_, until)| now < *until).map(|(limit, _)| limit)
+    }
+
+    /// Records that a kept connection turned out to be gone after it had been idle for `rested`. Upstreams may drop idle
+    /// connections without notice, and what is sent next is lost.
+    pub(crate) fn record_reset(&self, rested: Duration) {
+        let now = self.clock.now();
+        let limit = rested.mul_f64(RESET_PART).max(MIN_REST);
+        let limit = self.rest_limit(now).map_or(limit, |known| known.min(limit));
+        info!(
+            "event=kept_connection_lost rested_ms={} limit_ms={}",
+            rested.as_millis(),
+            limit.as_millis()
+        );
+        let mut rest_limit = self.rest_limit.lock().unwrap_or_else(PoisonError::into_inner);
+        *rest_limit = Some((limit, now + REST_LIFETIME));
+    }
+
     /// Keeps a connection whose last answer has been read in full.
     pub(crate) fn put(
         &self,
@@ -70,7 +112,8 @@
         stated: Option<Duration>,
     ) {
         let keep = stated.map_or(DEFAULT_KEEP, |stated| stated.saturating_sub(KEEP_RESERVE));
-        let until = self.clock.now() + keep;
+        let since = self.clock.now();
+        let until = since + keep;
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         if !idle.contains_key(upstream) {
             idle.insert(upstream.clone(), Vec::new());
@@ -79,7 +122,7 @@
         if connections.len() >= MAX_IDLE {
             connections.remove(0);
         }
-        connections.push((connection, until));
+        connections.push(IdleConnection { connection, since, until });
     }
 
     /// Closes connections to upstreams that are gone and those that were idle for too long.
@@ -87,7 +130,7 @@
         let now = self.clock.now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.retain(|upstream, connections| {
-            connections.retain(|(_, until)| now < *until);
+            connections.retain(|idle| now < idle.until);
             !connections.is_empty() && is_known(upstream)
         });
     }
@@ -115,7 +158,7 @@
                         );
                     }
                 });
-                Some(UpstreamConnection { sender, task })
+                Some(UpstreamConnection { sender, rested: None, task })
             }
             Err(error) => {
                 debug!("event=connect_failed address={address} error=\"{error}\"");
--- a/crates/gateway/src/entry/relay.rs
+++ b/crates/gateway/src/entry/relay.rs
@@ -28,6 +28,9 @@
 /// Shortest such time, for routes with a short or no target.
 const MIN_STALL: Duration = Duration::from_millis(1_000);
 
+/// Cause of an end that may be a crash of the upstream.
+const CONNECTION_LOST: &str = "connection_lost";
+
 /// Why a stream ends before its last event. The connection to the caller is then closed, so that the answer does not
 /// look complete.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
@@ -150,6 +153,9 @@
     /// Gives the upstream up and continues elsewhere if that is allowed.
     fn give_up(&mut self, cause: &'static str) -> Result<(), RelayError> {
         if let RelayState::Reading(stream) = std::mem::replace(&mut self.state, RelayState::Ended) {
+            if cause == CONNECTION_LOST {
+                self.call.record_broken(stream.guard.upstream());
+            }
             stream.guard.fail();
         }
         self.splitter.drop_partial();
@@ -173,6 +179,7 @@
             let OpenStream { connection, guard, keep, closes, .. } = stream;
             let upstream = guard.upstream().clone();
             guard.answer();
+            self.call.record_answered();
             if !closes {
                 self.call.shared.pool.put(&upstream, connection, keep);
             }
@@ -201,7 +208,7 @@
                     }
                 }
                 Poll::Ready(Some(Err(_))) => {
-                    self.give_up("connection_lost")?;
+                    self.give_up(CONNECTION_LOST)?;
                     return Poll::Ready(None);
                 }
                 Poll::Ready(None) => {
--- a/crates/gateway/src/entry/shared.rs
+++ b/crates/gateway/src/entry/shared.rs
@@ -10,9 +10,10 @@
 };
 
 use arc_swap::ArcSwap;
-use balance::{BoardOptions, LoadBoard, RetryShare};
-use base::{Clock, Incarnation};
+use balance::{BoardOptions, CrashWatch, LoadBoard, RetryShare};
+use base::{Clock, Incarnation, PauseDetector};
 use fleet::{FleetKnowledge, FleetView};
+use log::{info, warn};
 use member::{EntryMember, EntryRoster};
 use tokio::sync::Notify;
 use wire::FleetKey;
@@ -20,6 +21,9 @@
 use super::{EntryPorts, pool::ConnectionPool};
 use crate::{metrics::MetricSet, settings::EntrySettings};
 
+/// Gap between two ticks of the control thread, which come every 0.25 s, that only a pause of the process explains.
+const PAUSE_THRESHOLD: Duration = Duration::from_secs(1);
+
 /// Everything that the tasks of an entry share.
 pub(crate) struct EntryShared {
     pub(crate) settings: EntrySettings,
@@ -41,6 +45,12 @@
     /// Listeners are up.
     pub(crate) listening: AtomicBool,
     pub(crate) wake_control: Notify,
+    /// Wakes the task that follows the store, so that it asks again at once.
+    pub(crate) wake_store: Notify,
+    pauses: PauseDetector,
+    /// Pauses of this process so far, and the number of them after which the knowledge was refreshed.
+    paused: AtomicU64,
+    refreshed: AtomicU64,
     sequence: AtomicU64,
     /// Milliseconds since the start at which the store last confirmed what is known; negative if never.
     confirmed: AtomicI64,
@@ -50,6 +60,7 @@
     retries: Mutex<RetryShare>,
     roster: Mutex<EntryRoster>,
     knowledge: Mutex<FleetKnowledge>,
+    crashes: Mutex<CrashWatch>,
     seeds: Mutex<Vec<SocketAddr>>,
 }
 
@@ -73,6 +84,10 @@
             refusing: AtomicBool::new(false),
             listening: AtomicBool::new(false),
             wake_control: Notify::new(),
+            wake_store: Notify::new(),
+            pauses: PauseDetector::new(PAUSE_THRESHOLD),
+            paused: AtomicU64::new(0),
+            refreshed: AtomicU64::new(0),
             sequence: AtomicU64::new(0),
             confirmed: AtomicI64::new(-1),
             started: now,
@@ -81,6 +96,7 @@
             retries: Mutex::new(RetryShare::new(settings.shares, now)),
             roster: Mutex::new(EntryRoster::new()),
             knowledge: Mutex::new(FleetKnowledge::new()),
+            crashes: Mutex::new(CrashWatch::new()),
             seeds: Mutex::new(settings.common.seeds.clone()),
             settings,
             ports,
@@ -104,6 +120,10 @@
         self.knowledge.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn crashes(&self) -> MutexGuard<'_, CrashWatch> {
+        self.crashes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn seeds(&self) -> Vec<SocketAddr> {
         self.seeds.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
@@ -116,6 +136,28 @@
         self.brief.swap(digest, Ordering::Relaxed) != digest
     }
 
+    /// Number of pauses of this process that have been noticed.
+    pub(crate) fn pauses(&self) -> u64 {
+        self.paused.load(Ordering::Relaxed)
+    }
+
+    /// Notices a pause of this process. True until what is known has been refreshed after the last one.
+    pub(crate) fn is_stale_after_pause(&self) -> bool {
+        if let Some(gap) = self.pauses.tick(&*self.clock) {
+            warn!("event=pause_detected gap_ms={}", gap.as_millis());
+            self.paused.fetch_add(1, Ordering::Relaxed);
+            self.wake_store.notify_one();
+        }
+        self.refreshed.load(Ordering::Relaxed) < self.pauses()
+    }
+
+    /// Records that what is known was current at a moment after the pause with number `pauses`.
+    pub(crate) fn record_refreshed(&self, pauses: u64) {
+        if self.refreshed.fetch_max(pauses, Ordering::Relaxed) < pauses {
+            info!("event=knowledge_refreshed revision={}", self.view.load().revision);
+        }
+    }
+
     /// Records that what is known was current at `now`.
     pub(crate) fn record_confirmed(&self, now: Instant) {
         let millis = now.saturating_duration_since(self.started).as_millis();
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -80,8 +80,14 @@
     }
 }
 
-/// Serves the metrics until the task is dropped.
-pub(crate) async fn serve_metrics(address: SocketAddr, metrics: MetricSet) {
+/// Path at which the state of the process is served as JSON; all other paths give the metrics.
+pub const STATUS_PATH: &str = "/status";
+
+/// Describes the state of the process.
+pub(crate) type StatusReader = Arc<dyn Fn() -> String + Send + Sync>;
+
+/// Serves the metrics and the state until the task is dropped.
+pub(crate) async fn serve_metrics(address: SocketAddr, metrics: MetricSet, status: StatusReader) {
     let listener = match tokio::net::TcpListener::bind(address).await {
         Ok(listener) => listener,
         Err(error) => {
@@ -99,10 +105,14 @@
                 continue;
             }
         };
-        let metrics = metrics.clone();
+        let (metrics, status) = (metrics.clone(), status.clone());
         tokio::spawn(async move {
-            let answer = service_fn(move |_: Request<Incoming>| {
-                let body = Full::new(Bytes::from(metrics.render()));
+            let answer = service_fn(move |request: Request<Incoming>| {
+                let text = match request.uri().path() {
+                    STATUS_PATH => status(),
+                    _ => metrics.render(),
+                };
+                let body = Full::new(Bytes::from(text));
                 async move { Ok::<_, std::convert::Infallible>(Response::new(body)) }
             });
             let served = hyper::server::conn::http1::Builder::new()
