--- a/crates/cli/src/commands/status.rs
+++ b/crates/cli/src/commands/status.rs
@@ -2,7 +2,8 @@
 
 use std::{net::SocketAddr, process::ExitCode};
 
-use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgGroup, ArgMatches, Command, value_parser};
+use gateway::{entry::status::EntryStatus, metrics::STATUS_PATH};
 use serde_json::Value;
 
 use crate::{
@@ -14,7 +15,15 @@
 pub(super) fn cli() -> Command {
     Command::new("status")
         .about("Show revision, preset, data centres, hosts and upstreams as one process sees them")
-        .arg(admin_arg())
+        .arg(admin_arg().required(false))
+        .arg(
+            Arg::new("metrics")
+                .long("metrics")
+                .value_name("ADDR")
+                .value_parser(value_parser!(SocketAddr))
+                .help("Metrics address of an entry that runs on a platform"),
+        )
+        .group(ArgGroup::new("address").args(["entry", "metrics"]).required(true))
         .arg(
             Arg::new("json")
                 .long("json")
@@ -35,18 +44,78 @@
 
 /// Runs the command.
 pub(super) fn exec(matches: &ArgMatches) -> ExitCode {
-    let address = *matches.get_one::<SocketAddr>("entry").expect("the argument is required");
-    match read_admin(address, "/admin/v1/status") {
-        Ok(status) if matches.get_flag("json") => {
-            println!("{status}");
-            ExitCode::SUCCESS
+    let status = match matches.get_one::<SocketAddr>("metrics") {
+        Some(address) => read_admin(*address, STATUS_PATH),
+        None => {
+            let address = matches.get_one::<SocketAddr>("entry").expect("one address is required");
+            read_admin(*address, "/admin/v1/status")
         }
-        Ok(status) => {
-            print!("{}", render(&status));
-            ExitCode::SUCCESS
+    };
+    let status = match status {
+        Ok(status) => status,
+        Err(error) => return report_error(&error, STATUS_FAILED),
+    };
+    if matches.get_flag("json") {
+        println!("{status}");
+    } else if matches.contains_id("metrics") {
+        match serde_json::from_value(status) {
+            Ok(status) => print!("{}", render_entry(&status)),
+            Err(error) => return report_error(&error, STATUS_FAILED),
         }
-        Err(error) => report_error(&error, STATUS_FAILED),
+    } else {
+        print!("{}", render(&status));
     }
+    ExitCode::SUCCESS
+}
+
+/// Text of the status of an entry that runs on a platform.
+#[must_use]
+pub fn render_entry(status: &EntryStatus) -> String {
+    let state = match (status.ready, status.leaving) {
+        (_, true) => "stopping",
+        (true, false) => "ready",
+        (false, false) => "not ready",
+    };
+    let number = |value: Option<u64>| value.map_or("-".to_owned(), |value| value.to_string());
+    let mut lines = vec![
+        format!(
+            "entry {} {state}, revision {}, configuration {}, confirmed {} ms ago, {} requests",
+            status.name,
+            status.revision,
+            number(status.config_version),
+            number(status.knowledge_age_ms),
+            status.in_flight
+        ),
+        format!("entries alive: {}", status.entries.join(" ")),
+    ];
+    lines.extend(status.evacuated.iter().map(|centre| format!("data centre {centre} evacuated")));
+    lines.extend(
+        status.declared.iter().map(|(model, version)| format!("model {model} version {version}")),
+    );
+    lines.extend(status.upstreams.iter().map(|upstream| {
+        let load =
+            upstream.load.map_or("-".to_owned(), |(running, queued)| format!("{running}+{queued}"));
+        let mut line = format!(
+            "upstream {:<16} {:<14} {:<12} {:<21} version {:<4} load {load:<6} own {:<4}",
+            upstream.upstream,
+            upstream.service,
+            upstream.data_centre,
+            upstream.address,
+            number(upstream.version),
+            upstream.in_flight
+        );
+        if upstream.draining {
+            line.push_str(" draining");
+        }
+        if upstream.suspended {
+            line.push_str(" suspended");
+        }
+        if upstream.cold_ms > 0 {
+            line.push_str(&format!(" cold for {} ms", upstream.cold_ms));
+        }
+        line.trim_end().to_owned()
+    }));
+    lines.join("\n") + "\n"
 }
 
 /// Text of a status for people.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod naive;
 pub mod observer;
 pub mod platform;
+pub mod report;
 
 pub use crate::{
     error::StandinError,
--- /dev/null
+++ b/crates/standin/src/measure/load.rs
@@ -0,0 +1,153 @@
+//! `measure load`: compares policies of placement and admission on simulated engines, in seconds and without processes.
+
+mod policy;
+mod sim;
+mod trace;
+
+use std::{path::PathBuf, process::ExitCode, time::Duration};
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use fleet::{EngineCosts, EngineRecord};
+use serde::Serialize;
+
+pub use self::{
+    policy::{ConnectionPolicy, ForecastPolicy, PlacementPolicy},
+    sim::{EngineIndex, FleetOptions, LoadFigures, simulate_load},
+    trace::{TraceError, TraceRequest, draw_trace, read_trace},
+};
+
+/// Exit status of a measurement that could not be carried out.
+const STATUS_NOT_MEASURED: u8 = 2;
+
+/// One line of the output.
+#[derive(Clone, Debug, Serialize)]
+struct LoadReport<'a> {
+    policy: &'a str,
+    entries: usize,
+    engines: u16,
+    added: u16,
+    seed: u64,
+    #[serde(flatten)]
+    figures: LoadFigures,
+}
+
+/// The command line.
+pub(super) fn cli() -> Command {
+    let number = |name: &'static str, default: &'static str, help: &'static str| {
+        Arg::new(name).long(name).value_name("NUMBER").default_value(default).help(help)
+    };
+    Command::new("load")
+        .about("Compares policies of placement and admission on simulated engines")
+        .arg(
+            Arg::new("trace")
+                .long("trace")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("Requests, one JSON object a line: at_ms, prompt, answer, target_ms, worth"),
+        )
+        .arg(
+            number("rate", "230", "Requests per second at full load, without a trace")
+                .value_parser(value_parser!(u32).range(1..=100_000)),
+        )
+        .arg(
+            number("seconds", "30", "Length, without a trace")
+                .value_parser(value_parser!(u32).range(1..=3_600)),
+        )
+        .arg(number("entries", "8", "Entries").value_parser(value_parser!(u16).range(1..=1_000)))
+        .arg(
+            number("engines", "16", "Engines that serve from the beginning")
+                .value_parser(value_parser!(u16).range(1..=10_000)),
+        )
+        .arg(
+            number("added", "10", "Engines that are added")
+                .value_parser(value_parser!(u16).range(0..=10_000)),
+        )
+        .arg(
+            number("added-at", "9", "Second at which these begin to serve")
+                .value_parser(value_parser!(u32).range(0..=3_600)),
+        )
+        .arg(number("seed", "1", "Seed").value_parser(value_parser!(u64)))
+        .arg(
+            Arg::new("policy")
+                .long("policy")
+                .value_name("POLICY")
+                .default_value("all")
+                .value_parser(["all", "forecast", "connections"])
+                .help(
+                    "forecast: as in the product; connections: fewest own requests, no admission",
+                ),
+        )
+}
+
+/// Runs the command.
+pub(super) fn exec(matches: &ArgMatches) -> ExitCode {
+    let value = |name: &str| *matches.get_one::<u32>(name).expect("it has a default");
+    let count = |name: &str| *matches.get_one::<u16>(name).expect("it has a default");
+    let seed = *matches.get_one::<u64>("seed").expect("it has a default");
+    let trace = match matches.get_one::<PathBuf>("trace") {
+        Some(path) => match read_trace(path) {
+            Ok(trace) => trace,
+            Err(error) => {
+                eprintln!("error: {error}");
+                return ExitCode::from(STATUS_NOT_MEASURED);
+            }
+        },
+        None => draw_trace(f64::from(value("rate")), f64::from(value("seconds")), seed),
+    };
+    let options = FleetOptions {
+        entries: usize::from(count("entries")),
+        engines: count("engines"),
+        added: count("added"),
+        added_at: Duration::from_secs(u64::from(value("added-at"))),
+        record: usual_engine(),
+        seed,
+    };
+    let chosen = matches.get_one::<String>("policy").map_or("all", String::as_str);
+    for policy in ["forecast", "connections"] {
+        if chosen != "all" && chosen != policy {
+            continue;
+        }
+        let figures = run_policy(policy, &trace, &options);
+        let report = LoadReport {
+            policy,
+            entries: options.entries,
+            engines: options.engines,
+            added: options.added,
+            seed,
+            figures,
+        };
+        println!("{}", serde_json::to_string(&report).unwrap_or_default());
+    }
+    ExitCode::SUCCESS
+}
+
+/// Simulates one policy by its name on the command line.
+#[must_use]
+pub fn run_policy(policy: &str, trace: &[TraceRequest], options: &FleetOptions) -> LoadFigures {
+    simulate_load(trace, options, |_, random| match policy {
+        "forecast" => Box::new(ForecastPolicy::new(&options.record, options.entries, random)),
+        _ => Box::new(ConnectionPolicy::new(random)),
+    })
+}
+
+/// The engine of the users' smaller deployments: 70 B parameters on four accelerators, 16 slots.
+#[must_use]
+pub fn usual_engine() -> EngineRecord {
+    EngineRecord {
+        slots: 16,
+        memory_tokens: 685_000,
+        costs: EngineCosts {
+            step: Duration::from_micros(7_400),
+            step_per_request: Duration::from_nanos(38_700),
+            step_per_context: Duration::from_nanos(20_300),
+            read_per_second: 31_900.0,
+            stride: 6,
+            chunk: 2_048,
+        },
+        models: Vec::new(),
+        layers: 16,
+        pieces: 48,
+        piece_bytes: 49_152,
+        usual_tokens: (930, 107),
+    }
+}
--- /dev/null
+++ b/crates/standin/src/measure/load/policy.rs
@@ -0,0 +1,203 @@
+//! Policies of placement that are compared.
+
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Instant};
+
+use balance::{
+    AgentReport, BoardOptions, LoadBoard, Placement, SendOutcome, ShareOptions, WorkRequest,
+};
+use base::{ServiceId, UpstreamId};
+use fleet::{
+    ClientLimits, EngineRecord, FleetView, LoadedWeights, RoutingConfig, RoutingIndex,
+    ServiceRecord, UpstreamRecord,
+};
+use rand::seq::IndexedRandom;
+use rand_chacha::ChaCha8Rng;
+
+use super::{sim::EngineIndex, trace::TraceRequest};
+
+/// Decides at one entry where a request goes.
+pub trait PlacementPolicy {
+    /// Takes over the report of an engine.
+    fn record_report(&mut self, engine: EngineIndex, load: (u32, u32), now: Instant);
+
+    /// Chooses an engine; `None` refuses the request. `first_try` is false for a caller that returns.
+    fn choose(
+        &mut self,
+        request: &TraceRequest,
+        first_try: bool,
+        now: Instant,
+    ) -> Option<(EngineIndex, Option<std::time::Duration>)>;
+
+    /// Records how a request that was sent ended.
+    fn record_end(&mut self, engine: EngineIndex, is_answered: bool, now: Instant);
+}
+
+const SERVICE: &str = "llm";
+const MODEL: &str = "model";
+
+/// Placement and admission of the product.
+pub struct ForecastPolicy {
+    board: LoadBoard,
+    view: FleetView,
+    engines: u16,
+    service: ServiceId,
+    random: ChaCha8Rng,
+}
+
+fn upstream(engine: EngineIndex) -> UpstreamId {
+    format!("e{engine}").into()
+}
+
+fn address(engine: EngineIndex) -> SocketAddr {
+    let [high, low] = engine.to_be_bytes();
+    SocketAddr::from(([127, 0, high, low], 1))
+}
+
+impl ForecastPolicy {
+    /// Creates the policy of one of `entries` entries before any engine is known.
+    #[must_use]
+    pub fn new(record: &EngineRecord, entries: usize, random: ChaCha8Rng) -> Self {
+        let options = BoardOptions {
+            regions: [("d".into(), "r".into())].into(),
+            region: "r".into(),
+            shares: ShareOptions::default(),
+        };
+        let mut board = LoadBoard::new(options);
+        board.set_entries(entries);
+        board.set_sharers(entries);
+        let mut view = FleetView::default();
+        view.set_routing(Arc::new(RoutingIndex::new(Arc::new(RoutingConfig {
+            version: 1,
+            routes: Vec::new(),
+            services: vec![ServiceRecord {
+                service: SERVICE.into(),
+                max_connections: 100_000,
+                cold_per_second: 0.0,
+                cold_start: std::time::Duration::ZERO,
+                engine: Some(record.clone()),
+                origin: None,
+            }],
+            limits: ClientLimits {
+                max_header_bytes: 16_384,
+                max_body_bytes: 65_536,
+                header_timeout: std::time::Duration::from_secs(3),
+                idle_timeout: std::time::Duration::from_secs(15),
+            },
+            teams: None,
+        }))));
+        Self { board, view, engines: 0, service: SERVICE.into(), random }
+    }
+
+    fn add_engines(&mut self, engines: u16, slots: u32, now: Instant) {
+        let records = (0..engines).map(|engine| {
+            let record = UpstreamRecord {
+                upstream: upstream(engine),
+                service: SERVICE.into(),
+                address: address(engine),
+                data_centre: "d".into(),
+                slots,
+                draining: false,
+                cold_for: std::time::Duration::ZERO,
+                weights: vec![LoadedWeights { model: MODEL.into(), version: 1, complete: true }],
+                born: 1,
+            };
+            (Arc::new(record), None)
+        });
+        self.view.set_upstreams(records.collect());
+        self.board.set_view(&self.view, now);
+        self.engines = engines;
+    }
+}
+
+impl PlacementPolicy for ForecastPolicy {
+    fn record_report(&mut self, engine: EngineIndex, load: (u32, u32), now: Instant) {
+        if engine >= self.engines {
+            let slots = self.view.service(SERVICE).and_then(|service| service.engine.as_ref());
+            self.add_engines(engine + 1, slots.map_or(1, |engine| engine.slots), now);
+        }
+        let report = AgentReport {
+            running: load.0,
+            queued: load.1,
+            version: 1,
+            switching: false,
+            change_in: None,
+            pace_percent: 100,
+        };
+        self.board.record_report(address(engine), report, now, &mut self.random);
+    }
+
+    fn choose(
+        &mut self,
+        request: &TraceRequest,
+        first_try: bool,
+        now: Instant,
+    ) -> Option<(EngineIndex, Option<std::time::Duration>)> {
+        let work = WorkRequest {
+            service: &self.service,
+            prompt_tokens: request.prompt,
+            allowed_regions: [&[], &[]],
+            tried: &[],
+            min_version: None,
+            target_left: first_try.then(|| request.target()),
+            is_continued: false,
+        };
+        match self.board.choose(&work, now, &mut self.random) {
+            Placement::Upstream { record, delay } => {
+                self.board.record_sent(&record.upstream, now);
+                let engine = record.upstream.get(1..)?.parse().ok()?;
+                Some((engine, Some(delay)))
+            }
+            Placement::Refused(_) => None,
+        }
+    }
+
+    fn record_end(&mut self, engine: EngineIndex, is_answered: bool, now: Instant) {
+        let outcome = if is_answered { SendOutcome::Answered } else { SendOutcome::NotRun };
+        self.board.record_outcome(&upstream(engine), outcome, now);
+    }
+}
+
+/// The usual simple balancer: the engine with the fewest own requests, without admission.
+pub struct ConnectionPolicy {
+    in_flight: HashMap<EngineIndex, u32>,
+    random: ChaCha8Rng,
+}
+
+impl ConnectionPolicy {
+    /// Creates the policy of one entry before any engine is known.
+    #[must_use]
+    pub fn new(random: ChaCha8Rng) -> Self {
+        Self { in_flight: HashMap::new(), random }
+    }
+}
+
+impl PlacementPolicy for ConnectionPolicy {
+    fn record_report(&mut self, engine: EngineIndex, _: (u32, u32), _: Instant) {
+        self.in_flight.entry(engine).or_default();
+    }
+
+    fn choose(
+        &mut self,
+        _: &TraceRequest,
+        _: bool,
+        _: Instant,
+    ) -> Option<(EngineIndex, Option<std::time::Duration>)> {
+        let least = self.in_flight.values().min().copied()?;
+        let mut least: Vec<EngineIndex> = self
+            .in_flight
+            .iter()
+            .filter(|(_, count)| **count == least)
+            .map(|(engine, _)| *engine)
+            .collect();
+        least.sort_unstable();
+        let engine = *least.choose(&mut self.random)?;
+        *self.in_flight.entry(engine).or_default() += 1;
+        Some((engine, None))
+    }
+
+    fn record_end(&mut self, engine: EngineIndex, _: bool, _: Instant) {
+        if let Some(count) = self.in_flight.get_mut(&engine) {
+            *count = count.saturating_sub(1);
+        }
+    }
+}
--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -1,6 +1,7 @@
 //! Measuring commands, one file per subcommand with `cli()` beside `exec()`.
 
 pub mod control;
+pub mod load;
 pub mod plan;
 pub mod serve;
 pub mod weights;
@@ -16,6 +17,7 @@
         .about("Runs a measurement on loopback and prints one line of JSON at the end")
         .subcommand_required(true)
         .subcommand(control::cli())
+        .subcommand(load::cli())
         .subcommand(serve::cli())
         .subcommand(weights::cli())
 }
@@ -25,6 +27,7 @@
 pub fn exec(matches: &ArgMatches) -> ExitCode {
     match matches.subcommand() {
         Some(("control", matches)) => control::exec(matches),
+        Some(("load", matches)) => load::exec(matches),
         Some(("serve", matches)) => serve::exec(matches),
         Some(("weights", matches)) => weights::exec(matches),
         _ => unreachable!("the command line requires a known subcommand"),
