Assume 44 entries for 0.8 s after a start

So it is the caution: all processes return at once with cold engines, and 64 assumed entries left 0.55 requests a second and engine to each.

--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -18,10 +18,11 @@
 const MOST_LIFETIME: Duration = Duration::from_secs(600);
 /// Shortest and longest time after the start in which a process learns of the other entries, and time without a further
 /// one after which it knows them all: several rounds of beats.
-const LEARNING_RANGE: (Duration, Duration) = (Duration::from_millis(1_200), Duration::from_secs(10));
-const GROWTH_TIME: Duration = Duration::from_millis(750);
-/// Entries that are assumed until then.
-const ASSUMED_ENTRIES: usize = 64;
+const LEARNING_RANGE: (Duration, Duration) = (Duration::from_millis(800), Duration::from_secs(10));
+const GROWTH_TIME: Duration = Duration::from_millis(500);
+/// Entries that are assumed until then: some more than the 40 at which the limits of the users' cold engines come down to
+/// one request a second and entry.
+const ASSUMED_ENTRIES: usize = 44;
 /// Addresses in one answer to a caller at most, as the callers read no more.
 const MAX_ADDRESSES: usize = 64;
 /// Entries near the caller that make others needless.
