--- a/crates/gateway/src/entry/call.rs
+++ b/crates/gateway/src/entry/call.rs
@@ -15,10 +15,7 @@
 use fleet::{RouteRecord, TeamRecord, UpstreamRecord, WeightsVersion};
 use http_body_util::Full;
 use hyper::{
-    HeaderMap, Method, Request, Response, StatusCode, Uri,
-    body::Incoming,
-    header::{CONNECTION, CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING},
-    http::response,
+    HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming, http::response,
 };
 use log::info;
 
@@ -86,13 +83,6 @@
         }
     };
     let id = facts.id.clone();
-    if head.headers.contains_key(CONTENT_LENGTH) && head.headers.contains_key(TRANSFER_ENCODING) {
-        // Two statements of the length are how one request is hidden inside another.
-        info!("event=refused request={id} cause=two_lengths status=400");
-        let mut answer = own_answer(&shared, &id, StatusCode::BAD_REQUEST, None);
-        answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-        return answer;
-    }
     let body = match read_body(&shared, &mut in_flight, body).await {
         Ok(body) => body,
         Err(status) => {
--- a/crates/gateway/src/entry/head_timer.rs
+++ b/crates/gateway/src/entry/head_timer.rs
@@ -1,7 +1,8 @@
 //! Bounds the time in which a caller sends the head of a request.
 //!
 //! The timer of the HTTP library runs from the end of the previous request on, so that it can only bound idle time and
-//! slow heads together. This one starts with the first byte of a head.
+//! slow heads together. This one starts with the first byte of a head. The head is examined on the way, because the
+//! library resolves two statements of a body's length silently.
 
 use std::{
     io,
@@ -20,10 +21,26 @@
     time::{Instant, Sleep, sleep},
 };
 
+/// Largest head that is examined; the limits of the users' configurations are far below.
+const MAX_EXAMINED: usize = 256 << 10;
+
+/// True if a head states both a length and an encoding of the body.
+fn states_length_twice(head: &[u8]) -> bool {
+    let states = |name: &[u8]| {
+        head.split(|byte| *byte == b'\n').any(|line| {
+            line.len() > name.len()
+                && line[..name.len()].eq_ignore_ascii_case(name)
+                && line[name.len()] == b':'
+        })
+    };
+    states(b"content-length") && states(b"transfer-encoding")
+}
+
 /// Tells whether a connection has a request that is being answered.
 #[derive(Clone, Debug, Default)]
 pub(super) struct RequestPhase {
     is_busy: Arc<AtomicBool>,
+    is_ambiguous: Arc<AtomicBool>,
 }
 
 impl RequestPhase {
@@ -34,6 +51,13 @@
     }
 }
 
+impl RequestPhase {
+    /// True if the head that was received last states the length of the body twice.
+    pub(super) fn is_ambiguous(&self) -> bool {
+        self.is_ambiguous.load(Ordering::Relaxed)
+    }
+}
+
 /// Marks the end of an answer when it is dropped.
 pub(super) struct PhaseGuard {
     phase: RequestPhase,
@@ -53,11 +77,35 @@
     /// Runs while a head is being received.
     timer: Pin<Box<Sleep>>,
     is_receiving: bool,
+    /// Bytes of the head so far.
+    head: Vec<u8>,
 }
 
 impl TimedStream {
     pub(super) fn new(stream: TcpStream, phase: RequestPhase, limit: Duration) -> Self {
-        Self { stream, phase, limit, timer: Box::pin(sleep(limit)), is_receiving: false }
+        Self {
+            stream,
+            phase,
+            limit,
+            timer: Box::pin(sleep(limit)),
+            is_receiving: false,
+            head: Vec::new(),
+        }
+    }
+
+    /// Collects the head and examines it once it is whole.
+    fn examine(&mut self, bytes: &[u8]) {
+        if self.head.len() + bytes.len() > MAX_EXAMINED {
+            // The library refuses a head of this size.
+            self.head.clear();
+            return;
+        }
+        self.head.extend_from_slice(bytes);
+        if let Some(end) = self.head.windows(4).position(|four| four == b"\r\n\r\n") {
+            let is_ambiguous = states_length_twice(&self.head[..end]);
+            self.phase.is_ambiguous.store(is_ambiguous, Ordering::Relaxed);
+            self.head.clear();
+        }
     }
 }
 
@@ -71,13 +119,17 @@
         let result = Pin::new(&mut self.stream).poll_read(context, buffer);
         if self.phase.is_busy.load(Ordering::Relaxed) {
             self.is_receiving = false;
+            self.head.clear();
             return result;
         }
         if result.is_ready() {
-            if !self.is_receiving && buffer.filled().len() > before {
-                self.is_receiving = true;
-                let deadline = Instant::now() + self.limit;
-                self.timer.as_mut().reset(deadline);
+            if buffer.filled().len() > before {
+                if !self.is_receiving {
+                    self.is_receiving = true;
+                    let deadline = Instant::now() + self.limit;
+                    self.timer.as_mut().reset(deadline);
+                }
+                self.examine(&buffer.filled()[before..]);
             }
             return result;
         }
--- a/crates/gateway/src/entry/http.rs
+++ b/crates/gateway/src/entry/http.rs
@@ -30,6 +30,7 @@
     call,
     head_timer::{PhaseGuard, RequestPhase, TimedStream},
     relay::{RelayBody, RelayError},
+    reply::refuse_ambiguous,
     shared::EntryShared,
 };
 use crate::frames::{NodeError, bind};
@@ -155,8 +156,13 @@
     let stream = TimedStream::new(stream, phase.clone(), head_limit);
     let service = service_fn(|request| {
         let (shared, busy) = (shared.clone(), phase.begin());
+        let is_ambiguous = phase.is_ambiguous();
         async move {
-            let answer = call::answer(shared, request).await;
+            let answer = if is_ambiguous {
+                refuse_ambiguous(&shared)
+            } else {
+                call::answer(shared, request).await
+            };
             Ok::<_, Infallible>(answer.map(|body| GuardedBody { body, _busy: busy }))
         }
     });
--- a/crates/gateway/src/entry/reply.rs
+++ b/crates/gateway/src/entry/reply.rs
@@ -9,6 +9,8 @@
     header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER},
 };
 
+use log::info;
+
 use super::{http::AnswerBody, shared::EntryShared};
 
 /// Answer to a caller.
@@ -21,6 +23,15 @@
     }
 }
 
+/// Refuses a request whose head states the length of its body twice, and ends the connection: that is how one request is
+/// hidden inside another.
+pub(super) fn refuse_ambiguous(shared: &EntryShared) -> Answer {
+    info!("event=refused cause=two_lengths status=400");
+    let mut answer = own_answer(shared, "", StatusCode::BAD_REQUEST, None);
+    answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    answer
+}
+
 /// An answer of this system; it never carries an upstream's signature.
 pub(super) fn own_answer(
     shared: &EntryShared,
--- a/crates/standin/src/report.rs
+++ b/crates/standin/src/report.rs
@@ -10,6 +10,7 @@
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use plotters::prelude::*;
+use serde::Serialize;
 use snafu::{ResultExt, Snafu};
 use time::{OffsetDateTime, format_description::well_known::Rfc3339};
 
@@ -119,6 +120,45 @@
     }
 }
 
+/// Distance between the predicted and the real time to the first event, over requests that were sent once.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct ForecastError {
+    /// Requests.
+    pub requests: usize,
+    /// Mean of prediction less reality, in milliseconds.
+    pub bias_ms: f64,
+    /// Mean distance, in milliseconds.
+    pub error_ms: f64,
+}
+
+impl ForecastError {
+    /// Compares what the logs say.
+    #[must_use]
+    pub fn new<'a>(logs: impl Iterator<Item = &'a str>) -> Self {
+        let distances: Vec<f64> = logs
+            .flat_map(str::lines)
+            .filter(|line| line.contains("event=request_ended"))
+            .map(fields_of)
+            .filter(|fields| fields.get("sends") == Some(&"0"))
+            .filter_map(|fields| {
+                let number = |name| fields.get(name)?.parse::<f64>().ok();
+                let (predicted, real) = (number("predicted_ms")?, number("first_ms")?);
+                (predicted > 0.0 && real > 0.0).then_some(predicted - real)
+            })
+            .collect();
+        if distances.is_empty() {
+            return Self::default();
+        }
+        let mean =
+            |values: &mut dyn Iterator<Item = f64>| values.sum::<f64>() / distances.len() as f64;
+        Self {
+            requests: distances.len(),
+            bias_ms: mean(&mut distances.iter().copied()),
+            error_ms: mean(&mut distances.iter().map(|distance| distance.abs())),
+        }
+    }
+}
+
 /// Time of a line in seconds, from its first word that is one in RFC 3339.
 fn seconds_of(line: &str) -> Option<f64> {
     let time =
@@ -170,8 +210,8 @@
     let out = matches.get_one::<PathBuf>("out").expect("it has a default");
     let target = *matches.get_one::<i64>("target-ms").expect("it has a default");
     match draw_report(&logs, out, target) {
-        Ok(()) => {
-            println!("{}", out.display());
+        Ok(forecast) => {
+            println!("{}", serde_json::to_string(&forecast).unwrap_or_default());
             ExitCode::SUCCESS
         }
         Err(error) => {
@@ -182,11 +222,15 @@
     }
 }
 
-/// Draws the report of a run.
+/// Draws the report of a run, and compares its predictions with what happened.
 ///
 /// # Errors
 /// Fails if a log cannot be read, nothing is in them, or the file cannot be written.
-pub fn draw_report(logs: &[&Path], out: &Path, target_ms: i64) -> Result<(), ReportError> {
+pub fn draw_report(
+    logs: &[&Path],
+    out: &Path,
+    target_ms: i64,
+) -> Result<ForecastError, ReportError> {
     let texts: Result<Vec<String>, ReportError> = logs
         .iter()
         .map(|path| fs::read_to_string(path).context(UnreadableSnafu { path: *path }))
@@ -199,7 +243,8 @@
     draw_series(&series, out).map_err(|error| ReportError::Drawing {
         path: out.to_path_buf(),
         reason: error.to_string(),
-    })
+    })?;
+    Ok(ForecastError::new(texts.iter().map(String::as_str)))
 }
 
 /// Name, colour and counts of one kind of end.
--- a/crates/standin/tests/report.rs
+++ b/crates/standin/tests/report.rs
@@ -6,8 +6,8 @@
 
 const LOG: &str = "\
 2026-01-02T10:00:00.000Z [INFO] event=engine_weights address=10.0.0.1:80 loaded=[(\"m\",1)] orders=1
-2026-01-02T10:00:00.100Z [INFO] event=request_ended request=a result=answered status=200 first_ms=120
-2026-01-02T10:00:00.200Z [INFO] event=request_ended request=b result=answered status=200 first_ms=900
+2026-01-02T10:00:00.100Z [INFO] event=request_ended request=a result=answered status=200 sends=0 first_ms=120 predicted_ms=100
+2026-01-02T10:00:00.200Z [INFO] event=request_ended request=b result=answered status=200 sends=0 first_ms=900 predicted_ms=960
 2026-01-02T10:00:00.700Z [INFO] event=request_ended request=c result=overloaded status=503 first_ms=-1
 2026-01-02T10:00:00.800Z [INFO] event=refused request=d cause=stopping status=503
 2026-01-02T10:00:00.900Z [INFO] event=request_ended request=e result=lost status=502 first_ms=-1
@@ -36,7 +36,8 @@
         (folder.join("run.log"), folder.join("empty.log"), folder.join("run.svg"));
     fs::write(&log, LOG).expect("the folder exists");
     fs::write(&empty, "").expect("the folder exists");
-    draw_report(&[&log], &out, 400).expect("it can be drawn");
+    let forecast = draw_report(&[&log], &out, 400).expect("it can be drawn");
+    assert_eq!((forecast.requests, forecast.bias_ms, forecast.error_ms), (2, 20.0, 40.0));
     let drawn = fs::read_to_string(&out).expect("it was written");
     assert!(drawn.contains("<svg") && drawn.contains("engines with weights"));
 
