--- a/crates/balance/tests/board.rs
+++ b/crates/balance/tests/board.rs
@@ -106,13 +106,17 @@
     }
 
     fn report(&mut self, index: u8, running: u32, version: u64) {
+        self.report_pace(index, running, version, 100);
+    }
+
+    fn report_pace(&mut self, index: u8, running: u32, version: u64, pace_percent: u32) {
         let report = AgentReport {
             running,
             queued: 0,
             version,
             switching: false,
             change_in: None,
-            pace_percent: 100,
+            pace_percent,
         };
         self.board.record_report(address(index), report, self.now, &mut self.rng);
     }
@@ -238,6 +242,36 @@
     assert!((0..50).any(|_| fixture.place(|_| {}) == Ok(name(0))));
 }
 
+/// Load pattern: an engine works at a quarter of its speed with the same occupancy as the others, and its queue is not
+/// seen to grow until requests are late.
+#[test]
+fn slow_engine_is_left_to_what_the_others_cannot_take() {
+    let mut fixture = BoardFixture::new(2);
+    fixture.report_pace(0, 4, 1, 400);
+    fixture.report_pace(1, 4, 1, 100);
+    for _ in 0..50 {
+        assert_eq!(fixture.place(|_| {}), Ok(name(1)));
+    }
+}
+
+/// Guards against streams that cross regions although engines of this region have room.
+#[test]
+fn engines_of_the_own_region_come_first() {
+    let mut fixture = BoardFixture::new(8);
+    for index in 0..4 {
+        fixture.change(index, |record| record.data_centre = "south".into());
+    }
+    (0..8).for_each(|index| fixture.report(index, 4, 1));
+    let local = (0..200)
+        .filter(|_| fixture.place(|_| {}).is_ok_and(|upstream| upstream >= name(4)))
+        .count();
+    assert!(local > 150, "{local} of 200");
+    (4..8).for_each(|index| fixture.report(index, 40, 1));
+    for _ in 0..50 {
+        assert!(fixture.place(|_| {}).is_ok_and(|upstream| upstream < name(4)));
+    }
+}
+
 #[test]
 fn forecast_grows_with_waiting_and_unread_requests() {
     let forecast = EngineForecast::new(&engine());
