--- a/crates/cli/tests/output.rs
+++ b/crates/cli/tests/output.rs
@@ -2,6 +2,7 @@
 
 use cli::commands::{self, diff, explain, status};
 use config::{ConfigDiff, FleetConfig};
+use gateway::entry::status::{EntryStatus, UpstreamStatus};
 use insta::assert_snapshot;
 use serde_json::json;
 
@@ -53,3 +54,33 @@
     ");
     assert_eq!(explain::explain("999", [first].into_iter()), "");
 }
+
+#[test]
+fn status_of_an_entry_on_a_platform_is_readable() {
+    let upstream = |upstream: &str, load, cold_ms, draining| UpstreamStatus {
+        upstream: upstream.into(),
+        service: "llm".into(),
+        data_centre: "north".into(),
+        address: "10.0.0.9:8240".parse().expect("an address"),
+        draining,
+        version: Some(2),
+        load,
+        in_flight: 3,
+        cold_ms,
+        suspended: false,
+    };
+    let status = EntryStatus {
+        name: "front-1".into(),
+        ready: true,
+        leaving: false,
+        revision: 41,
+        config_version: Some(7),
+        knowledge_age_ms: Some(120),
+        in_flight: 5,
+        entries: vec!["front-1".into(), "front-2".into()],
+        evacuated: vec!["south".into()],
+        declared: vec![("daka".into(), 2)],
+        upstreams: vec![upstream("i-1", Some((12, 3)), 0, false), upstream("i-2", None, 900, true)],
+    };
+    assert_snapshot!(status::render_entry(&status));
+}
