Use one piece of code where the platform's processes had written a second

Work removed: placement computed occupancy and unread prompts two and three times for each candidate; admission read the clocks for requests whose fate does not depend on the age of knowledge; a head that arrives in parts was searched from its beginning each time; the fingerprint of a request had two definitions. In their right place: an entry installs its signal handlers before it starts threads, as the agent did; a failure there is named as one of signals, not of threads.

--- a/crates/balance/src/board.rs
+++ b/crates/balance/src/board.rs
@@ -349,7 +349,7 @@
                 continue;
             }
             let occupancy = state.occupancy(now, self.entries as f64);
-            let Some(delay) = self.expected_delay(service, work, state, now) else {
+            let Some(delay) = self.expected_delay(service, work, state, occupancy, now) else {
                 continue;
             };
             let cost = delay + self.penalties(state, occupancy, now);
@@ -370,20 +370,18 @@
         service: &ServiceState,
         work: &WorkRequest<'_>,
         state: &UpstreamState,
+        occupancy: f64,
         now: Instant,
     ) -> Option<Duration> {
         let slots = f64::from(state.record.slots.max(1));
-        let entries = self.entries as f64;
-        let occupancy = state.occupancy(now, entries);
         let Some(forecast) = &service.forecast else {
             let has_room = occupancy <= slots * SERVICE_DEPTH;
             return has_room.then(|| SERVICE_PENALTY.mul_f64(occupancy));
         };
-        let delay_at = |occupancy| {
-            let load = EngineLoad { occupancy, unread: state.unread(now), pace: state.pace(now) };
-            forecast.first_event(load, work.prompt_tokens)
-        };
-        let crowded = state.crowded_occupancy(now, entries * CROWD_PART);
+        let load = EngineLoad { occupancy, unread: state.unread(now), pace: state.pace(now) };
+        let delay_at =
+            |occupancy| forecast.first_event(EngineLoad { occupancy, ..load }, work.prompt_tokens);
+        let crowded = state.crowded_occupancy(now, self.entries as f64 * CROWD_PART);
         let has_room = match work.target_left {
             _ if work.is_continued => true,
             Some(left) => delay_at(crowded) <= left.mul_f64(TARGET_PART),
--- a/crates/gateway/src/agent/beats.rs
+++ b/crates/gateway/src/agent/beats.rs
@@ -6,13 +6,12 @@
     time::{Duration, Instant},
 };
 
-use log::{info, warn};
 use pieces::{PieceSet, WeightsName};
 use tokio::time::{MissedTickBehavior, interval};
-use wire::{AgentBeat, EntryContact, HoldingNotice, Notice};
+use wire::{AgentBeat, HoldingNotice, Notice};
 
 use super::shared::AgentShared;
-use crate::peers::{NoticeSocket, read_entry_beat};
+use crate::peers::{NoticeSocket, entry_contacts, read_entry_beat};
 
 /// Interval at which the load is read; a request takes about a second, so the load changes little meanwhile.
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
@@ -69,11 +68,9 @@
 /// since these got the last one.
 fn targets(shared: &AgentShared, quiet_ticks: u64, now: Instant) -> (Vec<SocketAddr>, bool) {
     let common = &shared.settings.common;
-    let region = common.region();
     let roster = shared.roster();
-    let (mut targets, remote): (Vec<_>, Vec<_>) = roster
-        .alive(now)
-        .partition(|entry| common.regions.get(&entry.data_centre) == Some(&region));
+    let (mut targets, remote): (Vec<_>, Vec<_>) =
+        roster.alive(now).partition(|entry| common.is_own_region(&entry.data_centre));
     let ticks = if remote.len() > MANY_REMOTE { MANY_REMOTE_TICKS } else { REMOTE_TICKS };
     let with_remote = quiet_ticks >= ticks;
     if with_remote {
@@ -87,14 +84,7 @@
     let contacts = if sequence % CONTACT_TICKS == 1 {
         let mut roster = shared.roster();
         roster.expire(now);
-        roster
-            .heard(now)
-            .take(MAX_CONTACTS)
-            .map(|(entry, age)| EntryContact {
-                peer: entry.peer.to_string(),
-                age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
-            })
-            .collect()
+        entry_contacts(roster.heard(now).take(MAX_CONTACTS))
     } else {
         Vec::new()
     };
@@ -162,12 +152,3 @@
         wanted,
     }
 }
-
-/// Logs a lost or regained engine.
-pub(super) fn log_engine(is_lost: bool, address: SocketAddr, cause: &str) {
-    if is_lost {
-        warn!("event=engine_lost address={address} error=\"{cause}\"");
-    } else {
-        info!("event=engine_regained address={address}");
-    }
-}
--- a/crates/gateway/src/agent/engine.rs
+++ b/crates/gateway/src/agent/engine.rs
@@ -5,7 +5,7 @@
 use log::{info, warn};
 use pieces::{PieceIndex, WeightsName};
 
-use super::{beats::log_engine, shared::AgentShared};
+use super::shared::AgentShared;
 use crate::port::OrderResult;
 
 /// Reads the state; `is_lost` tells whether the last reading failed.
@@ -13,7 +13,7 @@
     match shared.ports.engine.report().await {
         Ok(report) => {
             if std::mem::take(is_lost) {
-                log_engine(false, shared.settings.engine, "");
+                info!("event=engine_regained address={}", shared.settings.engine);
             }
             let before = shared.report();
             let has_restarted = before.as_ref().is_some_and(|before| before.born != report.born);
@@ -40,7 +40,7 @@
         }
         Err(error) => {
             if !std::mem::replace(is_lost, true) {
-                log_engine(true, shared.settings.engine, &error.to_string());
+                warn!("event=engine_lost address={} error=\"{error}\"", shared.settings.engine);
             }
             shared.set_report(None);
         }
--- a/crates/gateway/src/agent/mod.rs
+++ b/crates/gateway/src/agent/mod.rs
@@ -10,7 +10,7 @@
 use std::{sync::Arc, time::Duration};
 
 use base::Clock;
-use log::{info, warn};
+use log::info;
 use serde_json::json;
 use snafu::ResultExt;
 use tokio::{runtime::Builder, time::sleep};
@@ -18,7 +18,7 @@
 use self::shared::AgentShared;
 use crate::{
     frames::{NodeError, ThreadSnafu, bind, serve_frames},
-    lifecycle::ProcessSignals,
+    lifecycle::{ProcessSignals, take_seeds},
     log_sink::LogSink,
     metrics::serve_metrics,
     peers::NoticeSocket,
@@ -86,7 +86,11 @@
     tokio::spawn(beats::send(shared.clone(), socket.clone()));
     tokio::spawn(transfer::run(shared.clone(), socket));
     let source = shared.ports.settings.clone();
-    signals.wait_for_stop(&*source, |settings| take_over(&shared, settings)).await;
+    signals
+        .wait_for_stop(&*source, |settings| {
+            shared.set_seeds(take_seeds(&shared.settings, settings));
+        })
+        .await;
     sleep(STOP_DELAY).await;
     Ok(())
 }
@@ -104,13 +108,3 @@
     })
     .to_string()
 }
-
-/// Seeds change with the fleet and are taken over; everything else needs a restart.
-fn take_over(shared: &AgentShared, settings: AgentSettings) {
-    let mut known = shared.settings.clone();
-    known.common.seeds.clone_from(&settings.common.seeds);
-    if known != settings {
-        warn!("event=restart_needed reason=\"settings other than the seeds have changed\"");
-    }
-    shared.set_seeds(settings.common.seeds);
-}
--- a/crates/gateway/src/agent/shared.rs
+++ b/crates/gateway/src/agent/shared.rs
@@ -9,18 +9,17 @@
     time::{Duration, Instant},
 };
 
-use base::{Clock, DataCentreId, Incarnation, PauseDetector};
-use log::warn;
+use base::{Clock, DataCentreId, Incarnation};
 use member::EntryRoster;
 use pieces::{SwarmPeer, TransferSet, WeightsName};
 use tokio::sync::Notify;
 use wire::{BriefReply, FleetKey};
 
 use super::AgentPorts;
-use crate::{frames::FrameClient, metrics::MetricSet, port::EngineReport, settings::AgentSettings};
-
-/// Gap between two ticks of the transfer task, which come every 0.1 s, that only a pause of the process explains.
-const PAUSE_THRESHOLD: Duration = Duration::from_secs(1);
+use crate::{
+    frames::FrameClient, lifecycle::PauseWatch, metrics::MetricSet, port::EngineReport,
+    settings::AgentSettings,
+};
 
 /// What the entries told this agent.
 #[derive(Clone, Debug)]
@@ -57,9 +56,7 @@
     change_at: Mutex<Option<Instant>>,
     brief: Mutex<Option<AgentBrief>>,
     seeds: Mutex<Vec<SocketAddr>>,
-    pauses: PauseDetector,
-    /// This process was paused, and no entry has told since what weights are wanted.
-    is_stale: AtomicBool,
+    pauses: PauseWatch,
     report: Mutex<Option<EngineReport>>,
     transfers: Mutex<TransferSet>,
 }
@@ -81,8 +78,7 @@
             change_at: Mutex::default(),
             brief: Mutex::default(),
             seeds: Mutex::new(settings.common.seeds.clone()),
-            pauses: PauseDetector::new(PAUSE_THRESHOLD),
-            is_stale: AtomicBool::new(false),
+            pauses: PauseWatch::new(),
             report: Mutex::default(),
             transfers: Mutex::default(),
             settings,
@@ -109,11 +105,8 @@
 
     /// Notices a pause of this process; true until an entry has told after it what weights are wanted.
     pub(super) fn is_stale(&self) -> bool {
-        if let Some(gap) = self.pauses.tick(&*self.clock) {
-            warn!("event=pause_detected gap_ms={}", gap.as_millis());
-            self.is_stale.store(true, Ordering::Relaxed);
-        }
-        self.is_stale.load(Ordering::Relaxed)
+        self.pauses.tick(&*self.clock);
+        self.pauses.is_stale()
     }
 
     pub(super) fn brief(&self) -> Option<AgentBrief> {
@@ -154,7 +147,7 @@
     /// Takes over what an entry says; false if it is older than what is known or says nothing.
     pub(super) fn set_brief(&self, reply: BriefReply) -> bool {
         let now = self.clock.now();
-        self.is_stale.store(false, Ordering::Relaxed);
+        self.pauses.record_refreshed(self.pauses.count());
         let mut brief = self.brief.lock().unwrap_or_else(PoisonError::into_inner);
         if reply.model.is_empty()
             || brief.as_ref().is_some_and(|known| known.revision > reply.revision)
@@ -166,7 +159,7 @@
             .agents
             .iter()
             .filter_map(|agent| {
-                let address = SocketAddr::new(agent.ip.parse().ok()?, common.peer.port());
+                let address = common.peer_at(agent.ip.parse().ok()?);
                 let region = common.regions.get(agent.data_centre.as_str())?.clone();
                 Some(SwarmPeer { address, data_centre: agent.data_centre.as_str().into(), region })
             })
--- a/crates/gateway/src/agent/transfer.rs
+++ b/crates/gateway/src/agent/transfer.rs
@@ -206,7 +206,6 @@
         let known = self.shared.brief();
         let is_stale = self.shared.is_stale();
         let common = &self.shared.settings.common;
-        let region = common.region();
         let mut entries: Vec<(bool, u64, SocketAddr)> = self
             .shared
             .roster()
@@ -215,15 +214,11 @@
                 is_stale || known.as_ref().is_none_or(|brief| brief.digest != entry.brief)
             })
             .filter(|entry| known.as_ref().is_none_or(|brief| entry.head >= brief.revision))
-            .map(|entry| {
-                (common.regions.get(&entry.data_centre) == Some(&region), entry.head, entry.peer)
-            })
+            .map(|entry| (common.is_own_region(&entry.data_centre), entry.head, entry.peer))
             .collect();
         if entries.is_empty() && known.is_none() {
-            let port = common.peer.port();
-            entries.extend(
-                self.shared.seeds().iter().map(|seed| (false, 0, SocketAddr::new(seed.ip(), port))),
-            );
+            let seeds = self.shared.seeds();
+            entries.extend(seeds.iter().map(|seed| (false, 0, common.peer_at(seed.ip()))));
         }
         entries.sort_unstable_by(|left, right| right.cmp(left));
         let Some((_, _, entry)) = entries.first().copied() else { return };
--- a/crates/gateway/src/entry/admit.rs
+++ b/crates/gateway/src/entry/admit.rs
@@ -65,9 +65,10 @@
     if shared.refusing.load(Ordering::Relaxed) {
         return Err((StatusCode::SERVICE_UNAVAILABLE, "stopping"));
     }
-    let is_stale = shared.is_stale_after_pause();
-    let is_fresh = !is_stale && shared.knowledge_age().is_some_and(|age| age <= FRESH_KNOWLEDGE);
+    // Only what cannot be undone depends on the age of the knowledge, so the other requests do not read the clocks.
     let unless_stale = |status, cause| {
+        let is_fresh = !shared.is_stale_after_pause()
+            && shared.knowledge_age().is_some_and(|age| age <= FRESH_KNOWLEDGE);
         if is_fresh {
             (status, cause)
         } else {
@@ -79,7 +80,7 @@
         RouteMatch::Unknown => return Err(unless_stale(StatusCode::NOT_FOUND, "no_route")),
         RouteMatch::NoConfig => return Err((StatusCode::SERVICE_UNAVAILABLE, "no_config")),
     };
-    if is_stale && !route.repeat.is_repeatable() {
+    if !route.repeat.is_repeatable() && shared.is_stale_after_pause() {
         return Err((StatusCode::SERVICE_UNAVAILABLE, "stale_after_pause"));
     }
     if !view.needs_keys() {
--- a/crates/gateway/src/entry/brief.rs
+++ b/crates/gateway/src/entry/brief.rs
@@ -58,6 +58,7 @@
     base::rendezvous_weight(b"brief", &format!("{content:?}"))
 }
 
-fn millis(span: Duration) -> u64 {
+/// Whole milliseconds of a span, as messages carry them.
+pub(super) fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/gateway/src/entry/call.rs
+++ b/crates/gateway/src/entry/call.rs
@@ -7,7 +7,6 @@
 
 use balance::{
     AttemptEnd, AttemptLog, FinalStatus, Placement, PlacementRefusal, RefusalCause, WorkRequest,
-    fingerprint_of,
 };
 use base::{ServiceId, UpstreamId};
 use bytes::Bytes;
@@ -105,15 +104,7 @@
             return own_answer(&shared, &id, status, retry);
         }
     };
-    if let Some(refused) = shared.crashes().refused_for(started, || {
-        fingerprint_of(facts.key.as_deref().unwrap_or_default(), head.uri.path(), &body)
-    }) {
-        info!("event=refused request={id} cause=crashes_upstreams status=503");
-        shared.metrics.count("requests_total{result=\"crashes_upstreams\"}");
-        return own_answer(&shared, &id, StatusCode::SERVICE_UNAVAILABLE, Some(refused));
-    }
     let service = pick_service(&route);
-    shared.retries().record_request(&service, started);
     // A time that no clock can hold is as good as none.
     let caller_by = facts.time_left.and_then(|left| started.checked_add(left));
     let timeout_by = started + route.timeout.min(MAX_TIMEOUT);
@@ -139,6 +130,13 @@
         started,
         caller_by,
     });
+    let shared = &call.shared;
+    if let Some(refused) = shared.crashes().refused_for(started, || call.fingerprint()) {
+        info!("event=refused request={id} cause=crashes_upstreams status=503");
+        shared.metrics.count("requests_total{result=\"crashes_upstreams\"}");
+        return own_answer(shared, &id, StatusCode::SERVICE_UNAVAILABLE, Some(refused));
+    }
+    shared.retries().record_request(&call.service, started);
     let end = call.run(None).await;
     call.finish(end, in_flight)
 }
@@ -303,11 +301,11 @@
             CallEnd::Stream(head, stream) => {
                 self.shared.metrics.observe("first_event_seconds", self.waited());
                 let body = RelayBody::new(self.clone(), stream, in_flight);
-                self.relayed(head, AnswerBody::Relay(Box::new(body)))
+                self.relayed(head, AnswerBody::Right(Box::new(body)))
             }
             CallEnd::Whole(head, body) => {
                 self.log_end("answered", Some(head.status.as_u16()));
-                self.relayed(head, AnswerBody::Whole(Full::new(body)))
+                self.relayed(head, AnswerBody::Left(Full::new(body)))
             }
             CallEnd::Refused(refusal) => {
                 self.log_end(refusal.cause.as_str(), Some(503));
--- a/crates/gateway/src/entry/control.rs
+++ b/crates/gateway/src/entry/control.rs
@@ -3,12 +3,10 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use balance::AgentReport;
-use base::ContentDigest;
 use fleet::RawItem;
 use futures_util::future::BoxFuture;
 use log::{info, warn};
 use rand::seq::IteratorRandom;
-use route::CrashEvidence;
 use tokio::{
     sync::watch,
     time::{MissedTickBehavior, interval, sleep},
@@ -19,7 +17,7 @@
 };
 
 use super::{
-    brief::{brief_digest, make_brief},
+    brief::{brief_digest, make_brief, millis},
     shared::EntryShared,
     status::entry_status,
     store::{follow_store, take_over},
@@ -27,7 +25,7 @@
 use crate::{
     frames::{FrameClient, FrameHandler, NodeError, bind, serve_frames},
     metrics::serve_metrics,
-    peers::{NoticeSocket, read_entry_beat},
+    peers::{NoticeSocket, entry_contacts, read_entry_beat},
 };
 
 /// Interval of the beats to other entries; six of them fit into the time after which an entry counts as gone.
@@ -126,7 +124,7 @@
         let with_remote = is_urgent || count.is_multiple_of(BEATS_PER_REMOTE_BEAT);
         let (beat, mut targets) = make_beat(&shared, with_contacts, with_remote);
         for evidence in shared.crashes().take_due() {
-            let notice = Notice::Crash(crash_notice(&evidence));
+            let notice = Notice::Crash(CrashNotice::new(&evidence, 0));
             socket.send(notice, shared.roster().addresses());
         }
         targets.extend(agent_addresses(&shared, all));
@@ -148,22 +146,15 @@
     let mut roster = shared.roster();
     roster.expire(now);
     let named = if with_contacts { MAX_CONTACTS } else { 0 };
-    let contacts = roster
-        .heard(now)
-        .sample(&mut rand::rng(), named)
-        .into_iter()
-        .map(|(member, age)| EntryContact { peer: member.peer.to_string(), age_ms: millis(age) })
-        .collect();
+    let contacts = entry_contacts(roster.heard(now).sample(&mut rand::rng(), named));
     let common = &shared.settings.common;
-    let port = common.peer.port();
-    let seeds = shared.seeds().into_iter().map(|seed| SocketAddr::new(seed.ip(), port));
-    let region = common.region();
-    let is_remote = |peer: &SocketAddr| {
+    let seeds = shared.seeds().into_iter().map(|seed| common.peer_at(seed.ip()));
+    let is_near = |peer: &SocketAddr| {
         let data_centre = roster.data_centre_of(*peer);
-        data_centre.and_then(|data_centre| common.regions.get(data_centre)) != Some(&region)
+        data_centre.is_some_and(|data_centre| common.is_own_region(data_centre))
     };
     let targets =
-        roster.addresses().chain(seeds).filter(|peer| with_remote || !is_remote(peer)).collect();
+        roster.addresses().chain(seeds).filter(|peer| with_remote || is_near(peer)).collect();
     let entries = roster.alive(now).count() + 1;
     let sharers = roster.most_known(now) + 1;
     drop(roster);
@@ -192,13 +183,13 @@
     let view = shared.view.load();
     let now = shared.clock.now();
     let board = shared.board();
-    let port = shared.settings.common.peer.port();
+    let common = &shared.settings.common;
     view.upstreams()
         .filter(|(record, _)| {
             view.service(&record.service).is_some_and(|service| service.engine.is_some())
                 && (all || !board.has_report(record.address, now))
         })
-        .map(|(record, _)| SocketAddr::new(record.address.ip(), port))
+        .map(|(record, _)| common.peer_at(record.address.ip()))
         .collect()
 }
 
@@ -214,38 +205,18 @@
     }
 }
 
-fn crash_notice(evidence: &CrashEvidence) -> CrashNotice {
-    CrashNotice {
-        fingerprint: evidence.fingerprint.as_bytes().to_vec().into(),
-        upstream: evidence.upstream.to_string(),
-        crashes: evidence.crashes,
-        isolated: evidence.isolated,
-        age_ms: u64::from(millis(evidence.age)),
-        hops: 0,
-        cleared: evidence.cleared,
-    }
-}
-
 fn record_crash(shared: &EntryShared, notice: &CrashNotice) {
-    let fingerprint = match ContentDigest::from_slice(&notice.fingerprint) {
-        Ok(fingerprint) => fingerprint,
+    let evidence = match notice.evidence() {
+        Ok(evidence) => evidence,
         Err(error) => {
             warn!("event=crash_notice_unreadable error=\"{error}\"");
             return;
         }
     };
-    let evidence = CrashEvidence {
-        fingerprint,
-        upstream: notice.upstream.as_str().into(),
-        crashes: notice.crashes,
-        isolated: false,
-        age: Duration::from_millis(notice.age_ms),
-        cleared: notice.cleared,
-    };
     if shared.crashes().record_evidence(shared.clock.now(), &evidence) {
         info!(
-            "event=crash_learned fingerprint={fingerprint} upstream={} crashes={} cleared={}",
-            notice.upstream, notice.crashes, notice.cleared
+            "event=crash_learned fingerprint={} upstream={} crashes={} cleared={}",
+            evidence.fingerprint, evidence.upstream, evidence.crashes, evidence.cleared
         );
     }
 }
@@ -293,8 +264,7 @@
 
 /// Asks another entry for what it knows if it has been ahead for a while, or if the store gives nothing at the start.
 async fn catch_up(shared: Arc<EntryShared>, client: Arc<FrameClient>) {
-    let regions = &shared.settings.common.regions;
-    let region = shared.settings.common.region();
+    let common = &shared.settings.common;
     let mut behind_since = None;
     loop {
         sleep(BEHIND_PATIENCE / 2).await;
@@ -307,9 +277,7 @@
             roster
                 .alive(now)
                 .filter(|member| is_stale || member.head > head)
-                .max_by_key(|member| {
-                    (regions.get(&member.data_centre) == Some(&region), member.head)
-                })
+                .max_by_key(|member| (common.is_own_region(&member.data_centre), member.head))
                 .cloned()
         };
         let Some(ahead) = ahead else {
@@ -352,10 +320,6 @@
     }
 }
 
-fn millis(span: Duration) -> u32 {
-    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
-}
-
 /// Answers the frames of other processes.
 struct EntryFrames {
     shared: Arc<EntryShared>,
@@ -374,7 +338,7 @@
                         key: item.key.to_string(),
                         value: item.value,
                         revision: item.revision,
-                        age_ms: item.age.map(|age| u64::from(millis(age))),
+                        age_ms: item.age.map(millis),
                     })
                     .collect();
                 let as_of = knowledge.as_of().unwrap_or_default();
--- a/crates/gateway/src/entry/head_timer.rs
+++ b/crates/gateway/src/entry/head_timer.rs
@@ -100,9 +100,12 @@
             self.head.clear();
             return;
         }
+        // The end may lie across the border of what was searched before.
+        let searched = self.head.len().saturating_sub(3);
         self.head.extend_from_slice(bytes);
-        if let Some(end) = self.head.windows(4).position(|four| four == b"\r\n\r\n") {
-            let is_ambiguous = states_length_twice(&self.head[..end]);
+        let end = self.head[searched..].windows(4).position(|four| four == b"\r\n\r\n");
+        if let Some(end) = end {
+            let is_ambiguous = states_length_twice(&self.head[..searched + end]);
             self.phase.is_ambiguous.store(is_ambiguous, Ordering::Relaxed);
             self.head.clear();
         }
--- a/crates/gateway/src/entry/http.rs
+++ b/crates/gateway/src/entry/http.rs
@@ -10,7 +10,7 @@
 };
 
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{Either, Full};
 use hyper::{
     Request, Response, StatusCode,
     body::{Body, Frame, Incoming, SizeHint},
@@ -19,21 +19,18 @@
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
-use log::{debug, info, warn};
+use log::{debug, info};
 use member::CallerPlace;
-use tokio::{
-    net::{TcpListener, TcpStream},
-    time::sleep,
-};
+use tokio::net::TcpStream;
 
 use super::{
     call,
     head_timer::{PhaseGuard, RequestPhase, TimedStream},
-    relay::{RelayBody, RelayError},
+    relay::RelayBody,
     reply::refuse_ambiguous,
     shared::EntryShared,
 };
-use crate::frames::{NodeError, bind};
+use crate::frames::{NodeError, accept, bind};
 
 /// Limits that hold before a configuration is known.
 const DEFAULT_HEADER_BYTES: usize = 16 << 10;
@@ -43,7 +40,6 @@
 const MIN_BUFFER: usize = 8 << 10;
 /// Time to live of an answer about addresses; short, so that callers leave a stopping entry soon.
 const ADDRESS_TTL: Duration = Duration::from_secs(2);
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 /// Body of an answer to a caller, with the mark that its connection is busy.
 struct GuardedBody {
@@ -53,12 +49,12 @@
 
 impl Body for GuardedBody {
     type Data = Bytes;
-    type Error = RelayError;
+    type Error = <AnswerBody as Body>::Error;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
         Pin::new(&mut self.body).poll_frame(context)
     }
 
@@ -72,41 +68,7 @@
 }
 
 /// Body of an answer: whole, or relayed from an upstream.
-pub(crate) enum AnswerBody {
-    Whole(Full<Bytes>),
-    Relay(Box<RelayBody>),
-}
-
-impl Body for AnswerBody {
-    type Data = Bytes;
-    type Error = RelayError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
-        match &mut *self {
-            Self::Whole(body) => Pin::new(body)
-                .poll_frame(context)
-                .map(|frame| frame.map(|result| result.map_err(|never| match never {}))),
-            Self::Relay(body) => Pin::new(&mut **body).poll_frame(context),
-        }
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        match self {
-            Self::Whole(body) => body.size_hint(),
-            Self::Relay(_) => SizeHint::default(),
-        }
-    }
-
-    fn is_end_stream(&self) -> bool {
-        match self {
-            Self::Whole(body) => body.is_end_stream(),
-            Self::Relay(_) => false,
-        }
-    }
-}
+pub(crate) type AnswerBody = Either<Full<Bytes>, Box<RelayBody>>;
 
 /// Serves all listeners; returns only if one cannot be bound.
 pub(crate) async fn serve(shared: Arc<EntryShared>) -> Result<(), NodeError> {
@@ -126,26 +88,6 @@
     Ok(())
 }
 
-async fn accept<F>(listener: TcpListener, serve: impl Fn(TcpStream) -> F)
-where
-    F: Future<Output = ()> + Send + 'static,
-{
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                if let Err(error) = stream.set_nodelay(true) {
-                    debug!("event=socket_option_failed error=\"{error}\"");
-                }
-                tokio::spawn(serve(stream));
-            }
-            Err(error) => {
-                warn!("event=accept_failed error=\"{error}\"");
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
-}
-
 async fn serve_caller(shared: Arc<EntryShared>, stream: TcpStream) {
     let limits = shared.view.load().limits();
     let header_bytes = limits.map_or(DEFAULT_HEADER_BYTES, |limits| limits.max_header_bytes);
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -24,14 +24,14 @@
 
 use base::Clock;
 use fleet::FactDecoder;
-use log::{info, warn};
+use log::info;
 use snafu::ResultExt;
 use tokio::{runtime::Builder, sync::watch, time::sleep};
 
 use self::shared::EntryShared;
 use crate::{
     frames::{NodeError, ThreadSnafu},
-    lifecycle::ProcessSignals,
+    lifecycle::{ProcessSignals, take_seeds},
     log_sink::LogSink,
     port::{CallCodec, SettingsSource, StateStore},
     settings::EntrySettings,
@@ -73,6 +73,11 @@
         "event=start role=entry name={} data_centre={} callers={} peer={}",
         settings.common.name, settings.common.data_centre, settings.callers, settings.common.peer
     );
+    let runtime = Builder::new_current_thread().enable_all().build().context(ThreadSnafu)?;
+    let signals = {
+        let _entered = runtime.enter();
+        ProcessSignals::new()?
+    };
     let (stop, stopped) = watch::channel(false);
     let shared = Arc::new(EntryShared::new(settings, ports, clock));
     let control = {
@@ -83,8 +88,7 @@
             .spawn(move || runtime.block_on(control::run(shared, stopped)))
             .context(ThreadSnafu)?
     };
-    let runtime = Builder::new_current_thread().enable_all().build().context(ThreadSnafu)?;
-    let result = runtime.block_on(run_traffic(&shared, logs.clone()));
+    let result = runtime.block_on(run_traffic(&shared, signals, logs.clone()));
     info!("event=stop in_flight={}", shared.in_flight.load(Ordering::Relaxed));
     // The control thread ends when the sender is gone; a thread that panicked has nothing left to do.
     drop(stop);
@@ -95,8 +99,11 @@
     result
 }
 
-async fn run_traffic(shared: &Arc<EntryShared>, logs: LogSink) -> Result<(), NodeError> {
-    let signals = ProcessSignals::new()?;
+async fn run_traffic(
+    shared: &Arc<EntryShared>,
+    signals: ProcessSignals,
+    logs: LogSink,
+) -> Result<(), NodeError> {
     let flushing = tokio::spawn(logs.flush_forever(LOG_INTERVAL));
     let served = tokio::select! {
         result = http::serve(shared.clone()) => result,
@@ -108,7 +115,12 @@
 
 async fn run_until_stopped(shared: &EntryShared, mut signals: ProcessSignals) {
     let source = shared.ports.settings.clone();
-    signals.wait_for_stop(&*source, |settings| take_over(shared, settings)).await;
+    signals
+        .wait_for_stop(&*source, |settings| {
+            shared.set_seeds(take_seeds(&shared.settings, settings));
+            shared.wake_control.notify_one();
+        })
+        .await;
     let begun = shared.clock.now();
     shared.leaving.store(true, Ordering::Relaxed);
     shared.wake_control.notify_one();
@@ -125,14 +137,3 @@
         }
     }
 }
-
-/// Seeds change with the fleet and are taken over; everything else needs a restart.
-fn take_over(shared: &EntryShared, settings: EntrySettings) {
-    let mut known = shared.settings.clone();
-    known.common.seeds.clone_from(&settings.common.seeds);
-    if known != settings {
-        warn!("event=restart_needed reason=\"settings other than the seeds have changed\"");
-    }
-    shared.set_seeds(settings.common.seeds);
-    shared.wake_control.notify_one();
-}
--- a/crates/gateway/src/entry/reply.rs
+++ b/crates/gateway/src/entry/reply.rs
@@ -40,7 +40,7 @@
     retry: Option<Duration>,
 ) -> Answer {
     let text = format!("{{\"error\":\"{}\"}}", status.canonical_reason().unwrap_or("error"));
-    let mut answer = Response::new(AnswerBody::Whole(Full::new(Bytes::from(text))));
+    let mut answer = Response::new(AnswerBody::Left(Full::new(Bytes::from(text))));
     *answer.status_mut() = status;
     let headers = answer.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
--- a/crates/gateway/src/entry/shared.rs
+++ b/crates/gateway/src/entry/shared.rs
@@ -11,18 +11,15 @@
 
 use arc_swap::ArcSwap;
 use balance::{BoardOptions, CrashWatch, LoadBoard, RetryShare};
-use base::{Clock, Incarnation, PauseDetector};
+use base::{Clock, Incarnation};
 use fleet::{FleetKnowledge, FleetView};
-use log::{info, warn};
+use log::info;
 use member::{EntryMember, EntryRoster};
 use tokio::sync::Notify;
 use wire::FleetKey;
 
 use super::{EntryPorts, pool::ConnectionPool};
-use crate::{metrics::MetricSet, settings::EntrySettings};
-
-/// Gap between two ticks of the control thread, which come every 0.25 s, that only a pause of the process explains.
-const PAUSE_THRESHOLD: Duration = Duration::from_secs(1);
+use crate::{lifecycle::PauseWatch, metrics::MetricSet, settings::EntrySettings};
 
 /// Everything that the tasks of an entry share.
 pub(crate) struct EntryShared {
@@ -47,10 +44,7 @@
     pub(crate) wake_control: Notify,
     /// Wakes the task that follows the store, so that it asks again at once.
     pub(crate) wake_store: Notify,
-    pauses: PauseDetector,
-    /// Pauses of this process so far, and the number of them after which the knowledge was refreshed.
-    paused: AtomicU64,
-    refreshed: AtomicU64,
+    pauses: PauseWatch,
     sequence: AtomicU64,
     /// Milliseconds since the start at which the store last confirmed what is known; negative if never.
     confirmed: AtomicI64,
@@ -85,9 +79,7 @@
             listening: AtomicBool::new(false),
             wake_control: Notify::new(),
             wake_store: Notify::new(),
-            pauses: PauseDetector::new(PAUSE_THRESHOLD),
-            paused: AtomicU64::new(0),
-            refreshed: AtomicU64::new(0),
+            pauses: PauseWatch::new(),
             sequence: AtomicU64::new(0),
             confirmed: AtomicI64::new(-1),
             started: now,
@@ -138,22 +130,20 @@
 
     /// Number of pauses of this process that have been noticed.
     pub(crate) fn pauses(&self) -> u64 {
-        self.paused.load(Ordering::Relaxed)
+        self.pauses.count()
     }
 
     /// Notices a pause of this process. True until what is known has been refreshed after the last one.
     pub(crate) fn is_stale_after_pause(&self) -> bool {
-        if let Some(gap) = self.pauses.tick(&*self.clock) {
-            warn!("event=pause_detected gap_ms={}", gap.as_millis());
-            self.paused.fetch_add(1, Ordering::Relaxed);
+        if self.pauses.tick(&*self.clock) {
             self.wake_store.notify_one();
         }
-        self.refreshed.load(Ordering::Relaxed) < self.pauses()
+        self.pauses.is_stale()
     }
 
     /// Records that what is known was current at a moment after the pause with number `pauses`.
     pub(crate) fn record_refreshed(&self, pauses: u64) {
-        if self.refreshed.fetch_max(pauses, Ordering::Relaxed) < pauses {
+        if self.pauses.record_refreshed(pauses) {
             info!("event=knowledge_refreshed revision={}", self.view.load().revision);
         }
     }
--- a/crates/gateway/src/entry/status.rs
+++ b/crates/gateway/src/entry/status.rs
@@ -1,12 +1,12 @@
 //! What an entry knows, for operators: served as JSON beside the metrics and printed by `wigeon status`.
 
-use std::time::Duration;
+use std::{net::SocketAddr, sync::atomic::Ordering};
 
 use base::{DataCentreId, HostId, ModelId, Revision, ServiceId, UpstreamId};
 use fleet::WeightsVersion;
 use serde::{Deserialize, Serialize};
 
-use super::shared::EntryShared;
+use super::{brief::millis, shared::EntryShared};
 
 /// State of an entry and of the fleet as it sees it.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -45,7 +45,7 @@
     /// Its data centre.
     pub data_centre: DataCentreId,
     /// Its address.
-    pub address: std::net::SocketAddr,
+    pub address: SocketAddr,
     /// True if it is about to stop.
     pub draining: bool,
     /// Version of the weights that it serves; `None` if it serves none or needs none.
@@ -107,14 +107,10 @@
         revision: view.revision,
         config_version: view.config().map(|config| config.version),
         knowledge_age_ms: shared.knowledge_age().map(millis),
-        in_flight: shared.in_flight.load(std::sync::atomic::Ordering::Relaxed),
+        in_flight: shared.in_flight.load(Ordering::Relaxed),
         entries,
         evacuated,
         declared,
         upstreams,
     }
 }
-
-fn millis(span: Duration) -> u64 {
-    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/gateway/src/entry/store.rs
+++ b/crates/gateway/src/entry/store.rs
@@ -101,7 +101,6 @@
 /// may disagree; then more of them do so.
 fn is_reader(shared: &EntryShared) -> bool {
     let common = &shared.settings.common;
-    let region = common.region();
     let weight = |peer: SocketAddr| rendezvous_weight(b"reader", &peer.to_string());
     let own = weight(common.peer);
     let now = shared.clock.now();
@@ -109,7 +108,7 @@
     let before = roster
         .alive(now)
         .filter(|entry| entry.peer != common.peer && !entry.leaving && entry.ready)
-        .filter(|entry| common.regions.get(&entry.data_centre) == Some(&region))
+        .filter(|entry| common.is_own_region(&entry.data_centre))
         .filter(|entry| weight(entry.peer) > own)
         .count();
     before < READERS
--- a/crates/gateway/src/frames.rs
+++ b/crates/gateway/src/frames.rs
@@ -10,7 +10,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::Mutex,
-    time::timeout,
+    time::{sleep, timeout},
 };
 use wire::{ChannelError, ChannelLimits, FleetKey, FrameChannel, Payload};
 
@@ -22,6 +22,8 @@
 const REUSE_IDLE: Duration = Duration::from_secs(4);
 /// Idle time after which the server closes a channel.
 const SERVER_IDLE: Duration = Duration::from_secs(8);
+/// Pause after a connection could not be accepted, as when descriptors are short.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// Connections that a server holds at most.
 const MAX_CHANNELS: usize = 256;
 
@@ -43,6 +45,12 @@
         /// What the system said.
         source: io::Error,
     },
+    /// The handlers of signals cannot be installed.
+    #[snafu(display("cannot handle signals: {source}"))]
+    Signal {
+        /// What the system said.
+        source: io::Error,
+    },
     /// A peer cannot be reached.
     #[snafu(display("cannot connect to peer {peer}: {source}"))]
     Connect {
@@ -75,6 +83,27 @@
     fn answer(&self, payload: Payload) -> BoxFuture<'_, Option<Payload>>;
 }
 
+/// Serves the connections of a listener until the task is dropped.
+pub(crate) async fn accept<F>(listener: TcpListener, serve: impl Fn(TcpStream) -> F)
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                if let Err(error) = stream.set_nodelay(true) {
+                    debug!("event=socket_option_failed error=\"{error}\"");
+                }
+                tokio::spawn(serve(stream));
+            }
+            Err(error) => {
+                warn!("event=accept_failed error=\"{error}\"");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
 /// Serves frames on a listener until the task is dropped.
 pub(crate) async fn serve_frames(
     listener: TcpListener,
@@ -89,7 +118,7 @@
             Ok((stream, _)) => stream,
             Err(error) => {
                 warn!("event=accept_failed error=\"{error}\"");
-                tokio::time::sleep(Duration::from_millis(20)).await;
+                sleep(ACCEPT_PAUSE).await;
                 continue;
             }
         };
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    convert::Infallible,
     fmt::Write,
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
@@ -11,9 +12,12 @@
 use bytes::Bytes;
 use hdrhistogram::Histogram;
 use http_body_util::Full;
-use hyper::{Request, Response, body::Incoming, service::service_fn};
+use hyper::{Request, Response, body::Incoming, server::conn::http1::Builder, service::service_fn};
 use hyper_util::rt::TokioIo;
 use log::{debug, info, warn};
+use tokio::net::TcpStream;
+
+use crate::frames::{accept, bind};
 
 /// Longest latency that the histograms tell apart, in microseconds.
 const MAX_LATENCY_US: u64 = 60_000_000;
@@ -88,7 +92,7 @@
 
 /// Serves the metrics and the state until the task is dropped.
 pub(crate) async fn serve_metrics(address: SocketAddr, metrics: MetricSet, status: StatusReader) {
-    let listener = match tokio::net::TcpListener::bind(address).await {
+    let listener = match bind(address).await {
         Ok(listener) => listener,
         Err(error) => {
             warn!("event=metrics_unavailable address={address} error=\"{error}\"");
@@ -96,32 +100,20 @@
         }
     };
     info!("event=metrics_served address={address}");
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                warn!("event=accept_failed error=\"{error}\"");
-                tokio::time::sleep(Duration::from_millis(100)).await;
-                continue;
-            }
+    accept(listener, |stream| serve_scrape(stream, metrics.clone(), status.clone())).await;
+}
+
+async fn serve_scrape(stream: TcpStream, metrics: MetricSet, status: StatusReader) {
+    let service = service_fn(|request: Request<Incoming>| {
+        let text = match request.uri().path() {
+            STATUS_PATH => status(),
+            _ => metrics.render(),
         };
-        let (metrics, status) = (metrics.clone(), status.clone());
-        tokio::spawn(async move {
-            let answer = service_fn(move |request: Request<Incoming>| {
-                let text = match request.uri().path() {
-                    STATUS_PATH => status(),
-                    _ => metrics.render(),
-                };
-                let body = Full::new(Bytes::from(text));
-                async move { Ok::<_, std::convert::Infallible>(Response::new(body)) }
-            });
-            let served = hyper::server::conn::http1::Builder::new()
-                .keep_alive(false)
-                .serve_connection(TokioIo::new(stream), answer)
-                .await;
-            if let Err(error) = served {
-                debug!("event=metrics_connection_failed error=\"{error}\"");
-            }
-        });
+        async move { Ok::<_, Infallible>(Response::new(Full::new(Bytes::from(text)))) }
+    });
+    let served =
+        Builder::new().keep_alive(false).serve_connection(TokioIo::new(stream), service).await;
+    if let Err(error) = served {
+        debug!("event=metrics_connection_failed error=\"{error}\"");
     }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,12 +1,14 @@
 //! The datagram socket of a process.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use log::{debug, warn};
 use member::EntryMember;
 use snafu::ResultExt;
 use tokio::net::UdpSocket;
-use wire::{EntryBeat, FleetKey, MAX_DATAGRAM_BYTES, Notice, open_datagram, seal_datagram};
+use wire::{
+    EntryBeat, EntryContact, FleetKey, MAX_DATAGRAM_BYTES, Notice, open_datagram, seal_datagram,
+};
 
 use crate::frames::{BindSnafu, NodeError};
 
@@ -49,6 +51,19 @@
     }
 }
 
+/// Entries with the time since each was heard of, as a beat names them.
+pub(crate) fn entry_contacts<'a>(
+    heard: impl IntoIterator<Item = (&'a EntryMember, Duration)>,
+) -> Vec<EntryContact> {
+    heard
+        .into_iter()
+        .map(|(member, age)| EntryContact {
+            peer: member.peer.to_string(),
+            age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+        })
+        .collect()
+}
+
 /// Reads a beat; `None` if its addresses are none.
 pub(crate) fn read_entry_beat(beat: &EntryBeat) -> Option<EntryMember> {
     let (Ok(peer), Ok(caller_address)) = (beat.peer.parse(), beat.caller_address.parse()) else {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,6 +1,10 @@
 //! Settings of the processes, as an adapter builds them.
 
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::HashMap,
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use balance::ShareOptions;
 use base::{DataCentreId, HostId, RegionId, ServiceId};
@@ -32,6 +36,19 @@
 }
 
 impl CommonSettings {
+    /// True if a data centre lies in the region of this host.
+    #[must_use]
+    pub fn is_own_region(&self, data_centre: &str) -> bool {
+        let own = self.regions.get(&self.data_centre);
+        own.is_some() && self.regions.get(data_centre) == own
+    }
+
+    /// Address for messages of the process on another host.
+    #[must_use]
+    pub fn peer_at(&self, ip: IpAddr) -> SocketAddr {
+        SocketAddr::new(ip, self.peer.port())
+    }
+
     /// Region of this host.
     #[must_use]
     pub fn region(&self) -> RegionId {
@@ -70,3 +87,15 @@
     /// True at the first start of the whole system, when engines hold weights already but start after the agents.
     pub is_first_start: bool,
 }
+
+impl AsMut<CommonSettings> for EntrySettings {
+    fn as_mut(&mut self) -> &mut CommonSettings {
+        &mut self.common
+    }
+}
+
+impl AsMut<CommonSettings> for AgentSettings {
+    fn as_mut(&mut self) -> &mut CommonSettings {
+        &mut self.common
+    }
+}
--- a/crates/node/src/agent/crash.rs
+++ b/crates/node/src/agent/crash.rs
@@ -1,14 +1,11 @@
 //! Tells a crash of the upstream from a broken connection, and keeps this agent's crash table.
 
-use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
-};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use base::{Clock, ContentDigest, Incarnation, UpstreamId};
 use config::AgentSettings;
 use log::warn;
-use route::{CrashEvidence, CrashTable, CrashVerdict};
+use route::{CrashTable, CrashVerdict};
 use wire::CrashNotice;
 
 use super::{admit::WorkAdmitter, monitor::UpstreamMonitor, progress::ProgressTable};
@@ -92,15 +89,7 @@
 
     /// Takes over the evidence of a notice; a notice without a fingerprint is ignored.
     pub fn apply(&self, notice: &CrashNotice) {
-        let Ok(fingerprint) = ContentDigest::from_slice(&notice.fingerprint) else { return };
-        let evidence = CrashEvidence {
-            fingerprint,
-            upstream: notice.upstream.as_str().into(),
-            crashes: notice.crashes,
-            isolated: notice.isolated,
-            age: Duration::from_millis(notice.age_ms),
-            cleared: notice.cleared,
-        };
+        let Ok(evidence) = notice.evidence() else { return };
         self.lock().table.apply_evidence(self.clock.now(), &evidence);
     }
 
--- a/crates/node/src/entry/notices.rs
+++ b/crates/node/src/entry/notices.rs
@@ -5,12 +5,9 @@
 use futures_util::{StreamExt, future::BoxFuture, stream};
 use log::{debug, warn};
 use route::CrashEvidence;
-use wire::{Ack, ChannelError, Payload};
+use wire::{Ack, ChannelError, CrashNotice, Payload};
 
-use super::{
-    agents::AgentTable,
-    state::{SharedState, evidence_of, notice_of},
-};
+use super::{agents::AgentTable, state::SharedState};
 use crate::{
     context::NodeContext,
     peer::PeerPool,
@@ -78,7 +75,7 @@
     }
 
     async fn send(&self, receivers: Vec<SocketAddr>, evidence: &CrashEvidence, hops: u32) {
-        let notice = notice_of(evidence, hops);
+        let notice = CrashNotice::new(evidence, hops);
         stream::iter(receivers)
             .for_each_concurrent(NOTICES_AT_ONCE, |peer| {
                 let payload = Payload::CrashNotice(notice.clone());
@@ -91,8 +88,8 @@
             .await;
     }
 
-    fn receive(&self, notice: &wire::CrashNotice) -> Option<CrashEvidence> {
-        let evidence = evidence_of(notice)?;
+    fn receive(&self, notice: &CrashNotice) -> Option<CrashEvidence> {
+        let evidence = notice.evidence().ok()?;
         let now = self.context.clock.now();
         let changed = self.state.lock().crashes.apply_evidence(now, &evidence);
         (changed && notice.hops > 0).then_some(evidence)
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -10,11 +10,8 @@
 use config::{ObjectiveSetting, ObjectiveSettings};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use route::{
-    CrashEvidence, CrashTable, PrefixIndex, RetryBudget, UpstreamBoard, UpstreamLoad,
-    UpstreamReport,
-};
-use wire::{CrashNotice, LoadReport, StatusReply};
+use route::{CrashTable, PrefixIndex, RetryBudget, UpstreamBoard, UpstreamLoad, UpstreamReport};
+use wire::{LoadReport, StatusReply};
 
 /// The state machines of the request path. Their steps are short, so one lock serves all of them.
 pub struct RouteState {
@@ -93,30 +90,3 @@
         upstream_up: status.upstream_up,
     }
 }
-
-/// Notice that carries `evidence` and may be passed on `hops` times.
-#[must_use]
-pub fn notice_of(evidence: &CrashEvidence, hops: u32) -> CrashNotice {
-    CrashNotice {
-        fingerprint: bytes::Bytes::copy_from_slice(evidence.fingerprint.as_bytes()),
-        crashes: evidence.crashes,
-        isolated: evidence.isolated,
-        age_ms: u64::try_from(evidence.age.as_millis()).unwrap_or(u64::MAX),
-        cleared: evidence.cleared,
-        hops,
-        upstream: evidence.upstream.to_string(),
-    }
-}
-
-/// Evidence of a notice; `None` if its fingerprint is malformed.
-#[must_use]
-pub fn evidence_of(notice: &CrashNotice) -> Option<CrashEvidence> {
-    Some(CrashEvidence {
-        fingerprint: ContentDigest::from_slice(&notice.fingerprint).ok()?,
-        upstream: notice.upstream.as_str().into(),
-        crashes: notice.crashes,
-        isolated: notice.isolated,
-        age: Duration::from_millis(notice.age_ms),
-        cleared: notice.cleared,
-    })
-}
--- a/crates/ports/src/http.rs
+++ b/crates/ports/src/http.rs
@@ -195,7 +195,10 @@
 }
 
 /// Parses a JSON answer.
-pub(crate) fn parse<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Result<T, PlatformError> {
+///
+/// # Errors
+/// Fails if the bytes are no JSON of the type.
+pub fn parse<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Result<T, PlatformError> {
     serde_json::from_slice(bytes).context(MalformedSnafu)
 }
 
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -14,7 +14,7 @@
         LoadOrder, LoadedModel, ModelEngine,
     },
     error::PlatformError,
-    http::{HttpClient, UpstreamAnswer},
+    http::{HttpClient, UpstreamAnswer, parse},
     service::{CallRequest, HttpService, PlainService, ServiceStatus},
     source::{
         ConfigService, HostDirectory, HttpConfigService, HttpHostDirectory, HttpWeightSource,
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -3,8 +3,12 @@
 mod fleet;
 mod transfer;
 
+use std::time::Duration;
+
+use base::{ContentDigest, DigestError};
 use bytes::Bytes;
 use prost::{Message, Oneof};
+use route::CrashEvidence;
 
 pub use self::{fleet::*, transfer::*};
 
@@ -458,6 +462,37 @@
     pub upstream: String,
 }
 
+impl CrashNotice {
+    /// Creates the notice of evidence that may be passed on `hops` times.
+    #[must_use]
+    pub fn new(evidence: &CrashEvidence, hops: u32) -> Self {
+        Self {
+            fingerprint: Bytes::copy_from_slice(evidence.fingerprint.as_bytes()),
+            crashes: evidence.crashes,
+            isolated: evidence.isolated,
+            age_ms: u64::try_from(evidence.age.as_millis()).unwrap_or(u64::MAX),
+            cleared: evidence.cleared,
+            hops,
+            upstream: evidence.upstream.to_string(),
+        }
+    }
+
+    /// The evidence that the notice carries.
+    ///
+    /// # Errors
+    /// Fails if the fingerprint is none.
+    pub fn evidence(&self) -> Result<CrashEvidence, DigestError> {
+        Ok(CrashEvidence {
+            fingerprint: ContentDigest::from_slice(&self.fingerprint)?,
+            upstream: self.upstream.as_str().into(),
+            crashes: self.crashes,
+            isolated: self.isolated,
+            age: Duration::from_millis(self.age_ms),
+            cleared: self.cleared,
+        })
+    }
+}
+
 /// Acknowledges a message that has no other answer.
 #[derive(Clone, Copy, Message, PartialEq)]
 pub struct Ack {}
