--- a/crates/standin/src/measure/load/sim.rs
+++ b/crates/standin/src/measure/load/sim.rs
@@ -13,6 +13,7 @@
 use serde::Serialize;
 
 use super::{policy::PlacementPolicy, trace::TraceRequest};
+use crate::report::ForecastError;
 
 /// Number of an engine.
 pub type EngineIndex = u16;
@@ -273,19 +274,14 @@
                 ((self.firsts.len() as f64 * part) as usize).min(self.firsts.len().max(1) - 1);
             self.firsts.get(index).map_or(0.0, |first| first.as_secs_f64() * 1_000.0)
         };
-        let mean = |values: &mut dyn Iterator<Item = f64>, count: usize| {
-            if count == 0 { 0.0 } else { values.sum::<f64>() / count as f64 }
-        };
+        let forecast = ForecastError::with_distances(&self.errors);
         let owed: f64 = self.trace.iter().map(|request| request.worth).sum();
         LoadFigures {
             worth: if owed > 0.0 { self.earned / owed } else { 0.0 },
             first_event_p50_ms: quantile(0.5),
             first_event_p99_ms: quantile(0.99),
-            prediction_bias_ms: mean(&mut self.errors.iter().copied(), self.errors.len()),
-            prediction_error_ms: mean(
-                &mut self.errors.iter().map(|error| error.abs()),
-                self.errors.len(),
-            ),
+            prediction_bias_ms: forecast.bias_ms,
+            prediction_error_ms: forecast.error_ms,
             ..self.figures
         }
     }
--- a/crates/standin/src/report.rs
+++ b/crates/standin/src/report.rs
@@ -1,7 +1,7 @@
 //! `wigeon-standin report`: draws what the logs of a run say about load and weights over time.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{HashMap, HashSet},
     error::Error,
     fs, io,
     path::{Path, PathBuf},
@@ -78,14 +78,15 @@
         events.sort_by(|left, right| left.0.total_cmp(&right.0));
         let Some(start) = events.first().map(|(at, _)| *at) else { return Self::default() };
         let mut series = Self::default();
-        let mut loaded: BTreeMap<&str, bool> = BTreeMap::new();
+        let mut loaded: HashSet<&str> = HashSet::new();
         for (at, fields) in &events {
             let index = ((at - start) / BIN_S) as usize;
-            let engines = loaded.values().filter(|loaded| **loaded).count() as u32;
+            let engines = loaded.len() as u32;
             while series.bins.len() <= index {
                 series.bins.push(RunBin { engines, ..RunBin::default() });
             }
             let bin = &mut series.bins[index];
+            let address = fields.get("address").copied().unwrap_or_default();
             match fields.get("event").copied() {
                 Some("request_ended") => {
                     let first = fields.get("first_ms").and_then(|first| first.parse::<i64>().ok());
@@ -98,17 +99,17 @@
                     }
                 }
                 Some("refused") => bin.refused += 1,
-                Some("engine_weights") => {
-                    let holds = fields.get("loaded").is_some_and(|loaded| *loaded != "[]");
-                    loaded.insert(fields.get("address").copied().unwrap_or_default(), holds);
-                    bin.engines = loaded.values().filter(|loaded| **loaded).count() as u32;
+                Some("engine_weights")
+                    if fields.get("loaded").is_some_and(|loaded| *loaded != "[]") =>
+                {
+                    loaded.insert(address);
                 }
-                Some("engine_restarted" | "engine_lost") => {
-                    loaded.insert(fields.get("address").copied().unwrap_or_default(), false);
-                    bin.engines = loaded.values().filter(|loaded| **loaded).count() as u32;
+                Some("engine_weights" | "engine_restarted" | "engine_lost") => {
+                    loaded.remove(address);
                 }
                 _ => {}
             }
+            bin.engines = loaded.len() as u32;
         }
         series
     }
@@ -146,15 +147,17 @@
                 (predicted > 0.0 && real > 0.0).then_some(predicted - real)
             })
             .collect();
-        if distances.is_empty() {
-            return Self::default();
-        }
-        let mean =
-            |values: &mut dyn Iterator<Item = f64>| values.sum::<f64>() / distances.len() as f64;
+        Self::with_distances(&distances)
+    }
+
+    /// Means of distances in milliseconds; 0 if there are none.
+    #[must_use]
+    pub fn with_distances(distances: &[f64]) -> Self {
+        let count = distances.len().max(1) as f64;
         Self {
             requests: distances.len(),
-            bias_ms: mean(&mut distances.iter().copied()),
-            error_ms: mean(&mut distances.iter().map(|distance| distance.abs())),
+            bias_ms: distances.iter().sum::<f64>() / count,
+            error_ms: distances.iter().map(|distance| distance.abs()).sum::<f64>() / count,
         }
     }
 }
