Log the version of the weights and the time left on it with each request

What operators could not see: whether a request that began on outdated weights was sent because its entry dated the declaration too late, or waited too long at the engine. request_ended now states the version at the upstream and the time for which requests could still begin to run on it when the upstream was chosen; item_changed states how long ago the entry believes that the change was made. No decision changes.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -144,6 +144,8 @@
         record: Arc<UpstreamRecord>,
         /// Predicted time until the response, or until the first event of a stream.
         delay: Duration,
+        /// Version of the weights that the upstream has loaded; `None` if it serves no model.
+        version: Option<WeightsVersion>,
     },
     /// Refuse the request.
     Refused(PlacementRefusal),
@@ -366,7 +368,11 @@
             compared += 1;
         }
         match best {
-            Some((_, delay, state)) => Placement::Upstream { record: state.record.clone(), delay },
+            Some((_, delay, state)) => Placement::Upstream {
+                record: state.record.clone(),
+                delay,
+                version: state.version(now),
+            },
             None => refuse(RefusalCause::Overloaded, rng),
         }
     }
--- a/crates/balance/src/upstream.rs
+++ b/crates/balance/src/upstream.rs
@@ -142,6 +142,18 @@
         (now.saturating_duration_since(taken) <= MAX_REPORT_AGE).then_some(report)
     }
 
+    /// Newest version of the weights that is completely loaded, according to the last report or, without one, to the
+    /// upstream's registration.
+    pub(crate) fn version(&self, now: Instant) -> Option<WeightsVersion> {
+        match self.report(now) {
+            Some(report) => (report.version > 0).then_some(report.version),
+            None => {
+                let complete = self.record.weights.iter().filter(|weights| weights.complete);
+                complete.map(|weights| weights.version).max()
+            }
+        }
+    }
+
     /// Factor on the configured time of a step according to the last report; at least 1.
     pub(crate) fn slowdown(&self, now: Instant) -> f64 {
         let percent = self.report(now).map_or(100, |report| report.slowdown_percent.max(100));
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -106,6 +106,8 @@
     pub after: Option<ItemValue>,
     /// Set if the item cannot be decoded.
     pub error: Option<ItemError>,
+    /// Time since the change was made, as far as this process knows; `None` if it was only found in a listing.
+    pub age: Option<Duration>,
 }
 
 #[derive(Debug)]
@@ -214,6 +216,7 @@
             before,
             after: decoded.clone(),
             error,
+            age: changed.map(|changed| now.saturating_duration_since(changed)),
         };
         let state =
             ItemState { revision: item.revision, value: item.value, decoded, changed, lapsed };
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -51,6 +51,25 @@
         self.versions.last().and_then(|(_, seen)| *seen)
     }
 
+    /// Time for which requests may still begin to run on `version`, given that each newer version must be in use within
+    /// `bound` of its declaration; `None` if no newer version is declared.
+    #[must_use]
+    pub fn time_left(
+        &self,
+        version: WeightsVersion,
+        now: Instant,
+        bound: Duration,
+    ) -> Option<Duration> {
+        self.versions
+            .iter()
+            .filter(|(newer, _)| *newer > version)
+            .map(|(_, seen)| {
+                let elapsed = seen.map(|seen| now.saturating_duration_since(seen));
+                elapsed.map_or(Duration::ZERO, |elapsed| bound.saturating_sub(elapsed))
+            })
+            .min()
+    }
+
     /// Oldest version that may still serve new requests at `now`, given that each version must be in use within `bound`
     /// of its declaration.
     #[must_use]
--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -70,6 +70,10 @@
     longest_pause: Duration,
     /// Predicted time until the first event, from the first attempt.
     predicted: Option<Duration>,
+    /// Version of the weights at the last upstream, and the time for which requests could still begin to run on it when
+    /// the upstream was chosen.
+    version: Option<WeightsVersion>,
+    version_time_left: Option<Duration>,
 }
 
 /// Handles a caller's request and returns the response.
@@ -121,6 +125,8 @@
             first_event: None,
             longest_pause: Duration::ZERO,
             predicted: None,
+            version: None,
+            version_time_left: None,
         }),
         method: head.method,
         uri: head.uri,
@@ -276,8 +282,12 @@
             is_resumed,
         };
         match self.shared.balancer().choose(&placement_request, now, &mut rand::rng()) {
-            Placement::Upstream { record, delay } => {
-                self.progress().predicted.get_or_insert(delay);
+            Placement::Upstream { record, delay, version } => {
+                let mut progress = self.progress();
+                progress.predicted.get_or_insert(delay);
+                progress.version = version;
+                progress.version_time_left =
+                    version.and_then(|version| self.version_time_left(version, now));
                 Ok(record)
             }
             Placement::Refused(refusal) => Err(refusal),
@@ -300,6 +310,15 @@
         view.weights.get(model)?.oldest_allowed(now, rollout_timeout)
     }
 
+    /// Time for which requests may still begin to run on `version` of the requested weights; `None` if it is the newest
+    /// one.
+    fn version_time_left(&self, version: WeightsVersion, now: Instant) -> Option<Duration> {
+        let model = self.meta.model.as_ref()?;
+        let view = self.shared.view.load();
+        let rollout_timeout = self.shared.settings.common.rollout_timeout;
+        view.weights.get(model)?.time_left(version, now, rollout_timeout)
+    }
+
     pub(super) fn elapsed(&self) -> Duration {
         self.shared.clock.now().saturating_duration_since(self.started)
     }
@@ -361,7 +380,7 @@
         let elapsed = self.elapsed();
         info!(
             "event=request_ended request={} result={result} status={} route={} team={} upstream={} sends={} \
-             tried={} ms={} first_ms={} predicted_ms={} pause_ms={} revision={}",
+             tried={} ms={} first_ms={} predicted_ms={} pause_ms={} version={} version_left_ms={} revision={}",
             self.meta.id,
             status.unwrap_or(0),
             self.route.name,
@@ -373,6 +392,8 @@
             progress.first_event.map_or(-1, |first| first.as_millis() as i64),
             progress.predicted.map_or(-1, |predicted| predicted.as_millis() as i64),
             progress.longest_pause.as_millis(),
+            progress.version.unwrap_or(0),
+            progress.version_time_left.map_or(-1, |left| left.as_millis() as i64),
             self.shared.view.load().revision
         );
         self.shared.metrics.count(&format!("requests_total{{result=\"{result}\"}}"));
--- a/crates/gateway/src/entry/store.rs
+++ b/crates/gateway/src/entry/store.rs
@@ -154,7 +154,7 @@
 }
 
 fn log_change(change: &FleetChange) {
-    let FleetChange { key, revision, before, after, error } = change;
+    let FleetChange { key, revision, before, after, error, age } = change;
     if let Some(error) = error {
         warn!("event=item_unreadable key={key} revision={revision} error=\"{error}\"");
         return;
@@ -171,8 +171,9 @@
         Some(fleet::ItemValue::Other) => "other".to_owned(),
     };
     info!(
-        "event=item_changed key={key} revision={revision} before={} after={}",
+        "event=item_changed key={key} revision={revision} before={} after={} age_ms={}",
         describe(before),
-        describe(after)
+        describe(after),
+        age.map_or(-1, |age| age.as_millis() as i64)
     );
 }
--- a/crates/standin/src/measure/load/policy.rs
+++ b/crates/standin/src/measure/load/policy.rs
@@ -144,7 +144,7 @@
             is_resumed: false,
         };
         match self.balancer.choose(&placement_request, now, &mut self.random) {
-            Placement::Upstream { record, delay } => {
+            Placement::Upstream { record, delay, .. } => {
                 self.balancer.record_sent(&record.upstream, now);
                 let engine = record.upstream.get(1..)?.parse().ok()?;
                 Some((engine, Some(delay)))
