Limit the wait of requests at engines with outdated weights

Cause: an entry stopped choosing an outdated engine 1 s before the bound, but a request begins only when the engine admits it. Nothing limited that wait: a first attempt waits 1.1 s, the last one until the caller's deadline.

Change: placement uses an outdated engine only if the request is expected to begin in time, with a margin that grows with the predicted queue (1.5 times the prediction and 0.25 s) instead of a constant one, so that idle engines are used longer and busy ones less long. As a prediction can fail, the attempt also has a time limit: an engine that has not begun 0.15 s before the bound is abandoned, and the request goes to another engine if that is allowed.

The new tests of placement do not compile before the change.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -8,7 +8,7 @@
 };
 
 use base::{DataCentreId, RegionId, ServiceId, UpstreamId};
-use fleet::{FleetView, ServiceRecord, UpstreamRecord, WeightsVersion};
+use fleet::{FleetView, ServiceRecord, UpstreamRecord, WeightsLimits, WeightsVersion};
 use rand::{Rng, RngExt, seq::SliceRandom};
 use serde::{Deserialize, Serialize};
 
@@ -48,6 +48,14 @@
 /// Number of slots that must stay free after a request that has already missed its target is placed. A late response
 /// counts for only a fraction of a timely one, so such requests use only spare capacity.
 const LATE_RESERVED_SLOTS: f64 = 1.0;
+/// Factor on the predicted time to the first event by which a request is expected to begin, if it must begin before the
+/// weights of its upstream are outdated. The queue of a busy engine can take longer than predicted.
+const BEGIN_TIME_FACTOR: f64 = 1.5;
+/// Minimum time between the expected begin of a request and the time at which the weights of its upstream are outdated.
+const BEGIN_MARGIN: Duration = Duration::from_millis(250);
+/// Time before the weights of an upstream are outdated at which a request that has not begun there is cancelled. It
+/// covers the way to the upstream, and a process that is not scheduled for most of a scheduling period of 100 ms.
+const CANCEL_MARGIN: Duration = Duration::from_millis(150);
 /// Maximum number of requests per slot, running or waiting, at a service without engines.
 const MAX_LOAD_PER_SLOT: f64 = 3.0;
 /// Range of the retry delay for refused callers. The delay is random to spread out callers that are refused together,
@@ -80,8 +88,8 @@
     pub allowed_regions: [&'a [RegionId]; 2],
     /// Upstreams that were already tried for this request.
     pub tried: &'a [UpstreamId],
-    /// Oldest version of the weights that may serve the request; `None` if any version may.
-    pub min_version: Option<WeightsVersion>,
+    /// Limits for the use of outdated weights; `None` if any version may serve the request.
+    pub weights: Option<WeightsLimits<'a>>,
     /// Time left until the first event is late; `None` if it is already late.
     pub time_to_target: Option<Duration>,
     /// True for a request that was already accepted and is resumed at another upstream. It is never refused because of
@@ -89,6 +97,13 @@
     pub is_resumed: bool,
 }
 
+impl PlacementRequest<'_> {
+    /// Time for which requests may still begin to run at the upstream; `None` if its weights are not outdated.
+    fn time_left(&self, state: &UpstreamState, now: Instant) -> Option<Duration> {
+        self.weights?.time_left(state.version(now)?, now)
+    }
+}
+
 /// Why a request was refused.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum RefusalCause {
@@ -146,6 +161,9 @@
         delay: Duration,
         /// Version of the weights that the upstream has loaded; `None` if it serves no model.
         version: Option<WeightsVersion>,
+        /// Time at which the request must be cancelled if the upstream has not begun to run it, because the weights are
+        /// then outdated; `None` if no newer version is declared.
+        cancel_at: Option<Instant>,
     },
     /// Refuse the request.
     Refused(PlacementRefusal),
@@ -372,6 +390,9 @@
                 record: state.record.clone(),
                 delay,
                 version: state.version(now),
+                cancel_at: request
+                    .time_left(state, now)
+                    .map(|left| now + left.saturating_sub(CANCEL_MARGIN)),
             },
             None => refuse(RefusalCause::Overloaded, rng),
         }
@@ -392,11 +413,7 @@
             let fits = occupancy <= slots * MAX_LOAD_PER_SLOT;
             return fits.then(|| SERVICE_REQUEST_TIME.mul_f64(occupancy));
         };
-        let load = EngineLoad {
-            occupancy,
-            pending_prefills: state.pending_prefills(now),
-            slowdown: state.slowdown(now),
-        };
+        let load = state.engine_load(occupancy, now);
         let delay_at =
             |occupancy| forecast.delay(EngineLoad { occupancy, ..load }, request.prompt_tokens);
         let projected =
@@ -443,17 +460,27 @@
         if service.record.engine.is_none() {
             return true;
         }
-        match state.report(now) {
-            Some(report) => {
-                !report.switching
-                    && report.version > 0
-                    && request.min_version.is_none_or(|version| report.version >= version)
-            }
-            None => record.weights.iter().any(|weights| {
-                weights.complete
-                    && request.min_version.is_none_or(|version| weights.version >= version)
-            }),
-        }
+        state.version(now).is_some()
+            && state.report(now).is_none_or(|report| !report.switching)
+            && self.begins_in_time(service, request, state, now)
+    }
+
+    /// False if the request is likely to wait at the upstream until the upstream's weights are outdated.
+    fn begins_in_time(
+        &self,
+        service: &ServiceState,
+        request: &PlacementRequest<'_>,
+        state: &UpstreamState,
+        now: Instant,
+    ) -> bool {
+        let Some(left) = request.time_left(state, now) else { return true };
+        let occupancy = state.occupancy(now, self.entries as f64);
+        let load = state.engine_load(occupancy, now);
+        let delay = service
+            .forecast
+            .as_ref()
+            .map_or(Duration::ZERO, |forecast| forecast.delay(load, request.prompt_tokens));
+        delay.mul_f64(BEGIN_TIME_FACTOR) + BEGIN_MARGIN <= left
     }
 
     fn is_allowed(&self, record: &UpstreamRecord, request: &PlacementRequest<'_>) -> bool {
--- a/crates/balance/src/upstream.rs
+++ b/crates/balance/src/upstream.rs
@@ -9,6 +9,8 @@
 use fleet::{UpstreamRecord, WeightsVersion};
 use serde::{Deserialize, Serialize};
 
+use crate::forecast::EngineLoad;
+
 /// Maximum age of a report; older ones are ignored as stale.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(1_500);
 /// Requests sent less than this before a report arrived are counted in addition to the report, because the agent
@@ -160,6 +162,15 @@
         f64::from(percent) / 100.0
     }
 
+    /// Load of the engine if `occupancy` requests run or wait there.
+    pub(crate) fn engine_load(&self, occupancy: f64, now: Instant) -> EngineLoad {
+        EngineLoad {
+            occupancy,
+            pending_prefills: self.pending_prefills(now),
+            slowdown: self.slowdown(now),
+        }
+    }
+
     /// Time until the engine aborts its running requests to switch weights.
     pub(crate) fn time_to_switch(&self, now: Instant) -> Option<Duration> {
         let (report, taken) = self.report?;
--- a/crates/balance/tests/board.rs
+++ b/crates/balance/tests/board.rs
@@ -14,11 +14,14 @@
 use base::{ServiceId, UpstreamId};
 use fleet::{
     ClientLimits, EngineCosts, EngineModel, EngineRecord, FleetView, LoadedWeights, RoutingConfig,
-    RoutingIndex, ServiceRecord, UpstreamRecord,
+    RoutingIndex, ServiceRecord, UpstreamRecord, WeightsLimits, WeightsState, WeightsVersion,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+/// Time within which declared weights must be in use.
+const ROLLOUT_TIMEOUT: Duration = Duration::from_secs(8);
+
 static CHAT: ServiceId = ServiceId::const_new("chat");
 
 fn engine() -> EngineRecord {
@@ -121,27 +124,50 @@
         self.balancer.record_report(address(index), report, self.now, &mut self.rng);
     }
 
+    /// Places a request of a model whose declared weights are `weights`.
+    fn place_within(&mut self, weights: &WeightsState) -> Result<UpstreamId, RefusalCause> {
+        let limits = WeightsLimits::new(weights, ROLLOUT_TIMEOUT);
+        self.place(|request| request.weights = Some(limits))
+    }
+
+    /// Like [`PlacementFixture::place_within`], but for a request that is never refused because of load.
+    fn place_late(&mut self, weights: &WeightsState) -> Result<UpstreamId, RefusalCause> {
+        let limits = WeightsLimits::new(weights, ROLLOUT_TIMEOUT);
+        self.place(|request| {
+            request.weights = Some(limits);
+            request.is_resumed = true;
+        })
+    }
+
     fn place<'a>(
         &mut self,
         change: impl Fn(&mut PlacementRequest<'a>),
     ) -> Result<UpstreamId, RefusalCause> {
+        match self.choose(change) {
+            Placement::Upstream { record, .. } => Ok(record.upstream.clone()),
+            Placement::Refused(refusal) => Err(refusal.cause),
+        }
+    }
+
+    fn choose<'a>(&mut self, change: impl Fn(&mut PlacementRequest<'a>)) -> Placement {
         let mut request = PlacementRequest {
             service: &CHAT,
             prompt_tokens: 1_000,
             allowed_regions: [&[], &[]],
             tried: &[],
-            min_version: None,
+            weights: None,
             time_to_target: Some(Duration::from_millis(400)),
             is_resumed: false,
         };
         change(&mut request);
-        match self.balancer.choose(&request, self.now, &mut self.rng) {
-            Placement::Upstream { record, .. } => Ok(record.upstream.clone()),
-            Placement::Refused(refusal) => Err(refusal.cause),
-        }
+        self.balancer.choose(&request, self.now, &mut self.rng)
     }
 }
 
+fn declared_versions(versions: &[(WeightsVersion, Option<Instant>)]) -> WeightsState {
+    WeightsState::new(versions.to_vec())
+}
+
 fn name(index: u8) -> UpstreamId {
     format!("u{index}").into()
 }
@@ -191,11 +217,62 @@
     let mut fixture = PlacementFixture::new(2);
     fixture.report(0, 0, 1);
     fixture.report(1, 10, 2);
-    assert_eq!(fixture.place(|request| request.min_version = Some(2)), Ok(name(1)));
-    assert_eq!(
-        fixture.place(|request| request.min_version = Some(3)),
-        Err(RefusalCause::NoUpstream)
-    );
+    // Version 2 must be in use by now, and version 3 as well.
+    for (declared, placed) in [(2, Ok(name(1))), (3, Err(RefusalCause::NoUpstream))] {
+        let weights = declared_versions(&[(2, None), (declared, None)]);
+        for _ in 0..50 {
+            assert_eq!(fixture.place_within(&weights), placed);
+        }
+    }
+}
+
+/// Guards against a request that is sent to an engine with outdated weights shortly before the engine must not use them
+/// any more, and waits in its queue beyond that time.
+#[test]
+fn request_is_not_placed_where_it_would_begin_on_outdated_weights() {
+    let mut fixture = PlacementFixture::new(1);
+    let declared = fixture.now;
+    let weights = declared_versions(&[(2, Some(declared))]);
+    let mut latest_begin = |running| {
+        let forecast = EngineForecast::new(&engine());
+        let load = EngineLoad { occupancy: f64::from(running), ..EngineLoad::default() };
+        let delay = forecast.delay(load, 1_000);
+        let placed_at = (0..800)
+            .map(|step| declared + Duration::from_millis(10) * step)
+            .rfind(|now| {
+                fixture.now = *now;
+                fixture.report(0, running, 1);
+                fixture.place_late(&weights).is_ok()
+            })
+            .expect("the engine may be used at first");
+        placed_at + delay - declared
+    };
+    let (idle, busy) = (latest_begin(2), latest_begin(16));
+    assert!(idle < ROLLOUT_TIMEOUT - Duration::from_millis(200), "begins after {idle:?}");
+    assert!(idle > ROLLOUT_TIMEOUT - Duration::from_millis(700), "an idle engine is left unused");
+    assert!(busy < idle, "a queue takes longer than predicted, so it needs a larger margin");
+}
+
+/// Guards against a request that stays in the queue of an engine with outdated weights because the queue takes longer
+/// than predicted.
+#[test]
+fn placement_limits_the_wait_at_an_upstream_with_outdated_weights() {
+    let mut fixture = PlacementFixture::new(1);
+    fixture.report(0, 2, 1);
+    let cancel_at = |fixture: &mut PlacementFixture, weights: &WeightsState| {
+        let limits = WeightsLimits::new(weights, ROLLOUT_TIMEOUT);
+        match fixture.choose(|request| request.weights = Some(limits)) {
+            Placement::Upstream { cancel_at, version, .. } => (cancel_at, version),
+            Placement::Refused(refusal) => panic!("refused: {refusal:?}"),
+        }
+    };
+    let declared = fixture.now;
+    let newest = declared_versions(&[(1, Some(declared))]);
+    assert_eq!(cancel_at(&mut fixture, &newest), (None, Some(1)));
+    let outdated = declared_versions(&[(1, Some(declared)), (2, Some(declared))]);
+    let (cancel_at, _) = cancel_at(&mut fixture, &outdated);
+    let wait = cancel_at.expect("the wait is limited") - declared;
+    assert!(wait < ROLLOUT_TIMEOUT - Duration::from_millis(100), "cancelled after {wait:?}");
 }
 
 /// An engine that has just switched weights is idle, so all entries send to it at once. All its slots are free, but the
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,5 +17,5 @@
     state::{
         DecodeItem, FleetChange, FleetState, ItemError, ItemKey, ItemSource, ItemValue, RawItem,
     },
-    view::{FleetView, RouteMatch, RoutingIndex, WeightsState},
+    view::{FleetView, RouteMatch, RoutingIndex, WeightsLimits, WeightsState},
 };
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -84,6 +84,27 @@
     }
 }
 
+/// Declared versions of a model's weights, together with the time within which engines must use a declared version.
+#[derive(Clone, Copy, Debug)]
+pub struct WeightsLimits<'a> {
+    state: &'a WeightsState,
+    rollout_timeout: Duration,
+}
+
+impl<'a> WeightsLimits<'a> {
+    /// Creates the limits of weights that must be in use within `rollout_timeout` of their declaration.
+    #[must_use]
+    pub fn new(state: &'a WeightsState, rollout_timeout: Duration) -> Self {
+        Self { state, rollout_timeout }
+    }
+
+    /// Time for which requests may still begin to run on `version`; `None` if no newer version is declared.
+    #[must_use]
+    pub fn time_left(&self, version: WeightsVersion, now: Instant) -> Option<Duration> {
+        self.state.time_left(version, now, self.rollout_timeout)
+    }
+}
+
 /// A configuration with its lookup tables. It is built once per configuration instead of with each view, because
 /// building a large one takes milliseconds and upstreams change far more often.
 #[derive(Debug)]
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -16,8 +16,11 @@
 use tokio::time::timeout_at;
 
 use super::{
-    guards::AttemptGuard, outcome::AttemptResult, pool::UpstreamConnection, relay::OpenStream,
-    request::RequestContext,
+    guards::AttemptGuard,
+    outcome::AttemptResult,
+    pool::UpstreamConnection,
+    relay::OpenStream,
+    request::{ChosenUpstream, RequestContext},
 };
 use crate::port::AttemptMeta;
 
@@ -63,9 +66,10 @@
 
     pub(super) async fn attempt(
         &self,
-        upstream: &Arc<UpstreamRecord>,
+        chosen: &ChosenUpstream,
         resume_after: Option<&str>,
     ) -> AttemptResult {
+        let ChosenUpstream { record: upstream, cancel_at } = chosen;
         let shared = &self.shared;
         self.progress().last = Some(upstream.upstream.clone());
         let guard = AttemptGuard::new(shared.clone(), upstream.upstream.clone());
@@ -74,10 +78,15 @@
             return AttemptResult::Failed(AttemptEnd::NotSent, None);
         };
         let now = shared.clock.now();
+        if cancel_at.is_some_and(|at| at <= now) {
+            guard.finish(AttemptOutcome::Abandoned);
+            return AttemptResult::Failed(AttemptEnd::NotSent, None);
+        }
         let request = self.upstream_request(upstream, resume_after, now);
         let response_deadline = self.response_deadline(now);
-        let sent =
-            timeout_at(response_deadline.into(), connection.sender.send_request(request)).await;
+        // An engine sends the head of its response when it begins to run a request.
+        let wait_until = cancel_at.map_or(response_deadline, |at| at.min(response_deadline));
+        let sent = timeout_at(wait_until.into(), connection.sender.send_request(request)).await;
         let response = match sent {
             Ok(Ok(response)) => response,
             Ok(Err(error)) if error.is_canceled() => {
@@ -92,6 +101,14 @@
                 guard.fail();
                 return AttemptResult::Failed(AttemptEnd::Lost, None);
             }
+            Err(_) if wait_until < response_deadline => {
+                info!(
+                    "event=attempt_cancelled request={} upstream={} cause=weights_outdated",
+                    self.meta.id, upstream.upstream
+                );
+                guard.finish(AttemptOutcome::Abandoned);
+                return AttemptResult::Failed(AttemptEnd::Lost, None);
+            }
             Err(_) => {
                 guard.fail();
                 return AttemptResult::Failed(AttemptEnd::Lost, None);
--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -12,7 +12,7 @@
 use base::{ServiceId, UpstreamId};
 use bytes::Bytes;
 use compact_str::CompactString;
-use fleet::{RouteRecord, TeamRecord, UpstreamRecord, WeightsVersion};
+use fleet::{RouteRecord, TeamRecord, UpstreamRecord, WeightsLimits, WeightsVersion};
 use http_body_util::Full;
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming, http::response,
@@ -30,9 +30,6 @@
 };
 use crate::port::RequestMeta;
 
-/// Margin within the rollout timeout of a version, for the time that a request takes to reach the engine and waits
-/// there.
-const VERSION_MARGIN: Duration = Duration::from_millis(1_000);
 /// Retry delay given to the caller if no upstream ran the request, or if this entry is stopping or its fleet state may
 /// be out of date.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -60,6 +57,13 @@
     progress: Mutex<RequestProgress>,
 }
 
+/// Upstream that was chosen for an attempt.
+pub(super) struct ChosenUpstream {
+    pub(super) record: Arc<UpstreamRecord>,
+    /// Time at which the attempt is cancelled if it has not begun to run; see [`Placement::Upstream`].
+    pub(super) cancel_at: Option<Instant>,
+}
+
 pub(super) struct RequestProgress {
     pub(super) attempts: AttemptLog,
     tried: Vec<UpstreamId>,
@@ -209,8 +213,8 @@
             if self.deadline.saturating_duration_since(now) < MIN_ATTEMPT_TIME {
                 return RequestResult::Expired(self.progress().attempts.final_status());
             }
-            let upstream = match self.choose_upstream(now, resume_after.is_some()) {
-                Ok(upstream) => upstream,
+            let chosen = match self.choose_upstream(now, resume_after.is_some()) {
+                Ok(chosen) => chosen,
                 Err(refusal) => {
                     if let Some((head, body)) = error_response {
                         return RequestResult::Complete(head, body);
@@ -221,18 +225,18 @@
                     };
                 }
             };
-            match self.attempt(&upstream, resume_after.as_deref()).await {
+            match self.attempt(&chosen, resume_after.as_deref()).await {
                 AttemptResult::Stream(head, stream) => return RequestResult::Stream(head, stream),
                 AttemptResult::Complete(head, body) => return RequestResult::Complete(head, body),
                 AttemptResult::Failed(end, response) => {
+                    let upstream = &chosen.record.upstream;
                     error_response = response.or(error_response);
                     info!(
-                        "event=attempt_ended request={} upstream={} end={end:?} waited_ms={}",
+                        "event=attempt_ended request={} upstream={upstream} end={end:?} waited_ms={}",
                         self.meta.id,
-                        upstream.upstream,
                         self.elapsed().as_millis()
                     );
-                    self.progress().tried.push(upstream.upstream.clone());
+                    self.progress().tried.push(upstream.clone());
                     if !self.may_retry(end) {
                         if let Some((head, body)) = error_response {
                             return RequestResult::Complete(head, body);
@@ -266,7 +270,11 @@
         &self,
         now: Instant,
         is_resumed: bool,
-    ) -> Result<Arc<UpstreamRecord>, PlacementRefusal> {
+    ) -> Result<ChosenUpstream, PlacementRefusal> {
+        let view = self.shared.view.load();
+        let rollout_timeout = self.shared.settings.common.rollout_timeout;
+        let weights_state = self.meta.model.as_ref().and_then(|model| view.weights.get(model));
+        let weights = weights_state.map(|state| WeightsLimits::new(state, rollout_timeout));
         let tried = self.progress().tried.clone();
         let latency_target = self.started + self.route.target_latency;
         let regions = self.team.as_ref().map_or(&[][..], |team| team.allowed_regions.as_slice());
@@ -275,20 +283,20 @@
             prompt_tokens: self.meta.prompt_tokens,
             allowed_regions: [&self.route.allowed_regions, regions],
             tried: &tried,
-            min_version: self.min_version(now),
+            weights,
             time_to_target: self
                 .is_on_time()
                 .then(|| latency_target.saturating_duration_since(now)),
             is_resumed,
         };
         match self.shared.balancer().choose(&placement_request, now, &mut rand::rng()) {
-            Placement::Upstream { record, delay, version } => {
+            Placement::Upstream { record, delay, version, cancel_at } => {
                 let mut progress = self.progress();
                 progress.predicted.get_or_insert(delay);
                 progress.version = version;
                 progress.version_time_left =
-                    version.and_then(|version| self.version_time_left(version, now));
-                Ok(record)
+                    version.and_then(|version| weights?.time_left(version, now));
+                Ok(ChosenUpstream { record, cancel_at })
             }
             Placement::Refused(refusal) => Err(refusal),
         }
@@ -305,18 +313,7 @@
     pub(super) fn min_version(&self, now: Instant) -> Option<WeightsVersion> {
         let model = self.meta.model.as_ref()?;
         let view = self.shared.view.load();
-        let rollout_timeout =
-            self.shared.settings.common.rollout_timeout.saturating_sub(VERSION_MARGIN);
-        view.weights.get(model)?.oldest_allowed(now, rollout_timeout)
-    }
-
-    /// Time for which requests may still begin to run on `version` of the requested weights; `None` if it is the newest
-    /// one.
-    fn version_time_left(&self, version: WeightsVersion, now: Instant) -> Option<Duration> {
-        let model = self.meta.model.as_ref()?;
-        let view = self.shared.view.load();
-        let rollout_timeout = self.shared.settings.common.rollout_timeout;
-        view.weights.get(model)?.time_left(version, now, rollout_timeout)
+        view.weights.get(model)?.oldest_allowed(now, self.shared.settings.common.rollout_timeout)
     }
 
     pub(super) fn elapsed(&self) -> Duration {
--- a/crates/standin/src/measure/load/policy.rs
+++ b/crates/standin/src/measure/load/policy.rs
@@ -139,7 +139,7 @@
             prompt_tokens: request.prompt,
             allowed_regions: [&[], &[]],
             tried: &[],
-            min_version: None,
+            weights: None,
             time_to_target: first_try.then(|| request.target()),
             is_resumed: false,
         };
