Date declarations of weights as early as they can have been made

Cause: the time limit of a version started when a process observed the declaration. Entries pause for 0.25 or 1.8 s between two watches, and what another process reports as an age is already older on arrival.

Change: every received item comes with the period in which it can have been changed; a declaration is dated at the begin of this period, the cold period of an upstream still at its end. Agents count the age in an assignment from their request. An entry that cannot date a declaration closely asks another one. This also helps entries that start during a rollout: they knew no date and left all engines with older weights unused.

--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -14,6 +14,7 @@
 use snafu::Snafu;
 
 use crate::{
+    period::ReceivePeriod,
     record::{RoutingConfig, UpstreamRecord, WeightsVersion},
     view::{FleetView, RoutingIndex, WeightsState},
 };
@@ -121,13 +122,24 @@
     lapsed: Option<(Arc<UpstreamRecord>, Instant)>,
 }
 
+/// Declaration of a version of a model's weights.
+#[derive(Debug)]
+struct Declaration {
+    version: WeightsVersion,
+    /// Earliest time at which it can have been made; `None` if neither this process nor a peer observed it.
+    declared_at: Option<Instant>,
+    /// Length of the period in which it can have been made, if it is dated.
+    uncertainty: Duration,
+    /// Time at which this process learned of it.
+    received: Instant,
+}
+
 /// State of the fleet as one process knows it.
 #[derive(Default)]
 pub struct FleetState {
     items: HashMap<ItemKey, ItemState>,
-    /// Versions of each model's weights in the order of declaration, with the time at which each declaration was
-    /// observed.
-    declared: HashMap<ModelId, Vec<(WeightsVersion, Option<Instant>)>>,
+    /// Versions of each model's weights in the order of declaration.
+    declared: HashMap<ModelId, Vec<Declaration>>,
     /// Revision up to which all changes have been received; `None` before the first listing.
     as_of: Option<Revision>,
     /// Tombstones of removals below this revision may have been dropped.
@@ -175,8 +187,9 @@
         item: RawItem,
         source: ItemSource,
         decoder: &dyn DecodeItem,
-        now: Instant,
+        period: ReceivePeriod,
     ) -> Option<FleetChange> {
+        let now = period.end;
         if self.items.get(&item.key).is_some_and(|known| known.revision >= item.revision) {
             return None;
         }
@@ -187,15 +200,26 @@
                 Some(Err(error)) => (None, Some(error)),
                 None => (None, None),
             };
+        // Time limits that start with a declaration must not end late, so a declaration is dated as early as it can have
+        // been made. The cold period of an upstream must not end early.
+        let received = match &decoded {
+            Some(ItemValue::Declared { .. }) => period.begin,
+            _ => period.end,
+        };
         let changed = match (item.age, source) {
-            (Some(age), _) => now.checked_sub(age),
-            (None, ItemSource::Change) => Some(now),
+            (Some(age), _) => received.checked_sub(age),
+            (None, ItemSource::Change) => Some(received),
             (None, ItemSource::Listing) => None,
         };
         if let Some(ItemValue::Declared { model, version }) = &decoded {
-            let versions = self.declared.entry(model.clone()).or_default();
-            if versions.last().is_none_or(|(last, _)| last < version) {
-                versions.push((*version, changed));
+            let declarations = self.declared.entry(model.clone()).or_default();
+            if declarations.last().is_none_or(|last| last.version < *version) {
+                declarations.push(Declaration {
+                    version: *version,
+                    declared_at: changed,
+                    uncertainty: period.length(),
+                    received: now,
+                });
             }
         }
         let before = self.items.remove(&item.key);
@@ -232,7 +256,7 @@
         items: Vec<RawItem>,
         as_of: Revision,
         decoder: &dyn DecodeItem,
-        now: Instant,
+        period: ReceivePeriod,
     ) -> Vec<FleetChange> {
         if self.as_of.is_some_and(|known| known > as_of) {
             return Vec::new();
@@ -256,7 +280,7 @@
             .into_iter()
             .map(|item| (item, ItemSource::Listing))
             .chain(removals.map(|item| (item, ItemSource::Change)))
-            .filter_map(|(item, source)| self.apply(item, source, decoder, now))
+            .filter_map(|(item, source)| self.apply(item, source, decoder, period))
             .collect();
         self.tombstone_floor = self.tombstone_floor.max(as_of);
         self.advance(as_of);
@@ -279,12 +303,57 @@
                 key: key.clone(),
                 value: item.value.clone(),
                 revision: item.revision,
-                age: item.changed.map(|changed| now.saturating_duration_since(changed)),
+                age: self.change_date(item).map(|changed| now.saturating_duration_since(changed)),
             })
             .collect();
         (items, is_snapshot)
     }
 
+    fn change_date(&self, item: &ItemState) -> Option<Instant> {
+        let Some(ItemValue::Declared { model, version }) = &item.decoded else {
+            return item.changed;
+        };
+        let declarations = self.declared.get(model)?;
+        declarations.iter().find(|known| known.version == *version)?.declared_at
+    }
+
+    /// Models whose latest declaration this process cannot date more closely than by `limit`, because it has started or
+    /// read the store too late to observe it. Only declarations received after `since` are considered.
+    #[must_use]
+    pub fn poorly_dated(&self, limit: Duration, since: Instant) -> Vec<(ModelId, WeightsVersion)> {
+        let latest = self.declared.iter().filter_map(|(model, known)| Some((model, known.last()?)));
+        latest
+            .filter(|(_, latest)| {
+                latest.received > since
+                    && (latest.declared_at.is_none() || latest.uncertainty > limit)
+            })
+            .map(|(model, latest)| (model.clone(), latest.version))
+            .collect()
+    }
+
+    /// Applies the date of a declaration that a peer knows more closely; true if it improves the known one. Every
+    /// process dates a declaration no later than it was made, so the latest date is the best one.
+    pub fn improve_date(
+        &mut self,
+        model: &ModelId,
+        version: WeightsVersion,
+        period: ReceivePeriod,
+        age: Duration,
+    ) -> bool {
+        let declarations = self.declared.get_mut(model);
+        let known = declarations
+            .and_then(|known| known.iter_mut().find(|declaration| declaration.version == version));
+        let (Some(known), Some(declared_at)) = (known, period.begin.checked_sub(age)) else {
+            return false;
+        };
+        if known.declared_at.is_some_and(|known_date| known_date >= declared_at) {
+            return false;
+        }
+        known.declared_at = Some(declared_at);
+        known.uncertainty = period.length();
+        true
+    }
+
     /// Drops upstreams that did not register again in time after an outage of the store; true if any was dropped.
     pub fn remove_expired(&mut self, now: Instant) -> bool {
         let mut expired = false;
@@ -322,7 +391,8 @@
         }
         view.set_upstreams(newest_per_address(upstreams));
         for (model, versions) in &self.declared {
-            view.weights.insert(model.clone(), WeightsState::new(versions.clone()));
+            let dated = versions.iter().map(|known| (known.version, known.declared_at)).collect();
+            view.weights.insert(model.clone(), WeightsState::new(dated));
         }
         view
     }
--- a/crates/fleet/tests/knowledge.rs
+++ b/crates/fleet/tests/knowledge.rs
@@ -9,8 +9,8 @@
 
 use bytes::Bytes;
 use fleet::{
-    ClientLimits, DecodeItem, FleetState, ItemError, ItemSource, ItemValue, RawItem, RoutingConfig,
-    UpstreamRecord,
+    ClientLimits, DecodeItem, FleetState, ItemError, ItemSource, ItemValue, RawItem, ReceivePeriod,
+    RoutingConfig, UpstreamRecord,
 };
 use proptest::prelude::*;
 
@@ -54,7 +54,7 @@
 }
 
 fn apply_change(fleet: &mut FleetState, item: RawItem, now: Instant) -> bool {
-    fleet.apply(item, ItemSource::Change, &TextDecoder, now).is_some()
+    fleet.apply(item, ItemSource::Change, &TextDecoder, ReceivePeriod::at(now)).is_some()
 }
 
 #[test]
@@ -73,7 +73,12 @@
     apply_change(&mut fleet, item("a", Some("u:ready"), 3), now);
     apply_change(&mut fleet, item("a", None, 9), now);
     fleet.advance(9);
-    let changes = fleet.apply_listing(vec![item("a", Some("u:ready"), 3)], 5, &TextDecoder, now);
+    let changes = fleet.apply_listing(
+        vec![item("a", Some("u:ready"), 3)],
+        5,
+        &TextDecoder,
+        ReceivePeriod::at(now),
+    );
     assert!(changes.is_empty());
     assert!(fleet.view().upstream("a").is_none());
 }
@@ -84,7 +89,7 @@
     let mut fleet = FleetState::new();
     apply_change(&mut fleet, item("a", Some("u:ready"), 3), now);
     apply_change(&mut fleet, item("b", Some("u:ready"), 12), now);
-    fleet.apply_listing(Vec::new(), 10, &TextDecoder, now);
+    fleet.apply_listing(Vec::new(), 10, &TextDecoder, ReceivePeriod::at(now));
     let view = fleet.view();
     assert!(view.upstream("a").is_none(), "not listed and older than the listing");
     assert!(view.upstream("b").is_some(), "changed after the listing was started");
@@ -97,7 +102,12 @@
     apply_change(&mut fleet, item("a", Some("u:ready"), 3), now);
     apply_change(&mut fleet, item("b", Some("u:ready"), 4), now);
     let change = fleet
-        .apply(item("b", Some("garbage"), 5), ItemSource::Change, &TextDecoder, now)
+        .apply(
+            item("b", Some("garbage"), 5),
+            ItemSource::Change,
+            &TextDecoder,
+            ReceivePeriod::at(now),
+        )
         .expect("the item is newer");
     assert!(change.error.is_some());
     let view = fleet.view();
@@ -152,7 +162,12 @@
 fn peer_receives_exactly_the_items_it_lacks() {
     let now = Instant::now();
     let mut source = FleetState::new();
-    source.apply_listing(vec![item("a", Some("u:ready"), 3)], 4, &TextDecoder, now);
+    source.apply_listing(
+        vec![item("a", Some("u:ready"), 3)],
+        4,
+        &TextDecoder,
+        ReceivePeriod::at(now),
+    );
     apply_change(&mut source, item("a", None, 6), now);
     apply_change(&mut source, item("b", Some("u:ready"), 7), now);
     source.advance(7);
@@ -172,7 +187,12 @@
     let start = Instant::now();
     let bound = Duration::from_secs(7);
     let mut fleet = FleetState::new();
-    fleet.apply(item("w", Some("w:1"), 1), ItemSource::Listing, &TextDecoder, start);
+    fleet.apply(
+        item("w", Some("w:1"), 1),
+        ItemSource::Listing,
+        &TextDecoder,
+        ReceivePeriod::at(start),
+    );
     apply_change(&mut fleet, item("w", Some("w:2"), 2), start);
     apply_change(&mut fleet, item("w", Some("w:3"), 3), start + Duration::from_secs(2));
     let view = fleet.view();
@@ -182,6 +202,69 @@
     assert_eq!((allowed(6), allowed(8), allowed(9)), (Some(1), Some(2), Some(3)));
 }
 
+/// Guards against a time limit that ends late because it starts when a declaration is observed instead of when it was
+/// made: a watch that begins after a pause returns changes from the whole pause.
+#[test]
+fn declaration_is_dated_no_later_than_it_can_have_been_made() {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let (last_response, requested, received) = (at(1_000), at(2_800), at(2_810));
+    let period = ReceivePeriod::of_watch(requested, Some(last_response), received);
+    assert!(period.begin <= last_response, "the change may have been made during the pause");
+
+    let mut fleet = FleetState::new();
+    fleet.apply(item("w", Some("w:2"), 2), ItemSource::Change, &TextDecoder, period);
+    let declared_at = |fleet: &FleetState| fleet.view().weights["m"].declared_at();
+    assert_eq!(declared_at(&fleet), Some(period.begin));
+
+    // A peer reports the age at the time at which it responds, which is after the request.
+    let request = ReceivePeriod { begin: at(3_000), end: at(3_050) };
+    let with_age =
+        |age| RawItem { age: Some(Duration::from_millis(age)), ..item("w", Some("w:3"), 3) };
+    fleet.apply(with_age(400), ItemSource::Change, &TextDecoder, request);
+    assert_eq!(declared_at(&fleet), Some(at(2_600)));
+    let (items, _) = fleet.items_after(2, at(3_100));
+    assert_eq!(items[0].age, Some(Duration::from_millis(500)));
+}
+
+/// Guards against a date that lies long before the declaration, so that engines with the older version go unused.
+#[test]
+fn watch_that_has_waited_dates_its_changes_closely() {
+    let start = Instant::now();
+    let received = start + Duration::from_secs(2);
+    let period = ReceivePeriod::of_watch(start, Some(start), received);
+    assert!(period.begin < received, "the response takes time to arrive");
+    assert!(period.length() <= Duration::from_millis(200));
+}
+
+/// Guards against an entry that starts during a rollout, cannot date the declaration, and leaves all engines with the
+/// older version unused although the other entries know the date.
+#[test]
+fn date_of_a_declaration_is_improved_by_a_peer() {
+    let start = Instant::now();
+    let now = start + Duration::from_secs(5);
+    let mut fleet = FleetState::new();
+    fleet.apply(
+        item("w", Some("w:2"), 2),
+        ItemSource::Listing,
+        &TextDecoder,
+        ReceivePeriod::at(now),
+    );
+    let (limit, model) = (Duration::from_millis(400), "m".into());
+    assert_eq!(fleet.poorly_dated(limit, start), [("m".into(), 2)]);
+    assert!(fleet.poorly_dated(limit, now).is_empty(), "the rollout is over");
+
+    let period = ReceivePeriod { begin: now, end: now + Duration::from_millis(20) };
+    assert!(fleet.improve_date(&model, 2, period, Duration::from_secs(3)));
+    assert_eq!(fleet.view().weights["m"].declared_at(), Some(start + Duration::from_secs(2)));
+    assert!(fleet.poorly_dated(limit, start).is_empty());
+    assert!(
+        !fleet.improve_date(&model, 2, period, Duration::from_secs(4)),
+        "an earlier date is worse"
+    );
+    assert!(!fleet.improve_date(&model, 3, period, Duration::ZERO), "the version is not known");
+}
+
 proptest! {
     /// The newest revision of each key wins, even if items arrive out of order or repeatedly, or are lost.
     #[test]
@@ -239,7 +322,7 @@
     let mut apply = |revision, value: Option<&'static str>| {
         let value = value.map(|text| Bytes::from_static(text.as_bytes()));
         let item = RawItem { key: "config".into(), value, revision, age: None };
-        fleet.apply(item, ItemSource::Change, &ConfigDecoder, now);
+        fleet.apply(item, ItemSource::Change, &ConfigDecoder, ReceivePeriod::at(now));
         fleet.view().config().map(|config| config.version)
     };
     assert_eq!(apply(1, Some("c:7")), Some(7));
--- a/crates/gateway/src/agent/shared.rs
+++ b/crates/gateway/src/agent/shared.rs
@@ -144,9 +144,9 @@
         }
     }
 
-    /// Stores an assignment from an entry; false if it is older than the current one or names no model.
-    pub(super) fn set_assignment(&self, reply: BriefReply) -> bool {
-        let now = self.clock.now();
+    /// Stores an assignment that was requested from an entry at `requested`; false if it is older than the current one
+    /// or names no model.
+    pub(super) fn set_assignment(&self, reply: BriefReply, requested: Instant) -> bool {
         self.pauses.record_refreshed(self.pauses.count());
         let mut assignment = self.assignment.lock().unwrap_or_else(PoisonError::into_inner);
         if reply.model.is_empty()
@@ -176,7 +176,7 @@
             weights: WeightsId { model: reply.model.as_str().into(), version: reply.version },
             declared_at: reply
                 .declared_ms
-                .and_then(|age| now.checked_sub(Duration::from_millis(age))),
+                .and_then(|age| requested.checked_sub(Duration::from_millis(age))),
             chunk_count: reply.pieces,
             chunk_bytes: reply.piece_bytes,
             origin,
--- a/crates/gateway/src/agent/transfer.rs
+++ b/crates/gateway/src/agent/transfer.rs
@@ -231,13 +231,14 @@
         let request = Payload::BriefRequest(BriefRequest {
             service: self.shared.settings.service.to_string(),
         });
+        let requested = self.shared.clock.now();
         match self.shared.client.call(entry, request, ASSIGNMENT_TIMEOUT).await {
             Ok(Payload::BriefReply(reply)) => {
                 let (version, revision, agents) =
                     (reply.version, reply.revision, reply.agents.len());
                 let has_changed =
                     known.as_ref().is_none_or(|known| known.weights.version != version);
-                if self.shared.set_assignment(reply) && has_changed {
+                if self.shared.set_assignment(reply, requested) && has_changed {
                     info!(
                         "event=weights_wanted version={version} revision={revision} agents={agents} entry={entry}"
                     );
--- a/crates/gateway/src/entry/control.rs
+++ b/crates/gateway/src/entry/control.rs
@@ -4,7 +4,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use balance::AgentReport;
-use fleet::RawItem;
+use fleet::{RawItem, ReceivePeriod};
 use futures_util::future::BoxFuture;
 use log::{info, warn};
 use rand::seq::IteratorRandom;
@@ -19,6 +19,7 @@
 
 use super::{
     assignment::{assignment_digest, make_assignment, millis},
+    dating::date_declarations,
     shared::EntryShared,
     status::entry_status,
     store::{apply_items, follow_store},
@@ -76,7 +77,8 @@
     }
     tokio::spawn(follow_store(shared.clone()));
     tokio::spawn(send_heartbeats(shared.clone(), socket.clone()));
-    tokio::spawn(catch_up(shared.clone(), client));
+    tokio::spawn(catch_up(shared.clone(), client.clone()));
+    tokio::spawn(date_declarations(shared.clone(), client));
     tokio::select! {
         () = receive_notices(&shared, &socket) => {}
         _ = stopped.changed() => {}
@@ -295,6 +297,7 @@
         behind_since = None;
         let after = shared.fleet_state().as_of().unwrap_or_default();
         let request = Payload::ItemsRequest(ItemsRequest { after });
+        let begin = shared.clock.now();
         match client.call(ahead.peer, request, ITEMS_TIMEOUT).await {
             Ok(Payload::ItemsResponse(reply)) if reply.as_of > 0 => {
                 info!(
@@ -304,7 +307,8 @@
                     reply.items.len()
                 );
                 let items = reply.items.into_iter().map(raw_item).collect();
-                if apply_items(&shared, items, reply.as_of, reply.snapshot || after == 0) {
+                let period = ReceivePeriod { begin, end: shared.clock.now() };
+                if apply_items(&shared, items, reply.as_of, reply.snapshot || after == 0, period) {
                     publish(&shared);
                 }
                 shared.record_refreshed(pauses);
--- a/crates/gateway/src/entry/store.rs
+++ b/crates/gateway/src/entry/store.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use base::rendezvous_weight;
-use fleet::{FleetChange, ItemSource, RawItem};
+use fleet::{FleetChange, ItemSource, RawItem, ReceivePeriod};
 use log::{info, warn};
 use rand::RngExt;
 use tokio::time::sleep;
@@ -33,6 +33,7 @@
     let mut backoff = BACKOFF_RANGE.0;
     let mut is_failing = false;
     let mut after_follower_pause = false;
+    let mut last_response = None;
     loop {
         let after = shared.fleet_state().as_of();
         let pauses = shared.pauses();
@@ -49,6 +50,7 @@
                 Some(after) => shared.ports.store.watch(after, wait).await,
             }
         };
+        let requested = shared.clock.now();
         let result = tokio::select! {
             () = shared.wake_store.notified() => continue,
             result = store_request => result,
@@ -62,8 +64,10 @@
                 }
                 (is_failing, backoff) = (false, BACKOFF_RANGE.0);
                 let has_changes = !listing.items.is_empty();
+                let period = ReceivePeriod::of_watch(requested, last_response, now);
+                last_response = Some(now);
                 let has_new_items =
-                    apply_items(&shared, listing.items, listing.as_of, after.is_none());
+                    apply_items(&shared, listing.items, listing.as_of, after.is_none(), period);
                 shared.record_confirmed(now);
                 if has_new_items || after.is_none() {
                     publish(&shared);
@@ -122,9 +126,11 @@
 }
 
 async fn list_again(shared: &EntryShared) -> Result<(), StoreError> {
+    let begin = shared.clock.now();
     let listing = shared.ports.store.list().await?;
-    apply_items(shared, listing.items, listing.as_of, true);
-    shared.record_confirmed(shared.clock.now());
+    let period = ReceivePeriod { begin, end: shared.clock.now() };
+    apply_items(shared, listing.items, listing.as_of, true, period);
+    shared.record_confirmed(period.end);
     publish(shared);
     Ok(())
 }
@@ -135,16 +141,16 @@
     items: Vec<RawItem>,
     as_of: u64,
     is_complete: bool,
+    period: ReceivePeriod,
 ) -> bool {
-    let now = shared.clock.now();
     let decoder = &*shared.ports.decoder;
     let mut fleet_state = shared.fleet_state();
     let changes = if is_complete {
-        fleet_state.apply_listing(items, as_of, decoder, now)
+        fleet_state.apply_listing(items, as_of, decoder, period)
     } else {
         let changes = items
             .into_iter()
-            .filter_map(|item| fleet_state.apply(item, ItemSource::Change, decoder, now))
+            .filter_map(|item| fleet_state.apply(item, ItemSource::Change, decoder, period))
             .collect();
         fleet_state.advance(as_of);
         changes
