Name the version that placement relied on, not the oldest allowed one

What callers saw: with two declarations within the rollout bound, requests are refused although engines have the newest weights.

Cause: each attempt named the oldest version that might still be used as the version that the engine must have. An engine with a newer version has another one and refuses.

Change: placement states the version that the engine must have: the one it relied on if that is the newest declared version, and none otherwise, because the engine may load a newer one before the request arrives.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -164,6 +164,9 @@
         /// Time at which the request must be cancelled if the upstream has not begun to run it, because the weights are
         /// then outdated; `None` if no newer version is declared.
         cancel_at: Option<Instant>,
+        /// Version that the upstream must still have when the request arrives; `None` if it may load a newer one until
+        /// then, which may also serve the request.
+        expected_version: Option<WeightsVersion>,
     },
     /// Refuse the request.
     Refused(PlacementRefusal),
@@ -386,14 +389,18 @@
             compared += 1;
         }
         match best {
-            Some((_, delay, state)) => Placement::Upstream {
-                record: state.record.clone(),
-                delay,
-                version: state.version(now),
-                cancel_at: request
-                    .time_left(state, now)
-                    .map(|left| now + left.saturating_sub(CANCEL_MARGIN)),
-            },
+            Some((_, delay, state)) => {
+                let version = state.version(now);
+                let time_left = request.time_left(state, now);
+                let is_newest = request.weights.is_some() && time_left.is_none();
+                Placement::Upstream {
+                    record: state.record.clone(),
+                    delay,
+                    version,
+                    cancel_at: time_left.map(|left| now + left.saturating_sub(CANCEL_MARGIN)),
+                    expected_version: version.filter(|_| is_newest),
+                }
+            }
             None => refuse(RefusalCause::Overloaded, rng),
         }
     }
--- a/crates/balance/tests/board.rs
+++ b/crates/balance/tests/board.rs
@@ -259,18 +259,21 @@
 fn placement_limits_the_wait_at_an_upstream_with_outdated_weights() {
     let mut fixture = PlacementFixture::new(1);
     fixture.report(0, 2, 1);
-    let cancel_at = |fixture: &mut PlacementFixture, weights: &WeightsState| {
+    let place = |fixture: &mut PlacementFixture, weights: &WeightsState| {
         let limits = WeightsLimits::new(weights, ROLLOUT_TIMEOUT);
         match fixture.choose(|request| request.weights = Some(limits)) {
-            Placement::Upstream { cancel_at, version, .. } => (cancel_at, version),
+            Placement::Upstream { cancel_at, expected_version, .. } => {
+                (cancel_at, expected_version)
+            }
             Placement::Refused(refusal) => panic!("refused: {refusal:?}"),
         }
     };
     let declared = fixture.now;
     let newest = declared_versions(&[(1, Some(declared))]);
-    assert_eq!(cancel_at(&mut fixture, &newest), (None, Some(1)));
+    assert_eq!(place(&mut fixture, &newest), (None, Some(1)));
     let outdated = declared_versions(&[(1, Some(declared)), (2, Some(declared))]);
-    let (cancel_at, _) = cancel_at(&mut fixture, &outdated);
+    let (cancel_at, expected_version) = place(&mut fixture, &outdated);
+    assert_eq!(expected_version, None, "the engine may load version 2 before the request arrives");
     let wait = cancel_at.expect("the wait is limited") - declared;
     assert!(wait < ROLLOUT_TIMEOUT - Duration::from_millis(100), "cancelled after {wait:?}");
 }
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -69,19 +69,6 @@
             })
             .min()
     }
-
-    /// Oldest version that may still serve new requests at `now`, given that each version must be in use within `bound`
-    /// of its declaration.
-    #[must_use]
-    pub fn oldest_allowed(&self, now: Instant, bound: Duration) -> Option<WeightsVersion> {
-        self.versions
-            .iter()
-            .filter(|(_, seen)| {
-                seen.is_none_or(|seen| now.saturating_duration_since(seen) >= bound)
-            })
-            .map(|(version, _)| *version)
-            .max()
-    }
 }
 
 /// Declared versions of a model's weights, together with the time within which engines must use a declared version.
--- a/crates/fleet/tests/knowledge.rs
+++ b/crates/fleet/tests/knowledge.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use fleet::{
     ClientLimits, DecodeItem, FleetState, ItemError, ItemSource, ItemValue, RawItem, ReceivePeriod,
-    RoutingConfig, UpstreamRecord,
+    RoutingConfig, UpstreamRecord, WeightsLimits, WeightsState,
 };
 use proptest::prelude::*;
 
@@ -186,6 +186,7 @@
 fn version_is_required_only_after_the_bound() {
     let start = Instant::now();
     let bound = Duration::from_secs(7);
+    let after = |seconds| start + Duration::from_secs(seconds);
     let mut fleet = FleetState::new();
     fleet.apply(
         item("w", Some("w:1"), 1),
@@ -198,8 +199,16 @@
     let view = fleet.view();
     let state = &view.weights["m"];
     assert_eq!(state.declared(), Some(3));
-    let allowed = |seconds| state.oldest_allowed(start + Duration::from_secs(seconds), bound);
+    // Versions that may still be used 6, 8 and 9 s after the start.
+    let allowed = |seconds| {
+        let limits = WeightsLimits::new(state, bound);
+        [1, 2, 3].into_iter().find(|version| {
+            limits.time_left(*version, after(seconds)).is_none_or(|left| !left.is_zero())
+        })
+    };
     assert_eq!((allowed(6), allowed(8), allowed(9)), (Some(1), Some(2), Some(3)));
+    let undated = WeightsState::new(vec![(4, None)]);
+    assert_eq!(undated.time_left(3, start, bound), Some(Duration::ZERO));
 }
 
 /// Guards against a time limit that ends late because it starts when a declaration is observed instead of when it was
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -69,7 +69,7 @@
         chosen: &ChosenUpstream,
         resume_after: Option<&str>,
     ) -> AttemptResult {
-        let ChosenUpstream { record: upstream, cancel_at } = chosen;
+        let ChosenUpstream { record: upstream, cancel_at, .. } = chosen;
         let shared = &self.shared;
         self.progress().last = Some(upstream.upstream.clone());
         let guard = AttemptGuard::new(shared.clone(), upstream.upstream.clone());
@@ -82,7 +82,7 @@
             guard.finish(AttemptOutcome::Abandoned);
             return AttemptResult::Failed(AttemptEnd::NotSent, None);
         }
-        let request = self.upstream_request(upstream, resume_after, now);
+        let request = self.upstream_request(chosen, resume_after, now);
         let response_deadline = self.response_deadline(now);
         // An engine sends the head of its response when it begins to run a request.
         let wait_until = cancel_at.map_or(response_deadline, |at| at.min(response_deadline));
@@ -119,7 +119,7 @@
 
     fn upstream_request(
         &self,
-        upstream: &UpstreamRecord,
+        chosen: &ChosenUpstream,
         resume_after: Option<&str>,
         now: Instant,
     ) -> Request<Full<Bytes>> {
@@ -135,10 +135,10 @@
             time_left: self
                 .caller_deadline
                 .map(|by| by.min(self.deadline).saturating_duration_since(now)),
-            upstream: &upstream.upstream,
+            upstream: &chosen.record.upstream,
             team: self.team.as_ref().map(|team| team.team.as_str()),
             priority: self.meta.model.is_some().then_some(priority),
-            version: self.min_version(now),
+            version: chosen.expected_version,
             resume_after,
         };
         let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -62,6 +62,8 @@
     pub(super) record: Arc<UpstreamRecord>,
     /// Time at which the attempt is cancelled if it has not begun to run; see [`Placement::Upstream`].
     pub(super) cancel_at: Option<Instant>,
+    /// Version of the weights that the upstream must have; see [`Placement::Upstream`].
+    pub(super) expected_version: Option<WeightsVersion>,
 }
 
 pub(super) struct RequestProgress {
@@ -290,13 +292,13 @@
             is_resumed,
         };
         match self.shared.balancer().choose(&placement_request, now, &mut rand::rng()) {
-            Placement::Upstream { record, delay, version, cancel_at } => {
+            Placement::Upstream { record, delay, version, cancel_at, expected_version } => {
                 let mut progress = self.progress();
                 progress.predicted.get_or_insert(delay);
                 progress.version = version;
                 progress.version_time_left =
                     version.and_then(|version| weights?.time_left(version, now));
-                Ok(ChosenUpstream { record, cancel_at })
+                Ok(ChosenUpstream { record, cancel_at, expected_version })
             }
             Placement::Refused(refusal) => Err(refusal),
         }
@@ -310,12 +312,6 @@
             .is_none_or(|left| left.saturating_add(self.route.target_latency) >= self.route.timeout)
     }
 
-    pub(super) fn min_version(&self, now: Instant) -> Option<WeightsVersion> {
-        let model = self.meta.model.as_ref()?;
-        let view = self.shared.view.load();
-        view.weights.get(model)?.oldest_allowed(now, self.shared.settings.common.rollout_timeout)
-    }
-
     pub(super) fn elapsed(&self) -> Duration {
         self.shared.clock.now().saturating_duration_since(self.started)
     }
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -47,7 +47,7 @@
     pub team: Option<&'a str>,
     /// Priority at the upstream, where 0 is the most urgent; `None` for requests without a model.
     pub priority: Option<u8>,
-    /// Minimum version of the loaded weights; `None` if any version will do.
+    /// Version of the weights that the upstream must have loaded to run the request; `None` if any version will do.
     pub version: Option<WeightsVersion>,
     /// Id of the last event that was delivered, if the request resumes a stream.
     pub resume_after: Option<&'a str>,
