Date a declaration by the last time at which the watch was waiting

What callers could see: after a pause or a suspension of an entry, its requests begin on outdated weights although the entry is in touch again.

Cause: a watch that had lasted 0.5 s was taken to have returned its change at once, so the change was dated at the arrival of the response. A process that is paused reads the response only afterwards. A suspended host is worse: its monotonic clock stands still, so all dates lag by the time of the suspension. An item of another process without an age was dated at its arrival.

Change: while a watch is pending, the process records every 0.1 s that it is waiting; such a record counts only if the next one is on time. The change is dated after the last record that counts. Suspended time shifts all dates. An item that another process cannot date has no date here.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,13 +4,14 @@
 //! The state arrives as keyed items with revisions, from the platform or from a peer, in any order and possibly more
 //! than once. Merging does no I/O, so that stale, repeated and undecodable items can be tested in isolation.
 
+mod declared;
 mod period;
 mod record;
 mod state;
 mod view;
 
 pub use crate::{
-    period::ReceivePeriod,
+    period::{ReceivePeriod, WAIT_CHECK_INTERVAL, WatchTimer},
     record::{
         ClientLimits, EngineCosts, EngineModel, EngineRecord, LoadedWeights, OriginRecord,
         RetryPolicy, RouteBackend, RouteRecord, RoutingConfig, ServiceRecord, TeamRecord,
--- a/crates/fleet/src/period.rs
+++ b/crates/fleet/src/period.rs
@@ -2,43 +2,99 @@
 
 use std::time::{Duration, Instant};
 
+/// Interval at which [`WatchTimer::record_waiting`] is called while a watch is pending.
+pub const WAIT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum time from a change to the arrival of the response to a watch that waits for it, while the store is available
 /// and this process gets its share of the processor.
 const CHANGE_DELAY: Duration = Duration::from_millis(200);
-/// Duration of a watch above which it must have waited for its changes. A shorter one may have returned changes that had
-/// been made before it began.
-const MIN_WAIT: Duration = Duration::from_millis(500);
 
-/// Period in which items were received. A change that is received in it was made after its begin, or, if the item comes
-/// with an age, at most that age before its begin.
+/// Period in which the changes of received items can have been made. If an item comes with an age, the change was made
+/// earlier by that age: an item of age 2 s that was requested at 10 s and arrived at 11 s was changed between 8 and 9 s.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ReceivePeriod {
-    /// Earliest time at which the items can have been changed; for items with an age, the time at which they were
-    /// requested.
+    /// Earliest time of the changes; for items with an age, the time at which they were requested.
     pub begin: Instant,
     /// Time at which the items arrived.
     pub end: Instant,
 }
 
 impl ReceivePeriod {
-    /// Creates the period of items that arrive at the moment of their change.
+    /// Length of the period.
     #[must_use]
-    pub fn at(now: Instant) -> Self {
-        Self { begin: now, end: now }
+    pub fn length(self) -> Duration {
+        self.end.saturating_duration_since(self.begin)
     }
 
-    /// Creates the period of the changes that a watch returns at `end`. It was requested at `requested`, and the store
-    /// last responded at `last_response`.
+    /// Shifts the begin earlier by the time for which the host was suspended within the period.
     #[must_use]
-    pub fn of_watch(requested: Instant, last_response: Option<Instant>, end: Instant) -> Self {
-        let has_waited = end.saturating_duration_since(requested) > MIN_WAIT;
-        let latest = if has_waited { end } else { last_response.unwrap_or(requested) };
-        Self { begin: latest.checked_sub(CHANGE_DELAY).unwrap_or(latest), end }
+    pub fn with_suspension(self, suspended: Duration) -> Self {
+        Self { begin: earlier(self.begin, suspended), ..self }
     }
+}
 
-    /// Length of the period.
+/// Determines the periods of changes that a series of watches returns.
+///
+/// A watch returns a change at once, so a change is made after the last time at which the watch was still waiting. The
+/// time of arrival proves nothing, because this process may have been paused before it could read the response.
+#[derive(Debug)]
+pub struct WatchTimer {
+    /// Time up to which all changes have been received.
+    proven: Instant,
+    /// Last check of the pending watch.
+    last_check: Option<Instant>,
+    /// Last time at which the pending watch is known to have been waiting.
+    waiting: Option<Instant>,
+}
+
+impl WatchTimer {
+    /// Creates the timer of a process that starts at `now`.
     #[must_use]
-    pub fn length(self) -> Duration {
-        self.end.saturating_duration_since(self.begin)
+    pub fn new(now: Instant) -> Self {
+        Self { proven: now, last_check: None, waiting: None }
+    }
+
+    /// Records that a watch or a listing is requested.
+    pub fn record_request(&mut self, now: Instant) {
+        self.last_check = Some(now);
+        self.waiting = None;
     }
+
+    /// Records that the response has not arrived. A check counts only if the next one is on time: a late one shows that
+    /// this process was paused, and the response may have arrived meanwhile.
+    pub fn record_waiting(&mut self, now: Instant) {
+        let previous = self.last_check.replace(now);
+        let is_on_time = |previous: &Instant| {
+            now.saturating_duration_since(*previous) <= WAIT_CHECK_INTERVAL * 2
+        };
+        if let Some(previous) = previous.filter(is_on_time) {
+            self.waiting = Some(previous);
+        }
+    }
+
+    /// Records the response to the watch and returns the period of its changes.
+    pub fn record_watch(&mut self, now: Instant) -> ReceivePeriod {
+        if let Some(waiting) = self.waiting {
+            self.proven = self.proven.max(earlier(waiting, CHANGE_DELAY));
+        }
+        ReceivePeriod { begin: self.proven, end: now }
+    }
+
+    /// Records a listing that was requested at `requested` and returns its period.
+    pub fn record_listing(&mut self, requested: Instant, now: Instant) -> ReceivePeriod {
+        self.proven = requested;
+        ReceivePeriod { begin: requested, end: now }
+    }
+
+    /// Shifts all recorded times earlier, because the host was suspended for `suspended` since then.
+    pub fn record_suspension(&mut self, suspended: Duration) {
+        self.proven = earlier(self.proven, suspended);
+        for time in [&mut self.last_check, &mut self.waiting].into_iter().flatten() {
+            *time = earlier(*time, suspended);
+        }
+    }
+}
+
+/// `time` shifted by `span`, or unchanged if the clock cannot represent that.
+fn earlier(time: Instant, span: Duration) -> Instant {
+    time.checked_sub(span).unwrap_or(time)
 }
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -14,9 +14,10 @@
 use snafu::Snafu;
 
 use crate::{
+    declared::DeclaredVersions,
     period::ReceivePeriod,
     record::{RoutingConfig, UpstreamRecord, WeightsVersion},
-    view::{FleetView, RoutingIndex, WeightsState},
+    view::{FleetView, RoutingIndex},
 };
 
 /// Key of an item in the platform's store.
@@ -24,6 +25,8 @@
 
 /// Maximum number of tombstones. A peer that is further behind than the oldest one receives a snapshot.
 const MAX_TOMBSTONES: usize = 4_096;
+/// Shortest suspension that is accounted for. Its duration is the difference of two clocks, which fluctuates slightly.
+const MIN_SUSPENSION: Duration = Duration::from_millis(5);
 /// Period after an outage of the store in which upstreams with expired registrations register again: about 2 s as
 /// specified by the platform, plus the delay of the watch.
 const REGISTRATION_GRACE: Duration = Duration::from_millis(2_400);
@@ -90,6 +93,8 @@
 pub enum ItemSource {
     /// As a change at the time it happened.
     Change,
+    /// From another process, as its latest change; changes before it may be missing.
+    Relayed,
     /// In a listing of the current items; the time of its last change is not known.
     Listing,
 }
@@ -122,24 +127,13 @@
     lapsed: Option<(Arc<UpstreamRecord>, Instant)>,
 }
 
-/// Declaration of a version of a model's weights.
-#[derive(Debug)]
-struct Declaration {
-    version: WeightsVersion,
-    /// Earliest time at which it can have been made; `None` if neither this process nor a peer observed it.
-    declared_at: Option<Instant>,
-    /// Length of the period in which it can have been made, if it is dated.
-    uncertainty: Duration,
-    /// Time at which this process learned of it.
-    received: Instant,
-}
-
 /// State of the fleet as one process knows it.
 #[derive(Default)]
 pub struct FleetState {
     items: HashMap<ItemKey, ItemState>,
-    /// Versions of each model's weights in the order of declaration.
-    declared: HashMap<ModelId, Vec<Declaration>>,
+    declared: DeclaredVersions,
+    /// Time for which the host had been suspended since boot when it was last checked; `None` before the first check.
+    suspended: Option<Duration>,
     /// Revision up to which all changes have been received; `None` before the first listing.
     as_of: Option<Revision>,
     /// Tombstones of removals below this revision may have been dropped.
@@ -209,18 +203,10 @@
         let changed = match (item.age, source) {
             (Some(age), _) => received.checked_sub(age),
             (None, ItemSource::Change) => Some(received),
-            (None, ItemSource::Listing) => None,
+            (None, ItemSource::Relayed | ItemSource::Listing) => None,
         };
         if let Some(ItemValue::Declared { model, version }) = &decoded {
-            let declarations = self.declared.entry(model.clone()).or_default();
-            if declarations.last().is_none_or(|last| last.version < *version) {
-                declarations.push(Declaration {
-                    version: *version,
-                    declared_at: changed,
-                    uncertainty: period.length(),
-                    received: now,
-                });
-            }
+            self.declared.record(model, *version, changed, period);
         }
         let before = self.items.remove(&item.key);
         let lapsed =
@@ -310,25 +296,17 @@
     }
 
     fn change_date(&self, item: &ItemState) -> Option<Instant> {
-        let Some(ItemValue::Declared { model, version }) = &item.decoded else {
-            return item.changed;
-        };
-        let declarations = self.declared.get(model)?;
-        declarations.iter().find(|known| known.version == *version)?.declared_at
+        match &item.decoded {
+            Some(ItemValue::Declared { model, version }) => self.declared.date_of(model, *version),
+            _ => item.changed,
+        }
     }
 
     /// Models whose latest declaration this process cannot date more closely than by `limit`, because it has started or
     /// read the store too late to observe it. Only declarations received after `since` are considered.
     #[must_use]
     pub fn poorly_dated(&self, limit: Duration, since: Instant) -> Vec<(ModelId, WeightsVersion)> {
-        let latest = self.declared.iter().filter_map(|(model, known)| Some((model, known.last()?)));
-        latest
-            .filter(|(_, latest)| {
-                latest.received > since
-                    && (latest.declared_at.is_none() || latest.uncertainty > limit)
-            })
-            .map(|(model, latest)| (model.clone(), latest.version))
-            .collect()
+        self.declared.poorly_dated(limit, since)
     }
 
     /// Applies the date of a declaration that a peer knows more closely; true if it improves the known one. Every
@@ -340,18 +318,20 @@
         period: ReceivePeriod,
         age: Duration,
     ) -> bool {
-        let declarations = self.declared.get_mut(model);
-        let known = declarations
-            .and_then(|known| known.iter_mut().find(|declaration| declaration.version == version));
-        let (Some(known), Some(declared_at)) = (known, period.begin.checked_sub(age)) else {
-            return false;
-        };
-        if known.declared_at.is_some_and(|known_date| known_date >= declared_at) {
-            return false;
+        self.declared.improve_date(model, version, period, age)
+    }
+
+    /// Records for how long the host has been suspended since boot, and returns the increase since the last call. The
+    /// monotonic clock stands still while a host is suspended, but declarations get older.
+    pub fn record_suspended(&mut self, total: Duration) -> Duration {
+        let known = *self.suspended.get_or_insert(total);
+        let increase = total.saturating_sub(known);
+        if increase < MIN_SUSPENSION {
+            return Duration::ZERO;
         }
-        known.declared_at = Some(declared_at);
-        known.uncertainty = period.length();
-        true
+        self.suspended = Some(total);
+        self.declared.record_suspension(increase);
+        increase
     }
 
     /// Drops upstreams that did not register again in time after an outage of the store; true if any was dropped.
@@ -390,9 +370,8 @@
             }
         }
         view.set_upstreams(newest_per_address(upstreams));
-        for (model, versions) in &self.declared {
-            let dated = versions.iter().map(|known| (known.version, known.declared_at)).collect();
-            view.weights.insert(model.clone(), WeightsState::new(dated));
+        for (model, state) in self.declared.states() {
+            view.weights.insert(model.clone(), state);
         }
         view
     }
--- a/crates/fleet/tests/knowledge.rs
+++ b/crates/fleet/tests/knowledge.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use fleet::{
     ClientLimits, DecodeItem, FleetState, ItemError, ItemSource, ItemValue, RawItem, ReceivePeriod,
-    RoutingConfig, UpstreamRecord, WeightsLimits, WeightsState,
+    RoutingConfig, UpstreamRecord, WatchTimer, WeightsLimits, WeightsState,
 };
 use proptest::prelude::*;
 
@@ -53,8 +53,13 @@
     RawItem { key: key.into(), value, revision, age: None }
 }
 
+/// Period of items that arrive at the moment of their change.
+fn received_at(now: Instant) -> ReceivePeriod {
+    ReceivePeriod { begin: now, end: now }
+}
+
 fn apply_change(fleet: &mut FleetState, item: RawItem, now: Instant) -> bool {
-    fleet.apply(item, ItemSource::Change, &TextDecoder, ReceivePeriod::at(now)).is_some()
+    fleet.apply(item, ItemSource::Change, &TextDecoder, received_at(now)).is_some()
 }
 
 #[test]
@@ -73,12 +78,8 @@
     apply_change(&mut fleet, item("a", Some("u:ready"), 3), now);
     apply_change(&mut fleet, item("a", None, 9), now);
     fleet.advance(9);
-    let changes = fleet.apply_listing(
-        vec![item("a", Some("u:ready"), 3)],
-        5,
-        &TextDecoder,
-        ReceivePeriod::at(now),
-    );
+    let changes =
+        fleet.apply_listing(vec![item("a", Some("u:ready"), 3)], 5, &TextDecoder, received_at(now));
     assert!(changes.is_empty());
     assert!(fleet.view().upstream("a").is_none());
 }
@@ -89,7 +90,7 @@
     let mut fleet = FleetState::new();
     apply_change(&mut fleet, item("a", Some("u:ready"), 3), now);
     apply_change(&mut fleet, item("b", Some("u:ready"), 12), now);
-    fleet.apply_listing(Vec::new(), 10, &TextDecoder, ReceivePeriod::at(now));
+    fleet.apply_listing(Vec::new(), 10, &TextDecoder, received_at(now));
     let view = fleet.view();
     assert!(view.upstream("a").is_none(), "not listed and older than the listing");
     assert!(view.upstream("b").is_some(), "changed after the listing was started");
@@ -102,12 +103,7 @@
     apply_change(&mut fleet, item("a", Some("u:ready"), 3), now);
     apply_change(&mut fleet, item("b", Some("u:ready"), 4), now);
     let change = fleet
-        .apply(
-            item("b", Some("garbage"), 5),
-            ItemSource::Change,
-            &TextDecoder,
-            ReceivePeriod::at(now),
-        )
+        .apply(item("b", Some("garbage"), 5), ItemSource::Change, &TextDecoder, received_at(now))
         .expect("the item is newer");
     assert!(change.error.is_some());
     let view = fleet.view();
@@ -162,12 +158,7 @@
 fn peer_receives_exactly_the_items_it_lacks() {
     let now = Instant::now();
     let mut source = FleetState::new();
-    source.apply_listing(
-        vec![item("a", Some("u:ready"), 3)],
-        4,
-        &TextDecoder,
-        ReceivePeriod::at(now),
-    );
+    source.apply_listing(vec![item("a", Some("u:ready"), 3)], 4, &TextDecoder, received_at(now));
     apply_change(&mut source, item("a", None, 6), now);
     apply_change(&mut source, item("b", Some("u:ready"), 7), now);
     source.advance(7);
@@ -188,12 +179,7 @@
     let bound = Duration::from_secs(7);
     let after = |seconds| start + Duration::from_secs(seconds);
     let mut fleet = FleetState::new();
-    fleet.apply(
-        item("w", Some("w:1"), 1),
-        ItemSource::Listing,
-        &TextDecoder,
-        ReceivePeriod::at(start),
-    );
+    fleet.apply(item("w", Some("w:1"), 1), ItemSource::Listing, &TextDecoder, received_at(start));
     apply_change(&mut fleet, item("w", Some("w:2"), 2), start);
     apply_change(&mut fleet, item("w", Some("w:3"), 3), start + Duration::from_secs(2));
     let view = fleet.view();
@@ -217,9 +203,11 @@
 fn declaration_is_dated_no_later_than_it_can_have_been_made() {
     let start = Instant::now();
     let at = |millis| start + Duration::from_millis(millis);
-    let (last_response, requested, received) = (at(1_000), at(2_800), at(2_810));
-    let period = ReceivePeriod::of_watch(requested, Some(last_response), received);
-    assert!(period.begin <= last_response, "the change may have been made during the pause");
+    let mut timer = WatchTimer::new(start);
+    timer.record_listing(at(950), at(1_000));
+    timer.record_request(at(2_800));
+    let period = timer.record_watch(at(2_810));
+    assert!(period.begin <= at(1_000), "the change may have been made during the pause");
 
     let mut fleet = FleetState::new();
     fleet.apply(item("w", Some("w:2"), 2), ItemSource::Change, &TextDecoder, period);
@@ -230,20 +218,56 @@
     let request = ReceivePeriod { begin: at(3_000), end: at(3_050) };
     let with_age =
         |age| RawItem { age: Some(Duration::from_millis(age)), ..item("w", Some("w:3"), 3) };
-    fleet.apply(with_age(400), ItemSource::Change, &TextDecoder, request);
+    fleet.apply(with_age(400), ItemSource::Relayed, &TextDecoder, request);
     assert_eq!(declared_at(&fleet), Some(at(2_600)));
     let (items, _) = fleet.items_after(2, at(3_100));
     assert_eq!(items[0].age, Some(Duration::from_millis(500)));
+    // A peer that cannot date a change reports no age.
+    fleet.apply(item("w", Some("w:4"), 4), ItemSource::Relayed, &TextDecoder, request);
+    assert_eq!(declared_at(&fleet), None);
+}
+
+/// Guards against a date that lies long before the declaration, so that engines with the older version go unused, and
+/// against one that lies after it, because the process was paused while the response to its watch had arrived.
+#[test]
+fn watch_dates_its_changes_by_the_last_time_it_was_waiting() {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let mut timer = WatchTimer::new(start);
+    timer.record_request(at(0));
+    (1..=20).for_each(|check| timer.record_waiting(at(check * 100)));
+    let period = timer.record_watch(at(2_050));
+    assert!(period.begin < at(1_950), "the response takes time to arrive");
+    assert!(period.length() <= Duration::from_millis(400));
+
+    timer.record_request(at(3_000));
+    (1..=5).for_each(|check| timer.record_waiting(at(3_000 + check * 100)));
+    // Paused from 3.5 to 8 s. The first check afterwards may come before the response is read.
+    timer.record_waiting(at(8_000));
+    let period = timer.record_watch(at(8_001));
+    assert!(period.begin <= at(3_500), "the change may have been made during the pause");
 }
 
-/// Guards against a date that lies long before the declaration, so that engines with the older version go unused.
+/// Guards against a time limit that ends late because the host was suspended: the monotonic clock stands still
+/// meanwhile.
 #[test]
-fn watch_that_has_waited_dates_its_changes_closely() {
+fn declaration_gets_older_while_the_host_is_suspended() {
     let start = Instant::now();
-    let received = start + Duration::from_secs(2);
-    let period = ReceivePeriod::of_watch(start, Some(start), received);
-    assert!(period.begin < received, "the response takes time to arrive");
-    assert!(period.length() <= Duration::from_millis(200));
+    let now = start + Duration::from_secs(10);
+    let suspension = Duration::from_secs(3);
+    let mut fleet = FleetState::new();
+    fleet.record_suspended(Duration::from_secs(1));
+    apply_change(&mut fleet, item("w", Some("w:2"), 2), now);
+    assert_eq!(fleet.record_suspended(Duration::from_secs(1) + suspension), suspension);
+    assert_eq!(fleet.record_suspended(Duration::from_secs(1) + suspension), Duration::ZERO);
+    assert_eq!(fleet.view().weights["m"].declared_at(), Some(now - suspension));
+
+    let mut timer = WatchTimer::new(start);
+    timer.record_request(now);
+    timer.record_waiting(now + Duration::from_millis(100));
+    timer.record_suspension(suspension);
+    let period = timer.record_watch(now + Duration::from_millis(150));
+    assert!(period.begin <= now - suspension, "the change may have been made meanwhile");
 }
 
 /// Guards against an entry that starts during a rollout, cannot date the declaration, and leaves all engines with the
@@ -253,12 +277,7 @@
     let start = Instant::now();
     let now = start + Duration::from_secs(5);
     let mut fleet = FleetState::new();
-    fleet.apply(
-        item("w", Some("w:2"), 2),
-        ItemSource::Listing,
-        &TextDecoder,
-        ReceivePeriod::at(now),
-    );
+    fleet.apply(item("w", Some("w:2"), 2), ItemSource::Listing, &TextDecoder, received_at(now));
     let (limit, model) = (Duration::from_millis(400), "m".into());
     assert_eq!(fleet.poorly_dated(limit, start), [("m".into(), 2)]);
     assert!(fleet.poorly_dated(limit, now).is_empty(), "the rollout is over");
@@ -331,7 +350,7 @@
     let mut apply = |revision, value: Option<&'static str>| {
         let value = value.map(|text| Bytes::from_static(text.as_bytes()));
         let item = RawItem { key: "config".into(), value, revision, age: None };
-        fleet.apply(item, ItemSource::Change, &ConfigDecoder, ReceivePeriod::at(now));
+        fleet.apply(item, ItemSource::Change, &ConfigDecoder, received_at(now));
         fleet.view().config().map(|config| config.version)
     };
     assert_eq!(apply(1, Some("c:7")), Some(7));
--- a/crates/gateway/src/entry/control.rs
+++ b/crates/gateway/src/entry/control.rs
@@ -4,7 +4,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use balance::AgentReport;
-use fleet::{RawItem, ReceivePeriod};
+use fleet::{ItemSource, RawItem};
 use futures_util::future::BoxFuture;
 use log::{info, warn};
 use rand::seq::IteratorRandom;
@@ -119,8 +119,9 @@
             () = shared.wake_control.notified() => true,
         };
         shared.is_stale_after_pause();
+        let has_slept = !shared.record_suspension().is_zero();
         let now = shared.clock.now();
-        if shared.fleet_state().remove_expired(now) {
+        if shared.fleet_state().remove_expired(now) || has_slept {
             publish(&shared);
         }
         let all = is_urgent || count.is_multiple_of(AGENT_HEARTBEAT_PERIOD);
@@ -297,7 +298,7 @@
         behind_since = None;
         let after = shared.fleet_state().as_of().unwrap_or_default();
         let request = Payload::ItemsRequest(ItemsRequest { after });
-        let begin = shared.clock.now();
+        let timer = shared.start_request();
         match client.call(ahead.peer, request, ITEMS_TIMEOUT).await {
             Ok(Payload::ItemsResponse(reply)) if reply.as_of > 0 => {
                 info!(
@@ -307,8 +308,11 @@
                     reply.items.len()
                 );
                 let items = reply.items.into_iter().map(raw_item).collect();
-                let period = ReceivePeriod { begin, end: shared.clock.now() };
-                if apply_items(&shared, items, reply.as_of, reply.snapshot || after == 0, period) {
+                let is_complete = reply.snapshot || after == 0;
+                let source = if is_complete { ItemSource::Listing } else { ItemSource::Relayed };
+                shared.record_suspension();
+                let period = timer.finish(&*shared.clock);
+                if apply_items(&shared, items, reply.as_of, source, period) {
                     publish(&shared);
                 }
                 shared.record_refreshed(pauses);
--- a/crates/gateway/src/entry/dating.rs
+++ b/crates/gateway/src/entry/dating.rs
@@ -2,7 +2,6 @@
 
 use std::{sync::Arc, time::Duration};
 
-use fleet::ReceivePeriod;
 use log::{info, warn};
 use rand::seq::IteratorRandom;
 use tokio::time::sleep;
@@ -47,13 +46,14 @@
             let Some(service) = service else { continue };
             let request =
                 Payload::BriefRequest(BriefRequest { service: service.service.to_string() });
-            let begin = shared.clock.now();
+            let timer = shared.start_request();
             match client.call(peer, request, DATE_TIMEOUT).await {
                 Ok(Payload::BriefReply(reply))
                     if reply.model == model && reply.version == version =>
                 {
                     let Some(age_ms) = reply.declared_ms else { continue };
-                    let period = ReceivePeriod { begin, end: shared.clock.now() };
+                    shared.record_suspension();
+                    let period = timer.finish(&*shared.clock);
                     let age = Duration::from_millis(age_ms);
                     if shared.fleet_state().improve_date(&model, version, period, age) {
                         info!(
--- a/crates/gateway/src/entry/shared.rs
+++ b/crates/gateway/src/entry/shared.rs
@@ -12,8 +12,8 @@
 use arc_swap::ArcSwap;
 use balance::{CrashDetector, LoadBalancer, LoadBalancerOptions, RetryBudgetShare};
 use base::{Clock, Incarnation};
-use fleet::{FleetState, FleetView};
-use log::info;
+use fleet::{FleetState, FleetView, ReceivePeriod};
+use log::{info, warn};
 use member::{EntryMember, EntryMembership};
 use tokio::sync::Notify;
 use wire::FleetKey;
@@ -21,6 +21,21 @@
 use super::{EntryPorts, pool::ConnectionPool};
 use crate::{lifecycle::PauseTracker, metrics::MetricSet, settings::EntrySettings};
 
+/// Begin of a request to another entry or to the store.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RequestTimer {
+    begin: Instant,
+    suspended: Duration,
+}
+
+impl RequestTimer {
+    /// Period in which the changes of the received items can have been made.
+    pub(crate) fn finish(self, clock: &dyn Clock) -> ReceivePeriod {
+        let suspended = clock.time_suspended().saturating_sub(self.suspended);
+        ReceivePeriod { begin: self.begin, end: clock.now() }.with_suspension(suspended)
+    }
+}
+
 /// State shared by the tasks of an entry.
 pub(crate) struct EntryShared {
     pub(crate) settings: EntrySettings,
@@ -149,6 +164,20 @@
         }
     }
 
+    /// Accounts for the time for which the host was suspended; must be called before dates are compared with the clock.
+    pub(crate) fn record_suspension(&self) -> Duration {
+        let suspended = self.fleet_state().record_suspended(self.clock.time_suspended());
+        if !suspended.is_zero() {
+            warn!("event=suspension_detected ms={}", suspended.as_millis());
+        }
+        suspended
+    }
+
+    /// Begins a request whose response contains ages of changes.
+    pub(crate) fn start_request(&self) -> RequestTimer {
+        RequestTimer { begin: self.clock.now(), suspended: self.clock.time_suspended() }
+    }
+
     /// Records that the fleet state was current at `now`.
     pub(crate) fn record_confirmed(&self, now: Instant) {
         let millis = now.saturating_duration_since(self.started).as_millis();
--- a/crates/gateway/src/entry/store.rs
+++ b/crates/gateway/src/entry/store.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use base::rendezvous_weight;
-use fleet::{FleetChange, ItemSource, RawItem, ReceivePeriod};
+use fleet::{FleetChange, ItemSource, RawItem, ReceivePeriod, WAIT_CHECK_INTERVAL, WatchTimer};
 use log::{info, warn};
 use rand::RngExt;
 use tokio::time::sleep;
@@ -33,7 +33,7 @@
     let mut backoff = BACKOFF_RANGE.0;
     let mut is_failing = false;
     let mut after_follower_pause = false;
-    let mut last_response = None;
+    let mut timer = WatchTimer::new(shared.clock.now());
     loop {
         let after = shared.fleet_state().as_of();
         let pauses = shared.pauses();
@@ -51,10 +51,13 @@
             }
         };
         let requested = shared.clock.now();
+        timer.record_request(requested);
         let result = tokio::select! {
             () = shared.wake_store.notified() => continue,
             result = store_request => result,
+            () = check_waiting(&shared, &mut timer) => continue,
         };
+        timer.record_suspension(shared.record_suspension());
         let now = shared.clock.now();
         shared.metrics.count("store_calls_total");
         match result {
@@ -64,10 +67,12 @@
                 }
                 (is_failing, backoff) = (false, BACKOFF_RANGE.0);
                 let has_changes = !listing.items.is_empty();
-                let period = ReceivePeriod::of_watch(requested, last_response, now);
-                last_response = Some(now);
+                let (source, period) = match after {
+                    None => (ItemSource::Listing, timer.record_listing(requested, now)),
+                    Some(_) => (ItemSource::Change, timer.record_watch(now)),
+                };
                 let has_new_items =
-                    apply_items(&shared, listing.items, listing.as_of, after.is_none(), period);
+                    apply_items(&shared, listing.items, listing.as_of, source, period);
                 shared.record_confirmed(now);
                 if has_new_items || after.is_none() {
                     publish(&shared);
@@ -84,7 +89,7 @@
             }
             Err(StoreError::Compacted) => {
                 info!("event=store_history_lost after={}", after.unwrap_or_default());
-                if let Err(error) = list_again(&shared).await {
+                if let Err(error) = list_again(&shared, &mut timer).await {
                     warn!("event=store_list_failed error=\"{error}\"");
                     sleep(jittered(backoff)).await;
                     backoff = (backoff * 2).min(BACKOFF_RANGE.1);
@@ -104,6 +109,15 @@
     }
 }
 
+/// Records at regular intervals that a request is still waiting for its response. Never returns.
+async fn check_waiting(shared: &EntryShared, timer: &mut WatchTimer) {
+    loop {
+        sleep(WAIT_CHECK_INTERVAL).await;
+        timer.record_suspension(shared.record_suspension());
+        timer.record_waiting(shared.clock.now());
+    }
+}
+
 /// True if this entry is one of those in its region that follow the store closely. If entries cannot reach each
 /// other, more than [`READERS_PER_REGION`] may do so.
 fn is_reader(shared: &EntryShared) -> bool {
@@ -125,11 +139,11 @@
     span.mul_f64(rand::rng().random_range(0.7..1.3))
 }
 
-async fn list_again(shared: &EntryShared) -> Result<(), StoreError> {
-    let begin = shared.clock.now();
+async fn list_again(shared: &EntryShared, timer: &mut WatchTimer) -> Result<(), StoreError> {
+    let requested = shared.clock.now();
     let listing = shared.ports.store.list().await?;
-    let period = ReceivePeriod { begin, end: shared.clock.now() };
-    apply_items(shared, listing.items, listing.as_of, true, period);
+    let period = timer.record_listing(requested, shared.clock.now());
+    apply_items(shared, listing.items, listing.as_of, ItemSource::Listing, period);
     shared.record_confirmed(period.end);
     publish(shared);
     Ok(())
@@ -140,17 +154,17 @@
     shared: &EntryShared,
     items: Vec<RawItem>,
     as_of: u64,
-    is_complete: bool,
+    source: ItemSource,
     period: ReceivePeriod,
 ) -> bool {
     let decoder = &*shared.ports.decoder;
     let mut fleet_state = shared.fleet_state();
-    let changes = if is_complete {
+    let changes = if source == ItemSource::Listing {
         fleet_state.apply_listing(items, as_of, decoder, period)
     } else {
         let changes = items
             .into_iter()
-            .filter_map(|item| fleet_state.apply(item, ItemSource::Change, decoder, period))
+            .filter_map(|item| fleet_state.apply(item, source, decoder, period))
             .collect();
         fleet_state.advance(as_of);
         changes
