Use no version whose successor was declared unseen

What callers could see: an entry that starts between two declarations uses engines two versions behind beyond their bound.

Cause: the store holds only the newest declaration. An entry that lists version 3 and gets its date from another entry applies that date to version 1 as well, whose limit began with version 2.

Change: a declaration that the process did not observe limits only the version right before it; older ones count as outdated.

Measured: version_before_an_unseen_declaration_is_not_used; without the change it finds 6 s left for version 1.

--- a/crates/fleet/src/declared.rs
+++ b/crates/fleet/src/declared.rs
@@ -19,6 +19,8 @@
     uncertainty: Duration,
     /// Time at which this process learned of it.
     received: Instant,
+    /// True if the process observed the change, so that it knows the version that was declared before.
+    is_observed: bool,
 }
 
 /// Declarations by model, in the order in which they were made.
@@ -35,6 +37,7 @@
         version: WeightsVersion,
         declared_at: Option<Instant>,
         period: ReceivePeriod,
+        is_observed: bool,
     ) {
         let declarations = self.by_model.entry(model.clone()).or_default();
         if declarations.last().is_none_or(|last| last.version < version) {
@@ -43,6 +46,7 @@
                 declared_at,
                 uncertainty: period.length(),
                 received: period.end,
+                is_observed,
             });
         }
     }
@@ -105,6 +109,18 @@
     }
 }
 
+/// A version may have been declared between two that this process knows, unless it observed the later declaration. Its
+/// time limit is then unknown, so it counts as made long ago, and only the version right before the later one may still
+/// be used.
 fn weights_state(declarations: &[Declaration]) -> WeightsState {
-    WeightsState::new(declarations.iter().map(|known| (known.version, known.declared_at)).collect())
+    let mut versions: Vec<(WeightsVersion, Option<Instant>)> = Vec::new();
+    for declaration in declarations {
+        let previous = declaration.version.saturating_sub(1);
+        let is_known = versions.last().is_some_and(|(version, _)| *version == previous);
+        if !declaration.is_observed && !is_known && previous > 0 {
+            versions.push((previous, None));
+        }
+        versions.push((declaration.version, declaration.declared_at));
+    }
+    WeightsState::new(versions)
 }
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -206,7 +206,8 @@
             (None, ItemSource::Relayed | ItemSource::Listing) => None,
         };
         if let Some(ItemValue::Declared { model, version }) = &decoded {
-            self.declared.record(model, *version, changed, period);
+            let is_observed = source == ItemSource::Change;
+            self.declared.record(model, *version, changed, period, is_observed);
         }
         let before = self.items.remove(&item.key);
         let lapsed =
--- a/crates/fleet/tests/knowledge.rs
+++ b/crates/fleet/tests/knowledge.rs
@@ -270,6 +270,26 @@
     assert!(period.begin <= now - suspension, "the change may have been made meanwhile");
 }
 
+/// Guards against the use of a version whose successor was declared unseen: an entry that starts reads only the newest
+/// declaration from the store, and its date says nothing about the limit of the version before the previous one.
+#[test]
+fn version_before_an_unseen_declaration_is_not_used() {
+    let now = Instant::now() + Duration::from_secs(10);
+    let bound = Duration::from_secs(8);
+    let mut fleet = FleetState::new();
+    fleet.apply(item("w", Some("w:3"), 3), ItemSource::Listing, &TextDecoder, received_at(now));
+    assert!(fleet.improve_date(&"m".into(), 3, received_at(now), Duration::from_secs(2)));
+    let time_left =
+        |fleet: &FleetState, version| fleet.view().weights["m"].time_left(version, now, bound);
+    assert_eq!(time_left(&fleet, 2), Some(Duration::from_secs(6)));
+    assert_eq!(time_left(&fleet, 1), Some(Duration::ZERO));
+
+    // An observed declaration may skip version numbers.
+    apply_change(&mut fleet, item("w", Some("w:7"), 7), now);
+    assert_eq!(time_left(&fleet, 3), Some(bound));
+    assert_eq!(time_left(&fleet, 7), None);
+}
+
 /// Guards against an entry that starts during a rollout, cannot date the declaration, and leaves all engines with the
 /// older version unused although the other entries know the date.
 #[test]
