Limit the wait for the first event on outdated weights, not for the head

What callers could see: requests that begin on outdated weights at an engine that sends the head of its response while a request still waits. Found in the review; the platform specifies that a request begins with its first token and does not say when the head is sent.

Cause: the time limit of an attempt ended with the head.

Change: the limit applies to streams until their first event.

--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -69,7 +69,9 @@
         chosen: &ChosenUpstream,
         resume_after: Option<&str>,
     ) -> AttemptResult {
-        let ChosenUpstream { record: upstream, cancel_at, .. } = chosen;
+        let upstream = &chosen.record;
+        // Other responses arrive when they are complete, so a missing one does not show that the request has not begun.
+        let cancel_at = chosen.cancel_at.filter(|_| self.route.repeat.is_stream());
         let shared = &self.shared;
         self.progress().last = Some(upstream.upstream.clone());
         let guard = AttemptGuard::new(shared.clone(), upstream.upstream.clone());
@@ -84,7 +86,6 @@
         }
         let request = self.upstream_request(chosen, resume_after, now);
         let response_deadline = self.response_deadline(now);
-        // An engine sends the head of its response when it begins to run a request.
         let wait_until = cancel_at.map_or(response_deadline, |at| at.min(response_deadline));
         let sent = timeout_at(wait_until.into(), connection.sender.send_request(request)).await;
         let response = match sent {
@@ -114,7 +115,7 @@
                 return AttemptResult::Failed(AttemptEnd::Lost, None);
             }
         };
-        self.read_response(upstream, response, connection, guard).await
+        self.read_response(upstream, response, connection, guard, cancel_at).await
     }
 
     fn upstream_request(
@@ -167,6 +168,7 @@
         response: Response<Incoming>,
         connection: UpstreamConnection,
         guard: AttemptGuard,
+        cancel_at: Option<Instant>,
     ) -> AttemptResult {
         let (head, body) = response.into_parts();
         let meta = self.shared.ports.codec.read_response(&head);
@@ -193,6 +195,7 @@
                 guard,
                 keep_alive: meta.keep_alive,
                 closes: meta.closes,
+                cancel_at: cancel_at.map(Into::into),
             };
             return AttemptResult::Stream(head, stream);
         }
--- a/crates/gateway/src/entry/guards.rs
+++ b/crates/gateway/src/entry/guards.rs
@@ -54,7 +54,7 @@
         &self.upstream
     }
 
-    pub(super) fn finish(mut self, outcome: AttemptOutcome) {
+    pub(crate) fn finish(mut self, outcome: AttemptOutcome) {
         self.outcome = outcome;
     }
 
--- a/crates/gateway/src/entry/relay.rs
+++ b/crates/gateway/src/entry/relay.rs
@@ -7,6 +7,7 @@
     time::Duration,
 };
 
+use balance::AttemptOutcome;
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
 use futures_util::future::BoxFuture;
@@ -32,6 +33,9 @@
 /// Reason of an abandoned stream that may indicate a crash of the upstream.
 const CONNECTION_LOST: &str = "connection_lost";
 
+/// Reason of an abandoned stream that would begin on outdated weights.
+const WEIGHTS_OUTDATED: &str = "weights_outdated";
+
 /// Reasons why a stream ends before its last event. The connection to the caller is then closed, so that the response
 /// does not look complete.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
@@ -113,6 +117,9 @@
     pub(crate) guard: AttemptGuard,
     pub(crate) keep_alive: Option<Duration>,
     pub(crate) closes: bool,
+    /// Time at which the stream is abandoned if no event has arrived, because the weights of the upstream are then
+    /// outdated; `None` if they are not, or once an event has arrived.
+    pub(crate) cancel_at: Option<Instant>,
 }
 
 enum RelayState {
@@ -143,12 +150,13 @@
         let now = Instant::now();
         let deadline = Instant::from_std(request.deadline);
         let stall_timeout = (gap * STALL_GAP_FACTOR).max(MIN_STALL_TIMEOUT);
+        let first_check = stream.cancel_at.unwrap_or(deadline).min(now + stall_timeout);
         Self {
             request,
             state: RelayState::Reading(stream),
             splitter: EventSplitter::default(),
             stall_timeout,
-            timer: Box::pin(sleep_until(deadline.min(now + stall_timeout))),
+            timer: Box::pin(sleep_until(deadline.min(first_check))),
             deadline,
             last_event: now,
             _in_flight: in_flight,
@@ -161,7 +169,11 @@
             if cause == CONNECTION_LOST {
                 self.request.record_connection_lost(stream.guard.upstream());
             }
-            stream.guard.fail();
+            if cause == WEIGHTS_OUTDATED {
+                stream.guard.finish(AttemptOutcome::Abandoned);
+            } else {
+                stream.guard.fail();
+            }
         }
         self.splitter.discard_partial();
         let after = self.splitter.last_id().cloned();
@@ -203,6 +215,7 @@
                     let now = Instant::now();
                     self.request.record_event(now - self.last_event);
                     self.last_event = now;
+                    stream.cancel_at = None;
                     let Ok(bytes) = frame.into_data() else { continue };
                     if let Some(events) = self.splitter.push(bytes) {
                         return Poll::Ready(Some(Ok(events)));
@@ -222,6 +235,10 @@
                     return Poll::Ready(rest.map(Ok));
                 }
                 Poll::Pending => {
+                    if stream.cancel_at.is_some_and(|at| at <= Instant::now()) {
+                        self.abandon_upstream(WEIGHTS_OUTDATED)?;
+                        return Poll::Ready(None);
+                    }
                     let is_stalled = self.last_event.elapsed() >= self.stall_timeout;
                     if is_stalled && self.request.may_resume() {
                         self.abandon_upstream("stalled")?;
@@ -257,6 +274,9 @@
                 RelayState::Resuming(resume) => match resume.as_mut().poll(context) {
                     Poll::Ready(Some(stream)) => {
                         this.last_event = Instant::now();
+                        if let Some(at) = stream.cancel_at {
+                            this.timer.as_mut().reset(at.min(this.deadline));
+                        }
                         this.state = RelayState::Reading(stream);
                         continue;
                     }
@@ -277,7 +297,11 @@
             }
             let stalled_at = this.last_event + this.stall_timeout;
             let next = if stalled_at > now { stalled_at } else { now + this.stall_timeout };
-            this.timer.as_mut().reset(next.min(this.deadline));
+            let cancel_at = match &this.state {
+                RelayState::Reading(stream) => stream.cancel_at,
+                RelayState::Resuming(_) | RelayState::Ended => None,
+            };
+            this.timer.as_mut().reset(next.min(cancel_at.unwrap_or(next)).min(this.deadline));
         }
     }
 }
