Count time limits of declarations from the end of an outage of the store

Cause: the store did not answer from about 16 to 26 s. Versions 2 and 3 were declared meanwhile, and entries that learned of them after the outage dated them 8.6 to 10.7 s back, before its begin. All engines counted as outdated at once, although none could have known.

Change: time limits count while the store is available, so a declaration is dated no earlier than the start of the last failed request.

Measured: declaration_during_an_outage_of_the_store_counts_from_its_end fails without the change (begin at the start of the process).

--- a/crates/fleet/src/period.rs
+++ b/crates/fleet/src/period.rs
@@ -38,8 +38,10 @@
 /// time of arrival proves nothing, because this process may have been paused before it could read the response.
 #[derive(Debug)]
 pub struct WatchTimer {
-    /// Time up to which all changes have been received.
-    proven: Instant,
+    /// Time after which the changes that have not been received yet were made, or the start of the last request that
+    /// failed. Time limits count while the store is available, so a change made before an outage has ended counts from
+    /// its end.
+    earliest: Instant,
     /// Last check of the pending watch.
     last_check: Option<Instant>,
     /// Last time at which the pending watch is known to have been waiting.
@@ -50,7 +52,7 @@
     /// Creates the timer of a process that starts at `now`.
     #[must_use]
     pub fn new(now: Instant) -> Self {
-        Self { proven: now, last_check: None, waiting: None }
+        Self { earliest: now, last_check: None, waiting: None }
     }
 
     /// Records that a watch or a listing is requested.
@@ -74,20 +76,25 @@
     /// Records the response to the watch and returns the period of its changes.
     pub fn record_watch(&mut self, now: Instant) -> ReceivePeriod {
         if let Some(waiting) = self.waiting {
-            self.proven = self.proven.max(earlier(waiting, CHANGE_DELAY));
+            self.earliest = self.earliest.max(earlier(waiting, CHANGE_DELAY));
         }
-        ReceivePeriod { begin: self.proven, end: now }
+        ReceivePeriod { begin: self.earliest, end: now }
     }
 
     /// Records a listing that was requested at `requested` and returns its period.
     pub fn record_listing(&mut self, requested: Instant, now: Instant) -> ReceivePeriod {
-        self.proven = requested;
+        self.earliest = requested;
         ReceivePeriod { begin: requested, end: now }
     }
 
+    /// Records that a request which began at `requested` failed, so that the store was unavailable after that time.
+    pub fn record_failure(&mut self, requested: Instant) {
+        self.earliest = self.earliest.max(requested);
+    }
+
     /// Shifts all recorded times earlier, because the host was suspended for `suspended` since then.
     pub fn record_suspension(&mut self, suspended: Duration) {
-        self.proven = earlier(self.proven, suspended);
+        self.earliest = earlier(self.earliest, suspended);
         for time in [&mut self.last_check, &mut self.waiting].into_iter().flatten() {
             *time = earlier(*time, suspended);
         }
--- a/crates/fleet/tests/knowledge.rs
+++ b/crates/fleet/tests/knowledge.rs
@@ -248,6 +248,26 @@
     assert!(period.begin <= at(3_500), "the change may have been made during the pause");
 }
 
+/// Guards against an outage of the store after which a declaration seems to have been made long ago, so that all engines
+/// with the older version go unused at once. Time limits count while the store is available.
+#[test]
+fn declaration_during_an_outage_of_the_store_counts_from_its_end() {
+    let start = Instant::now();
+    let at = |seconds| start + Duration::from_secs(seconds);
+    let mut timer = WatchTimer::new(start);
+    for requested in [2, 5, 8] {
+        timer.record_request(at(requested));
+        timer.record_failure(at(requested));
+    }
+    timer.record_request(at(9));
+    let period = timer.record_watch(at(9));
+    assert_eq!(
+        period.begin,
+        at(8),
+        "the store was unavailable after the last failed request began"
+    );
+}
+
 /// Guards against a time limit that ends late because the host was suspended: the monotonic clock stands still
 /// meanwhile.
 #[test]
--- a/crates/gateway/src/entry/store.rs
+++ b/crates/gateway/src/entry/store.rs
@@ -96,6 +96,7 @@
                 }
             }
             Err(error) => {
+                timer.record_failure(requested);
                 shared.fleet_state().record_unavailable(now);
                 shared.metrics.count("store_failures_total");
                 if !is_failing {
