Agent tests: a restarted stand-in does not respond on old connections

Cause: the stand-in changed its incarnation and then woke the tasks of its connections one by one to close them. The agent reads the status as soon as the first connection breaks. If that request reached a task that was not closed yet, the task reported the next incarnation while the stand-in was still down. Requests that the agent then sent to that incarnation were lost, and it recorded a second crash. The queued request so got Unknown/UpstreamCrashed; and since the stand-in came back with the incarnation that counted as crashed, the agent sent it nothing more. A process that has crashed responds on no connection, so the fixture is wrong.

Change: each connection belongs to the incarnation that accepted it, reports that one, and responds to nothing that arrives after the restart has begun. A connection accepted just before a restart can no longer outlive it either. The tests and their assertions are unchanged.

--- a/crates/node/tests/agent/upstream.rs
+++ b/crates/node/tests/agent/upstream.rs
@@ -4,7 +4,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering::SeqCst},
+        atomic::{AtomicBool, AtomicU32, Ordering::SeqCst},
     },
     time::Duration,
 };
@@ -43,11 +43,11 @@
     pub cancelled: AtomicU32,
     /// Number of requests that exceeded the concurrency that this incarnation allows.
     pub overloads: AtomicU32,
-    pub incarnation: AtomicU64,
+    /// Changes when a restart begins, which closes the connections of the previous incarnation.
+    incarnation: watch::Sender<u64>,
     in_use: AtomicU32,
     max_concurrent: AtomicU32,
     down: AtomicBool,
-    connections: watch::Sender<u64>,
 }
 
 pub fn manifest() -> ContentDigest {
@@ -69,17 +69,19 @@
             runs: Mutex::default(),
             cancelled: AtomicU32::new(0),
             overloads: AtomicU32::new(0),
-            incarnation: AtomicU64::new(1),
+            incarnation: watch::Sender::new(1),
             in_use: AtomicU32::new(0),
             max_concurrent: AtomicU32::new(cold_limit),
             down: AtomicBool::new(false),
-            connections: watch::Sender::new(0),
         });
         let shared = upstream.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
+                // Subscribes before the check, so that a restart closes every connection that passes it.
+                let restarts = shared.incarnation.subscribe();
+                let incarnation = *restarts.borrow();
                 if !shared.down.load(SeqCst) {
-                    tokio::spawn(shared.clone().serve(stream));
+                    tokio::spawn(shared.clone().serve(stream, incarnation, restarts));
                 }
             }
         });
@@ -93,20 +95,22 @@
     /// Closes all connections and restarts cold, with a new incarnation, after `time`.
     pub async fn restart(&self, cold_limit: u32, time: Duration) {
         self.down.store(true, SeqCst);
-        self.incarnation.fetch_add(1, SeqCst);
-        self.connections.send_modify(|epoch| *epoch += 1);
+        self.incarnation.send_modify(|incarnation| *incarnation += 1);
         tokio::time::sleep(time).await;
         self.in_use.store(0, SeqCst);
         self.max_concurrent.store(cold_limit, SeqCst);
         self.down.store(false, SeqCst);
     }
 
-    async fn serve(self: Arc<Self>, stream: TcpStream) {
-        let mut connections = self.connections.subscribe();
-        let incarnation = self.incarnation.load(SeqCst);
+    async fn serve(
+        self: Arc<Self>,
+        stream: TcpStream,
+        incarnation: u64,
+        mut restarts: watch::Receiver<u64>,
+    ) {
         tokio::select! {
             _ = self.serve_requests(stream, incarnation) => {}
-            _ = connections.changed() => {}
+            _ = restarts.changed() => {}
         }
     }
 
@@ -114,8 +118,13 @@
         let mut stream = BufReader::new(stream);
         loop {
             let (path, body) = read_request(&mut stream).await?;
+            // The connections do not all close at the same instant. As a process that has crashed, this incarnation
+            // responds on none of them once the restart has begun.
+            if *self.incarnation.borrow() != incarnation {
+                return None;
+            }
             if path == "/v1/status" {
-                let status = self.status().to_string();
+                let status = self.status(incarnation).to_string();
                 send_response(&mut stream, 200, &status).await?;
                 continue;
             }
@@ -134,7 +143,7 @@
             } else {
                 self.serve_service(&mut stream, &body).await
             };
-            if self.incarnation.load(SeqCst) == incarnation {
+            if *self.incarnation.borrow() == incarnation {
                 self.in_use.fetch_sub(1, SeqCst);
                 self.max_concurrent.fetch_add(1, SeqCst);
             }
@@ -142,9 +151,9 @@
         }
     }
 
-    fn status(&self) -> Value {
+    fn status(&self, incarnation: u64) -> Value {
         json!({
-            "incarnation": self.incarnation.load(SeqCst),
+            "incarnation": incarnation,
             "cache_epoch": 0,
             "in_use": self.in_use.load(SeqCst),
             "loaded": self.loaded,
@@ -230,3 +239,38 @@
     let chunk = format!("{:x}\r\n{text}\r\n", text.len());
     stream.write_all(chunk.as_bytes()).await.ok()
 }
+
+/// Guards against a stand-in that reports its next incarnation on a connection of the previous one, which no upstream
+/// that has crashed does. The agent would take the time until the restart for a second crash.
+#[tokio::test]
+async fn restarted_upstream_does_not_respond_on_old_connections() {
+    const STATUS_REQUEST: &[u8] = b"GET /v1/status HTTP/1.1\r\n\r\n";
+    let upstream = FakeUpstream::start(true, 4).await;
+    let mut connections = Vec::new();
+    for _ in 0..32 {
+        let mut stream = TcpStream::connect(upstream.address).await.unwrap();
+        stream.write_all(STATUS_REQUEST).await.unwrap();
+        let mut response = vec![0; 1024];
+        let length = stream.read(&mut response).await.unwrap();
+        let response = String::from_utf8_lossy(&response[..length]);
+        assert!(response.contains("\"incarnation\":1"), "{response}");
+        connections.push(stream);
+    }
+    for stream in &connections {
+        assert_eq!(stream.try_write(STATUS_REQUEST).unwrap(), STATUS_REQUEST.len());
+    }
+    // On this runtime with one thread, the tasks of the connections are woken by the requests here, but run only after
+    // the restart has begun.
+    tokio::task::yield_now().await;
+    let responses = async {
+        let mut responses = Vec::new();
+        for stream in &mut connections {
+            let mut response = String::new();
+            let _ = stream.read_to_string(&mut response).await;
+            responses.push(response);
+        }
+        responses
+    };
+    let ((), responses) = tokio::join!(upstream.restart(4, Duration::from_millis(50)), responses);
+    assert_eq!(responses, vec![String::new(); 32]);
+}
