Agent: an upstream that responds again is no longer taken for crashed

Seen while tracing the tests of the restarted stand-in: an agent sent nothing to an upstream that was up, for as long as the test ran.

Cause: when a connection breaks and the status cannot be read within 500 ms, the agent records a crash of the incarnation and refuses queued requests, so that they are not sent to a crashed process. The record ended only with another incarnation. An upstream that had only failed to respond in time, for example because it was paused or very busy, kept its incarnation and so got no request until its next restart, while the agent reported it as up.

Change: the record has a time, and is removed when a status read that began after it finds the same incarnation. A later crash of that incarnation is then recorded as a new one.

Result: the new test breaks one response while the status takes 2 s, then lets both recover.

--- a/crates/node/src/agent/core.rs
+++ b/crates/node/src/agent/core.rs
@@ -205,7 +205,7 @@
         }
         // Requests queued behind the one that crashed the upstream must not be sent to the crashed incarnation: they
         // would count as in flight at the crash and become suspects.
-        if self.crashes.has_crashed(self.monitor.get().incarnation) {
+        if self.crashes.has_crashed(&self.monitor.get()) {
             return Err(self.refusal(RefusalReason::NotReady));
         }
         self.check_target(forward)?;
--- a/crates/node/src/agent/crash.rs
+++ b/crates/node/src/agent/crash.rs
@@ -1,6 +1,9 @@
 //! Distinguishes crashes of the upstream from broken connections, and keeps the crash table of this agent.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Instant,
+};
 
 use base::{Clock, ContentDigest, Incarnation, UpstreamId};
 use config::AgentSettings;
@@ -8,7 +11,11 @@
 use route::{CrashTable, CrashVerdict};
 use wire::CrashNotice;
 
-use super::{admit::WorkAdmitter, monitor::UpstreamMonitor, progress::ProgressTable};
+use super::{
+    admit::WorkAdmitter,
+    monitor::{UpstreamMonitor, UpstreamState},
+    progress::ProgressTable,
+};
 use crate::context::NodeContext;
 
 /// Detects crashes of the upstream and records the requests that were in flight.
@@ -24,8 +31,13 @@
 #[derive(Default)]
 struct CrashState {
     table: CrashTable,
-    /// Incarnation of the last recorded crash, so that each crash is recorded once.
-    last_crashed: Option<Incarnation>,
+    /// Last recorded crash, so that each crash is recorded once.
+    last_crash: Option<UpstreamCrash>,
+}
+
+struct UpstreamCrash {
+    incarnation: Incarnation,
+    recorded_at: Instant,
 }
 
 impl CrashDetector {
@@ -54,10 +66,21 @@
         crashed
     }
 
-    /// Returns true if the last recorded crash is that of this incarnation.
+    /// Returns true if the last recorded crash is that of the incarnation in `upstream`. The record is removed if the
+    /// incarnation has responded since: it did not crash, but failed to respond in time.
     #[must_use]
-    pub fn has_crashed(&self, incarnation: Incarnation) -> bool {
-        self.lock().last_crashed == Some(incarnation)
+    pub fn has_crashed(&self, upstream: &UpstreamState) -> bool {
+        let mut state = self.lock();
+        let Some(crash) = &state.last_crash else { return false };
+        if crash.incarnation != upstream.incarnation {
+            return false;
+        }
+        let responded_since =
+            upstream.responded && upstream.read_at.is_some_and(|at| at >= crash.recorded_at);
+        if responded_since {
+            state.last_crash = None;
+        }
+        !responded_since
     }
 
     /// Waits until the upstream reports another incarnation, which means that requests sent to `incarnation` are lost.
@@ -96,9 +119,10 @@
     fn record_crash(&self, incarnation: Incarnation) {
         let now = self.clock.now();
         let mut state = self.lock();
-        if state.last_crashed.replace(incarnation) == Some(incarnation) {
+        if state.last_crash.as_ref().is_some_and(|crash| crash.incarnation == incarnation) {
             return;
         }
+        state.last_crash = Some(UpstreamCrash { incarnation, recorded_at: now });
         let in_flight = self.progress.in_flight(incarnation);
         let requests = in_flight.len();
         let known: Vec<_> = in_flight.into_iter().flatten().collect();
--- a/crates/node/tests/agent/streams.rs
+++ b/crates/node/tests/agent/streams.rs
@@ -176,6 +176,30 @@
     assert_eq!(waiting, refused(Outcome::NotRun, RefusalReason::NotReady));
 }
 
+/// Guards against an upstream that gets no requests until its next restart, because a connection to it broke while its
+/// status was not read in time. Without a response, it counts as crashed although it goes on with the same incarnation.
+#[tokio::test(flavor = "multi_thread")]
+async fn upstream_that_responds_again_gets_requests_without_a_restart() {
+    let fixture = start(2).await;
+    *fixture.upstream.fault.lock().unwrap() = Fault::CutBody;
+    *fixture.upstream.status_time.lock().unwrap() = Duration::from_secs(2);
+    let result = fixture.send(model_request("a", 6)).await;
+    assert!(matches!(result, ForwardResult::Response { crashed: true, .. }), "{result:?}");
+    let not_ready = refused(Outcome::NotRun, RefusalReason::NotReady);
+    assert_eq!(fixture.send(model_request("b", 6)).await, not_ready);
+    *fixture.upstream.fault.lock().unwrap() = Fault::None;
+    *fixture.upstream.status_time.lock().unwrap() = Duration::ZERO;
+    let resumed = Instant::now();
+    let result = loop {
+        let result = fixture.send(model_request("b", 6)).await;
+        if result != not_ready || resumed.elapsed() > Duration::from_secs(3) {
+            break result;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    };
+    assert_complete(&result, 6);
+}
+
 /// Guards against streams that continue after the caller has disconnected, and against slots that are reused before the
 /// upstream has noticed the cancellation.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/node/tests/agent/upstream.rs
+++ b/crates/node/tests/agent/upstream.rs
@@ -36,6 +36,8 @@
     pub address: SocketAddr,
     loaded: Value,
     pub response_time: Mutex<Duration>,
+    /// Delay of status responses.
+    pub status_time: Mutex<Duration>,
     pub fault: Mutex<Fault>,
     /// Bodies of all requests that were run.
     pub runs: Mutex<Vec<String>>,
@@ -65,6 +67,7 @@
                 false => json!([]),
             },
             response_time: Mutex::new(Duration::from_millis(20)),
+            status_time: Mutex::default(),
             fault: Mutex::new(Fault::None),
             runs: Mutex::default(),
             cancelled: AtomicU32::new(0),
@@ -125,6 +128,8 @@
             }
             if path == "/v1/status" {
                 let status = self.status(incarnation).to_string();
+                let status_time = *self.status_time.lock().unwrap();
+                tokio::time::sleep(status_time).await;
                 send_response(&mut stream, 200, &status).await?;
                 continue;
             }
