Route: the load of a response replaces an older report of its upstream

Cause: an entry discarded the load in a response that arrived less than 6 ms after it had sent a probe, because it could not tell which of the two loads was newer. The report of the probe then still counted the request that had just ended, until the next probe 0.5 s later. A holder with one request while the others have none is above the limit of prefix affinity, so the next request went elsewhere. A report that arrived after such a response replaced the newer load as well.

Change: the agent numbers its load reports (new field in LoadReport, which older versions ignore), and an entry keeps the load with the highest number. For an agent that does not number them the earlier rule holds.

Result: two new tests of the routing table force each order of events; both fail without the change and pass with it.

--- a/crates/node/src/agent/admit.rs
+++ b/crates/node/src/agent/admit.rs
@@ -65,6 +65,8 @@
 
 struct AdmitterState {
     control: AdmissionControl,
+    /// Number of load reports so far.
+    load_reports: u64,
     waiting: HashMap<WorkId, oneshot::Sender<Grant>>,
 }
 
@@ -87,7 +89,7 @@
         let admitter = Arc::new(Self {
             context: context.clone(),
             clock: context.clock.clone(),
-            state: Mutex::new(AdmitterState { control, waiting: HashMap::new() }),
+            state: Mutex::new(AdmitterState { control, load_reports: 0, waiting: HashMap::new() }),
             next_id: AtomicU64::new(0),
             changed: Notify::new(),
         });
@@ -156,11 +158,13 @@
     /// Returns the load as it is reported to entries.
     #[must_use]
     pub fn load(&self) -> LoadReport {
-        let state = self.lock();
+        let mut state = self.lock();
+        state.load_reports += 1;
         LoadReport {
             limit: state.control.limit(),
             in_use: state.control.in_use(),
             queued: u32::try_from(state.control.queued()).unwrap_or(u32::MAX),
+            sequence: state.load_reports,
         }
     }
 
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -71,7 +71,8 @@
 /// Converts a load report to the form of the routing decisions.
 #[must_use]
 pub fn to_upstream_load(load: &LoadReport) -> UpstreamLoad {
-    UpstreamLoad { limit: load.limit, in_use: load.in_use, queued: load.queued }
+    let LoadReport { limit, in_use, queued, sequence } = *load;
+    UpstreamLoad { limit, in_use, queued, sequence }
 }
 
 /// Converts a status response to the form of the routing decisions. Invalid manifests are left out.
--- a/crates/node/tests/agent/streams.rs
+++ b/crates/node/tests/agent/streams.rs
@@ -218,6 +218,18 @@
     assert_eq!(fixture.upstream.overloads.load(SeqCst), 0, "the slot was reused too early");
 }
 
+/// Guards against load reports that an entry cannot put in order, so that it keeps an older one.
+#[tokio::test(flavor = "multi_thread")]
+async fn load_reports_are_numbered_in_order() {
+    let fixture = start(2).await;
+    let mut last = 0;
+    for _ in 0..3 {
+        let sequence = fixture.status().await.load.sequence;
+        assert!(sequence > last, "{sequence} after {last}");
+        last = sequence;
+    }
+}
+
 /// Guards against running a request that is known to have crashed another upstream.
 #[tokio::test(flavor = "multi_thread")]
 async fn notice_of_an_isolated_crash_refuses_the_request() {
--- a/crates/node/tests/entry/support/agent.rs
+++ b/crates/node/tests/entry/support/agent.rs
@@ -21,7 +21,7 @@
 
 use super::{FLEET_KEY, MODEL};
 
-const LOAD: LoadReport = LoadReport { limit: 8, in_use: 0, queued: 0 };
+const LOAD: LoadReport = LoadReport { limit: 8, in_use: 0, queued: 0, sequence: 0 };
 
 /// How a stream ends early.
 #[derive(Clone, Copy)]
--- a/crates/route/src/upstreams.rs
+++ b/crates/route/src/upstreams.rs
@@ -29,6 +29,16 @@
     pub in_use: u32,
     /// Requests queued in the agent.
     pub queued: u32,
+    /// Number of the measurement, which increases within an incarnation of the agent; 0 if the agent does not number
+    /// its measurements.
+    pub sequence: u64,
+}
+
+impl UpstreamLoad {
+    /// Returns true if this was measured after `other`, both by the same incarnation of the agent.
+    fn is_newer_than(&self, other: &Self) -> bool {
+        self.sequence > other.sequence
+    }
 }
 
 /// Status of an upstream as reported by its agent.
@@ -176,7 +186,11 @@
         if restarted {
             record.sent_since_report.clear();
         }
-        let load = report.load;
+        // The response to a request may have overtaken the response to the probe.
+        let load = match !restarted && record.report.load.is_newer_than(&report.load) {
+            true => record.report.load,
+            false => report.load,
+        };
         record.report = report;
         record.probe_sent_at = probe_sent_at;
         record.received_at = received_at;
@@ -185,7 +199,8 @@
         restarted
     }
 
-    /// Records the load carried by a response, unless it comes from a different incarnation than the last report.
+    /// Records the load carried by a response, unless it is older than the last one recorded or comes from a different
+    /// incarnation than the last report.
     pub fn record_load(
         &mut self,
         now: Instant,
@@ -194,9 +209,12 @@
         load: UpstreamLoad,
     ) {
         let measured_at = now.checked_sub(MAX_LOAD_DELAY).unwrap_or(now);
-        if let Some(record) = self.current_mut(upstream, incarnation)
-            && measured_at >= record.probe_sent_at
-        {
+        let Some(record) = self.current_mut(upstream, incarnation) else { return };
+        let is_newer = match load.sequence {
+            0 => measured_at >= record.probe_sent_at,
+            _ => load.is_newer_than(&record.report.load),
+        };
+        if is_newer {
             record.update_load(measured_at, load);
         }
     }
--- a/crates/route/tests/choice.rs
+++ b/crates/route/tests/choice.rs
@@ -62,11 +62,15 @@
     (config, HostList { version: 1, hosts: hosts.collect() })
 }
 
+fn load(sequence: u64, in_use: u32) -> UpstreamLoad {
+    UpstreamLoad { limit: 8, in_use, queued: 0, sequence }
+}
+
 fn report(incarnation: u64, in_use: u32, ready: &[&str]) -> UpstreamReport {
     UpstreamReport {
         incarnation,
         uptime: Duration::from_secs(60),
-        load: UpstreamLoad { limit: 8, in_use, queued: 0 },
+        load: load(1, in_use),
         ready: ready.iter().map(|name| manifest(name)).collect(),
         draining: false,
         upstream_up: true,
@@ -154,6 +158,53 @@
     assert_only_choice(&table, "0");
 }
 
+/// Guards against an idle prefix holder that is avoided until the next probe, because its last report counts a request
+/// whose response, with a newer load, arrived just after the probe was sent or before its response.
+#[test]
+fn load_of_a_response_replaces_an_older_report() {
+    let sent_at = Instant::now();
+    let after = |millis| sent_at + Duration::from_millis(millis);
+    let target = model(0);
+    let holders = ["0".into()];
+    let running = UpstreamReport { load: load(2, 1), ..report(1, 1, &["new"]) };
+    // Times of the response to the request and of the response to the probe.
+    for (response_at, report_at) in [(14, 11), (30, 11), (14, 20)] {
+        let mut table = table_with(sent_at, &[(0, 0, "new"), (1, 0, "new"), (2, 0, "new")]);
+        table.record_sent(sent_at, "0", 1);
+        if report_at < response_at {
+            table.record_report(after(10), after(report_at), "0", running.clone());
+        }
+        table.record_load(after(response_at), "0", 1, load(3, 0));
+        if report_at > response_at {
+            table.record_report(after(10), after(report_at), "0", running.clone());
+        }
+        let requirements = AttemptRequirements {
+            target: &target,
+            tried: &[],
+            prefix_holders: &holders,
+            isolated: None,
+        };
+        for seed in 0..64 {
+            let mut rng = ChaCha8Rng::seed_from_u64(seed);
+            let choice = table.choose(after(31), &mut rng, &requirements);
+            let upstream = choice.expect("all upstreams are usable").upstream;
+            assert_eq!(upstream, "0", "response at {response_at} ms, report at {report_at} ms");
+        }
+    }
+}
+
+/// Guards against a load that is replaced by an older one of a response that was on its way for longer.
+#[test]
+fn load_of_a_response_does_not_replace_a_newer_report() {
+    let now = Instant::now();
+    let after = |millis| now + Duration::from_millis(millis);
+    let mut table = table_with(now, &[(0, 0, "new"), (1, 4, "new")]);
+    let busy = UpstreamReport { load: load(3, 8), ..report(1, 8, &["new"]) };
+    table.record_report(after(10), after(11), "0", busy);
+    table.record_load(after(30), "0", 1, load(2, 0));
+    assert_eq!(chosen_by_seeds(&table, after(31), &model(0)), [("1".into(), manifest("new"))]);
+}
+
 #[test]
 fn prefix_affinity_is_ignored_above_its_load_limit() {
     let now = Instant::now();
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -177,6 +177,10 @@
     /// Number of requests waiting in the queue of the agent.
     #[prost(uint32, tag = "3")]
     pub queued: u32,
+    /// Number of the measurement, which increases within an incarnation of the agent; 0 if the agent does not number
+    /// its measurements.
+    #[prost(uint64, tag = "4")]
+    pub sequence: u64,
 }
 
 /// Response to [`StatusRequest`]: status of an agent and its upstream.
