Stand-in fleet: its seeds recognise themselves

Cause: each process of the stand-in left itself out of its own seeds, so none started as a seed. While no peer holds the documents, a seed reads the service within 1 s and any other process after a random 2 to 30 s.

Change: all processes of a stand-in fleet have the same seeds, and a seed is listed to itself by its own address, which the settings allow.

--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -26,7 +26,7 @@
     platform::{engine::EngineOptions, service::ServiceOptions, weight_store::StoreOptions},
 };
 
-/// Number of seed peers that a node contacts after a start.
+/// Number of seeds of the fleet, which every node contacts after a start.
 const SEED_COUNT: usize = 3;
 /// Timeout for rebinding the listeners of a stopped node.
 const RESTART_TIMEOUT: Duration = Duration::from_secs(3);
@@ -274,11 +274,12 @@
 
     fn common_settings(&self, plan: &HostPlan) -> CommonSettings {
         let layout = &self.platform.layout;
-        let others =
-            layout.agents.iter().chain(&layout.entries).filter(|other| other.id != plan.id);
         // Hosts are assigned to data centres in turn, so these seeds span several data centres. A start therefore
         // succeeds while one of them is unreachable.
-        let seeds = others.map(|other| other.relay).step_by(5).take(SEED_COUNT).collect();
+        let seeds = layout.agents.iter().chain(&layout.entries).step_by(5).take(SEED_COUNT);
+        // A process recognises that it is a seed by its own address, not by that of its relay.
+        let address = |seed: &HostPlan| if seed.id == plan.id { plan.peer } else { seed.relay };
+        let seeds = seeds.map(address).collect();
         CommonSettings {
             host: plan.id.clone(),
             data_centre: plan.data_centre.clone(),
