--- a/crates/route/src/upstreams.rs
+++ b/crates/route/src/upstreams.rs
@@ -187,10 +187,8 @@
             record.sent_since_report.clear();
         }
         // The response to a request may have overtaken the response to the probe.
-        let load = match !restarted && record.report.load.is_newer_than(&report.load) {
-            true => record.report.load,
-            false => report.load,
-        };
+        let has_newer_load = !restarted && record.report.load.is_newer_than(&report.load);
+        let load = if has_newer_load { record.report.load } else { report.load };
         record.report = report;
         record.probe_sent_at = probe_sent_at;
         record.received_at = received_at;
