Date declarations that a process missed while it followed the store

Cause: 43 entries learned of version 3 from another entry, without having seen the declaration of version 2. They took version 2 for declared long ago, so they used no engine with version 1.

Change: a process that has followed the store knows the time after which it can have missed changes. A declaration that it missed, or that it finds in a listing, counts from that time. Only a process that has just started knows no such time.

--- a/crates/fleet/src/declared.rs
+++ b/crates/fleet/src/declared.rs
@@ -9,6 +9,17 @@
 
 use crate::{period::ReceivePeriod, record::WeightsVersion, view::WeightsState};
 
+/// Declarations that a process may have missed before one that it received.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum MissedChanges {
+    /// It observed all changes.
+    None,
+    /// It may have missed changes that were made after this time.
+    Since(Instant),
+    /// It may have missed any changes, because it has just started.
+    Any,
+}
+
 /// Declaration of a version of a model's weights.
 #[derive(Debug)]
 struct Declaration {
@@ -19,8 +30,7 @@
     uncertainty: Duration,
     /// Time at which this process learned of it.
     received: Instant,
-    /// True if the process observed the change, so that it knows the version that was declared before.
-    is_observed: bool,
+    missed: MissedChanges,
 }
 
 /// Declarations by model, in the order in which they were made.
@@ -37,7 +47,7 @@
         version: WeightsVersion,
         declared_at: Option<Instant>,
         period: ReceivePeriod,
-        is_observed: bool,
+        missed: MissedChanges,
     ) {
         let declarations = self.by_model.entry(model.clone()).or_default();
         if declarations.last().is_none_or(|last| last.version < version) {
@@ -46,7 +56,7 @@
                 declared_at,
                 uncertainty: period.length(),
                 received: period.end,
-                is_observed,
+                missed,
             });
         }
     }
@@ -100,6 +110,10 @@
         for declaration in self.by_model.values_mut().flatten() {
             declaration.declared_at =
                 declaration.declared_at.and_then(|date| date.checked_sub(suspended));
+            if let MissedChanges::Since(since) = declaration.missed {
+                declaration.missed =
+                    since.checked_sub(suspended).map_or(MissedChanges::Any, MissedChanges::Since);
+            }
         }
     }
 
@@ -109,16 +123,21 @@
     }
 }
 
-/// A version may have been declared between two that this process knows, unless it observed the later declaration. Its
-/// time limit is then unknown, so it counts as made long ago, and only the version right before the later one may still
-/// be used.
+/// A version may have been declared between two that this process knows, unless it observed the later declaration. Such
+/// a version counts as declared when the process began to miss changes, or long ago if that is unknown, which limits all
+/// versions but the one right before the later declaration.
 fn weights_state(declarations: &[Declaration]) -> WeightsState {
     let mut versions: Vec<(WeightsVersion, Option<Instant>)> = Vec::new();
     for declaration in declarations {
         let previous = declaration.version.saturating_sub(1);
         let is_known = versions.last().is_some_and(|(version, _)| *version == previous);
-        if !declaration.is_observed && !is_known && previous > 0 {
-            versions.push((previous, None));
+        let missed_at = match declaration.missed {
+            MissedChanges::None => None,
+            MissedChanges::Since(since) => Some(Some(since)),
+            MissedChanges::Any => Some(None),
+        };
+        if let Some(missed_at) = missed_at.filter(|_| !is_known && previous > 0) {
+            versions.push((previous, missed_at));
         }
         versions.push((declaration.version, declaration.declared_at));
     }
--- a/crates/fleet/src/period.rs
+++ b/crates/fleet/src/period.rs
@@ -87,6 +87,12 @@
         ReceivePeriod { begin: requested, end: now }
     }
 
+    /// Time after which all changes were made that have not been received yet.
+    #[must_use]
+    pub fn unseen_since(&self) -> Instant {
+        self.earliest
+    }
+
     /// Records that a request which began at `requested` failed, so that the store was unavailable after that time.
     pub fn record_failure(&mut self, requested: Instant) {
         self.earliest = self.earliest.max(requested);
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -14,7 +14,7 @@
 use snafu::Snafu;
 
 use crate::{
-    declared::DeclaredVersions,
+    declared::{DeclaredVersions, MissedChanges},
     period::ReceivePeriod,
     record::{RoutingConfig, UpstreamRecord, WeightsVersion},
     view::{FleetView, RoutingIndex},
@@ -132,6 +132,8 @@
 pub struct FleetState {
     items: HashMap<ItemKey, ItemState>,
     declared: DeclaredVersions,
+    /// Time after which all changes were made that have not been received yet; `None` until the store was listed.
+    unseen_since: Option<Instant>,
     /// Time for which the host had been suspended since boot when it was last checked; `None` before the first check.
     suspended: Option<Duration>,
     /// Revision up to which all changes have been received; `None` before the first listing.
@@ -170,6 +172,11 @@
         self.unavailable_at = Some(now);
     }
 
+    /// Records that all changes which have not been received yet were made after `since`.
+    pub fn set_unseen_since(&mut self, since: Instant) {
+        self.unseen_since = Some(since);
+    }
+
     /// Records that all changes up to `revision` have been received.
     pub fn advance(&mut self, revision: Revision) {
         self.as_of = Some(self.as_of.map_or(revision, |known| known.max(revision)));
@@ -203,11 +210,23 @@
         let changed = match (item.age, source) {
             (Some(age), _) => received.checked_sub(age),
             (None, ItemSource::Change) => Some(received),
-            (None, ItemSource::Relayed | ItemSource::Listing) => None,
+            (None, ItemSource::Relayed | ItemSource::Listing) => match &decoded {
+                Some(ItemValue::Declared { .. }) => self.unseen_since,
+                _ => None,
+            },
         };
         if let Some(ItemValue::Declared { model, version }) = &decoded {
-            let is_observed = source == ItemSource::Change;
-            self.declared.record(model, *version, changed, period, is_observed);
+            let missed = match source {
+                ItemSource::Change => MissedChanges::None,
+                ItemSource::Relayed | ItemSource::Listing => {
+                    self.unseen_since.map_or(MissedChanges::Any, MissedChanges::Since)
+                }
+            };
+            let period = match (item.age, changed) {
+                (None, Some(since)) => ReceivePeriod { begin: since, ..period },
+                _ => period,
+            };
+            self.declared.record(model, *version, changed, period, missed);
         }
         let before = self.items.remove(&item.key);
         let lapsed =
@@ -332,6 +351,7 @@
         }
         self.suspended = Some(total);
         self.declared.record_suspension(increase);
+        self.unseen_since = self.unseen_since.and_then(|since| since.checked_sub(increase));
         increase
     }
 
--- a/crates/fleet/tests/knowledge.rs
+++ b/crates/fleet/tests/knowledge.rs
@@ -304,6 +304,15 @@
     assert_eq!(time_left(&fleet, 2), Some(Duration::from_secs(6)));
     assert_eq!(time_left(&fleet, 1), Some(Duration::ZERO));
 
+    // A process that followed the store until 3 s ago has missed no declaration before that.
+    let mut fleet = FleetState::new();
+    fleet.set_unseen_since(
+        now.checked_sub(Duration::from_secs(3)).expect("the clock is old enough"),
+    );
+    fleet.apply(item("w", Some("w:3"), 3), ItemSource::Relayed, &TextDecoder, received_at(now));
+    assert_eq!(time_left(&fleet, 2), Some(Duration::from_secs(5)));
+    assert_eq!(time_left(&fleet, 1), Some(Duration::from_secs(5)));
+
     // An observed declaration may skip version numbers.
     apply_change(&mut fleet, item("w", Some("w:7"), 7), now);
     assert_eq!(time_left(&fleet, 3), Some(bound));
--- a/crates/gateway/src/entry/store.rs
+++ b/crates/gateway/src/entry/store.rs
@@ -73,6 +73,7 @@
                 };
                 let has_new_items =
                     apply_items(&shared, listing.items, listing.as_of, source, period);
+                shared.fleet_state().set_unseen_since(timer.unseen_since());
                 shared.record_confirmed(now);
                 if has_new_items || after.is_none() {
                     publish(&shared);
@@ -98,6 +99,9 @@
             Err(error) => {
                 timer.record_failure(requested);
                 shared.fleet_state().record_unavailable(now);
+                if after.is_some() {
+                    shared.fleet_state().set_unseen_since(timer.unseen_since());
+                }
                 shared.metrics.count("store_failures_total");
                 if !is_failing {
                     warn!("event=store_lost error=\"{error}\"");
@@ -145,6 +149,7 @@
     let listing = shared.ports.store.list().await?;
     let period = timer.record_listing(requested, shared.clock.now());
     apply_items(shared, listing.items, listing.as_of, ItemSource::Listing, period);
+    shared.fleet_state().set_unseen_since(timer.unseen_since());
     shared.record_confirmed(period.end);
     publish(shared);
     Ok(())
