Cancel before the prefill of a request can reach beyond the bound

One whose prefill had started when it was cancelled 0.15 s before the bound still begins, up to a few passes later.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     forecast::{EngineForecast, EngineLoad},
+    refusal::{PlacementRefusal, RefusalCause},
     share::{ColdLimiter, MIN_ENTRIES, SharedLimits},
     upstream::{AgentReport, AttemptOutcome, UpstreamState},
 };
@@ -53,19 +54,12 @@
 const BEGIN_TIME_FACTOR: f64 = 1.5;
 /// Minimum time between the expected begin of a request and the time at which the weights of its upstream are outdated.
 const BEGIN_MARGIN: Duration = Duration::from_millis(250);
-/// Time before the weights of an upstream are outdated at which a request that has not begun there is cancelled. It
-/// covers the way to the upstream, and a process that is not scheduled for most of a scheduling period of 100 ms.
+/// Time before the weights of an upstream are outdated at which a request that has not begun there is cancelled, in
+/// addition to the time to its first event at an idle engine. It covers the way to the upstream, and a process that is
+/// not scheduled for most of a scheduling period of 100 ms.
 const CANCEL_MARGIN: Duration = Duration::from_millis(150);
 /// Maximum number of requests per slot, running or waiting, at a service without engines.
 const MAX_LOAD_PER_SLOT: f64 = 3.0;
-/// Range of the retry delay for refused callers. The delay is random to spread out callers that are refused together,
-/// and long enough for a burst to pass, because a caller retries only once.
-const RETRY_AFTER_RANGE: (Duration, Duration) =
-    (Duration::from_millis(900), Duration::from_millis(2_000));
-/// Range of the retry delay if no upstream can serve at all: engines need two seconds or more to receive their weights.
-const NO_UPSTREAM_RETRY_AFTER_RANGE: (Duration, Duration) =
-    (Duration::from_millis(1_800), Duration::from_millis(2_600));
-
 /// Settings of the load balancer that are not part of the fleet view.
 #[derive(Clone, Debug, Default)]
 pub struct LoadBalancerOptions {
@@ -104,38 +98,6 @@
     }
 }
 
-/// Why a request was refused.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub enum RefusalCause {
-    /// The service has no usable upstream.
-    NoUpstream,
-    /// Every usable upstream is too loaded to meet the target.
-    Overloaded,
-    /// Only cold upstreams are left, and this entry has used up its share of what each of them tolerates.
-    Cold,
-}
-
-impl RefusalCause {
-    /// Name in log lines.
-    #[must_use]
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::NoUpstream => "no_upstream",
-            Self::Overloaded => "overloaded",
-            Self::Cold => "cold",
-        }
-    }
-}
-
-/// Refusal of a request, with the delay before a retry.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct PlacementRefusal {
-    /// Reason for the refusal.
-    pub cause: RefusalCause,
-    /// Delay after which the caller may retry.
-    pub retry_after: Duration,
-}
-
 /// Load of an upstream as this entry knows it.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct UpstreamLoad {
@@ -172,6 +134,12 @@
     Refused(PlacementRefusal),
 }
 
+impl Placement {
+    fn refuse(cause: RefusalCause, rng: &mut impl Rng) -> Self {
+        Self::Refused(PlacementRefusal::new(cause, rng))
+    }
+}
+
 #[derive(Debug)]
 struct ServiceState {
     record: Arc<ServiceRecord>,
@@ -324,7 +292,7 @@
         rng: &mut impl Rng,
     ) -> Placement {
         let Some(service) = self.services.get(request.service) else {
-            return refuse(RefusalCause::NoUpstream, rng);
+            return Placement::refuse(RefusalCause::NoUpstream, rng);
         };
         let cold_rate = service.record.cold_per_second;
         let mut cause = RefusalCause::NoUpstream;
@@ -349,7 +317,7 @@
             candidates = ejected;
         }
         if candidates.is_empty() {
-            return refuse(cause, rng);
+            return Placement::refuse(cause, rng);
         }
         self.pick(request, service, candidates, now, rng)
     }
@@ -397,11 +365,17 @@
                     record: state.record.clone(),
                     delay,
                     version,
-                    cancel_at: time_left.map(|left| now + left.saturating_sub(CANCEL_MARGIN)),
+                    cancel_at: time_left.map(|left| {
+                        // An engine cannot drop a request whose prefill it has started before the first token is made.
+                        let idle =
+                            EngineLoad { slowdown: state.slowdown(now), ..EngineLoad::default() };
+                        let prefill = Self::begin_delay(service, request, idle);
+                        now + left.saturating_sub(CANCEL_MARGIN + prefill)
+                    }),
                     expected_version: version.filter(|_| is_newest),
                 }
             }
-            None => refuse(RefusalCause::Overloaded, rng),
+            None => Placement::refuse(RefusalCause::Overloaded, rng),
         }
     }
 
@@ -483,13 +457,20 @@
         let Some(left) = request.time_left(state, now) else { return true };
         let occupancy = state.occupancy(now, self.entries as f64);
         let load = state.engine_load(occupancy, now);
-        let delay = service
-            .forecast
-            .as_ref()
-            .map_or(Duration::ZERO, |forecast| forecast.delay(load, request.prompt_tokens));
+        let delay = Self::begin_delay(service, request, load);
         delay.mul_f64(BEGIN_TIME_FACTOR) + BEGIN_MARGIN <= left
     }
 
+    /// Predicted time until the request begins at an engine with this load; zero for services without engines.
+    fn begin_delay(
+        service: &ServiceState,
+        request: &PlacementRequest<'_>,
+        load: EngineLoad,
+    ) -> Duration {
+        let forecast = service.forecast.as_ref();
+        forecast.map_or(Duration::ZERO, |forecast| forecast.delay(load, request.prompt_tokens))
+    }
+
     fn is_allowed(&self, record: &UpstreamRecord, request: &PlacementRequest<'_>) -> bool {
         let region = self.options.regions.get(&record.data_centre);
         request.allowed_regions.iter().all(|allowed| {
@@ -501,12 +482,3 @@
         self.options.regions.get(&record.data_centre) != Some(&self.options.region)
     }
 }
-
-fn refuse(cause: RefusalCause, rng: &mut impl Rng) -> Placement {
-    let (shortest, longest) = match cause {
-        RefusalCause::NoUpstream => NO_UPSTREAM_RETRY_AFTER_RANGE,
-        RefusalCause::Overloaded | RefusalCause::Cold => RETRY_AFTER_RANGE,
-    };
-    let retry_after = rng.random_range(shortest..longest);
-    Placement::Refused(PlacementRefusal { cause, retry_after })
-}
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -7,17 +7,16 @@
 mod balancer;
 mod crash;
 mod forecast;
+mod refusal;
 mod share;
 mod upstream;
 
 pub use crate::{
     attempt::{AttemptEnd, AttemptLog, FinalStatus},
-    balancer::{
-        LoadBalancer, LoadBalancerOptions, Placement, PlacementRefusal, PlacementRequest,
-        RefusalCause, UpstreamLoad,
-    },
+    balancer::{LoadBalancer, LoadBalancerOptions, Placement, PlacementRequest, UpstreamLoad},
     crash::{CrashDetector, fingerprint_of},
     forecast::{EngineForecast, EngineLoad},
+    refusal::{PlacementRefusal, RefusalCause},
     share::{ColdLimiter, RetryBudgetShare, SharedLimits},
     upstream::{AgentReport, AttemptOutcome},
 };
--- a/crates/balance/tests/board.rs
+++ b/crates/balance/tests/board.rs
@@ -275,7 +275,11 @@
     let (cancel_at, expected_version) = place(&mut fixture, &outdated);
     assert_eq!(expected_version, None, "the engine may load version 2 before the request arrives");
     let wait = cancel_at.expect("the wait is limited") - declared;
-    assert!(wait < ROLLOUT_TIMEOUT - Duration::from_millis(100), "cancelled after {wait:?}");
+    let forecast = EngineForecast::new(&engine());
+    let prefill = forecast.delay(EngineLoad::default(), 1_000);
+    let latest = ROLLOUT_TIMEOUT - prefill - Duration::from_millis(100);
+    assert!(wait < latest, "cancelled after {wait:?}, when the prefill may have started");
+    assert!(wait > latest - Duration::from_millis(200), "cancelled after {wait:?}");
 }
 
 /// An engine that has just switched weights is idle, so all entries send to it at once. All its slots are free, but the
