Date changes by the request of the previous watch

Cause: the earliest time of unseen changes advanced only if a watch had waited for 0.2 s. While many changes arrive, watches return at once, and entries dated a declaration 7.2 to 11.5 s back, so that all engines counted as outdated.

Change: a response contains all changes that were made before its request, so later ones are dated after the request.

Measured: watches_that_return_at_once_date_their_changes_by_the_previous_one fails without the change, because the periods grow with each round.

--- a/crates/fleet/src/period.rs
+++ b/crates/fleet/src/period.rs
@@ -42,6 +42,8 @@
     /// failed. Time limits count while the store is available, so a change made before an outage has ended counts from
     /// its end.
     earliest: Instant,
+    /// Time at which the pending watch was requested.
+    requested: Instant,
     /// Last check of the pending watch.
     last_check: Option<Instant>,
     /// Last time at which the pending watch is known to have been waiting.
@@ -52,11 +54,12 @@
     /// Creates the timer of a process that starts at `now`.
     #[must_use]
     pub fn new(now: Instant) -> Self {
-        Self { earliest: now, last_check: None, waiting: None }
+        Self { earliest: now, requested: now, last_check: None, waiting: None }
     }
 
     /// Records that a watch or a listing is requested.
     pub fn record_request(&mut self, now: Instant) {
+        self.requested = now;
         self.last_check = Some(now);
         self.waiting = None;
     }
@@ -78,7 +81,10 @@
         if let Some(waiting) = self.waiting {
             self.earliest = self.earliest.max(earlier(waiting, CHANGE_DELAY));
         }
-        ReceivePeriod { begin: self.earliest, end: now }
+        let period = ReceivePeriod { begin: self.earliest, end: now };
+        // The response contains all changes that were made before the request.
+        self.earliest = self.earliest.max(self.requested);
+        period
     }
 
     /// Records a listing that was requested at `requested` and returns its period.
@@ -101,6 +107,7 @@
     /// Shifts all recorded times earlier, because the host was suspended for `suspended` since then.
     pub fn record_suspension(&mut self, suspended: Duration) {
         self.earliest = earlier(self.earliest, suspended);
+        self.requested = earlier(self.requested, suspended);
         for time in [&mut self.last_check, &mut self.waiting].into_iter().flatten() {
             *time = earlier(*time, suspended);
         }
--- a/crates/fleet/tests/knowledge.rs
+++ b/crates/fleet/tests/knowledge.rs
@@ -248,6 +248,20 @@
     assert!(period.begin <= at(3_500), "the change may have been made during the pause");
 }
 
+/// Guards against dates that lie ever longer before the declaration while many changes arrive, because no watch waits long
+/// enough to show when it was still waiting.
+#[test]
+fn watches_that_return_at_once_date_their_changes_by_the_previous_one() {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let mut timer = WatchTimer::new(start);
+    for round in 0..40 {
+        timer.record_request(at(round * 250));
+        let period = timer.record_watch(at(round * 250 + 10));
+        assert!(period.length() <= Duration::from_millis(260), "{:?}", period.length());
+    }
+}
+
 /// Guards against an outage of the store after which a declaration seems to have been made long ago, so that all engines
 /// with the older version go unused at once. Time limits count while the store is available.
 #[test]
