Fleet: the watch timer keeps the time of its request

WatchTimer stored the time of its last request and got it again with each listing and failure; the callers no longer pass it. No behaviour changes, except that a listing during a suspension of the host is now dated by the shifted time, as watches are. Tests of fleet and balance pass with the same assertions.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -60,6 +60,7 @@
 const CANCEL_MARGIN: Duration = Duration::from_millis(150);
 /// Maximum number of requests per slot, running or waiting, at a service without engines.
 const MAX_LOAD_PER_SLOT: f64 = 3.0;
+
 /// Settings of the load balancer that are not part of the fleet view.
 #[derive(Clone, Debug, Default)]
 pub struct LoadBalancerOptions {
--- a/crates/fleet/src/declared.rs
+++ b/crates/fleet/src/declared.rs
@@ -131,13 +131,12 @@
     for declaration in declarations {
         let previous = declaration.version.saturating_sub(1);
         let is_known = versions.last().is_some_and(|(version, _)| *version == previous);
-        let missed_at = match declaration.missed {
-            MissedChanges::None => None,
-            MissedChanges::Since(since) => Some(Some(since)),
-            MissedChanges::Any => Some(None),
-        };
-        if let Some(missed_at) = missed_at.filter(|_| !is_known && previous > 0) {
-            versions.push((previous, missed_at));
+        if !is_known && previous > 0 {
+            match declaration.missed {
+                MissedChanges::None => {}
+                MissedChanges::Since(since) => versions.push((previous, Some(since))),
+                MissedChanges::Any => versions.push((previous, None)),
+            }
         }
         versions.push((declaration.version, declaration.declared_at));
     }
--- a/crates/fleet/src/period.rs
+++ b/crates/fleet/src/period.rs
@@ -42,7 +42,7 @@
     /// failed. Time limits count while the store is available, so a change made before an outage has ended counts from
     /// its end.
     earliest: Instant,
-    /// Time at which the pending watch was requested.
+    /// Time of the last request, a watch or a listing.
     requested: Instant,
     /// Last check of the pending watch.
     last_check: Option<Instant>,
@@ -87,10 +87,10 @@
         period
     }
 
-    /// Records a listing that was requested at `requested` and returns its period.
-    pub fn record_listing(&mut self, requested: Instant, now: Instant) -> ReceivePeriod {
-        self.earliest = requested;
-        ReceivePeriod { begin: requested, end: now }
+    /// Records the response to the listing and returns its period.
+    pub fn record_listing(&mut self, now: Instant) -> ReceivePeriod {
+        self.earliest = self.requested;
+        ReceivePeriod { begin: self.requested, end: now }
     }
 
     /// Time after which all changes were made that have not been received yet.
@@ -99,9 +99,9 @@
         self.earliest
     }
 
-    /// Records that a request which began at `requested` failed, so that the store was unavailable after that time.
-    pub fn record_failure(&mut self, requested: Instant) {
-        self.earliest = self.earliest.max(requested);
+    /// Records that the request failed, so that the store was unavailable after its start.
+    pub fn record_failure(&mut self) {
+        self.earliest = self.earliest.max(self.requested);
     }
 
     /// Shifts all recorded times earlier, because the host was suspended for `suspended` since then.
--- a/crates/fleet/tests/knowledge.rs
+++ b/crates/fleet/tests/knowledge.rs
@@ -204,7 +204,8 @@
     let start = Instant::now();
     let at = |millis| start + Duration::from_millis(millis);
     let mut timer = WatchTimer::new(start);
-    timer.record_listing(at(950), at(1_000));
+    timer.record_request(at(950));
+    timer.record_listing(at(1_000));
     timer.record_request(at(2_800));
     let period = timer.record_watch(at(2_810));
     assert!(period.begin <= at(1_000), "the change may have been made during the pause");
@@ -271,7 +272,7 @@
     let mut timer = WatchTimer::new(start);
     for requested in [2, 5, 8] {
         timer.record_request(at(requested));
-        timer.record_failure(at(requested));
+        timer.record_failure();
     }
     timer.record_request(at(9));
     let period = timer.record_watch(at(9));
--- a/crates/gateway/src/entry/store.rs
+++ b/crates/gateway/src/entry/store.rs
@@ -50,8 +50,7 @@
                 Some(after) => shared.ports.store.watch(after, wait).await,
             }
         };
-        let requested = shared.clock.now();
-        timer.record_request(requested);
+        timer.record_request(shared.clock.now());
         let result = tokio::select! {
             () = shared.wake_store.notified() => continue,
             result = store_request => result,
@@ -68,7 +67,7 @@
                 (is_failing, backoff) = (false, BACKOFF_RANGE.0);
                 let has_changes = !listing.items.is_empty();
                 let (source, period) = match after {
-                    None => (ItemSource::Listing, timer.record_listing(requested, now)),
+                    None => (ItemSource::Listing, timer.record_listing(now)),
                     Some(_) => (ItemSource::Change, timer.record_watch(now)),
                 };
                 let has_new_items =
@@ -97,7 +96,7 @@
                 }
             }
             Err(error) => {
-                timer.record_failure(requested);
+                timer.record_failure();
                 shared.fleet_state().record_unavailable(now);
                 if after.is_some() {
                     shared.fleet_state().set_unseen_since(timer.unseen_since());
@@ -145,9 +144,9 @@
 }
 
 async fn list_again(shared: &EntryShared, timer: &mut WatchTimer) -> Result<(), StoreError> {
-    let requested = shared.clock.now();
+    timer.record_request(shared.clock.now());
     let listing = shared.ports.store.list().await?;
-    let period = timer.record_listing(requested, shared.clock.now());
+    let period = timer.record_listing(shared.clock.now());
     apply_items(shared, listing.items, listing.as_of, ItemSource::Listing, period);
     shared.fleet_state().set_unseen_since(timer.unseen_since());
     shared.record_confirmed(period.end);
