--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -1,6 +1,7 @@
 //! Protobuf messages, defined with the derive macros of prost.
 
 mod fleet;
+mod load;
 mod transfer;
 
 use std::time::Duration;
@@ -10,7 +11,7 @@
 use prost::{Message, Oneof};
 use route::CrashEvidence;
 
-pub use self::{fleet::*, transfer::*};
+pub use self::{fleet::*, load::LoadReport, transfer::*};
 
 /// Content of a frame: exactly one message.
 #[derive(Clone, Message, PartialEq)]
@@ -165,24 +166,6 @@
     pub manifest: Bytes,
 }
 
-/// Load of an upstream and its agent.
-#[derive(Clone, Copy, Message, PartialEq)]
-pub struct LoadReport {
-    /// Current limit of the agent on concurrent requests.
-    #[prost(uint32, tag = "1")]
-    pub limit: u32,
-    /// Number of requests in progress at the upstream.
-    #[prost(uint32, tag = "2")]
-    pub in_use: u32,
-    /// Number of requests waiting in the queue of the agent.
-    #[prost(uint32, tag = "3")]
-    pub queued: u32,
-    /// Number of the measurement, which increases within an incarnation of the agent; 0 if the agent does not number
-    /// its measurements.
-    #[prost(uint64, tag = "4")]
-    pub sequence: u64,
-}
-
 /// Response to [`StatusRequest`]: status of an agent and its upstream.
 #[derive(Clone, Message, PartialEq)]
 pub struct StatusResponse {
