--- a/crates/standin/tests/affinity.rs
+++ b/crates/standin/tests/affinity.rs
@@ -1,16 +1,15 @@
 //! Prefix affinity across entries: an entry that has never served a prefix finds the engine that holds it through cache
 //! events.
 
+mod support;
+
 use std::time::Duration;
 
 use hyper::Method;
 use serde_json::json;
 use standin::{
     WeightImage,
-    fleet::{
-        FleetOptions, FleetPlatform, StandinFleet,
-        layout::{FleetLayout, LayoutOptions, LoopbackBlock, add_model},
-    },
+    fleet::{FleetOptions, StandinFleet, layout::add_model},
     http_client::{HttpClient, HttpRequest},
 };
 
@@ -33,16 +32,8 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn other_entry_sends_a_known_prefix_to_its_holder() {
-    let options = LayoutOptions {
-        entries: 2,
-        models: 3,
-        bookings: 0,
-        offices: 0,
-        ..LayoutOptions::default()
-    };
-    let layout = FleetLayout::new(options, LoopbackBlock::random());
     let options = FleetOptions::default();
-    let platform = FleetPlatform::start(layout, &options).await.unwrap();
+    let platform = support::start_model_platform(&options).await;
     let image = platform.catalog.add(WeightImage::generate(7, 256 << 10, 64 << 10));
     platform.publish(|config| add_model(config, "draft", &image, [3; 3]));
     let fleet = StandinFleet::start(platform, options).await.unwrap();
--- a/crates/standin/tests/fleet.rs
+++ b/crates/standin/tests/fleet.rs
@@ -1,27 +1,17 @@
 //! Start of a fleet on loopback.
 
+mod support;
+
 use std::time::Duration;
 
-use standin::fleet::{
-    FleetOptions, FleetPlatform, StandinFleet,
-    layout::{FleetLayout, LayoutOptions, LoopbackBlock},
-    wait_until,
-};
+use standin::fleet::{FleetOptions, StandinFleet, wait_until};
 
 /// Guards against a fleet without seeds. Its processes first read the configuration after 2 to 30 s, while those of a
 /// deployment wait for a seed, which reads it within 1 s.
 #[tokio::test(flavor = "multi_thread")]
 async fn seed_reads_the_configuration_soon_after_the_start() {
-    let options = LayoutOptions {
-        entries: 2,
-        models: 3,
-        bookings: 0,
-        offices: 0,
-        ..LayoutOptions::default()
-    };
-    let layout = FleetLayout::new(options, LoopbackBlock::random());
     let options = FleetOptions::default();
-    let platform = FleetPlatform::start(layout, &options).await.unwrap();
+    let platform = support::start_model_platform(&options).await;
     let fleet = StandinFleet::start(platform, options).await.unwrap();
     let service = &fleet.platform.config_service;
     let read = || service.request_count() > 0;
