Show the limits that upstreams state

An upstream that is short of capacity states in its responses how many requests a second it takes from all entries together.

The adapter decodes the header into absent, a rate, or unreadable. Entries remember the limit of each upstream process, log every change together with what they sent in the last 4 s, and show both in their status. Placement does not use it yet, so no request is handled differently.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -14,7 +14,9 @@
 
 use crate::{
     forecast::{EngineForecast, EngineLoad},
+    rate_limit::{LIMIT_WINDOW, LimitChange, LimitStatement, RateLimits},
     refusal::{PlacementRefusal, RefusalCause},
+    send_log::SendLog,
     share::{ColdLimiter, MIN_ENTRIES, SharedLimits},
     upstream::{AgentReport, AttemptOutcome, UpstreamState},
 };
@@ -100,7 +102,7 @@
 }
 
 /// Load of an upstream as this entry knows it.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct UpstreamLoad {
     /// Last report of the upstream's agent; `None` if there is none or it is stale.
     pub report: Option<AgentReport>,
@@ -111,6 +113,10 @@
     /// True if the upstream is ejected because of recent failures.
     #[serde(rename = "suspended")]
     pub ejected: bool,
+    /// Requests per second that the upstream takes from all entries together; `None` if it has stated no limit.
+    pub rate_limit: Option<f64>,
+    /// Requests that this entry sent to the upstream in the last 4 s, the period in which a limit is judged.
+    pub recent_sends: u32,
 }
 
 /// Result of [`LoadBalancer::choose`].
@@ -157,6 +163,9 @@
     /// Entries that may be alive, including those that this entry cannot reach.
     possible_entries: usize,
     cold: ColdLimiter,
+    /// Limits that upstreams have stated.
+    rate_limits: RateLimits,
+    sent: SendLog,
     services: HashMap<ServiceId, ServiceState>,
     upstreams: HashMap<UpstreamId, UpstreamState>,
     evacuated: HashSet<DataCentreId>,
@@ -169,6 +178,8 @@
     pub fn new(options: LoadBalancerOptions) -> Self {
         Self {
             cold: ColdLimiter::new(options.shares),
+            rate_limits: RateLimits::default(),
+            sent: SendLog::new(LIMIT_WINDOW),
             options,
             entries: 1,
             possible_entries: MIN_ENTRIES,
@@ -212,6 +223,9 @@
         }
         let upstreams = &self.upstreams;
         self.cold.retain(|upstream| upstreams.contains_key(upstream));
+        self.sent.retain(now, |upstream| upstreams.contains_key(upstream));
+        let started_ms = |id: &UpstreamId| upstreams.get(id).map(|state| state.record.started_ms);
+        self.rate_limits.retain(now, started_ms);
     }
 
     /// Sets the number of entries known to be alive, which are expected to send to the same upstreams.
@@ -259,6 +273,8 @@
             in_flight: state.in_flight,
             cold_for: remaining(state.cold_until),
             ejected: !remaining(state.ejected_until).is_zero(),
+            rate_limit: self.rate_limits.limit_of(upstream),
+            recent_sends: self.sent.count(upstream, LIMIT_WINDOW, now) as u32,
         }
     }
 
@@ -269,10 +285,24 @@
         }
     }
 
+    /// Records what the response to a request that was sent at `sent_at` states about the limit of its upstream. Returns
+    /// the change, if there is one.
+    pub fn record_limit(
+        &mut self,
+        upstream: &UpstreamId,
+        statement: LimitStatement,
+        sent_at: Instant,
+        now: Instant,
+    ) -> Option<LimitChange> {
+        let started_ms = self.upstreams.get(upstream)?.record.started_ms;
+        self.rate_limits.record_statement(upstream, started_ms, statement, sent_at, now)
+    }
+
     /// Records that a request is sent to an upstream.
     pub fn record_sent(&mut self, upstream: &UpstreamId, now: Instant) {
         let Some(state) = self.upstreams.get_mut(upstream) else { return };
         state.record_sent(now);
+        self.sent.record(upstream, now);
         if state.cold_until.is_some_and(|until| now < until) {
             self.cold.record_sent(upstream, now);
         }
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -7,7 +7,9 @@
 mod balancer;
 mod crash;
 mod forecast;
+mod rate_limit;
 mod refusal;
+mod send_log;
 mod share;
 mod upstream;
 
@@ -16,6 +18,7 @@
     balancer::{LoadBalancer, LoadBalancerOptions, Placement, PlacementRequest, UpstreamLoad},
     crash::{CrashDetector, fingerprint_of},
     forecast::{EngineForecast, EngineLoad},
+    rate_limit::{LimitChange, LimitStatement},
     refusal::{PlacementRefusal, RefusalCause},
     share::{ColdLimiter, RetryBudgetShare, SharedLimits},
     upstream::{AgentReport, AttemptOutcome},
--- a/crates/cli/src/commands/status.rs
+++ b/crates/cli/src/commands/status.rs
@@ -111,6 +111,10 @@
         if upstream.suspended {
             line.push_str(" suspended");
         }
+        if let Some(limit) = upstream.rate_limit {
+            let sent = upstream.recent_sends;
+            line.push_str(&format!(" limit {limit:.1}/s, {sent} sent in 4 s"));
+        }
         if upstream.cold_ms > 0 {
             line.push_str(&format!(" cold for {} ms", upstream.cold_ms));
         }
--- a/crates/cli/tests/output.rs
+++ b/crates/cli/tests/output.rs
@@ -69,6 +69,8 @@
         in_flight: 3,
         cold_ms,
         suspended: false,
+        rate_limit: (!draining).then_some(2.3),
+        recent_sends: 9,
     };
     let status = EntryStatus {
         name: "front-1".into(),
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use balance::{AttemptEnd, AttemptOutcome, fingerprint_of};
+use balance::{AttemptEnd, AttemptOutcome, LimitChange, LimitStatement, fingerprint_of};
 use base::UpstreamId;
 use bytes::Bytes;
 use fleet::UpstreamRecord;
@@ -22,7 +22,7 @@
     relay::OpenStream,
     request::{ChosenUpstream, RequestContext},
 };
-use crate::port::AttemptMeta;
+use crate::port::{AttemptMeta, ResponseMeta};
 
 /// Maximum size of a response that is buffered before it is forwarded.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
@@ -115,7 +115,7 @@
                 return AttemptResult::Failed(AttemptEnd::Lost, None);
             }
         };
-        self.read_response(upstream, response, connection, guard, cancel_at).await
+        self.read_response(upstream, response, connection, guard, cancel_at, now).await
     }
 
     fn upstream_request(
@@ -169,6 +169,7 @@
         connection: UpstreamConnection,
         guard: AttemptGuard,
         cancel_at: Option<Instant>,
+        sent_at: Instant,
     ) -> AttemptResult {
         let (head, body) = response.into_parts();
         let meta = self.shared.ports.codec.read_response(&head);
@@ -184,6 +185,9 @@
             guard.fail();
             return AttemptResult::Failed(AttemptEnd::Lost, None);
         }
+        if !meta.wrong_upstream {
+            self.record_limit(&upstream.upstream, &meta, sent_at);
+        }
         if meta.not_run || meta.wrong_upstream {
             guard.finish(AttemptOutcome::NotRun);
             return AttemptResult::Failed(AttemptEnd::NotRun, None);
@@ -217,9 +221,42 @@
         AttemptResult::Complete(head, body)
     }
 
+    /// Records what a response states about the limit of its upstream. Only a signed response can end a limit, because
+    /// another one may come from a part of the upstream that does not know the limit.
+    fn record_limit(&self, upstream: &UpstreamId, meta: &ResponseMeta, sent_at: Instant) {
+        if meta.rate_limit == LimitStatement::Absent && !meta.signed {
+            return;
+        }
+        let now = self.shared.clock.now();
+        let mut balancer = self.shared.balancer();
+        let change = balancer.record_limit(upstream, meta.rate_limit, sent_at, now);
+        if let Some(change) = change {
+            let load = balancer.load_of(upstream, now);
+            drop(balancer);
+            log_limit_change(upstream, change, "response", load.recent_sends);
+        }
+    }
+
     /// Records that an upstream has completed this request.
     pub(crate) fn record_success(&self) {
         let now = self.shared.clock.now();
         self.shared.crashes().record_success(now, || self.fingerprint());
     }
 }
+
+/// Logs a change of an upstream's limit, with the number of requests that this entry sent there in the last 4 s.
+pub(super) fn log_limit_change(
+    upstream: &UpstreamId,
+    change: LimitChange,
+    source: &str,
+    recent_sends: u32,
+) {
+    let rate = |limit: Option<f64>| limit.map_or("none".to_owned(), |limit| limit.to_string());
+    info!(
+        "event=rate_limit_changed upstream={upstream} before={} after={} unreadable={} source={source} \
+         recent_sends={recent_sends}",
+        rate(change.before),
+        rate(change.after),
+        change.unreadable
+    );
+}
--- a/crates/gateway/src/entry/status.rs
+++ b/crates/gateway/src/entry/status.rs
@@ -58,6 +58,10 @@
     pub cold_ms: u64,
     /// True if this entry sends the upstream no requests because of recent failures.
     pub suspended: bool,
+    /// Requests per second that the upstream takes from all entries together; `None` if it has stated no limit.
+    pub rate_limit: Option<f64>,
+    /// Requests that this entry sent to the upstream in the last 4 s.
+    pub recent_sends: u32,
 }
 
 /// Builds the status of the entry.
@@ -96,6 +100,8 @@
                 in_flight: load.in_flight,
                 cold_ms: millis(load.cold_for),
                 suspended: load.ejected,
+                rate_limit: load.rate_limit,
+                recent_sends: load.recent_sends,
             }
         })
         .collect();
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -2,6 +2,7 @@
 
 use std::{error::Error, net::SocketAddr, time::Duration};
 
+use balance::LimitStatement;
 use base::{ModelId, Revision};
 use bytes::Bytes;
 use chunks::{ChunkDigest, ChunkIndex, WeightsId};
@@ -69,6 +70,8 @@
     pub load: Option<(u32, u32)>,
     /// Remaining cold period of the upstream; `None` if it is warm.
     pub cold_for: Option<Duration>,
+    /// Limit of the upstream for the requests of all entries together.
+    pub rate_limit: LimitStatement,
     /// Idle timeout of the connection at the upstream; `None` if the upstream states none.
     #[serde(rename = "keep_idle")]
     pub keep_alive: Option<Duration>,
