Share the limits that upstreams state among all entries

Callers of the users' platform saw requests on engines that had asked for fewer: an engine that stated 2.3 requests a second got 25 in 4 s, as many as every other one. No entry used the header, and each entry sees only its own responses, while the limit holds for all of them together.

Three things had to come together. Entries learn a limit from their own responses and from one another, by a notice that is sent at once after a change and then every 0.25 s. They divide it by demand, which each reports (what it sent in the last 4 s and what it withheld), because three of eight entries send three quarters of an engine's requests; a quarter is divided equally, silent entries count as average, and an entry that hears none uses half of the equal share of at least 12. And the requests from before the limit was known count, because the windows that are judged begin before it: each entry keeps its send times for all upstreams.

A response without a limit ends it only if its request was sent after the last statement. At zero, all entries together still send one request in 4 s, since only a response can show the end. A value that cannot be read leaves the last one in force, a restarted upstream has no limit until it states one, and a response with status 421 comes from another upstream. Requests for which only such upstreams are left are refused at once (rate_limited).

Ruled out: a limiter that counts from the statement on (in the record, 14 of the 25 requests were sent before), and equal shares alone (three of twelve shares were used, 2 requests in 6 s of the 14 that the limit allows).

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     forecast::{EngineForecast, EngineLoad},
-    rate_limit::{LIMIT_WINDOW, LimitChange, LimitStatement, RateLimits},
+    rate_limit::{LIMIT_WINDOW, LimitChange, LimitStatement, LimitUsage, RateLimiter},
     refusal::{PlacementRefusal, RefusalCause},
     send_log::SendLog,
     share::{ColdLimiter, MIN_ENTRIES, SharedLimits},
@@ -164,7 +164,7 @@
     possible_entries: usize,
     cold: ColdLimiter,
     /// Limits that upstreams have stated.
-    rate_limits: RateLimits,
+    rate_limits: RateLimiter,
     sent: SendLog,
     services: HashMap<ServiceId, ServiceState>,
     upstreams: HashMap<UpstreamId, UpstreamState>,
@@ -178,7 +178,7 @@
     pub fn new(options: LoadBalancerOptions) -> Self {
         Self {
             cold: ColdLimiter::new(options.shares),
-            rate_limits: RateLimits::default(),
+            rate_limits: RateLimiter::new(),
             sent: SendLog::new(LIMIT_WINDOW),
             options,
             entries: 1,
@@ -238,6 +238,7 @@
     pub fn set_possible_entries(&mut self, entries: usize) {
         self.possible_entries = entries.max(MIN_ENTRIES);
         self.cold.set_entries(entries);
+        self.rate_limits.set_entries(entries);
     }
 
     /// Records a report of the agent of the upstream at `address`.
@@ -293,9 +294,32 @@
         statement: LimitStatement,
         sent_at: Instant,
         now: Instant,
+        rng: &mut impl Rng,
     ) -> Option<LimitChange> {
         let started_ms = self.upstreams.get(upstream)?.record.started_ms;
-        self.rate_limits.record_statement(upstream, started_ms, statement, sent_at, now)
+        self.rate_limits.record_statement(upstream, started_ms, statement, sent_at, now, rng)
+    }
+
+    /// Records what another entry knows and uses of the limit of an upstream. Returns the change of what this entry
+    /// knows, if there is one. Reports about other processes of the upstream than the listed one are ignored.
+    pub fn record_limit_usage(
+        &mut self,
+        peer: SocketAddr,
+        usage: &LimitUsage,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Option<LimitChange> {
+        let state = self.upstreams.get(&usage.upstream)?;
+        if state.record.started_ms != usage.started_ms {
+            return None;
+        }
+        self.rate_limits.record_peer(peer, usage, now, rng)
+    }
+
+    /// What this entry knows and uses of the limits of upstreams, for the other entries.
+    #[must_use]
+    pub fn limit_usage(&self, now: Instant) -> Vec<LimitUsage> {
+        self.rate_limits.usage(&self.sent, now)
     }
 
     /// Records that a request is sent to an upstream.
@@ -303,6 +327,7 @@
         let Some(state) = self.upstreams.get_mut(upstream) else { return };
         state.record_sent(now);
         self.sent.record(upstream, now);
+        self.rate_limits.record_sent(upstream, now);
         if state.cold_until.is_some_and(|until| now < until) {
             self.cold.record_sent(upstream, now);
         }
@@ -329,6 +354,7 @@
         let mut cause = RefusalCause::NoUpstream;
         let mut candidates: Vec<&UpstreamId> = Vec::with_capacity(service.upstreams.len());
         let mut ejected: Vec<&UpstreamId> = Vec::new();
+        let mut limited: Vec<&UpstreamId> = Vec::new();
         for id in &service.upstreams {
             let Some(state) = self.upstreams.get(id) else { continue };
             if !self.is_usable(state, service, request, now) {
@@ -337,6 +363,8 @@
             let is_cold = state.cold_until.is_some_and(|until| now < until);
             if is_cold && cold_rate > 0.0 && !self.cold.may_send(id, cold_rate, now, rng) {
                 cause = RefusalCause::Cold;
+            } else if !self.rate_limits.may_send(id, &self.sent, now, rng) {
+                limited.push(id);
             } else if state.ejected_until.is_some_and(|until| now < until) {
                 ejected.push(id);
             } else {
@@ -347,33 +375,48 @@
             // All usable upstreams are ejected: trying one of them is better than refusing the request.
             candidates = ejected;
         }
-        if candidates.is_empty() {
+        if candidates.is_empty() && limited.is_empty() {
             return Placement::refuse(cause, rng);
         }
-        self.pick(request, service, candidates, now, rng)
+        let (placement, withheld) = self.pick(request, service, candidates, limited, now, rng);
+        if let Some(upstream) = withheld {
+            self.rate_limits.record_withheld(&upstream, now);
+        }
+        placement
     }
 
+    /// Picks the best candidate. The second value is an upstream that would have been picked if its limit allowed it.
     fn pick(
         &self,
         request: &PlacementRequest<'_>,
         service: &ServiceState,
-        mut candidates: Vec<&UpstreamId>,
+        candidates: Vec<&UpstreamId>,
+        limited: Vec<&UpstreamId>,
         now: Instant,
         rng: &mut impl Rng,
-    ) -> Placement {
+    ) -> (Placement, Option<UpstreamId>) {
+        let refusal_cause = if candidates.is_empty() {
+            RefusalCause::RateLimited
+        } else {
+            RefusalCause::Overloaded
+        };
         let mut best: Option<(Duration, Duration, &UpstreamState)> = None;
+        let mut withheld: Option<(Duration, &UpstreamState)> = None;
         let mut compared = 0;
-        candidates.shuffle(rng);
-        let (local, remote): (Vec<_>, Vec<_>) = candidates
+        let mut upstreams: Vec<(&UpstreamState, bool)> = candidates
             .into_iter()
-            .map(|id| &self.upstreams[id])
-            .partition(|state| !self.is_remote(&state.record));
+            .map(|id| (&self.upstreams[id], false))
+            .chain(limited.into_iter().map(|id| (&self.upstreams[id], true)))
+            .collect();
+        upstreams.shuffle(rng);
+        let (local, remote): (Vec<_>, Vec<_>) =
+            upstreams.into_iter().partition(|(state, _)| !self.is_remote(&state.record));
         let limit = COMPARED_UPSTREAMS - COMPARED_REMOTE_UPSTREAMS.min(remote.len());
         let ordered = local
             .into_iter()
             .map(|state| (state, limit))
             .chain(remote.into_iter().map(|state| (state, COMPARED_UPSTREAMS)));
-        for (state, limit) in ordered {
+        for ((state, is_limited), limit) in ordered {
             if compared >= limit {
                 continue;
             }
@@ -382,12 +425,21 @@
                 continue;
             };
             let cost = delay + self.penalties(state, occupancy, now);
+            if is_limited {
+                if withheld.is_none_or(|(lowest, _)| cost < lowest) {
+                    withheld = Some((cost, state));
+                }
+                continue;
+            }
             if best.is_none_or(|(lowest, ..)| cost < lowest) {
                 best = Some((cost, delay, state));
             }
             compared += 1;
         }
-        match best {
+        let withheld = withheld
+            .filter(|(cost, _)| best.is_none_or(|(lowest, ..)| *cost < lowest))
+            .map(|(_, state)| state.record.upstream.clone());
+        let placement = match best {
             Some((_, delay, state)) => {
                 let version = state.version(now);
                 let time_left = request.time_left(state, now);
@@ -406,8 +458,9 @@
                     expected_version: version.filter(|_| is_newest),
                 }
             }
-            None => Placement::refuse(RefusalCause::Overloaded, rng),
-        }
+            None => Placement::refuse(refusal_cause, rng),
+        };
+        (placement, withheld)
     }
 
     /// Predicted time until the response, or until the first event of a stream; `None` if the upstream has no capacity
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -18,7 +18,7 @@
     balancer::{LoadBalancer, LoadBalancerOptions, Placement, PlacementRequest, UpstreamLoad},
     crash::{CrashDetector, fingerprint_of},
     forecast::{EngineForecast, EngineLoad},
-    rate_limit::{LimitChange, LimitStatement},
+    rate_limit::{LimitChange, LimitStatement, LimitUsage},
     refusal::{PlacementRefusal, RefusalCause},
     share::{ColdLimiter, RetryBudgetShare, SharedLimits},
     upstream::{AgentReport, AttemptOutcome},
--- a/crates/balance/src/refusal.rs
+++ b/crates/balance/src/refusal.rs
@@ -22,6 +22,8 @@
     Overloaded,
     /// Only cold upstreams are left, and this entry has used up its share of what each of them tolerates.
     Cold,
+    /// Only upstreams with a stated limit are left, and this entry has used up its share of each.
+    RateLimited,
 }
 
 impl RefusalCause {
@@ -32,6 +34,7 @@
             Self::NoUpstream => "no_upstream",
             Self::Overloaded => "overloaded",
             Self::Cold => "cold",
+            Self::RateLimited => "rate_limited",
         }
     }
 }
@@ -50,7 +53,9 @@
     pub(crate) fn new(cause: RefusalCause, rng: &mut impl Rng) -> Self {
         let (shortest, longest) = match cause {
             RefusalCause::NoUpstream => NO_UPSTREAM_RETRY_AFTER_RANGE,
-            RefusalCause::Overloaded | RefusalCause::Cold => RETRY_AFTER_RANGE,
+            RefusalCause::Overloaded | RefusalCause::Cold | RefusalCause::RateLimited => {
+                RETRY_AFTER_RANGE
+            }
         };
         let retry_after = rng.random_range(shortest..longest);
         Self { cause, retry_after }
--- a/crates/balance/tests/rate_limit.rs
+++ b/crates/balance/tests/rate_limit.rs
@@ -5,6 +5,8 @@
 use balance::{LimitChange, LimitStatement, LoadBalancer, LoadBalancerOptions};
 use base::UpstreamId;
 use fleet::{FleetView, UpstreamRecord};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 
 const fn millis(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -14,6 +16,7 @@
     balancer: LoadBalancer,
     upstream: UpstreamId,
     start: Instant,
+    rng: ChaCha8Rng,
 }
 
 impl LimitFixture {
@@ -22,6 +25,7 @@
             balancer: LoadBalancer::new(LoadBalancerOptions::default()),
             upstream: "u".into(),
             start: Instant::now(),
+            rng: ChaCha8Rng::seed_from_u64(1),
         };
         fixture.with_upstream(1)
     }
@@ -48,7 +52,7 @@
     /// Records a response that arrives `at` after the start to a request that was sent at `sent`.
     fn respond(&mut self, sent: u64, at: u64, statement: LimitStatement) -> Option<LimitChange> {
         let (sent, at) = (self.start + millis(sent), self.start + millis(at));
-        self.balancer.record_limit(&self.upstream, statement, sent, at)
+        self.balancer.record_limit(&self.upstream, statement, sent, at, &mut self.rng)
     }
 
     fn limit(&self) -> Option<f64> {
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use balance::{AttemptEnd, AttemptOutcome, LimitChange, LimitStatement, fingerprint_of};
+use balance::{AttemptEnd, AttemptOutcome, LimitStatement, fingerprint_of};
 use base::UpstreamId;
 use bytes::Bytes;
 use fleet::UpstreamRecord;
@@ -17,6 +17,7 @@
 
 use super::{
     guards::AttemptGuard,
+    limits::log_limit_change,
     outcome::AttemptResult,
     pool::UpstreamConnection,
     relay::OpenStream,
@@ -229,11 +230,13 @@
         }
         let now = self.shared.clock.now();
         let mut balancer = self.shared.balancer();
-        let change = balancer.record_limit(upstream, meta.rate_limit, sent_at, now);
+        let change =
+            balancer.record_limit(upstream, meta.rate_limit, sent_at, now, &mut rand::rng());
         if let Some(change) = change {
             let load = balancer.load_of(upstream, now);
             drop(balancer);
             log_limit_change(upstream, change, "response", load.recent_sends);
+            self.shared.wake_limits.notify_one();
         }
     }
 
@@ -243,20 +246,3 @@
         self.shared.crashes().record_success(now, || self.fingerprint());
     }
 }
-
-/// Logs a change of an upstream's limit, with the number of requests that this entry sent there in the last 4 s.
-pub(super) fn log_limit_change(
-    upstream: &UpstreamId,
-    change: LimitChange,
-    source: &str,
-    recent_sends: u32,
-) {
-    let rate = |limit: Option<f64>| limit.map_or("none".to_owned(), |limit| limit.to_string());
-    info!(
-        "event=rate_limit_changed upstream={upstream} before={} after={} unreadable={} source={source} \
-         recent_sends={recent_sends}",
-        rate(change.before),
-        rate(change.after),
-        change.unreadable
-    );
-}
--- a/crates/gateway/src/entry/control.rs
+++ b/crates/gateway/src/entry/control.rs
@@ -20,6 +20,7 @@
 use super::{
     assignment::{assignment_digest, make_assignment, millis},
     dating::date_declarations,
+    limits::{record_limits, report_limits},
     shared::EntryShared,
     status::entry_status,
     store::{apply_items, follow_store},
@@ -77,6 +78,7 @@
     }
     tokio::spawn(follow_store(shared.clone()));
     tokio::spawn(send_heartbeats(shared.clone(), socket.clone()));
+    tokio::spawn(report_limits(shared.clone(), socket.clone()));
     tokio::spawn(catch_up(shared.clone(), client.clone()));
     tokio::spawn(date_declarations(shared.clone(), client));
     tokio::select! {
@@ -201,11 +203,12 @@
 
 async fn receive_notices(shared: &EntryShared, socket: &NoticeSocket) {
     loop {
-        let (notice, _) = socket.receive().await;
+        let (notice, peer) = socket.receive().await;
         match notice {
             Notice::Entry(heartbeat) => record_entry(shared, &heartbeat),
             Notice::Agent(heartbeat) => record_agent(shared, &heartbeat),
             Notice::Crash(notice) => record_crash(shared, &notice),
+            Notice::Limits(notice) => record_limits(shared, &notice, peer),
             Notice::Chunk(_) => {}
         }
     }
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -8,6 +8,7 @@
 mod guards;
 mod head_timer;
 mod http;
+mod limits;
 mod outcome;
 mod pool;
 mod relay;
--- a/crates/gateway/src/entry/shared.rs
+++ b/crates/gateway/src/entry/shared.rs
@@ -58,6 +58,8 @@
     pub(crate) listening: AtomicBool,
     /// Wakes the task that sends heartbeats.
     pub(crate) wake_control: Notify,
+    /// Wakes the task that reports limits of upstreams, so that the other entries learn of a change at once.
+    pub(crate) wake_limits: Notify,
     /// Wakes the task that follows the store, so that it queries the store at once.
     pub(crate) wake_store: Notify,
     pauses: PauseTracker,
@@ -94,6 +96,7 @@
             refusing: AtomicBool::new(false),
             listening: AtomicBool::new(false),
             wake_control: Notify::new(),
+            wake_limits: Notify::new(),
             wake_store: Notify::new(),
             pauses: PauseTracker::new(),
             sequence: AtomicU64::new(0),
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -1,6 +1,7 @@
 //! Protobuf messages, defined with the derive macros of prost.
 
 mod fleet;
+mod limit;
 mod load;
 mod transfer;
 
@@ -11,7 +12,7 @@
 use prost::{Message, Oneof};
 use route::CrashEvidence;
 
-pub use self::{fleet::*, load::LoadReport, transfer::*};
+pub use self::{fleet::*, limit::*, load::LoadReport, transfer::*};
 
 /// Content of a frame: exactly one message.
 #[derive(Clone, Message, PartialEq)]
--- a/crates/wire/src/message/fleet.rs
+++ b/crates/wire/src/message/fleet.rs
@@ -4,13 +4,13 @@
 use bytes::Bytes;
 use prost::{Message, Oneof};
 
-use super::CrashNotice;
+use super::{CrashNotice, LimitNotice};
 
 /// Content of a datagram: exactly one notice.
 #[derive(Clone, Message, PartialEq)]
 pub struct Datagram {
     /// The notice; `None` if its type is unknown to this version.
-    #[prost(oneof = "Notice", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "Notice", tags = "1, 2, 3, 4, 5")]
     pub notice: Option<Notice>,
 }
 
@@ -29,6 +29,9 @@
     /// Evidence that a request crashes upstreams.
     #[prost(message, tag = "4")]
     Crash(CrashNotice),
+    /// What an entry knows and uses of the limits of upstreams.
+    #[prost(message, tag = "5")]
+    Limits(LimitNotice),
 }
 
 /// An entry, as known to the sender of a heartbeat.
