Count requests from before an upstream turned cold

An upstream may turn cold while it has its usual load. An entry counted requests against its share of the upstream's limit only from the moment at which it knew that; within the same second it then sent its full share again.

Cold upstreams now use the send times that are kept for all upstreams. The new test failed before: with 6 requests in the last 0.3 s, where the share is 2.4 a second, another one was sent.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -209,9 +209,7 @@
                 .entry(record.upstream.clone())
                 .or_insert_with(|| UpstreamState::new(record.clone()));
             state.set_record(record.clone());
-            let cold_until = changed.unwrap_or(now) + record.cold_for;
-            state.cold_until =
-                (!record.cold_for.is_zero() && cold_until > now).then_some(cold_until);
+            state.set_cold(record.cold_for, *changed, now);
             self.by_address.insert(record.address, record.upstream.clone());
             if let Some(service) = self.services.get_mut(&record.service) {
                 service.upstreams.push(record.upstream.clone());
@@ -272,7 +270,7 @@
         UpstreamLoad {
             report: state.report(now),
             in_flight: state.in_flight,
-            cold_for: remaining(state.cold_until),
+            cold_for: state.cold_for(now),
             ejected: !remaining(state.ejected_until).is_zero(),
             rate_limit: self.rate_limits.limit_of(upstream),
             recent_sends: self.sent.count(upstream, LIMIT_WINDOW, now) as u32,
@@ -281,9 +279,8 @@
 
     /// Marks an upstream as cold until `now + span`.
     pub fn record_cold(&mut self, upstream: &str, span: Duration, now: Instant) {
-        if let Some(state) = self.upstreams.get_mut(upstream) {
-            state.cold_until = Some(now + span);
-        }
+        let Some(state) = self.upstreams.get_mut(upstream) else { return };
+        state.record_cold(span, now);
     }
 
     /// Records what the response to a request that was sent at `sent_at` states about the limit of its upstream. Returns
@@ -328,9 +325,6 @@
         state.record_sent(now);
         self.sent.record(upstream, now);
         self.rate_limits.record_sent(upstream, now);
-        if state.cold_until.is_some_and(|until| now < until) {
-            self.cold.record_sent(upstream, now);
-        }
     }
 
     /// Records how an attempt at an upstream ended.
@@ -360,8 +354,10 @@
             if !self.is_usable(state, service, request, now) {
                 continue;
             }
-            let is_cold = state.cold_until.is_some_and(|until| now < until);
-            if is_cold && cold_rate > 0.0 && !self.cold.may_send(id, cold_rate, now, rng) {
+            let is_limited_by_cold = cold_rate > 0.0
+                && !state.cold_for(now).is_zero()
+                && !self.cold.may_send(id, cold_rate, &self.sent, now, rng);
+            if is_limited_by_cold {
                 cause = RefusalCause::Cold;
             } else if !self.rate_limits.may_send(id, &self.sent, now, rng) {
                 limited.push(id);
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -20,6 +20,7 @@
     forecast::{EngineForecast, EngineLoad},
     rate_limit::{LimitChange, LimitStatement, LimitUsage},
     refusal::{PlacementRefusal, RefusalCause},
+    send_log::SendLog,
     share::{ColdLimiter, RetryBudgetShare, SharedLimits},
     upstream::{AgentReport, AttemptOutcome},
 };
--- a/crates/balance/src/send_log.rs
+++ b/crates/balance/src/send_log.rs
@@ -13,18 +13,20 @@
 /// Send times of a recent period. They are kept for all upstreams: when an upstream states a limit or turns cold, the
 /// requests that were sent before that count as well.
 #[derive(Debug)]
-pub(crate) struct SendLog {
+pub struct SendLog {
     retention: Duration,
     sent: HashMap<UpstreamId, VecDeque<Instant>>,
 }
 
 impl SendLog {
     /// Creates an empty log, which keeps send times for `retention`.
-    pub(crate) fn new(retention: Duration) -> Self {
+    #[must_use]
+    pub fn new(retention: Duration) -> Self {
         Self { retention, sent: HashMap::new() }
     }
 
-    pub(crate) fn record(&mut self, upstream: &UpstreamId, now: Instant) {
+    /// Records that a request is sent to an upstream.
+    pub fn record(&mut self, upstream: &UpstreamId, now: Instant) {
         if !self.sent.contains_key(upstream) {
             self.sent.insert(upstream.clone(), VecDeque::new());
         }
@@ -45,6 +47,12 @@
         self.sent.get(upstream).map_or(0, |times| times.iter().rev().take_while(is_recent).count())
     }
 
+    /// Last time at which a request was sent to an upstream; `None` if there was none. It is kept beyond the retention
+    /// while no further request is sent.
+    pub(crate) fn last(&self, upstream: &str) -> Option<Instant> {
+        self.sent.get(upstream)?.back().copied()
+    }
+
     /// Removes the send times of all upstreams for which `keep` returns false and whose send times have expired.
     pub(crate) fn retain(&mut self, now: Instant, keep: impl Fn(&UpstreamId) -> bool) {
         let retention = self.retention;
--- a/crates/balance/src/share.rs
+++ b/crates/balance/src/share.rs
@@ -9,6 +9,8 @@
 use rand::{Rng, RngExt};
 use serde::{Deserialize, Serialize};
 
+use crate::send_log::SendLog;
+
 /// Minimum number of entries assumed to exist. An entry that cannot reach the others must not use their shares.
 pub(crate) const MIN_ENTRIES: usize = 12;
 /// Fraction of the retry share that is used. The margin is small because an entry's own counts are exact and the window
@@ -23,8 +25,6 @@
 /// Buckets into which the window of the retry budget is divided.
 const WINDOW_BUCKETS: u32 = 20;
 const COLD_WINDOW: Duration = Duration::from_secs(1);
-/// Maximum number of send times that are kept per upstream; larger than the share of any entry.
-const MAX_COLD_HISTORY: usize = 4_096;
 /// Maximum interval between two requests of an entry to a cold upstream. Upstreams stay cold only for seconds.
 const MAX_COLD_INTERVAL: Duration = Duration::from_secs(60);
 
@@ -128,8 +128,7 @@
 pub struct ColdLimiter {
     limits: SharedLimits,
     entries: usize,
-    sent: HashMap<UpstreamId, VecDeque<Instant>>,
-    /// Earliest time of the first request to an upstream, for shares below one request per second.
+    /// Earliest time of the first request to an upstream in its cold period, for shares below one request per second.
     not_before: HashMap<UpstreamId, Instant>,
 }
 
@@ -137,7 +136,7 @@
     /// Creates a limiter that assumes the minimum number of entries until [`ColdLimiter::set_entries`] is called.
     #[must_use]
     pub fn new(limits: SharedLimits) -> Self {
-        Self { limits, entries: MIN_ENTRIES, sent: HashMap::new(), not_before: HashMap::new() }
+        Self { limits, entries: MIN_ENTRIES, not_before: HashMap::new() }
     }
 
     /// Sets the number of entries among which the limit is divided. Numbers below the assumed minimum are raised to it.
@@ -145,35 +144,33 @@
         self.entries = entries.max(MIN_ENTRIES);
     }
 
-    /// True if another request may be sent to an upstream that tolerates `per_second` while it is cold.
+    /// True if another request may be sent to an upstream that tolerates `per_second` while it is cold. `sent` contains
+    /// the requests that this entry has sent, including those from before the upstream turned cold.
     pub fn may_send(
         &mut self,
         upstream: &UpstreamId,
         per_second: f64,
+        sent: &SendLog,
         now: Instant,
         rng: &mut impl Rng,
     ) -> bool {
         let share =
             (per_second * self.limits.cold_factor + self.limits.cold_extra) / self.entries as f64;
         if COLD_SHARE_USED * share < 1.0 {
-            return self.may_send_sparse(upstream, SPARSE_COLD_SHARE_USED * share, now, rng);
+            let rate = SPARSE_COLD_SHARE_USED * share;
+            return self.may_send_sparse(upstream, rate, sent, now, rng);
         }
-        let limit = COLD_SHARE_USED * share;
-        let sent = self.sent.get_mut(upstream).map_or(0, |sent| {
-            while sent.front().is_some_and(|at| now.saturating_duration_since(*at) > COLD_WINDOW) {
-                sent.pop_front();
-            }
-            sent.len()
-        });
-        (sent as f64) + 1.0 <= limit
+        let recent = sent.count(upstream, COLD_WINDOW, now);
+        (recent as f64) + 1.0 <= COLD_SHARE_USED * share
     }
 
     /// Allows one request per `1 / rate` seconds. The first request waits for a random part of that interval, because
-    /// all entries discover a new upstream at the same moment.
+    /// all entries learn at the same moment that an upstream is cold.
     fn may_send_sparse(
         &mut self,
         upstream: &UpstreamId,
         rate: f64,
+        sent: &SendLog,
         now: Instant,
         rng: &mut impl Rng,
     ) -> bool {
@@ -183,26 +180,16 @@
         let interval = Duration::try_from_secs_f64(1.0 / rate)
             .unwrap_or(MAX_COLD_INTERVAL)
             .min(MAX_COLD_INTERVAL);
-        let last = self.sent.get(upstream).and_then(|sent| sent.back()).copied();
         let first = *self
             .not_before
             .entry(upstream.clone())
             .or_insert_with(|| now + interval.mul_f64(rng.random()));
+        let last = sent.last(upstream);
         now >= first && last.is_none_or(|last| now.saturating_duration_since(last) >= interval)
     }
 
-    /// Counts a request that was sent to a cold upstream.
-    pub fn record_sent(&mut self, upstream: &UpstreamId, now: Instant) {
-        let sent = self.sent.entry(upstream.clone()).or_default();
-        while sent.len() >= MAX_COLD_HISTORY {
-            sent.pop_front();
-        }
-        sent.push_back(now);
-    }
-
     /// Removes the state of all upstreams for which `keep` returns false.
     pub fn retain(&mut self, keep: impl Fn(&UpstreamId) -> bool) {
-        self.sent.retain(|upstream, _| keep(upstream));
         self.not_before.retain(|upstream, _| keep(upstream));
     }
 }
--- a/crates/balance/src/upstream.rs
+++ b/crates/balance/src/upstream.rs
@@ -67,7 +67,7 @@
 pub(crate) struct UpstreamState {
     pub(crate) record: Arc<UpstreamRecord>,
     /// End of the cold period; `None` if the upstream is not cold.
-    pub(crate) cold_until: Option<Instant>,
+    cold_until: Option<Instant>,
     report: Option<(AgentReport, Instant)>,
     /// Occupancy according to the reports within [`PREFILL_WINDOW`].
     occupancy_history: VecDeque<(Instant, u32)>,
@@ -108,6 +108,21 @@
         }
     }
 
+    /// Sets the end of the cold period according to a record that changed at `changed`.
+    pub(crate) fn set_cold(&mut self, cold_for: Duration, changed: Option<Instant>, now: Instant) {
+        self.cold_until = Some(changed.unwrap_or(now) + cold_for);
+    }
+
+    /// Records a response that states how much longer the upstream is cold.
+    pub(crate) fn record_cold(&mut self, cold_for: Duration, now: Instant) {
+        self.cold_until = Some(now + cold_for);
+    }
+
+    /// Remaining time for which the upstream is cold.
+    pub(crate) fn cold_for(&self, now: Instant) -> Duration {
+        self.cold_until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
+
     pub(crate) fn record_report(&mut self, report: AgentReport, dither: f64, now: Instant) {
         self.dither = dither;
         while self
--- a/crates/balance/tests/board.rs
+++ b/crates/balance/tests/board.rs
@@ -371,3 +371,21 @@
     assert!(at(8.0, 8.0) > at(8.0, 0.0));
     assert_eq!(at(0.0, 0.0), at(15.0, 0.0), "a request does not wait while a slot is free");
 }
+
+/// Guards against an entry that counts requests against the share of a cold upstream only from the moment at which it
+/// learns that the upstream is cold: an upstream may turn cold while it has its usual load.
+#[test]
+fn requests_from_before_an_upstream_turned_cold_count_against_its_share() {
+    let mut board = PlacementFixture::new(1);
+    for _ in 0..6 {
+        let upstream = board.place(|_| {}).expect("the upstream is warm");
+        board.balancer.record_sent(&upstream, board.now);
+        board.balancer.record_outcome(&upstream, AttemptOutcome::Answered, board.now);
+        board.now += Duration::from_millis(50);
+    }
+    // The share of one of twelve entries is 3 requests a second, of which 0.8 are used.
+    board.balancer.record_cold(&name(0), Duration::from_secs(3), board.now);
+    assert_eq!(board.place(|_| {}), Err(RefusalCause::Cold));
+    board.now += Duration::from_secs(1);
+    assert_eq!(board.place(|_| {}), Ok(name(0)), "all of them are older than a second");
+}
--- a/crates/balance/tests/share.rs
+++ b/crates/balance/tests/share.rs
@@ -2,11 +2,15 @@
 
 use std::time::{Duration, Instant};
 
-use balance::{ColdLimiter, RetryBudgetShare, SharedLimits};
+use balance::{ColdLimiter, RetryBudgetShare, SendLog, SharedLimits};
+use base::UpstreamId;
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+/// Time for which send times are kept.
+const RETENTION: Duration = Duration::from_secs(4);
+
 const LIMITS: SharedLimits = SharedLimits {
     retry_ratio: 0.2,
     retry_extra: 106.0,
@@ -56,15 +60,17 @@
     ) {
         let per_second = 36.0;
         let start = Instant::now();
-        let upstream = "u".into();
-        let mut limiters: Vec<ColdLimiter> = (0..9).map(|_| ColdLimiter::new(LIMITS)).collect();
+        let upstream: UpstreamId = "u".into();
+        let mut limiters: Vec<(ColdLimiter, SendLog)> =
+            (0..9).map(|_| (ColdLimiter::new(LIMITS), SendLog::new(RETENTION))).collect();
         let mut now = start;
         let mut sent = Vec::new();
         let mut rng = ChaCha8Rng::seed_from_u64(1);
         for (entry, gap) in steps {
             now += Duration::from_millis(gap);
-            if limiters[entry].may_send(&upstream, per_second, now, &mut rng) {
-                limiters[entry].record_sent(&upstream, now);
+            let (limiter, log) = &mut limiters[entry];
+            if limiter.may_send(&upstream, per_second, log, now, &mut rng) {
+                log.record(&upstream, now);
                 sent.push(now);
             }
         }
@@ -78,29 +84,39 @@
     }
 }
 
-/// Guards against rounding a share of less than one request per second up to one: forty entries that discover a cold
-/// upstream at the same moment would send forty requests within a second, while it tolerates thirty.
-#[test]
-fn many_entries_with_small_shares_stay_below_the_limit_of_a_cold_upstream() {
-    let per_second = 17.0;
-    let limit = per_second * LIMITS.cold_factor + LIMITS.cold_extra;
-    for seed in 0..200 {
-        let start = Instant::now();
-        let upstream = "u".into();
-        let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let mut limiters: Vec<ColdLimiter> = (0..40)
-            .map(|_| {
-                let mut limiter = ColdLimiter::new(LIMITS);
-                limiter.set_entries(40);
-                limiter
-            })
-            .collect();
+/// Forty entries that share the limit of a cold upstream.
+struct ColdFixture {
+    limiters: Vec<(ColdLimiter, SendLog)>,
+    upstream: UpstreamId,
+    rng: ChaCha8Rng,
+}
+
+impl ColdFixture {
+    const PER_SECOND: f64 = 17.0;
+
+    fn new(seed: u64) -> Self {
+        let limiter = || {
+            let mut limiter = ColdLimiter::new(LIMITS);
+            limiter.set_entries(40);
+            (limiter, SendLog::new(RETENTION))
+        };
+        Self {
+            limiters: (0..40).map(|_| limiter()).collect(),
+            upstream: "u".into(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Lets all entries send as much as they may for 6 s, and returns the number of requests in that time. Fails if the
+    /// upstream gets more within any second than it tolerates.
+    fn send_from(&mut self, start: Instant) -> usize {
+        let limit = Self::PER_SECOND * LIMITS.cold_factor + LIMITS.cold_extra;
         let mut sent = Vec::new();
         for tick in 0..600 {
             let now = start + Duration::from_millis(tick * 10);
-            for limiter in &mut limiters {
-                if limiter.may_send(&upstream, per_second, now, &mut rng) {
-                    limiter.record_sent(&upstream, now);
+            for (limiter, log) in &mut self.limiters {
+                if limiter.may_send(&self.upstream, Self::PER_SECOND, log, now, &mut self.rng) {
+                    log.record(&self.upstream, now);
                     sent.push(now);
                 }
             }
@@ -109,8 +125,18 @@
             let within =
                 |at: &&Instant| *at >= begin && at.duration_since(*begin) < Duration::from_secs(1);
             let count = sent.iter().filter(within).count();
-            assert!(count as f64 <= limit, "seed {seed}: {count} requests within a second");
+            assert!(count as f64 <= limit, "{count} requests within a second");
         }
-        assert!(sent.len() > 40, "the limiter is too strict: only {} requests", sent.len());
+        sent.len()
+    }
+}
+
+/// Guards against rounding a share of less than one request per second up to one: forty entries that discover a cold
+/// upstream at the same moment would send forty requests within a second, while it tolerates thirty.
+#[test]
+fn many_entries_with_small_shares_stay_below_the_limit_of_a_cold_upstream() {
+    for seed in 0..200 {
+        let sent = ColdFixture::new(seed).send_from(Instant::now());
+        assert!(sent > 40, "seed {seed}: the limiter is too strict: only {sent} requests");
     }
 }
