Spread the first requests of every cold period

With many entries, each one's share of a cold upstream is below one request a second, and the first request waits for a random part of its interval. That wait was drawn once for each upstream: when it turned cold again, all entries sent at once. With 40 entries the new test counted 40 requests within a second, where 30 are tolerated. The wait is now drawn for each cold period.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -209,7 +209,11 @@
                 .entry(record.upstream.clone())
                 .or_insert_with(|| UpstreamState::new(record.clone()));
             state.set_record(record.clone());
+            let was_cold = !state.cold_for(now).is_zero();
             state.set_cold(record.cold_for, *changed, now);
+            if !was_cold && !state.cold_for(now).is_zero() {
+                self.cold.begin_period(&record.upstream);
+            }
             self.by_address.insert(record.address, record.upstream.clone());
             if let Some(service) = self.services.get_mut(&record.service) {
                 service.upstreams.push(record.upstream.clone());
@@ -280,6 +284,9 @@
     /// Marks an upstream as cold until `now + span`.
     pub fn record_cold(&mut self, upstream: &str, span: Duration, now: Instant) {
         let Some(state) = self.upstreams.get_mut(upstream) else { return };
+        if state.cold_for(now).is_zero() {
+            self.cold.begin_period(&state.record.upstream);
+        }
         state.record_cold(span, now);
     }
 
--- a/crates/balance/src/share.rs
+++ b/crates/balance/src/share.rs
@@ -188,6 +188,11 @@
         now >= first && last.is_none_or(|last| now.saturating_duration_since(last) >= interval)
     }
 
+    /// Records that an upstream which was not cold turns cold.
+    pub fn begin_period(&mut self, upstream: &UpstreamId) {
+        self.not_before.remove(upstream);
+    }
+
     /// Removes the state of all upstreams for which `keep` returns false.
     pub fn retain(&mut self, keep: impl Fn(&UpstreamId) -> bool) {
         self.not_before.retain(|upstream, _| keep(upstream));
--- a/crates/balance/tests/share.rs
+++ b/crates/balance/tests/share.rs
@@ -140,3 +140,18 @@
         assert!(sent > 40, "seed {seed}: the limiter is too strict: only {sent} requests");
     }
 }
+
+/// Guards against entries that all send at the same moment when an upstream turns cold for the second time, because
+/// each waited only in the first cold period.
+#[test]
+fn entries_with_small_shares_wait_again_in_the_next_cold_period() {
+    for seed in 0..200 {
+        let mut fixture = ColdFixture::new(seed);
+        let start = Instant::now();
+        fixture.send_from(start);
+        for (limiter, _) in &mut fixture.limiters {
+            limiter.begin_period(&fixture.upstream);
+        }
+        fixture.send_from(start + Duration::from_secs(60));
+    }
+}
