Keep the cold period that a response states

A response that states a cold period was in force only until the next change of any item: each new view of the fleet set the period from the store's record, which may be older than the response. The later statement counts now. The new test failed before (0 s left instead of 3 s).

--- a/crates/balance/src/upstream.rs
+++ b/crates/balance/src/upstream.rs
@@ -66,8 +66,10 @@
 #[derive(Debug)]
 pub(crate) struct UpstreamState {
     pub(crate) record: Arc<UpstreamRecord>,
-    /// End of the cold period; `None` if the upstream is not cold.
+    /// End of the cold period according to the record; `None` if the upstream is not cold.
     cold_until: Option<Instant>,
+    /// End of the cold period that a response stated, and the time of that response.
+    stated_cold: Option<(Instant, Instant)>,
     report: Option<(AgentReport, Instant)>,
     /// Occupancy according to the reports within [`PREFILL_WINDOW`].
     occupancy_history: VecDeque<(Instant, u32)>,
@@ -87,6 +89,7 @@
         Self {
             record,
             cold_until: None,
+            stated_cold: None,
             report: None,
             occupancy_history: VecDeque::new(),
             unreported: VecDeque::new(),
@@ -108,19 +111,25 @@
         }
     }
 
-    /// Sets the end of the cold period according to a record that changed at `changed`.
+    /// Sets the end of the cold period according to a record that changed at `changed`. A record does not replace what a
+    /// later response stated; `None` if the time of the change is not known.
     pub(crate) fn set_cold(&mut self, cold_for: Duration, changed: Option<Instant>, now: Instant) {
         self.cold_until = Some(changed.unwrap_or(now) + cold_for);
+        self.stated_cold = self
+            .stated_cold
+            .filter(|(_, stated_at)| changed.is_none_or(|changed| changed < *stated_at));
     }
 
     /// Records a response that states how much longer the upstream is cold.
     pub(crate) fn record_cold(&mut self, cold_for: Duration, now: Instant) {
-        self.cold_until = Some(now + cold_for);
+        self.stated_cold = Some((now + cold_for, now));
     }
 
     /// Remaining time for which the upstream is cold.
     pub(crate) fn cold_for(&self, now: Instant) -> Duration {
-        self.cold_until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+        let stated = self.stated_cold.map(|(until, _)| until);
+        let until = stated.or(self.cold_until);
+        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
     pub(crate) fn record_report(&mut self, report: AgentReport, dither: f64, now: Instant) {
--- a/crates/balance/tests/board.rs
+++ b/crates/balance/tests/board.rs
@@ -389,3 +389,14 @@
     board.now += Duration::from_secs(1);
     assert_eq!(board.place(|_| {}), Ok(name(0)), "all of them are older than a second");
 }
+
+/// Guards against a change of any item that ends the cold period which a response has stated, because the store's
+/// record of the upstream is older.
+#[test]
+fn cold_period_from_a_response_outlasts_older_records() {
+    let mut board = PlacementFixture::new(1);
+    board.balancer.record_cold(&name(0), Duration::from_secs(3), board.now);
+    assert_eq!(board.balancer.load_of("u0", board.now).cold_for, Duration::from_secs(3));
+    board.balancer.set_view(&board.view, board.now);
+    assert_eq!(board.balancer.load_of("u0", board.now).cold_for, Duration::from_secs(3));
+}
