Grant the share of the retry budget over the first window

The retry budget holds for all entries together, in a sliding window. A restarted entry forgot what the process before it had used, and got a full share again: three processes of one entry took 24 retries within 6 s, where the share is 8.8. The part of the share that does not depend on requests is now granted in proportion to the uptime until the window has passed once; one retry is always possible. The new test failed before.

--- a/crates/balance/src/share.rs
+++ b/crates/balance/src/share.rs
@@ -95,8 +95,13 @@
         let (requests, retries) = self.services[service]
             .iter()
             .fold((0, 0), |sum, bucket| (sum.0 + bucket.requests, sum.1 + bucket.retries));
-        let extra = self.limits.retry_extra / self.entries as f64;
-        let allowed = RETRY_SHARE_USED * (self.limits.retry_ratio * f64::from(requests) + extra);
+        let uptime = now.saturating_duration_since(self.started).as_secs_f64();
+        let uptime = (uptime / self.limits.retry_window.as_secs_f64().max(f64::EPSILON)).min(1.0);
+        let share = self.limits.retry_extra / self.entries as f64;
+        let proportional = self.limits.retry_ratio * f64::from(requests);
+        // A process that ran here before may have used the share in the same window. One retry is always possible.
+        let allowed = RETRY_SHARE_USED * (proportional + share * uptime);
+        let allowed = allowed.max(share.min(1.0));
         if f64::from(retries) + 1.0 > allowed {
             return false;
         }
--- a/crates/balance/tests/share.rs
+++ b/crates/balance/tests/share.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use balance::{ColdLimiter, RetryBudgetShare, SendLog, SharedLimits};
-use base::UpstreamId;
+use base::{ServiceId, UpstreamId};
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -84,6 +84,30 @@
     }
 }
 
+/// Guards against an entry that gets a fresh share of the budget with each restart: the retries of the processes before
+/// it count in the same window.
+#[test]
+fn restarted_entry_does_not_use_its_share_again() {
+    let service: ServiceId = "desk".into();
+    let start = Instant::now();
+    let mut taken = Vec::new();
+    // A process that has run for long, and one that replaces it every two seconds.
+    for (started, first, last) in
+        [(0, 10_000, 12_000), (12_000, 12_000, 14_000), (14_000, 14_000, 16_000)]
+    {
+        let at = |millis| start + Duration::from_millis(millis);
+        let mut share = RetryBudgetShare::new(LIMITS, at(started));
+        for millis in (first..last).step_by(20) {
+            if share.try_take(&service, at(millis)) {
+                taken.push(millis);
+            }
+        }
+    }
+    let share = LIMITS.retry_extra / 12.0;
+    assert!(taken.len() as f64 <= 1.5 * share, "{} retries of {share:.1} within 6 s", taken.len());
+    assert!(taken.iter().any(|at| *at > 12_000), "a restarted entry must be able to retry");
+}
+
 /// Forty entries that share the limit of a cold upstream.
 struct ColdFixture {
     limiters: Vec<(ColdLimiter, SendLog)>,
