Count idle connections against the connection limit of an upstream

The connections of all entries to an upstream are limited, and an upstream resets those beyond the limit. An entry counted its share by the requests in flight; idle connections, up to 16 per upstream, came on top. Bookings leave one behind each time, because they always use a new connection.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -281,6 +281,20 @@
         }
     }
 
+    /// Number of idle connections that this entry may keep to an upstream, within its share of the upstream's limit and
+    /// beside the connections of its requests in flight.
+    #[must_use]
+    pub fn allowed_idle_connections(&self, upstream: &str) -> usize {
+        let Some(state) = self.upstreams.get(upstream) else { return 0 };
+        let Some(service) = self.services.get(&state.record.service) else { return 0 };
+        self.connection_share(&service.record).saturating_sub(state.in_flight) as usize
+    }
+
+    /// This entry's share of the connections to an upstream; at least 1.
+    fn connection_share(&self, service: &ServiceRecord) -> u32 {
+        (service.max_connections / self.possible_entries as u32).max(1)
+    }
+
     /// Marks an upstream as cold until `now + span`.
     pub fn record_cold(&mut self, upstream: &str, span: Duration, now: Instant) {
         let Some(state) = self.upstreams.get_mut(upstream) else { return };
@@ -521,8 +535,8 @@
         {
             return false;
         }
-        let connection_share = service.record.max_connections / self.possible_entries as u32;
-        if !self.is_allowed(record, request) || state.in_flight >= connection_share.max(1) {
+        let connection_share = self.connection_share(&service.record);
+        if !self.is_allowed(record, request) || state.in_flight >= connection_share {
             return false;
         }
         if service.record.engine.is_none() {
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -61,7 +61,12 @@
         };
         match pooled {
             Some(connection) => Some(connection),
-            None => self.shared.pool.connect(upstream.address).await,
+            None => {
+                // The connection limit of the upstream applies to idle connections as well.
+                let allowed = self.shared.balancer().allowed_idle_connections(&upstream.upstream);
+                self.shared.pool.limit_idle(&upstream.upstream, allowed);
+                self.shared.pool.connect(upstream.address).await
+            }
         }
     }
 
--- a/crates/gateway/src/entry/pool.rs
+++ b/crates/gateway/src/entry/pool.rs
@@ -127,6 +127,14 @@
         connections.push(IdleConnection { connection, since, until });
     }
 
+    /// Closes the connections to an upstream that have been idle the longest, until at most `allowed` are left.
+    pub(crate) fn limit_idle(&self, upstream: &UpstreamId, allowed: usize) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(connections) = idle.get_mut(upstream) {
+            connections.drain(..connections.len().saturating_sub(allowed));
+        }
+    }
+
     /// Closes connections to removed upstreams, and those that have been idle for too long.
     pub(crate) fn retain(&self, is_known: impl Fn(&UpstreamId) -> bool) {
         let now = self.clock.now();
