Ignore the cold period of another upstream at the same address

An upstream at a reused address refuses the requests of its predecessor with status 421, and states its own cold period. What a response states is now recorded only if it comes from the upstream the request was meant for.

--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -179,9 +179,6 @@
     ) -> AttemptResult {
         let (head, body) = response.into_parts();
         let meta = self.shared.ports.codec.read_response(&head);
-        if let Some(cold) = meta.cold_for {
-            self.shared.balancer().record_cold(&upstream.upstream, cold, self.shared.clock.now());
-        }
         let has_wrong_id = meta.id.as_ref().is_some_and(|id| *id != self.meta.id);
         if has_wrong_id || (head.status.is_success() && !meta.signed) {
             info!(
@@ -192,7 +189,7 @@
             return AttemptResult::Failed(AttemptEnd::Lost, None);
         }
         if !meta.wrong_upstream {
-            self.record_limit(&upstream.upstream, &meta, sent_at);
+            self.record_statements(&upstream.upstream, &meta, sent_at);
         }
         if meta.not_run || meta.wrong_upstream {
             guard.finish(AttemptOutcome::NotRun);
@@ -227,14 +224,17 @@
         AttemptResult::Complete(head, body)
     }
 
-    /// Records what a response states about the limit of its upstream. Only a signed response can end a limit, because
-    /// another one may come from a part of the upstream that does not know the limit.
-    fn record_limit(&self, upstream: &UpstreamId, meta: &ResponseMeta, sent_at: Instant) {
+    /// Records what a response states about its upstream. Only a signed response can end a limit, because another one may
+    /// come from a part of the upstream that does not know the limit.
+    fn record_statements(&self, upstream: &UpstreamId, meta: &ResponseMeta, sent_at: Instant) {
+        let now = self.shared.clock.now();
+        let mut balancer = self.shared.balancer();
+        if let Some(cold_for) = meta.cold_for {
+            balancer.record_cold(upstream, cold_for, now);
+        }
         if meta.rate_limit == LimitStatement::Absent && !meta.signed {
             return;
         }
-        let now = self.shared.clock.now();
-        let mut balancer = self.shared.balancer();
         let change =
             balancer.record_limit(upstream, meta.rate_limit, sent_at, now, &mut rand::rng());
         if let Some(change) = change {
