Refuse a response on a kept connection that names no request

A copy that names its request was refused here, one without an id was not: in the new test, which writes responses byte by byte, the second caller got the body of the first with status 200. On a kept connection, a response must now name the request, and requests without an id use a new connection.

--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -53,8 +53,9 @@
 
     async fn open_connection(&self, upstream: &UpstreamRecord) -> Option<UpstreamConnection> {
         // A request that must not run twice always gets a new connection: the upstream may be about to close a pooled
-        // one, or a late response to another request may arrive on it.
-        let pooled = if self.route.repeat.is_retryable() {
+        // one, or a late response to another request may arrive on it. Without an id, such a response cannot be told
+        // from the right one.
+        let pooled = if self.route.repeat.is_retryable() && !self.meta.id.is_empty() {
             self.shared.pool.take(&upstream.upstream)
         } else {
             None
@@ -179,7 +180,11 @@
     ) -> AttemptResult {
         let (head, body) = response.into_parts();
         let meta = self.shared.ports.codec.read_response(&head);
-        let has_wrong_id = meta.id.as_ref().is_some_and(|id| *id != self.meta.id);
+        let has_wrong_id = match &meta.id {
+            Some(id) => *id != self.meta.id,
+            // On a kept connection, this may be a second copy of an earlier response.
+            None => connection.idle_for.is_some(),
+        };
         if has_wrong_id || (head.status.is_success() && !meta.signed) {
             info!(
                 "event=answer_refused request={} upstream={} foreign={has_wrong_id} signed={}",
