Do not pass on a stream that broke off within an event as complete

A response without a length ends with its connection. If an engine goes down in the middle of an event, its connection may end like a complete response; the entry passed on the half event and ended the response properly. Such a stream now counts as broken off: it is resumed at another engine, or its connection to the caller is closed.

--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -10,7 +10,11 @@
 use bytes::Bytes;
 use fleet::UpstreamRecord;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Request, Response, body::Incoming};
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+};
 use log::info;
 use route::Fingerprint;
 use tokio::time::timeout_at;
@@ -207,6 +211,8 @@
                 guard,
                 keep_alive: meta.keep_alive,
                 closes: meta.closes,
+                is_framed: head.headers.contains_key(CONTENT_LENGTH)
+                    || head.headers.contains_key(TRANSFER_ENCODING),
                 cancel_at: cancel_at.map(Into::into),
             };
             return AttemptResult::Stream(head, stream);
--- a/crates/gateway/src/entry/relay.rs
+++ b/crates/gateway/src/entry/relay.rs
@@ -33,6 +33,9 @@
 /// Reason of an abandoned stream that may indicate a crash of the upstream.
 const CONNECTION_LOST: &str = "connection_lost";
 
+/// Reason of an abandoned stream without a length that ended within an event. Its upstream may also have crashed.
+const EVENT_INCOMPLETE: &str = "event_incomplete";
+
 /// Reason of an abandoned stream that would begin on outdated weights.
 const WEIGHTS_OUTDATED: &str = "weights_outdated";
 
@@ -117,6 +120,8 @@
     pub(crate) guard: AttemptGuard,
     pub(crate) keep_alive: Option<Duration>,
     pub(crate) closes: bool,
+    /// True if the body has a length or is chunked. Otherwise its end cannot be told from a connection that closed early.
+    pub(crate) is_framed: bool,
     /// Time at which the stream is abandoned if no event has arrived, because the weights of the upstream are then
     /// outdated; `None` if they are not, or once an event has arrived.
     pub(crate) cancel_at: Option<Instant>,
@@ -166,7 +171,7 @@
     /// Abandons the current upstream, and resumes the stream at another one if that is allowed.
     fn abandon_upstream(&mut self, cause: &'static str) -> Result<(), RelayError> {
         if let RelayState::Reading(stream) = std::mem::replace(&mut self.state, RelayState::Ended) {
-            if cause == CONNECTION_LOST {
+            if [CONNECTION_LOST, EVENT_INCOMPLETE].contains(&cause) {
                 self.request.record_connection_lost(stream.guard.upstream());
             }
             if cause == WEIGHTS_OUTDATED {
@@ -229,6 +234,10 @@
                     self.abandon_upstream(CONNECTION_LOST)?;
                     return Poll::Ready(None);
                 }
+                Poll::Ready(None) if !stream.is_framed && self.splitter.partial_len() > 0 => {
+                    self.abandon_upstream(EVENT_INCOMPLETE)?;
+                    return Poll::Ready(None);
+                }
                 Poll::Ready(None) => {
                     let rest = self.splitter.take_partial();
                     self.finish();
