Detect stalled streams by complete events

Operators of similar systems saw stalled streams that sent a byte now and then and never ended. The same happened here: any byte counted as progress, so an engine that sent one every 0.2 s after its fourth event held the stream until the caller's deadline, and comments did the same. The test of a slow but sound stream still passes: it is not cut.

--- a/crates/gateway/src/entry/relay.rs
+++ b/crates/gateway/src/entry/relay.rs
@@ -107,6 +107,12 @@
     unix.max(windows)
 }
 
+/// False if the events consist of comments only. A stalled upstream may still send those, or parts of an event.
+fn has_content(events: &[u8]) -> bool {
+    let lines = events.split(|byte| matches!(byte, b'\n' | b'\r'));
+    lines.into_iter().any(|line| !line.is_empty() && !line.starts_with(b":"))
+}
+
 fn last_event_id(events: &[u8]) -> Option<CompactString> {
     let line = events.split(|byte| *byte == b'\n').rev().find(|line| line.starts_with(b"id:"))?;
     let text = std::str::from_utf8(&line[3..]).ok()?;
@@ -217,12 +223,14 @@
             let RelayState::Reading(stream) = &mut self.state else { return Poll::Ready(None) };
             match Pin::new(&mut stream.body).poll_frame(context) {
                 Poll::Ready(Some(Ok(frame))) => {
-                    let now = Instant::now();
-                    self.request.record_event(now - self.last_event);
-                    self.last_event = now;
-                    stream.cancel_at = None;
                     let Ok(bytes) = frame.into_data() else { continue };
                     if let Some(events) = self.splitter.push(bytes) {
+                        if has_content(&events) {
+                            let now = Instant::now();
+                            self.request.record_event(now - self.last_event);
+                            self.last_event = now;
+                            stream.cancel_at = None;
+                        }
                         return Poll::Ready(Some(Ok(events)));
                     }
                     if self.splitter.partial_len() > MAX_EVENT_BYTES {
--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -170,7 +170,8 @@
             && !self.progress().attempts.is_last_attempt()
     }
 
-    /// Records a body frame of a stream that arrived `pause` after the previous one. A frame counts as one event.
+    /// Records events of a stream that became complete `pause` after the previous ones. Those that become complete
+    /// together count as one.
     pub(crate) fn record_event(&self, pause: Duration) {
         let elapsed = self.elapsed();
         let mut progress = self.progress();
