Do not overflow on extreme load reports

A heartbeat with extreme numbers of running and queued requests ended the control thread of an entry in builds with overflow checks: the entry served on but no longer followed the store or its peers. In release builds the sum wrapped to a small number, so the engine looked idle. The sum saturates now.

--- a/crates/balance/src/upstream.rs
+++ b/crates/balance/src/upstream.rs
@@ -48,6 +48,13 @@
     pub slowdown_percent: u32,
 }
 
+impl AgentReport {
+    /// Number of requests that run or wait.
+    pub(crate) fn occupancy(&self) -> u32 {
+        self.running.saturating_add(self.queued)
+    }
+}
+
 /// How an attempt ended, as evidence of the upstream's health.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum AttemptOutcome {
@@ -142,7 +149,7 @@
             self.unreported.pop_front();
         }
         self.report = Some((report, now));
-        self.occupancy_history.push_back((now, report.running + report.queued));
+        self.occupancy_history.push_back((now, report.occupancy()));
         while self
             .occupancy_history
             .front()
@@ -218,9 +225,7 @@
     /// one.
     pub(crate) fn occupancy(&self, now: Instant, entries: f64) -> f64 {
         match self.report(now) {
-            Some(report) => {
-                f64::from(report.running + report.queued) + self.unreported.len() as f64
-            }
+            Some(report) => f64::from(report.occupancy()) + self.unreported.len() as f64,
             None => f64::from(self.in_flight) * entries,
         }
     }
@@ -231,7 +236,7 @@
         match self.report(now) {
             Some(report) => {
                 let own = self.unreported.len() as f64;
-                f64::from(report.running + report.queued) + entries * (own + self.dither)
+                f64::from(report.occupancy()) + entries * (own + self.dither)
             }
             None => self.occupancy(now, entries),
         }
