Start tasks again that fail unexpectedly

An unexpected error in one task of an entry or agent ended that task, and in the case of received notices the whole control thread, while the process went on serving with what it knew at that moment. State is shared between runs, so a task goes on from what the process knows.

--- a/crates/gateway/src/agent/mod.rs
+++ b/crates/gateway/src/agent/mod.rs
@@ -24,6 +24,7 @@
     peers::NoticeSocket,
     port::{ChunkOrigin, EngineControl, SettingsSource},
     settings::AgentSettings,
+    supervise::keep_running,
 };
 
 const LOG_INTERVAL: Duration = Duration::from_millis(200);
@@ -82,9 +83,12 @@
         tokio::spawn(serve_metrics(address, shared.metrics.clone(), status));
     }
     tokio::spawn(logs.flush_forever(LOG_INTERVAL));
-    tokio::spawn(heartbeats::receive(shared.clone(), socket.clone()));
-    tokio::spawn(heartbeats::send(shared.clone(), socket.clone()));
-    tokio::spawn(transfer::run(shared.clone(), socket));
+    let (state, receiver) = (shared.clone(), socket.clone());
+    keep_running("notices", move || heartbeats::receive(state.clone(), receiver.clone()));
+    let (state, sender) = (shared.clone(), socket.clone());
+    keep_running("heartbeats", move || heartbeats::send(state.clone(), sender.clone()));
+    let state = shared.clone();
+    keep_running("transfer", move || transfer::run(state.clone(), socket.clone()));
     let source = shared.ports.settings.clone();
     signals
         .wait_for_stop(&*source, |settings| {
--- a/crates/gateway/src/entry/control.rs
+++ b/crates/gateway/src/entry/control.rs
@@ -29,6 +29,7 @@
     frames::{FrameClient, FrameHandler, NodeError, bind, serve_frames},
     metrics::serve_metrics,
     peers::{NoticeSocket, entry_contacts, parse_entry_heartbeat},
+    supervise::keep_running,
 };
 
 /// Interval between heartbeats to other entries; an entry is considered lost after six missed heartbeats.
@@ -76,15 +77,19 @@
         });
         tokio::spawn(serve_metrics(address, shared.metrics.clone(), status));
     }
-    tokio::spawn(follow_store(shared.clone()));
-    tokio::spawn(send_heartbeats(shared.clone(), socket.clone()));
-    tokio::spawn(report_limits(shared.clone(), socket.clone()));
-    tokio::spawn(catch_up(shared.clone(), client.clone()));
-    tokio::spawn(date_declarations(shared.clone(), client));
-    tokio::select! {
-        () = receive_notices(&shared, &socket) => {}
-        _ = stopped.changed() => {}
-    }
+    let state = shared.clone();
+    keep_running("follow_store", move || follow_store(state.clone()));
+    let (state, sender) = (shared.clone(), socket.clone());
+    keep_running("heartbeats", move || send_heartbeats(state.clone(), sender.clone()));
+    let (state, sender) = (shared.clone(), socket.clone());
+    keep_running("limits", move || report_limits(state.clone(), sender.clone()));
+    let (state, peers) = (shared.clone(), client.clone());
+    keep_running("catch_up", move || catch_up(state.clone(), peers.clone()));
+    let state = shared.clone();
+    keep_running("dates", move || date_declarations(state.clone(), client.clone()));
+    keep_running("notices", move || receive_notices(shared.clone(), socket.clone()));
+    // Fails only if the sender is dropped, which also means that the process stops.
+    let _ = stopped.changed().await;
     Ok(())
 }
 
@@ -201,14 +206,14 @@
         .collect()
 }
 
-async fn receive_notices(shared: &EntryShared, socket: &NoticeSocket) {
+async fn receive_notices(shared: Arc<EntryShared>, socket: NoticeSocket) {
     loop {
         let (notice, peer) = socket.receive().await;
         match notice {
-            Notice::Entry(heartbeat) => record_entry(shared, &heartbeat),
-            Notice::Agent(heartbeat) => record_agent(shared, &heartbeat),
-            Notice::Crash(notice) => record_crash(shared, &notice),
-            Notice::Limits(notice) => record_limits(shared, &notice, peer),
+            Notice::Entry(heartbeat) => record_entry(&shared, &heartbeat),
+            Notice::Agent(heartbeat) => record_agent(&shared, &heartbeat),
+            Notice::Crash(notice) => record_crash(&shared, &notice),
+            Notice::Limits(notice) => record_limits(&shared, &notice, peer),
             Notice::Chunk(_) => {}
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,5 +13,6 @@
 mod peers;
 pub mod port;
 pub mod settings;
+pub mod supervise;
 
 pub use crate::{agent::run_agent, entry::run_entry, frames::NodeError};
