Exit if an entry cannot exchange messages with other processes

An entry that could not bind its address for other processes, because the port was in use, logged that only when it stopped, and until then ran without following the store or its peers. It now exits with an error at once, and the platform starts it again.

--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -26,9 +26,13 @@
 
 use base::Clock;
 use fleet::DecodeItem;
-use log::info;
+use log::{error, info};
 use snafu::ResultExt;
-use tokio::{runtime::Builder, sync::watch, time::sleep};
+use tokio::{
+    runtime::Builder,
+    sync::{oneshot, watch},
+    time::sleep,
+};
 
 use self::shared::EntryShared;
 use crate::{
@@ -84,20 +88,25 @@
     };
     let (stop, stopped) = watch::channel(false);
     let shared = Arc::new(EntryShared::new(settings, ports, clock));
+    let (failed, control_failure) = oneshot::channel();
     let control = {
         let shared = shared.clone();
         let runtime = Builder::new_current_thread().enable_all().build().context(ThreadSnafu)?;
-        thread::Builder::new()
-            .name("control".to_owned())
-            .spawn(move || runtime.block_on(control::run(shared, stopped)))
-            .context(ThreadSnafu)?
+        let run_control = move || {
+            if let Err(error) = runtime.block_on(control::run(shared, stopped)) {
+                // The receiver is only gone if the process is stopping anyway.
+                let _ = failed.send(error);
+            }
+        };
+        let builder = thread::Builder::new().name("control".to_owned());
+        builder.spawn(run_control).context(ThreadSnafu)?
     };
-    let result = runtime.block_on(run_traffic(&shared, signals, logs.clone()));
+    let result = runtime.block_on(run_traffic(&shared, signals, control_failure, logs.clone()));
     info!("event=stop in_flight={}", shared.in_flight.load(Ordering::Relaxed));
-    // The control thread ends when the sender is dropped. If it panicked, there is no result to report.
+    // The control thread ends when the sender is dropped.
     drop(stop);
-    if let Ok(Err(error)) = control.join() {
-        log::error!("event=control_failed error=\"{error}\"");
+    if control.join().is_err() {
+        error!("event=control_failed error=\"the thread panicked\"");
     }
     logs.write_buffered();
     result
@@ -106,12 +115,17 @@
 async fn run_traffic(
     shared: &Arc<EntryShared>,
     signals: ProcessSignals,
+    control_failure: oneshot::Receiver<NodeError>,
     logs: LogSink,
 ) -> Result<(), NodeError> {
     let log_task = tokio::spawn(logs.flush_forever(LOG_INTERVAL));
     let served = tokio::select! {
         result = http::serve(shared.clone()) => result,
         () = run_until_stopped(shared, signals) => Ok(()),
+        Ok(error) = control_failure => {
+            error!("event=control_failed error=\"{error}\"");
+            Err(error)
+        }
     };
     log_task.abort();
     served
