Give up an upstream only if another one can take the request

Here, a request whose engine had not responded after 0.7 s beyond the target was cut off even if no other engine could take it, and its caller got status 502; a stream in a long pause was cut in the same way. Both waits go on now until an alternative exists, which is checked every 0.25 s, or until the deadline. An alternative needs an upstream that placement would choose, an attempt that is left, and room in the retry budget.

Two new tests failed before (502 after 1.1 s where the engine responds after 2.5 s, a stream cut in a pause of 1.8 s). A third one passed before as well: a request at engines whose agents fall silent and whose registrations expire is finished there, and sent once.

--- a/crates/balance/src/share.rs
+++ b/crates/balance/src/share.rs
@@ -91,6 +91,15 @@
 
     /// Takes one retry from the share; false if the share is used up.
     pub fn try_take(&mut self, service: &ServiceId, now: Instant) -> bool {
+        let has_room = self.has_room(service, now);
+        if has_room {
+            self.bucket(service, now).retries += 1;
+        }
+        has_room
+    }
+
+    /// True if the share allows another retry.
+    pub fn has_room(&mut self, service: &ServiceId, now: Instant) -> bool {
         self.bucket(service, now);
         let (requests, retries) = self.services[service]
             .iter()
@@ -101,12 +110,7 @@
         let proportional = self.limits.retry_ratio * f64::from(requests);
         // A process that ran here before may have used the share in the same window. One retry is always possible.
         let allowed = RETRY_SHARE_USED * (proportional + share * uptime);
-        let allowed = allowed.max(share.min(1.0));
-        if f64::from(retries) + 1.0 > allowed {
-            return false;
-        }
-        self.bucket(service, now).retries += 1;
-        true
+        f64::from(retries) + 1.0 <= allowed.max(share.min(1.0))
     }
 
     fn bucket(&mut self, service: &ServiceId, now: Instant) -> &mut WindowBucket {
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -1,6 +1,7 @@
 //! A single attempt of a request at an upstream.
 
 use std::{
+    pin::pin,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -25,7 +26,7 @@
     outcome::AttemptResult,
     pool::UpstreamConnection,
     relay::OpenStream,
-    request::{ChosenUpstream, RequestContext},
+    request::{ALTERNATIVE_CHECK_INTERVAL, ChosenUpstream, RequestContext},
 };
 use crate::port::{AttemptMeta, ResponseMeta};
 
@@ -41,6 +42,16 @@
 /// Priority of the least urgent requests at an engine.
 const MAX_PRIORITY: u8 = 9;
 
+/// Why the wait for the head of a response ended.
+enum WaitError {
+    /// The connection failed.
+    Connection(hyper::Error),
+    /// The request has not begun, and the weights of its upstream are about to be outdated.
+    WeightsOutdated,
+    /// The deadline passed, or the upstream takes long and another one can take the request.
+    TimedOut,
+}
+
 impl RequestContext {
     pub(super) fn fingerprint(&self) -> Fingerprint {
         let key = self.meta.key.as_deref().unwrap_or_default();
@@ -96,16 +107,14 @@
             return AttemptResult::Failed(AttemptEnd::NotSent, None);
         }
         let request = self.upstream_request(chosen, resume_after, now);
-        let response_deadline = self.response_deadline(now);
-        let wait_until = cancel_at.map_or(response_deadline, |at| at.min(response_deadline));
-        let sent = timeout_at(wait_until.into(), connection.sender.send_request(request)).await;
-        let response = match sent {
-            Ok(Ok(response)) => response,
-            Ok(Err(error)) if error.is_canceled() => {
+        let sent = connection.sender.send_request(request);
+        let response = match self.wait_for_response(sent, cancel_at, now).await {
+            Ok(response) => response,
+            Err(WaitError::Connection(error)) if error.is_canceled() => {
                 guard.finish(AttemptOutcome::Unreachable);
                 return AttemptResult::Failed(AttemptEnd::NotSent, None);
             }
-            Ok(Err(_)) => {
+            Err(WaitError::Connection(_)) => {
                 if let Some(idle_for) = connection.idle_for {
                     shared.pool.record_reset(idle_for);
                 }
@@ -113,7 +122,7 @@
                 guard.fail();
                 return AttemptResult::Failed(AttemptEnd::Lost, None);
             }
-            Err(_) if wait_until < response_deadline => {
+            Err(WaitError::WeightsOutdated) => {
                 info!(
                     "event=attempt_cancelled request={} upstream={} cause=weights_outdated",
                     self.meta.id, upstream.upstream
@@ -121,7 +130,7 @@
                 guard.finish(AttemptOutcome::Abandoned);
                 return AttemptResult::Failed(AttemptEnd::Lost, None);
             }
-            Err(_) => {
+            Err(WaitError::TimedOut) => {
                 guard.fail();
                 return AttemptResult::Failed(AttemptEnd::Lost, None);
             }
@@ -129,6 +138,31 @@
         self.read_response(upstream, response, connection, guard, cancel_at, now).await
     }
 
+    /// Waits for the head of the response to a request that is sent at `now`. An upstream that takes long is only given
+    /// up if another one can take the request.
+    async fn wait_for_response(
+        &self,
+        sent: impl Future<Output = hyper::Result<Response<Incoming>>>,
+        cancel_at: Option<Instant>,
+        now: Instant,
+    ) -> Result<Response<Incoming>, WaitError> {
+        let mut sent = pin!(sent);
+        let mut give_up_at = self.response_deadline(now);
+        loop {
+            let wait_until = cancel_at.map_or(give_up_at, |at| at.min(give_up_at));
+            if let Ok(result) = timeout_at(wait_until.into(), sent.as_mut()).await {
+                return result.map_err(WaitError::Connection);
+            }
+            if wait_until < give_up_at {
+                return Err(WaitError::WeightsOutdated);
+            }
+            if give_up_at >= self.deadline || self.has_alternative() {
+                return Err(WaitError::TimedOut);
+            }
+            give_up_at = self.deadline.min(give_up_at + ALTERNATIVE_CHECK_INTERVAL);
+        }
+    }
+
     fn upstream_request(
         &self,
         chosen: &ChosenUpstream,
@@ -162,7 +196,7 @@
         request
     }
 
-    /// Deadline for the head of the upstream's response.
+    /// Time at which another upstream is considered if the head of the response has not arrived.
     fn response_deadline(&self, now: Instant) -> Instant {
         let target = self.route.target_latency;
         let wait = match () {
--- a/crates/gateway/src/entry/relay.rs
+++ b/crates/gateway/src/entry/relay.rs
@@ -19,7 +19,7 @@
 use super::{
     guards::{AttemptGuard, InFlightGuard},
     pool::UpstreamConnection,
-    request::RequestContext,
+    request::{ALTERNATIVE_CHECK_INTERVAL, RequestContext},
 };
 
 /// Maximum size of an event that is buffered until it is complete.
@@ -257,7 +257,7 @@
                         return Poll::Ready(None);
                     }
                     let is_stalled = self.last_event.elapsed() >= self.stall_timeout;
-                    if is_stalled && self.request.may_resume() {
+                    if is_stalled && self.request.may_resume() && self.request.has_alternative() {
                         self.abandon_upstream("stalled")?;
                         return Poll::Ready(None);
                     }
@@ -313,7 +313,7 @@
                 return Poll::Ready(Some(Err(RelayError::Expired)));
             }
             let stalled_at = this.last_event + this.stall_timeout;
-            let next = if stalled_at > now { stalled_at } else { now + this.stall_timeout };
+            let next = if stalled_at > now { stalled_at } else { now + ALTERNATIVE_CHECK_INTERVAL };
             let cancel_at = match &this.state {
                 RelayState::Reading(stream) => stream.cancel_at,
                 RelayState::Resuming(_) | RelayState::Ended => None,
--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -12,7 +12,7 @@
 use base::{ServiceId, UpstreamId};
 use bytes::Bytes;
 use compact_str::CompactString;
-use fleet::{RouteRecord, TeamRecord, UpstreamRecord, WeightsLimits, WeightsVersion};
+use fleet::{FleetView, RouteRecord, TeamRecord, UpstreamRecord, WeightsLimits, WeightsVersion};
 use http_body_util::Full;
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming, http::response,
@@ -35,6 +35,8 @@
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Minimum time left until the deadline for an attempt to be made.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(10);
+/// Interval between checks whether another upstream can take a request whose upstream takes long.
+pub(super) const ALTERNATIVE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Maximum timeout of a request, whatever the configuration states.
 const MAX_REQUEST_TIMEOUT: Duration = Duration::from_secs(3_600);
 
@@ -269,36 +271,67 @@
                 || self.shared.retry_budget().try_take(&self.service, now))
     }
 
-    fn choose_upstream(
+    /// True if the current attempt may be given up for one at another upstream that can take the request now.
+    pub(super) fn has_alternative(&self) -> bool {
+        let now = self.shared.clock.now();
+        let (mut attempts, mut tried, last, is_resumed) = {
+            let progress = self.progress();
+            let is_resumed = progress.first_event.is_some();
+            (progress.attempts, progress.tried.clone(), progress.last.clone(), is_resumed)
+        };
+        tried.extend(last);
+        attempts.record(AttemptEnd::Lost)
+            && self.shared.crashes().refusal_time(now, || self.fingerprint()).is_none()
+            && self.shared.retry_budget().has_room(&self.service, now)
+            && matches!(
+                self.place(&self.shared.view.load(), &tried, now, is_resumed),
+                Placement::Upstream { .. }
+            )
+    }
+
+    fn weights_limits<'a>(&self, view: &'a FleetView) -> Option<WeightsLimits<'a>> {
+        let state = self.meta.model.as_ref().and_then(|model| view.weights.get(model))?;
+        Some(WeightsLimits::new(state, self.shared.settings.common.rollout_timeout))
+    }
+
+    /// Chooses an upstream that is not among those already `tried`.
+    fn place(
         &self,
+        view: &FleetView,
+        tried: &[UpstreamId],
         now: Instant,
         is_resumed: bool,
-    ) -> Result<ChosenUpstream, PlacementRefusal> {
-        let view = self.shared.view.load();
-        let rollout_timeout = self.shared.settings.common.rollout_timeout;
-        let weights_state = self.meta.model.as_ref().and_then(|model| view.weights.get(model));
-        let weights = weights_state.map(|state| WeightsLimits::new(state, rollout_timeout));
-        let tried = self.progress().tried.clone();
+    ) -> Placement {
         let latency_target = self.started + self.route.target_latency;
         let regions = self.team.as_ref().map_or(&[][..], |team| team.allowed_regions.as_slice());
         let placement_request = PlacementRequest {
             service: &self.service,
             prompt_tokens: self.meta.prompt_tokens,
             allowed_regions: [&self.route.allowed_regions, regions],
-            tried: &tried,
-            weights,
+            tried,
+            weights: self.weights_limits(view),
             time_to_target: self
                 .is_on_time()
                 .then(|| latency_target.saturating_duration_since(now)),
             is_resumed,
         };
-        match self.shared.balancer().choose(&placement_request, now, &mut rand::rng()) {
+        self.shared.balancer().choose(&placement_request, now, &mut rand::rng())
+    }
+
+    fn choose_upstream(
+        &self,
+        now: Instant,
+        is_resumed: bool,
+    ) -> Result<ChosenUpstream, PlacementRefusal> {
+        let view = self.shared.view.load();
+        let tried = self.progress().tried.clone();
+        match self.place(&view, &tried, now, is_resumed) {
             Placement::Upstream { record, delay, version, cancel_at, expected_version } => {
                 let mut progress = self.progress();
                 progress.predicted.get_or_insert(delay);
                 progress.version = version;
                 progress.version_time_left =
-                    version.and_then(|version| weights?.time_left(version, now));
+                    version.and_then(|version| self.weights_limits(&view)?.time_left(version, now));
                 Ok(ChosenUpstream { record, cancel_at, expected_version })
             }
             Placement::Refused(refusal) => Err(refusal),
