Answer every accepted request before a stopping entry exits

Operators of similar systems saw requests cut off in a planned stop that had just been accepted. Here, a stopping entry exited as soon as no request was in flight: connections that waited to be accepted, heads that were being read and responses that were not written yet were reset.

Before it exits, an entry now accepts the connections that are complete, closes its listeners, and closes each connection after the response that it waits for; a connection that has received a part of a head gets 0.2 s for the rest. It ends when all connections are closed, at the latest 0.15 s before the end of the grace period.

--- a/crates/gateway/src/entry/head_timer.rs
+++ b/crates/gateway/src/entry/head_timer.rs
@@ -41,6 +41,7 @@
 pub(super) struct ConnectionState {
     is_busy: Arc<AtomicBool>,
     is_ambiguous: Arc<AtomicBool>,
+    is_receiving: Arc<AtomicBool>,
 }
 
 impl ConnectionState {
@@ -52,6 +53,11 @@
 }
 
 impl ConnectionState {
+    /// True while a part of a head has been received.
+    pub(super) fn is_receiving(&self) -> bool {
+        self.is_receiving.load(Ordering::Relaxed)
+    }
+
     /// True if the last head contained conflicting body lengths.
     pub(super) fn is_ambiguous(&self) -> bool {
         self.is_ambiguous.load(Ordering::Relaxed)
@@ -76,21 +82,13 @@
     limit: Duration,
     /// Runs while a head is being received.
     timer: Pin<Box<Sleep>>,
-    is_receiving: bool,
     /// Bytes of the head received so far.
     head: Vec<u8>,
 }
 
 impl TimedStream {
     pub(super) fn new(stream: TcpStream, state: ConnectionState, limit: Duration) -> Self {
-        Self {
-            stream,
-            state,
-            limit,
-            timer: Box::pin(sleep(limit)),
-            is_receiving: false,
-            head: Vec::new(),
-        }
+        Self { stream, state, limit, timer: Box::pin(sleep(limit)), head: Vec::new() }
     }
 
     /// Collects the head and checks it once it is complete.
@@ -121,14 +119,13 @@
         let before = buffer.filled().len();
         let result = Pin::new(&mut self.stream).poll_read(context, buffer);
         if self.state.is_busy.load(Ordering::Relaxed) {
-            self.is_receiving = false;
+            self.state.is_receiving.store(false, Ordering::Relaxed);
             self.head.clear();
             return result;
         }
         if result.is_ready() {
             if buffer.filled().len() > before {
-                if !self.is_receiving {
-                    self.is_receiving = true;
+                if !self.state.is_receiving.swap(true, Ordering::Relaxed) {
                     let deadline = Instant::now() + self.limit;
                     self.timer.as_mut().reset(deadline);
                 }
@@ -136,7 +133,7 @@
             }
             return result;
         }
-        if self.is_receiving && self.timer.as_mut().poll(context).is_ready() {
+        if self.state.is_receiving() && self.timer.as_mut().poll(context).is_ready() {
             return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
         }
         Poll::Pending
--- a/crates/gateway/src/entry/http.rs
+++ b/crates/gateway/src/entry/http.rs
@@ -3,7 +3,7 @@
 use std::{
     convert::Infallible,
     net::SocketAddr,
-    pin::Pin,
+    pin::{Pin, pin},
     sync::{Arc, atomic::Ordering},
     task::{Context, Poll},
     time::Duration,
@@ -21,7 +21,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::{debug, info};
 use member::CallerLocation;
-use tokio::net::TcpStream;
+use tokio::{net::TcpStream, time::sleep};
 
 use super::{
     head_timer::{BusyGuard, ConnectionState, TimedStream},
@@ -30,7 +30,7 @@
     response::reject_ambiguous_length,
     shared::EntryShared,
 };
-use crate::frames::{NodeError, bind, serve_connections};
+use crate::frames::{NodeError, bind, close_listener, serve_connections};
 
 /// Limits that apply until a configuration is known.
 const DEFAULT_MAX_HEADER_BYTES: usize = 16 << 10;
@@ -38,6 +38,11 @@
 const DEFAULT_HEADER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Minimum buffer size that the HTTP library accepts.
 const MIN_BUFFER: usize = 8 << 10;
+/// Time that a connection gets to read what its caller has already sent, before it is closed as idle. The data is already
+/// in the socket's buffer.
+const READ_DELAY: Duration = Duration::from_millis(20);
+/// Time in which the rest of a head must arrive when a connection is about to be closed.
+const HEAD_DELAY: Duration = Duration::from_millis(200);
 /// Time to live of the response to an address query; short, so that callers soon stop using an entry that is stopping.
 const ADDRESS_TTL: Duration = Duration::from_secs(2);
 
@@ -70,7 +75,7 @@
 /// Body of a response: complete, or relayed from an upstream.
 pub(crate) type ResponseBody = Either<Full<Bytes>, Box<RelayBody>>;
 
-/// Serves all listeners; returns only if one of them cannot be bound.
+/// Serves all listeners until they are closed, or one of them cannot be bound.
 pub(crate) async fn serve(shared: Arc<EntryShared>) -> Result<(), NodeError> {
     let callers = bind(shared.settings.callers).await?;
     let ready = bind(shared.settings.ready).await?;
@@ -80,19 +85,40 @@
         "event=listening callers={} addresses={}",
         shared.settings.callers, shared.settings.addresses
     );
-    tokio::join!(
-        serve_connections(callers, |stream| serve_caller(shared.clone(), stream)),
-        serve_connections(ready, |stream| serve_simple(shared.clone(), stream, ready_response)),
-        serve_connections(addresses, |stream| serve_simple(
-            shared.clone(),
-            stream,
-            addresses_response
-        )),
-    );
+    let serve_all = async {
+        tokio::join!(
+            serve_connections(&callers, |stream| serve_caller(shared.clone(), stream)),
+            serve_connections(&ready, |stream| serve_simple(
+                shared.clone(),
+                stream,
+                ready_response
+            )),
+            serve_connections(&addresses, |stream| serve_simple(
+                shared.clone(),
+                stream,
+                addresses_response
+            )),
+        );
+    };
+    tokio::select! {
+        () = serve_all => {}
+        () = shared.closing.cancelled() => {}
+    }
+    close_listener(callers, |stream| serve_caller(shared.clone(), stream));
     Ok(())
 }
 
-async fn serve_caller(shared: Arc<EntryShared>, stream: TcpStream) {
+/// Serves a connection of a caller, which counts as open from this call on. When the entry closes its listeners, the
+/// connection is closed after the response that it waits for.
+fn serve_caller(shared: Arc<EntryShared>, stream: TcpStream) -> impl Future<Output = ()> {
+    let open = shared.open_connection();
+    async move {
+        serve_requests(shared, stream).await;
+        drop(open);
+    }
+}
+
+async fn serve_requests(shared: Arc<EntryShared>, stream: TcpStream) {
     let limits = shared.view.load().limits();
     let header_bytes = limits.map_or(DEFAULT_MAX_HEADER_BYTES, |limits| limits.max_header_bytes);
     let (idle, head_limit) = limits
@@ -113,18 +139,40 @@
             Ok::<_, Infallible>(response.map(|body| GuardedBody { body, _busy: busy }))
         }
     });
-    let served = Builder::new()
+    let connection = Builder::new()
         .timer(TokioTimer::new())
         // This timeout also covers the idle time of a connection.
         .header_read_timeout(idle.max(head_limit))
         .max_buf_size(header_bytes.max(MIN_BUFFER))
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let served = tokio::select! {
+        served = connection.as_mut() => served,
+        () = wait_for_close(&shared, &state) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
     if let Err(error) = served {
         debug!("event=caller_connection_ended error=\"{error}\"");
     }
 }
 
+/// Waits until a connection may be closed unless it waits for a response. A request that its caller has already sent is
+/// still read.
+async fn wait_for_close(shared: &EntryShared, state: &ConnectionState) {
+    shared.closing.cancelled().await;
+    sleep(READ_DELAY).await;
+    let timeout = sleep(HEAD_DELAY);
+    let mut timeout = pin!(timeout);
+    while state.is_receiving() {
+        tokio::select! {
+            () = sleep(READ_DELAY) => {}
+            () = timeout.as_mut() => return,
+        }
+    }
+}
+
 type SimpleResponse = Response<Full<Bytes>>;
 
 async fn serve_simple(
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -19,9 +19,10 @@
 mod store;
 
 use std::{
+    pin::pin,
     sync::{Arc, atomic::Ordering},
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use base::Clock;
@@ -31,7 +32,7 @@
 use tokio::{
     runtime::Builder,
     sync::{oneshot, watch},
-    time::sleep,
+    time::{sleep, timeout_at},
 };
 
 use self::shared::EntryShared;
@@ -51,9 +52,13 @@
 /// Fraction of the grace period after which a stopping entry rejects new requests, so that none is cut off when the
 /// process ends.
 const REFUSE_AFTER_FRACTION: f64 = 0.55;
-/// Margin before the end of the grace period at which the entry exits, even if requests are still in flight.
+/// Margin before the end of the grace period at which the entry closes its listeners and connections, even if requests
+/// are still in flight.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
+/// Margin before the end of the grace period at which the entry exits, even if connections are still open.
+const END_MARGIN: Duration = Duration::from_millis(150);
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
+const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Adapters to the platform that an entry uses.
 pub struct EntryPorts {
@@ -119,9 +124,20 @@
     logs: LogSink,
 ) -> Result<(), NodeError> {
     let log_task = tokio::spawn(logs.flush_forever(LOG_INTERVAL));
+    let mut serving = pin!(http::serve(shared.clone()));
     let served = tokio::select! {
-        result = http::serve(shared.clone()) => result,
-        () = run_until_stopped(shared, signals) => Ok(()),
+        result = serving.as_mut() => result,
+        end = run_until_stopped(shared, signals) => {
+            shared.closing.cancel();
+            let close = async {
+                let result = serving.await;
+                while shared.connections() > 0 {
+                    sleep(CLOSE_POLL_INTERVAL).await;
+                }
+                result
+            };
+            timeout_at(end.into(), close).await.unwrap_or(Ok(()))
+        }
         Ok(error) = control_failure => {
             error!("event=control_failed error=\"{error}\"");
             Err(error)
@@ -131,7 +147,9 @@
     served
 }
 
-async fn run_until_stopped(shared: &EntryShared, mut signals: ProcessSignals) {
+/// Waits until the entry may close its listeners and connections after SIGTERM. Returns the time by which the process
+/// must end.
+async fn run_until_stopped(shared: &EntryShared, mut signals: ProcessSignals) -> Instant {
     let source = shared.ports.settings.clone();
     signals
         .wait_for_stop(&*source, |settings| {
@@ -143,12 +161,14 @@
     shared.leaving.store(true, Ordering::Relaxed);
     shared.wake_control.notify_one();
     let grace_period = shared.settings.common.grace_period;
+    let close_at = stop_started + grace_period.saturating_sub(GRACE_MARGIN);
     loop {
         sleep(STOP_POLL_INTERVAL).await;
-        let elapsed = shared.clock.now().saturating_duration_since(stop_started);
+        let now = shared.clock.now();
+        let elapsed = now.saturating_duration_since(stop_started);
         let is_idle = shared.in_flight.load(Ordering::Relaxed) == 0;
-        if (elapsed >= MIN_DRAIN_TIME && is_idle) || elapsed + GRACE_MARGIN >= grace_period {
-            return;
+        if (elapsed >= MIN_DRAIN_TIME && is_idle) || now >= close_at {
+            return stop_started + grace_period.saturating_sub(END_MARGIN);
         }
         if elapsed >= grace_period.mul_f64(REFUSE_AFTER_FRACTION) {
             shared.refusing.store(true, Ordering::Relaxed);
--- a/crates/gateway/src/entry/shared.rs
+++ b/crates/gateway/src/entry/shared.rs
@@ -16,6 +16,7 @@
 use log::{info, warn};
 use member::{EntryMember, EntryMembership};
 use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
 use wire::FleetKey;
 
 use super::{EntryPorts, pool::ConnectionPool};
@@ -54,6 +55,10 @@
     pub(crate) leaving: AtomicBool,
     /// The grace period is nearly over, so new requests are rejected.
     pub(crate) refusing: AtomicBool,
+    /// Cancelled when the listeners are closed, and each connection after the response that it waits for.
+    pub(crate) closing: CancellationToken,
+    /// Number of open connections of callers.
+    connections: AtomicUsize,
     /// All listeners are bound.
     pub(crate) listening: AtomicBool,
     /// Wakes the task that sends heartbeats.
@@ -76,6 +81,17 @@
     seeds: Mutex<Vec<SocketAddr>>,
 }
 
+/// Counts a connection of a caller as open until it is dropped.
+pub(crate) struct ConnectionGuard {
+    shared: Arc<EntryShared>,
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.shared.connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 impl EntryShared {
     pub(crate) fn new(settings: EntrySettings, ports: EntryPorts, clock: Arc<dyn Clock>) -> Self {
         let now = clock.now();
@@ -94,6 +110,8 @@
             body_bytes: AtomicUsize::new(0),
             leaving: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
+            closing: CancellationToken::new(),
+            connections: AtomicUsize::new(0),
             listening: AtomicBool::new(false),
             wake_control: Notify::new(),
             wake_limits: Notify::new(),
@@ -194,6 +212,17 @@
         Some(elapsed.saturating_sub(Duration::from_millis(confirmed)))
     }
 
+    /// Counts a connection of a caller as open until the guard is dropped.
+    pub(crate) fn open_connection(self: &Arc<Self>) -> ConnectionGuard {
+        self.connections.fetch_add(1, Ordering::Relaxed);
+        ConnectionGuard { shared: self.clone() }
+    }
+
+    /// Number of open connections of callers.
+    pub(crate) fn connections(&self) -> usize {
+        self.connections.load(Ordering::Relaxed)
+    }
+
     pub(crate) fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
     }
--- a/crates/gateway/src/frames.rs
+++ b/crates/gateway/src/frames.rs
@@ -86,18 +86,13 @@
 }
 
 /// Accepts connections and spawns a task for each, until the returned future is dropped.
-pub(crate) async fn serve_connections<F>(listener: TcpListener, serve: impl Fn(TcpStream) -> F)
+pub(crate) async fn serve_connections<F>(listener: &TcpListener, serve: impl Fn(TcpStream) -> F)
 where
     F: Future<Output = ()> + Send + 'static,
 {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                if let Err(error) = stream.set_nodelay(true) {
-                    debug!("event=socket_option_failed error=\"{error}\"");
-                }
-                tokio::spawn(serve(stream));
-            }
+            Ok((stream, _)) => spawn_connection(stream, &serve),
             Err(error) => {
                 warn!("event=accept_failed error=\"{error}\"");
                 sleep(ACCEPT_BACKOFF).await;
@@ -106,6 +101,40 @@
     }
 }
 
+/// Closes a listener after it has accepted the connections that are complete. They would be reset otherwise, although
+/// their callers may already have sent a request.
+pub(crate) fn close_listener<F>(listener: TcpListener, serve: impl Fn(TcpStream) -> F)
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let accept_all = || -> io::Result<()> {
+        let listener = listener.into_std()?;
+        loop {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    stream.set_nonblocking(true)?;
+                    spawn_connection(TcpStream::from_std(stream)?, &serve);
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) => return Err(error),
+            }
+        }
+    };
+    if let Err(error) = accept_all() {
+        warn!("event=accept_failed error=\"{error}\"");
+    }
+}
+
+fn spawn_connection<F>(stream: TcpStream, serve: &impl Fn(TcpStream) -> F)
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    if let Err(error) = stream.set_nodelay(true) {
+        debug!("event=socket_option_failed error=\"{error}\"");
+    }
+    tokio::spawn(serve(stream));
+}
+
 /// Serves frames on a listener until the task is dropped.
 pub(crate) async fn serve_frames(
     listener: TcpListener,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -101,7 +101,7 @@
         }
     };
     info!("event=metrics_served address={address}");
-    serve_connections(listener, |stream| serve_scrape(stream, metrics.clone(), status.clone()))
+    serve_connections(&listener, |stream| serve_scrape(stream, metrics.clone(), status.clone()))
         .await;
 }
 
