Refuse requests that cannot end before a stopping entry does

A stopping entry accepted requests until 0.55 of the grace period, whatever they take: one that was accepted then and ran for longer than the rest of the period was cut off without a response.

Requests that can still end are accepted as before.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -6,6 +6,7 @@
 mod attempt;
 mod balancer;
 mod crash;
+mod duration;
 mod forecast;
 mod rate_limit;
 mod refusal;
@@ -17,6 +18,7 @@
     attempt::{AttemptEnd, AttemptLog, FinalStatus},
     balancer::{LoadBalancer, LoadBalancerOptions, Placement, PlacementRequest, UpstreamLoad},
     crash::{CrashDetector, fingerprint_of},
+    duration::DurationTracker,
     forecast::{EngineForecast, EngineLoad},
     rate_limit::{LimitChange, LimitStatement, LimitUsage},
     refusal::{PlacementRefusal, RefusalCause},
--- a/crates/gateway/src/entry/admit.rs
+++ b/crates/gateway/src/entry/admit.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{Arc, atomic::Ordering},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use base::ServiceId;
@@ -22,6 +22,8 @@
 const DEFAULT_MAX_BODY_BYTES: usize = 4 << 20;
 /// Timeout for receiving a body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Minimum time between the expected end of a request and the end of a stopping process, for which it is accepted.
+const STOP_MARGIN: Duration = Duration::from_millis(200);
 /// Maximum age of the fleet state at which an unknown route or key is rejected permanently. It covers the longest time
 /// between two confirmations by the store; beyond it the configuration may have changed, so the caller is told to
 /// retry.
@@ -81,6 +83,9 @@
         RouteMatch::Unknown => return Err(unless_stale(StatusCode::NOT_FOUND, "no_route")),
         RouteMatch::NoConfig => return Err((StatusCode::SERVICE_UNAVAILABLE, "no_config")),
     };
+    if shared.stop_at.get().is_some_and(|stop_at| !ends_before(shared, &route, *stop_at)) {
+        return Err((StatusCode::SERVICE_UNAVAILABLE, "stopping"));
+    }
     if !route.repeat.is_retryable() && shared.is_stale_after_pause() {
         return Err((StatusCode::SERVICE_UNAVAILABLE, "stale_after_pause"));
     }
@@ -94,6 +99,15 @@
     Ok((route, team))
 }
 
+/// True if a request of the route is expected to end before the process does. Without recent requests of the route, it
+/// may take as long as its timeout.
+fn ends_before(shared: &EntryShared, route: &RouteRecord, stop_at: Instant) -> bool {
+    let now = shared.clock.now();
+    let longest = shared.durations().longest(&route.name, now);
+    let expected = longest.map_or(route.timeout, |longest| longest.min(route.timeout));
+    now + expected + STOP_MARGIN <= stop_at
+}
+
 /// Picks a backend service of the route at random, by weight.
 pub(super) fn pick_service(route: &RouteRecord) -> ServiceId {
     let total: u32 = route.backends.iter().map(|backend| backend.weight).sum();
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -162,6 +162,8 @@
     shared.wake_control.notify_one();
     let grace_period = shared.settings.common.grace_period;
     let close_at = stop_started + grace_period.saturating_sub(GRACE_MARGIN);
+    // Set only once, because this function is called once.
+    let _ = shared.stop_at.set(close_at);
     loop {
         sleep(STOP_POLL_INTERVAL).await;
         let now = shared.clock.now();
--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -425,5 +425,7 @@
         );
         self.shared.metrics.count(&format!("requests_total{{result=\"{result}\"}}"));
         self.shared.metrics.observe("request_seconds", elapsed);
+        let now = self.shared.clock.now();
+        self.shared.durations().record(&self.route.name, elapsed, now);
     }
 }
--- a/crates/gateway/src/entry/shared.rs
+++ b/crates/gateway/src/entry/shared.rs
@@ -3,14 +3,16 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
         atomic::{AtomicBool, AtomicI64, AtomicU64, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
 };
 
 use arc_swap::ArcSwap;
-use balance::{CrashDetector, LoadBalancer, LoadBalancerOptions, RetryBudgetShare};
+use balance::{
+    CrashDetector, DurationTracker, LoadBalancer, LoadBalancerOptions, RetryBudgetShare,
+};
 use base::{Clock, Incarnation};
 use fleet::{FleetState, FleetView, ReceivePeriod};
 use log::{info, warn};
@@ -53,8 +55,10 @@
     pub(crate) body_bytes: AtomicUsize,
     /// A stop has been requested.
     pub(crate) leaving: AtomicBool,
-    /// The grace period is nearly over, so new requests are rejected.
+    /// The entry has been stopping for long, so new requests are rejected.
     pub(crate) refusing: AtomicBool,
+    /// Time by which all requests must have ended; set when a stop has been requested.
+    pub(crate) stop_at: OnceLock<Instant>,
     /// Cancelled when the listeners are closed, and each connection after the response that it waits for.
     pub(crate) closing: CancellationToken,
     /// Number of open connections of callers.
@@ -78,6 +82,7 @@
     membership: Mutex<EntryMembership>,
     fleet_state: Mutex<FleetState>,
     crashes: Mutex<CrashDetector>,
+    durations: Mutex<DurationTracker>,
     seeds: Mutex<Vec<SocketAddr>>,
 }
 
@@ -110,6 +115,7 @@
             body_bytes: AtomicUsize::new(0),
             leaving: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
+            stop_at: OnceLock::new(),
             closing: CancellationToken::new(),
             connections: AtomicUsize::new(0),
             listening: AtomicBool::new(false),
@@ -126,6 +132,7 @@
             membership: Mutex::new(EntryMembership::new()),
             fleet_state: Mutex::new(FleetState::new()),
             crashes: Mutex::new(CrashDetector::new()),
+            durations: Mutex::new(DurationTracker::new()),
             seeds: Mutex::new(settings.common.seeds.clone()),
             settings,
             ports,
@@ -153,6 +160,10 @@
         self.crashes.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn durations(&self) -> MutexGuard<'_, DurationTracker> {
+        self.durations.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn seeds(&self) -> Vec<SocketAddr> {
         self.seeds.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
