Decide the end of a stream by its events and its upstream

A stream is now complete only if its last event is, whatever its frame. If its body ends with its connection, there must have been an event, and the upstream must still accept connections; otherwise it is resumed at another one, or the connection to the caller is closed. The check takes one round trip and delays only the end. Lines may end with a carriage return, as the standard allows, since an event that is not recognized as complete now counts as broken off.

The log states whether a broken stream had a frame, and the new causes event_incomplete, no_events and upstream_gone.

--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -241,6 +241,7 @@
         if self.route.repeat.is_stream() && head.status.is_success() {
             let stream = OpenStream {
                 body,
+                address: upstream.address,
                 connection,
                 guard,
                 keep_alive: meta.keep_alive,
--- a/crates/gateway/src/entry/pool.rs
+++ b/crates/gateway/src/entry/pool.rs
@@ -145,19 +145,14 @@
         });
     }
 
+    /// True if a process listens at `address`.
+    pub(crate) async fn accepts_connections(&self, address: SocketAddr) -> bool {
+        open_stream(address).await.is_some()
+    }
+
     /// Opens a connection; `None` if that fails, in which case nothing was sent.
     pub(crate) async fn connect(&self, address: SocketAddr) -> Option<UpstreamConnection> {
-        let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(error)) => {
-                debug!("event=connect_failed address={address} error=\"{error}\"");
-                return None;
-            }
-            Err(_) => {
-                debug!("event=connect_failed address={address} error=\"timeout\"");
-                return None;
-            }
-        };
+        let stream = open_stream(address).await?;
         set_socket_options(&stream);
         match Builder::new().handshake(TokioIo::new(stream)).await {
             Ok((sender, connection)) => {
@@ -177,3 +172,17 @@
         }
     }
 }
+
+async fn open_stream(address: SocketAddr) -> Option<TcpStream> {
+    match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => Some(stream),
+        Ok(Err(error)) => {
+            debug!("event=connect_failed address={address} error=\"{error}\"");
+            None
+        }
+        Err(_) => {
+            debug!("event=connect_failed address={address} error=\"timeout\"");
+            None
+        }
+    }
+}
--- a/crates/gateway/src/entry/relay.rs
+++ b/crates/gateway/src/entry/relay.rs
@@ -1,6 +1,7 @@
 //! Relays an event stream to the caller, and resumes it at another upstream if the first one fails.
 
 use std::{
+    net::SocketAddr,
     pin::Pin,
     sync::Arc,
     task::{Context, Poll, ready},
@@ -33,9 +34,15 @@
 /// Reason of an abandoned stream that may indicate a crash of the upstream.
 const CONNECTION_LOST: &str = "connection_lost";
 
-/// Reason of an abandoned stream without a length that ended within an event. Its upstream may also have crashed.
+/// Reason of an abandoned stream that ended within an event, however it was framed. Its upstream may also have crashed.
 const EVENT_INCOMPLETE: &str = "event_incomplete";
 
+/// Reason of an abandoned stream without a length that ended with its connection before any event.
+const NO_EVENTS: &str = "no_events";
+
+/// Reason of an abandoned stream without a length whose upstream could not be reached right after the stream ended.
+const UPSTREAM_GONE: &str = "upstream_gone";
+
 /// Reason of an abandoned stream that would begin on outdated weights.
 const WEIGHTS_OUTDATED: &str = "weights_outdated";
 
@@ -62,7 +69,7 @@
     /// Adds bytes and returns the events that they complete.
     pub(crate) fn push(&mut self, bytes: Bytes) -> Option<Bytes> {
         let complete = if self.partial.is_empty() {
-            let Some(end) = end_of_events(&bytes) else {
+            let Some(end) = end_of_events(&bytes, false) else {
                 self.partial.extend_from_slice(&bytes);
                 return None;
             };
@@ -70,7 +77,7 @@
             bytes.slice(..end)
         } else {
             self.partial.extend_from_slice(&bytes);
-            let end = end_of_events(&self.partial)?;
+            let end = end_of_events(&self.partial, false)?;
             self.partial.split_to(end).freeze()
         };
         if let Some(id) = last_event_id(&complete) {
@@ -89,9 +96,10 @@
         self.partial.clear();
     }
 
-    /// Takes the remaining bytes at the end of the stream.
-    pub(crate) fn take_partial(&mut self) -> Option<Bytes> {
-        (!self.partial.is_empty()).then(|| self.partial.split().freeze())
+    /// Takes the remaining bytes at the end of the stream; `None` if they are a part of an event.
+    pub(crate) fn take_rest(&mut self) -> Option<Bytes> {
+        let is_complete = end_of_events(&self.partial, true) == Some(self.partial.len());
+        (is_complete || !has_content(&self.partial)).then(|| self.partial.split().freeze())
     }
 
     /// Id of the last complete event.
@@ -100,11 +108,27 @@
     }
 }
 
-/// Position after the last blank line; `None` if there is none.
-fn end_of_events(bytes: &[u8]) -> Option<usize> {
-    let unix = bytes.windows(2).rposition(|pair| pair == b"\n\n").map(|at| at + 2);
-    let windows = bytes.windows(4).rposition(|four| four == b"\r\n\r\n").map(|at| at + 4);
-    unix.max(windows)
+/// Position after the last blank line, which ends an event; `None` if there is none. Lines end with a line feed, a
+/// carriage return or both. Unless the bytes are `last`, a carriage return at their end may be the first half of both.
+fn end_of_events(bytes: &[u8], last: bool) -> Option<usize> {
+    let mut end = bytes.len();
+    if !last && bytes.last() == Some(&b'\r') {
+        end -= 1;
+    }
+    // Position before the line end that ends at `end`.
+    let line_end_before = |end: usize| match bytes[..end] {
+        [.., b'\r', b'\n'] => Some(end - 2),
+        [.., b'\n' | b'\r'] => Some(end - 1),
+        _ => None,
+    };
+    while end > 0 {
+        let blank_line = line_end_before(end);
+        if blank_line.and_then(line_end_before).is_some() {
+            return Some(end);
+        }
+        end -= 1;
+    }
+    None
 }
 
 /// False if the events consist of comments only. A stalled upstream may still send those, or parts of an event.
@@ -122,6 +146,8 @@
 /// Response that is still being received from an upstream.
 pub(crate) struct OpenStream {
     pub(crate) body: Incoming,
+    /// Address of the upstream.
+    pub(crate) address: SocketAddr,
     pub(crate) connection: UpstreamConnection,
     pub(crate) guard: AttemptGuard,
     pub(crate) keep_alive: Option<Duration>,
@@ -135,6 +161,8 @@
 
 enum RelayState {
     Reading(OpenStream),
+    /// The stream has ended with its connection. The future tells whether the upstream still accepts connections.
+    Confirming(OpenStream, BoxFuture<'static, bool>),
     Resuming(BoxFuture<'static, Option<OpenStream>>),
     Ended,
 }
@@ -148,6 +176,8 @@
     timer: Pin<Box<Sleep>>,
     deadline: Instant,
     last_event: Instant,
+    /// True once an event with content has been passed on.
+    has_events: bool,
     _in_flight: InFlightGuard,
 }
 
@@ -170,14 +200,17 @@
             timer: Box::pin(sleep_until(deadline.min(first_check))),
             deadline,
             last_event: now,
+            has_events: false,
             _in_flight: in_flight,
         }
     }
 
     /// Abandons the current upstream, and resumes the stream at another one if that is allowed.
     fn abandon_upstream(&mut self, cause: &'static str) -> Result<(), RelayError> {
-        if let RelayState::Reading(stream) = std::mem::replace(&mut self.state, RelayState::Ended) {
-            if [CONNECTION_LOST, EVENT_INCOMPLETE].contains(&cause) {
+        let mut is_framed = false;
+        if let Some(stream) = self.take_stream() {
+            is_framed = stream.is_framed;
+            if [CONNECTION_LOST, EVENT_INCOMPLETE, NO_EVENTS, UPSTREAM_GONE].contains(&cause) {
                 self.request.record_connection_lost(stream.guard.upstream());
             }
             if cause == WEIGHTS_OUTDATED {
@@ -189,9 +222,10 @@
         self.splitter.discard_partial();
         let after = self.splitter.last_id().cloned();
         info!(
-            "event=stream_broken request={} cause={cause} after={}",
+            "event=stream_broken request={} cause={cause} after={} framed={}",
             self.request.meta.id,
-            after.as_deref().unwrap_or("none")
+            after.as_deref().unwrap_or("none"),
+            is_framed
         );
         if !self.request.may_resume() {
             self.request.log_end("broken", None);
@@ -202,8 +236,42 @@
         Ok(())
     }
 
+    fn take_stream(&mut self) -> Option<OpenStream> {
+        match std::mem::replace(&mut self.state, RelayState::Ended) {
+            RelayState::Reading(stream) | RelayState::Confirming(stream, _) => Some(stream),
+            RelayState::Resuming(_) | RelayState::Ended => None,
+        }
+    }
+
+    /// Handles the end of the upstream's body. Returns the bytes that remain to be passed on.
+    fn end_body(&mut self) -> Result<Option<Bytes>, RelayError> {
+        let Some(rest) = self.splitter.take_rest() else {
+            self.abandon_upstream(EVENT_INCOMPLETE)?;
+            return Ok(None);
+        };
+        let has_events = self.has_events || has_content(&rest);
+        match self.take_stream() {
+            Some(stream) if stream.is_framed => {
+                self.state = RelayState::Reading(stream);
+                self.finish();
+            }
+            Some(stream) if !has_events => {
+                self.state = RelayState::Reading(stream);
+                self.abandon_upstream(NO_EVENTS)?;
+            }
+            Some(stream) => {
+                // The connection of an upstream that crashed ends like that of one that sent a complete response.
+                let (request, address) = (self.request.clone(), stream.address);
+                let confirm = async move { request.shared.pool.accepts_connections(address).await };
+                self.state = RelayState::Confirming(stream, Box::pin(confirm));
+            }
+            None => {}
+        }
+        Ok((!rest.is_empty()).then_some(rest))
+    }
+
     fn finish(&mut self) {
-        if let RelayState::Reading(stream) = std::mem::replace(&mut self.state, RelayState::Ended) {
+        if let Some(stream) = self.take_stream() {
             let OpenStream { connection, guard, keep_alive, closes, .. } = stream;
             let upstream = guard.upstream().clone();
             guard.succeed();
@@ -229,6 +297,7 @@
                             let now = Instant::now();
                             self.request.record_event(now - self.last_event);
                             self.last_event = now;
+                            self.has_events = true;
                             stream.cancel_at = None;
                         }
                         return Poll::Ready(Some(Ok(events)));
@@ -242,15 +311,7 @@
                     self.abandon_upstream(CONNECTION_LOST)?;
                     return Poll::Ready(None);
                 }
-                Poll::Ready(None) if !stream.is_framed && self.splitter.partial_len() > 0 => {
-                    self.abandon_upstream(EVENT_INCOMPLETE)?;
-                    return Poll::Ready(None);
-                }
-                Poll::Ready(None) => {
-                    let rest = self.splitter.take_partial();
-                    self.finish();
-                    return Poll::Ready(rest.map(Ok));
-                }
+                Poll::Ready(None) => return Poll::Ready(self.end_body().transpose()),
                 Poll::Pending => {
                     if stream.cancel_at.is_some_and(|at| at <= Instant::now()) {
                         self.abandon_upstream(WEIGHTS_OUTDATED)?;
@@ -288,6 +349,19 @@
                     Poll::Ready(None) => continue,
                     Poll::Pending => {}
                 },
+                RelayState::Confirming(_, confirm) => match confirm.as_mut().poll(context) {
+                    Poll::Ready(true) => {
+                        this.finish();
+                        continue;
+                    }
+                    Poll::Ready(false) => {
+                        if let Err(error) = this.abandon_upstream(UPSTREAM_GONE) {
+                            return Poll::Ready(Some(Err(error)));
+                        }
+                        continue;
+                    }
+                    Poll::Pending => {}
+                },
                 RelayState::Resuming(resume) => match resume.as_mut().poll(context) {
                     Poll::Ready(Some(stream)) => {
                         this.last_event = Instant::now();
@@ -316,7 +390,7 @@
             let next = if stalled_at > now { stalled_at } else { now + ALTERNATIVE_CHECK_INTERVAL };
             let cancel_at = match &this.state {
                 RelayState::Reading(stream) => stream.cancel_at,
-                RelayState::Resuming(_) | RelayState::Ended => None,
+                RelayState::Confirming(..) | RelayState::Resuming(_) | RelayState::Ended => None,
             };
             this.timer.as_mut().reset(next.min(cancel_at.unwrap_or(next)).min(this.deadline));
         }
