Reset the connection of an HTTP/1.0 caller if a stream breaks off

A stream has no length, and HTTP/1.0 has no chunks, so the response ends with its connection. If the stream broke off, that connection was closed like that of a complete response, and the caller could not tell the difference. It is now reset.

--- a/crates/gateway/src/entry/head_timer.rs
+++ b/crates/gateway/src/entry/head_timer.rs
@@ -15,6 +15,8 @@
     time::Duration,
 };
 
+use log::warn;
+use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -42,6 +44,7 @@
     is_busy: Arc<AtomicBool>,
     is_ambiguous: Arc<AtomicBool>,
     is_receiving: Arc<AtomicBool>,
+    must_reset: Arc<AtomicBool>,
 }
 
 impl ConnectionState {
@@ -58,6 +61,11 @@
         self.is_receiving.load(Ordering::Relaxed)
     }
 
+    /// Makes the connection end with a reset, so that a response that ends with it does not look complete.
+    pub(super) fn reset_at_end(&self) {
+        self.must_reset.store(true, Ordering::Relaxed);
+    }
+
     /// True if the last head contained conflicting body lengths.
     pub(super) fn is_ambiguous(&self) -> bool {
         self.is_ambiguous.load(Ordering::Relaxed)
@@ -110,6 +118,16 @@
     }
 }
 
+impl Drop for TimedStream {
+    fn drop(&mut self) {
+        if self.state.must_reset.load(Ordering::Relaxed)
+            && let Err(error) = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))
+        {
+            warn!("event=socket_option_failed error=\"{error}\"");
+        }
+    }
+}
+
 impl AsyncRead for TimedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -154,6 +172,9 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.state.must_reset.load(Ordering::Relaxed) {
+            return Poll::Ready(Ok(()));
+        }
         Pin::new(&mut self.stream).poll_shutdown(context)
     }
 
--- a/crates/gateway/src/entry/http.rs
+++ b/crates/gateway/src/entry/http.rs
@@ -5,14 +5,14 @@
     net::SocketAddr,
     pin::{Pin, pin},
     sync::{Arc, atomic::Ordering},
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
     time::Duration,
 };
 
 use bytes::Bytes;
 use http_body_util::{Either, Full};
 use hyper::{
-    Request, Response, StatusCode,
+    Request, Response, StatusCode, Version,
     body::{Body, Frame, Incoming, SizeHint},
     header::{CONTENT_TYPE, HeaderValue},
     server::conn::http1::Builder,
@@ -49,6 +49,8 @@
 /// Body of a response to a caller, which keeps the connection marked as busy until it is dropped.
 struct GuardedBody {
     body: ResponseBody,
+    /// State of the connection if the body ends with it, which is then reset if the body breaks off.
+    unframed: Option<ConnectionState>,
     _busy: BusyGuard,
 }
 
@@ -60,7 +62,11 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
+        if let (Some(Err(_)), Some(state)) = (&frame, &self.unframed) {
+            state.reset_at_end();
+        }
+        Poll::Ready(frame)
     }
 
     fn size_hint(&self) -> SizeHint {
@@ -127,8 +133,10 @@
         });
     let state = ConnectionState::default();
     let stream = TimedStream::new(stream, state.clone(), head_limit);
-    let service = service_fn(|request| {
+    let service = service_fn(|request: Request<Incoming>| {
         let (shared, busy) = (shared.clone(), state.mark_busy());
+        // A body of unknown length is sent in chunks, which HTTP/1.0 does not have.
+        let unframed = (request.version() <= Version::HTTP_10).then(|| state.clone());
         let is_ambiguous = state.is_ambiguous();
         async move {
             let response = if is_ambiguous {
@@ -136,7 +144,7 @@
             } else {
                 request::handle(shared, request).await
             };
-            Ok::<_, Infallible>(response.map(|body| GuardedBody { body, _busy: busy }))
+            Ok::<_, Infallible>(response.map(|body| GuardedBody { body, unframed, _busy: busy }))
         }
     });
     let connection = Builder::new()
