Bound every response in bytes and time

An upstream in trouble may send bytes without end, in a head or a body, until its client closes the connection. On the body of an error held the caller until its deadline of 6 s, and so did informational responses, which the HTTP library skips without limit; a report of an engine read 14 MB of them. A stream of comments was passed on for more than 16 MB.

An entry now reads a head of at most 64 KiB and eight informational responses, within one second of its first byte, and the body of an error of at most 64 KiB within half a second. An upstream that does not end the body of a success is given up like one that does not begin it, if another one can take the request. Streams are limited to 16 MiB, and to 256 KiB without an event. The client of the store, engines and the origin limits informational responses; its other limits were in place. The upload of weights to an engine has a timeout by size.

--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -12,13 +12,13 @@
 use fleet::UpstreamRecord;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
-    Request, Response,
-    body::Incoming,
+    Request, Response, StatusCode,
+    body::{Body, Incoming},
     header::{CONTENT_LENGTH, TRANSFER_ENCODING},
 };
 use log::info;
 use route::Fingerprint;
-use tokio::time::timeout_at;
+use tokio::time::{timeout, timeout_at};
 
 use super::{
     guards::AttemptGuard,
@@ -32,6 +32,10 @@
 
 /// Maximum size of a response that is buffered before it is forwarded.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
+/// Maximum size of a response that reports an error, and the maximum time from its head to its end. Upstreams send a
+/// short text at once.
+const MAX_ERROR_BYTES: usize = 64 << 10;
+const ERROR_BODY_TIMEOUT: Duration = Duration::from_millis(500);
 /// Factor on the latency target that gives the time to wait for an upstream's response before an idempotent request is
 /// sent to another upstream.
 const RESPONSE_TIMEOUT_FACTOR: u32 = 3;
@@ -42,10 +46,8 @@
 /// Priority of the least urgent requests at an engine.
 const MAX_PRIORITY: u8 = 9;
 
-/// Why the wait for the head of a response ended.
+/// Why the wait for a part of a response ended.
 enum WaitError {
-    /// The connection failed.
-    Connection(hyper::Error),
     /// The request has not begun, and the weights of its upstream are about to be outdated.
     WeightsOutdated,
     /// The deadline passed, or the upstream takes long and another one can take the request.
@@ -107,14 +109,15 @@
             return AttemptResult::Failed(AttemptEnd::NotSent, None);
         }
         let request = self.upstream_request(chosen, resume_after, now);
+        connection.head_gate.begin();
         let sent = connection.sender.send_request(request);
-        let response = match self.wait_for_response(sent, cancel_at, now).await {
-            Ok(response) => response,
-            Err(WaitError::Connection(error)) if error.is_canceled() => {
+        let response = match self.wait_for(sent, cancel_at, now).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(error)) if error.is_canceled() => {
                 guard.finish(AttemptOutcome::Unreachable);
                 return AttemptResult::Failed(AttemptEnd::NotSent, None);
             }
-            Err(WaitError::Connection(_)) => {
+            Ok(Err(_)) => {
                 if let Some(idle_for) = connection.idle_for {
                     shared.pool.record_reset(idle_for);
                 }
@@ -138,20 +141,20 @@
         self.read_response(upstream, response, connection, guard, cancel_at, now).await
     }
 
-    /// Waits for the head of the response to a request that is sent at `now`. An upstream that takes long is only given
-    /// up if another one can take the request.
-    async fn wait_for_response(
+    /// Waits for a part of the response to a request that was sent at `sent_at`. An upstream that takes long is only
+    /// given up if another one can take the request.
+    async fn wait_for<T>(
         &self,
-        sent: impl Future<Output = hyper::Result<Response<Incoming>>>,
+        part: impl Future<Output = T>,
         cancel_at: Option<Instant>,
-        now: Instant,
-    ) -> Result<Response<Incoming>, WaitError> {
-        let mut sent = pin!(sent);
-        let mut give_up_at = self.response_deadline(now);
+        sent_at: Instant,
+    ) -> Result<T, WaitError> {
+        let mut part = pin!(part);
+        let mut give_up_at = self.response_deadline(sent_at);
         loop {
             let wait_until = cancel_at.map_or(give_up_at, |at| at.min(give_up_at));
-            if let Ok(result) = timeout_at(wait_until.into(), sent.as_mut()).await {
-                return result.map_err(WaitError::Connection);
+            if let Ok(result) = timeout_at(wait_until.into(), part.as_mut()).await {
+                return Ok(result);
             }
             if wait_until < give_up_at {
                 return Err(WaitError::WeightsOutdated);
@@ -216,8 +219,10 @@
         cancel_at: Option<Instant>,
         sent_at: Instant,
     ) -> AttemptResult {
+        connection.head_gate.end();
+        let shared = &self.shared;
         let (head, body) = response.into_parts();
-        let meta = self.shared.ports.codec.read_response(&head);
+        let meta = shared.ports.codec.read_response(&head);
         let has_wrong_id = match &meta.id {
             Some(id) => *id != self.meta.id,
             // On a kept connection, this may be a second copy of an earlier response.
@@ -238,6 +243,9 @@
             guard.finish(AttemptOutcome::NotRun);
             return AttemptResult::Failed(AttemptEnd::NotRun, None);
         }
+        let is_framed = body.is_end_stream()
+            || head.headers.contains_key(CONTENT_LENGTH)
+            || head.headers.contains_key(TRANSFER_ENCODING);
         if self.route.repeat.is_stream() && head.status.is_success() {
             let stream = OpenStream {
                 body,
@@ -246,20 +254,23 @@
                 guard,
                 keep_alive: meta.keep_alive,
                 closes: meta.closes,
-                is_framed: head.headers.contains_key(CONTENT_LENGTH)
-                    || head.headers.contains_key(TRANSFER_ENCODING),
+                is_framed,
                 cancel_at: cancel_at.map(Into::into),
             };
             return AttemptResult::Stream(head, stream);
         }
-        let collected = Limited::new(body, MAX_RESPONSE_BYTES).collect();
-        let Ok(Ok(collected)) = timeout_at(self.deadline.into(), collected).await else {
+        let Some(body) = self.collect_body(head.status, body, sent_at).await else {
+            info!(
+                "event=answer_incomplete request={} upstream={} status={} framed={is_framed}",
+                self.meta.id,
+                upstream.upstream,
+                head.status.as_u16()
+            );
             guard.fail();
             return AttemptResult::Failed(AttemptEnd::Lost, None);
         };
-        let body = collected.to_bytes();
         if !meta.closes {
-            self.shared.pool.put(&upstream.upstream, connection, meta.keep_alive);
+            shared.pool.put(&upstream.upstream, connection, meta.keep_alive);
         }
         if head.status.is_server_error() {
             guard.fail();
@@ -270,6 +281,23 @@
         AttemptResult::Complete(head, body)
     }
 
+    /// Collects the body of a response that is forwarded as a whole; `None` if it is incomplete or exceeds a limit.
+    async fn collect_body(
+        &self,
+        status: StatusCode,
+        body: Incoming,
+        sent_at: Instant,
+    ) -> Option<Bytes> {
+        if !status.is_success() {
+            let body = Limited::new(body, MAX_ERROR_BYTES).collect();
+            let collected = timeout(ERROR_BODY_TIMEOUT, body);
+            return Some(collected.await.ok()?.ok()?.to_bytes());
+        }
+        let body = Limited::new(body, MAX_RESPONSE_BYTES).collect();
+        let collected = self.wait_for(body, None, sent_at).await;
+        Some(collected.ok()?.ok()?.to_bytes())
+    }
+
     /// Records what a response states about its upstream. Only a signed response can end a limit, because another one may
     /// come from a part of the upstream that does not know the limit.
     fn record_statements(&self, upstream: &UpstreamId, meta: &ResponseMeta, sent_at: Instant) {
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -14,6 +14,7 @@
 mod relay;
 mod request;
 mod response;
+mod response_head;
 mod shared;
 pub mod status;
 mod store;
--- a/crates/gateway/src/entry/pool.rs
+++ b/crates/gateway/src/entry/pool.rs
@@ -15,6 +15,7 @@
 use log::{debug, info};
 use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
 
+use super::response_head::{HeadGate, LimitedStream};
 use crate::frames::set_socket_options;
 
 /// Timeout for opening a connection; a live upstream accepts one within a few milliseconds, even from another region.
@@ -38,6 +39,8 @@
     pub(crate) sender: SendRequest<Full<Bytes>>,
     /// Idle time of the connection before its current use; `None` if the connection is new.
     pub(crate) idle_for: Option<Duration>,
+    /// Limits the head of each response.
+    pub(super) head_gate: HeadGate,
     task: JoinHandle<()>,
 }
 
@@ -154,6 +157,8 @@
     pub(crate) async fn connect(&self, address: SocketAddr) -> Option<UpstreamConnection> {
         let stream = open_stream(address).await?;
         set_socket_options(&stream);
+        let head_gate = HeadGate::default();
+        let stream = LimitedStream::new(stream, head_gate.clone());
         match Builder::new().handshake(TokioIo::new(stream)).await {
             Ok((sender, connection)) => {
                 let task = tokio::spawn(async move {
@@ -163,7 +168,7 @@
                         );
                     }
                 });
-                Some(UpstreamConnection { sender, idle_for: None, task })
+                Some(UpstreamConnection { sender, idle_for: None, head_gate, task })
             }
             Err(error) => {
                 debug!("event=connect_failed address={address} error=\"{error}\"");
--- a/crates/gateway/src/entry/relay.rs
+++ b/crates/gateway/src/entry/relay.rs
@@ -23,8 +23,10 @@
     request::{ALTERNATIVE_CHECK_INTERVAL, RequestContext},
 };
 
-/// Maximum size of an event that is buffered until it is complete.
+/// Maximum size of an event, which is buffered until it is complete, with the comments before it.
 const MAX_EVENT_BYTES: usize = 256 << 10;
+/// Maximum size of a stream; one of 4,096 tokens has about 400 KB.
+const MAX_STREAM_BYTES: usize = 16 << 20;
 /// Factor on the target gap between events after which a silent upstream is abandoned and the stream is resumed at
 /// another one.
 const STALL_GAP_FACTOR: u32 = 4;
@@ -178,6 +180,10 @@
     last_event: Instant,
     /// True once an event with content has been passed on.
     has_events: bool,
+    /// Number of bytes received from all upstreams.
+    received: usize,
+    /// Number of bytes received since the last event with content: comments, and a part of an event.
+    without_event: usize,
     _in_flight: InFlightGuard,
 }
 
@@ -201,6 +207,8 @@
             deadline,
             last_event: now,
             has_events: false,
+            received: 0,
+            without_event: 0,
             _in_flight: in_flight,
         }
     }
@@ -220,6 +228,7 @@
             }
         }
         self.splitter.discard_partial();
+        self.without_event = 0;
         let after = self.splitter.last_id().cloned();
         info!(
             "event=stream_broken request={} cause={cause} after={} framed={}",
@@ -292,17 +301,26 @@
             match Pin::new(&mut stream.body).poll_frame(context) {
                 Poll::Ready(Some(Ok(frame))) => {
                     let Ok(bytes) = frame.into_data() else { continue };
+                    self.received += bytes.len();
+                    if self.received > MAX_STREAM_BYTES {
+                        self.abandon_upstream("stream_too_long")?;
+                        return Poll::Ready(None);
+                    }
+                    self.without_event += bytes.len();
                     if let Some(events) = self.splitter.push(bytes) {
                         if has_content(&events) {
                             let now = Instant::now();
                             self.request.record_event(now - self.last_event);
                             self.last_event = now;
                             self.has_events = true;
+                            self.without_event = self.splitter.partial_len();
                             stream.cancel_at = None;
                         }
-                        return Poll::Ready(Some(Ok(events)));
+                        if self.without_event <= MAX_EVENT_BYTES {
+                            return Poll::Ready(Some(Ok(events)));
+                        }
                     }
-                    if self.splitter.partial_len() > MAX_EVENT_BYTES {
+                    if self.without_event > MAX_EVENT_BYTES {
                         self.abandon_upstream("event_too_long")?;
                         return Poll::Ready(None);
                     }
--- a/crates/ports/src/engine.rs
+++ b/crates/ports/src/engine.rs
@@ -8,6 +8,7 @@
 use futures_util::future::BoxFuture;
 use hyper::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
+use tokio::time::timeout;
 
 use crate::{
     error::PlatformError,
@@ -16,6 +17,10 @@
 
 const EVENTS_TIMEOUT: Duration = Duration::from_secs(1);
 const ORDER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Lowest rate in bytes per second at which weights are uploaded to an engine on the same host, and the time for the rest
+/// of the exchange.
+const MIN_UPLOAD_RATE: u64 = 1 << 20;
+const UPLOAD_MARGIN: Duration = Duration::from_secs(60);
 const MAX_EVENTS_BYTES: usize = 1 << 20;
 /// Header with the priority of a request.
 const PRIORITY_HEADER: &str = "x-priority";
@@ -114,11 +119,11 @@
     /// Fails if the engine does not respond in time or with a valid status.
     fn status(&self) -> BoxFuture<'_, Result<EngineStatus, PlatformError>>;
 
-    /// Uploads the weights of a version. `parts` are all of its chunks, in order and already verified. No timeout is
-    /// applied.
+    /// Uploads the weights of a version. `parts` are all of its chunks, in order and already verified. The
+    /// timeout grows with their size.
     ///
     /// # Errors
-    /// Fails if the engine cannot be reached or refuses the weights.
+    /// Fails if the engine cannot be reached, refuses the weights or does not respond in time.
     fn put_weights(
         &self,
         manifest: ContentDigest,
@@ -194,8 +199,13 @@
     ) -> BoxFuture<'_, Result<(), PlatformError>> {
         Box::pin(async move {
             let path = format!("/v1/weights/{manifest}");
-            let response = self.client.send_parts(Method::PUT, &path, &[], parts).await?;
-            collect(response, MAX_STATUS_BYTES).await.map(drop)
+            let size: u64 = parts.iter().map(|part| part.len() as u64).sum();
+            let limit = UPLOAD_MARGIN + Duration::from_secs(size / MIN_UPLOAD_RATE);
+            let request = async {
+                let response = self.client.send_parts(Method::PUT, &path, &[], parts).await?;
+                collect(response, MAX_STATUS_BYTES).await.map(drop)
+            };
+            timeout(limit, request).await.map_err(|_| PlatformError::Timeout { limit })?
         })
     }
 
--- a/crates/ports/src/error.rs
+++ b/crates/ports/src/error.rs
@@ -44,6 +44,12 @@
         /// Maximum size in bytes.
         limit: usize,
     },
+    /// The server sends informational responses without end instead of a response.
+    #[snafu(display("more than {limit} informational responses before the response"))]
+    Informational {
+        /// Maximum number of informational responses.
+        limit: u32,
+    },
     /// JSON could not be read or written, usually because a response lacks the expected fields.
     #[snafu(display("response cannot be parsed: {source}"))]
     Malformed {
--- a/crates/ports/src/http.rs
+++ b/crates/ports/src/http.rs
@@ -1,6 +1,13 @@
 //! HTTP client shared by all implementations of the platform traits.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
@@ -9,6 +16,7 @@
 use hyper::{
     Method, Request, Response, StatusCode,
     body::{Body, Frame, Incoming},
+    ext::on_informational,
     header::{CONTENT_TYPE, RETRY_AFTER, TRANSFER_ENCODING},
 };
 use hyper_util::{
@@ -16,14 +24,19 @@
     rt::{TokioExecutor, TokioTimer},
 };
 use snafu::{OptionExt, ResultExt};
-use tokio::time::timeout;
+use tokio::{sync::Notify, time::timeout};
 
-use crate::error::{MalformedSnafu, PlatformError, RateLimitedSnafu, RequestSnafu, TooLargeSnafu};
+use crate::error::{
+    InformationalSnafu, MalformedSnafu, PlatformError, RateLimitedSnafu, RequestSnafu,
+    TooLargeSnafu,
+};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const STATUS_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum size of a status response, which lists the loaded models.
 pub(crate) const MAX_STATUS_BYTES: usize = 64 << 10;
+/// Maximum number of informational responses before a response. The HTTP library skips any number of them.
+const MAX_INFORMATIONAL: u32 = 8;
 const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(250);
 /// Header with the retry delay in milliseconds, preferred because `Retry-After` only allows whole seconds.
@@ -130,9 +143,21 @@
         for (name, value) in headers {
             builder = builder.header(*name, *value);
         }
-        let request = builder.body(body).context(RequestSnafu)?;
-        let response = self.client.request(request).await.map_err(|error| self.classify(error))?;
-        Ok(read_response(response))
+        let mut request = builder.body(body).context(RequestSnafu)?;
+        let flooded = Arc::new(Notify::new());
+        let (notify, count) = (flooded.clone(), AtomicU32::new(0));
+        on_informational(&mut request, move |_| {
+            if count.fetch_add(1, Ordering::Relaxed) >= MAX_INFORMATIONAL {
+                notify.notify_one();
+            }
+        });
+        let response = tokio::select! {
+            response = self.client.request(request) => response,
+            () = flooded.notified() => {
+                return InformationalSnafu { limit: MAX_INFORMATIONAL }.fail();
+            }
+        };
+        Ok(read_response(response.map_err(|error| self.classify(error))?))
     }
 
     fn classify(&self, error: hyper_util::client::legacy::Error) -> PlatformError {
