Confirm that the upstream runs if a body ends with its connection

A body with neither a length nor chunks ends with its connection. If the upstream crashed in the middle, the entry took what had arrived for the whole body, for plain services as it did for streams. It now counts as incomplete if the upstream does not accept connections right after it: an idempotent request is sent elsewhere, any other one ends with 502.

--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -259,7 +259,14 @@
             };
             return AttemptResult::Stream(head, stream);
         }
-        let Some(body) = self.collect_body(head.status, body, sent_at).await else {
+        let body = match self.collect_body(head.status, body, sent_at).await {
+            // The connection of an upstream that crashed ends like that of one that sent a complete response.
+            Some(_) if !is_framed && !shared.pool.accepts_connections(upstream.address).await => {
+                None
+            }
+            body => body,
+        };
+        let Some(body) = body else {
             info!(
                 "event=answer_incomplete request={} upstream={} status={} framed={is_framed}",
                 self.meta.id,
