Do not start a stream again whose last event has no id

A stream that broke off was resumed after the last id that was known, or from the start if there was none, although the caller already had later events: it got them twice. Such a stream now counts as broken.

--- a/crates/gateway/src/entry/relay.rs
+++ b/crates/gateway/src/entry/relay.rs
@@ -82,8 +82,8 @@
             let end = end_of_events(&self.partial, false)?;
             self.partial.split_to(end).freeze()
         };
-        if let Some(id) = last_event_id(&complete) {
-            self.last_id = Some(id);
+        if has_content(&complete) {
+            self.last_id = last_event_id(&complete);
         }
         Some(complete)
     }
@@ -104,7 +104,7 @@
         (is_complete || !has_content(&self.partial)).then(|| self.partial.split().freeze())
     }
 
-    /// Id of the last complete event.
+    /// Id of the last complete event; `None` if there is no event or that one has no id.
     pub(crate) fn last_id(&self) -> Option<&CompactString> {
         self.last_id.as_ref()
     }
@@ -139,10 +139,23 @@
     lines.into_iter().any(|line| !line.is_empty() && !line.starts_with(b":"))
 }
 
+/// Id of the last event; `None` if that has none. Comments are skipped.
 fn last_event_id(events: &[u8]) -> Option<CompactString> {
-    let line = events.split(|byte| *byte == b'\n').rev().find(|line| line.starts_with(b"id:"))?;
-    let text = std::str::from_utf8(&line[3..]).ok()?;
-    Some(text.trim().into())
+    let lines = events
+        .rsplit(|byte| *byte == b'\n')
+        .flat_map(|line| line.strip_suffix(b"\r").unwrap_or(line).rsplit(|byte| *byte == b'\r'));
+    let mut has_fields = false;
+    for line in lines {
+        match line {
+            [] if has_fields => return None,
+            [] | [b':', ..] => {}
+            [b'i', b'd', b':', id @ ..] => {
+                return Some(std::str::from_utf8(id).ok()?.trim().into());
+            }
+            _ => has_fields = true,
+        }
+    }
+    None
 }
 
 /// Response that is still being received from an upstream.
@@ -236,7 +249,7 @@
             after.as_deref().unwrap_or("none"),
             is_framed
         );
-        if !self.request.may_resume() {
+        if !self.may_resume() {
             self.request.log_end("broken", None);
             return Err(RelayError::Broken);
         }
@@ -245,6 +258,12 @@
         Ok(())
     }
 
+    /// True if the stream may be resumed. After an event without an id, another upstream would repeat events.
+    fn may_resume(&self) -> bool {
+        let has_position = !self.has_events || self.splitter.last_id().is_some();
+        has_position && self.request.may_resume()
+    }
+
     fn take_stream(&mut self) -> Option<OpenStream> {
         match std::mem::replace(&mut self.state, RelayState::Ended) {
             RelayState::Reading(stream) | RelayState::Confirming(stream, _) => Some(stream),
@@ -336,7 +355,7 @@
                         return Poll::Ready(None);
                     }
                     let is_stalled = self.last_event.elapsed() >= self.stall_timeout;
-                    if is_stalled && self.request.may_resume() && self.request.has_alternative() {
+                    if is_stalled && self.may_resume() && self.request.has_alternative() {
                         self.abandon_upstream("stalled")?;
                         return Poll::Ready(None);
                     }
