Follow a store that is restored from a copy

The platform's store may come back from a copy some seconds old. Its revisions go back and are given out again; it counts this in the header Store-Era. Everything here was ordered by revision alone: entries ignored the older store for good, and asked for a listing and a watch in turn without a pause, because the watch was refused with 410.

A revision is now the era times 10^12 plus the store's revision. A watch whose response is of a later era lists everything again, after a pause. What the copy lacks stays in force until it is written again: versions of configurations and weights never go back, upstreams have the time to register again, those that were leaving stay unused, and evacuations stay as they were for 10 s. A process that starts right after a restore knows only the copy until then.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,20 +5,22 @@
 //! than once. Merging does no I/O, so that stale, repeated and undecodable items can be tested in isolation.
 
 mod declared;
+mod era;
+mod item;
 mod period;
 mod record;
 mod state;
 mod view;
 
 pub use crate::{
+    era::{StoreEra, era_and_number, revision_in},
+    item::{DecodeItem, FleetChange, ItemError, ItemKey, ItemSource, ItemValue, RawItem},
     period::{ReceivePeriod, WAIT_CHECK_INTERVAL, WatchTimer},
     record::{
         ClientLimits, EngineCosts, EngineModel, EngineRecord, LoadedWeights, OriginRecord,
         RetryPolicy, RouteBackend, RouteRecord, RoutingConfig, ServiceRecord, TeamRecord,
         UpstreamRecord, WeightsVersion,
     },
-    state::{
-        DecodeItem, FleetChange, FleetState, ItemError, ItemKey, ItemSource, ItemValue, RawItem,
-    },
+    state::FleetState,
     view::{FleetView, RouteMatch, RoutingIndex, WeightsLimits, WeightsState},
 };
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -8,113 +8,22 @@
     time::{Duration, Instant},
 };
 
-use base::{DataCentreId, ModelId, Revision};
+use base::{ModelId, Revision};
 use bytes::Bytes;
-use compact_str::CompactString;
-use snafu::Snafu;
 
 use crate::{
     declared::{DeclaredVersions, MissedChanges},
+    era::{HeldValue, KnownItem, REGISTRATION_GRACE, StoreEra, era_and_number, held_after_restore},
+    item::{DecodeItem, FleetChange, ItemKey, ItemSource, ItemValue, RawItem},
     period::ReceivePeriod,
     record::{RoutingConfig, UpstreamRecord, WeightsVersion},
     view::{FleetView, RoutingIndex},
 };
 
-/// Key of an item in the platform's store.
-pub type ItemKey = CompactString;
-
 /// Maximum number of tombstones. A peer that is further behind than the oldest one receives a snapshot.
 const MAX_TOMBSTONES: usize = 4_096;
 /// Shortest suspension that is accounted for. Its duration is the difference of two clocks, which fluctuates slightly.
 const MIN_SUSPENSION: Duration = Duration::from_millis(5);
-/// Period after an outage of the store in which upstreams with expired registrations register again: about 2 s as
-/// specified by the platform, plus the delay of the watch.
-const REGISTRATION_GRACE: Duration = Duration::from_millis(2_400);
-
-/// An item as it is stored, before decoding.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct RawItem {
-    /// Key under which the item is stored.
-    pub key: ItemKey,
-    /// Stored bytes; `None` if the item was removed.
-    pub value: Option<Bytes>,
-    /// Revision of the last change.
-    pub revision: Revision,
-    /// Time since the change was first observed; `None` if no process observed it.
-    pub age: Option<Duration>,
-}
-
-/// A decoded item.
-#[derive(Clone, Debug, PartialEq)]
-pub enum ItemValue {
-    /// The routing configuration in force.
-    Routing(Arc<RoutingConfig>),
-    /// A data centre whose upstreams must not receive new requests.
-    Evacuated(DataCentreId),
-    /// The version of a model's weights that all upstreams have to load.
-    Declared {
-        /// Model to which the weights belong.
-        model: ModelId,
-        /// Version to load.
-        version: WeightsVersion,
-    },
-    /// A registered upstream.
-    Upstream(Arc<UpstreamRecord>),
-    /// Any other item; it is ignored.
-    Other,
-}
-
-/// Error of an item that cannot be decoded.
-#[derive(Debug, Snafu)]
-#[snafu(display("{reason}"))]
-pub struct ItemError {
-    /// Description of the error in the value.
-    pub reason: String,
-}
-
-impl ItemError {
-    /// Creates an error with the reason as its message.
-    pub fn new(reason: impl Into<String>) -> Self {
-        Self { reason: reason.into() }
-    }
-}
-
-/// Decodes the items in the platform's store.
-pub trait DecodeItem: Send + Sync {
-    /// Decodes one item.
-    ///
-    /// # Errors
-    /// Fails if the value does not have the format that the key requires.
-    fn decode(&self, key: &str, value: &Bytes) -> Result<ItemValue, ItemError>;
-}
-
-/// How an item was received.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum ItemSource {
-    /// As a change at the time it happened.
-    Change,
-    /// From another process, as its latest change; changes before it may be missing.
-    Relayed,
-    /// In a listing of the current items; the time of its last change is not known.
-    Listing,
-}
-
-/// Change that an applied item made.
-#[derive(Debug)]
-pub struct FleetChange {
-    /// Key of the item.
-    pub key: ItemKey,
-    /// Revision of the item.
-    pub revision: Revision,
-    /// Previous content; `None` if the item is new, was removed or could not be decoded.
-    pub before: Option<ItemValue>,
-    /// New content; `None` if the item is removed or cannot be decoded.
-    pub after: Option<ItemValue>,
-    /// Set if the item cannot be decoded.
-    pub error: Option<ItemError>,
-    /// Time since the change was made, as far as this process knows; `None` if it was only found in a listing.
-    pub age: Option<Duration>,
-}
 
 #[derive(Debug)]
 struct ItemState {
@@ -123,8 +32,35 @@
     decoded: Option<ItemValue>,
     /// Time at which the change was observed; `None` if the item was only found in a listing.
     changed: Option<Instant>,
-    /// An upstream that was removed around an outage of the store, and the time until which it may register again.
-    lapsed: Option<(Arc<UpstreamRecord>, Instant)>,
+    /// Value in force instead of the stored one, because the store was unavailable or has been restored from a copy.
+    held: Option<HeldValue>,
+    /// Upstream that was registered before the item was removed.
+    removed: Option<Arc<UpstreamRecord>>,
+}
+
+impl ItemState {
+    /// Value in force; `None` if the item counts as removed or cannot be decoded.
+    fn in_force(&self) -> Option<&ItemValue> {
+        match &self.held {
+            Some(held) => held.value.as_ref(),
+            None => self.decoded.as_ref(),
+        }
+    }
+
+    /// Upstream that was registered last, if the item is removed now.
+    fn removed_upstream(&self) -> Option<Arc<UpstreamRecord>> {
+        match &self.decoded {
+            Some(ItemValue::Upstream(record)) => Some(record.clone()),
+            _ => self.removed.clone(),
+        }
+    }
+
+    fn known(&self) -> KnownItem<'_> {
+        match self.in_force() {
+            Some(value) => KnownItem::Present(value),
+            None => KnownItem::Removed(self.removed.as_deref()),
+        }
+    }
 }
 
 /// State of the fleet as one process knows it.
@@ -144,8 +80,8 @@
     head: Revision,
     /// Last time at which the store was unavailable.
     unavailable_at: Option<Instant>,
-    /// Lookup tables of the configuration in force.
-    routing: Option<Arc<RoutingIndex>>,
+    /// Lookup tables of the configuration in force, and the era of the store in which it was received.
+    routing: Option<(Arc<RoutingIndex>, StoreEra)>,
 }
 
 impl FleetState {
@@ -228,16 +164,31 @@
             };
             self.declared.record(model, *version, changed, period, missed);
         }
+        let (era, _) = era_and_number(item.revision);
+        if let Some(ItemValue::Routing(config)) = &decoded
+            && self.is_outdated_copy(config, era)
+        {
+            return self.keep_routing(item, period.end);
+        }
         let before = self.items.remove(&item.key);
-        let lapsed =
-            before.as_ref().and_then(|before| self.lapsed_registration(before, &item, now));
+        let held = before.as_ref().and_then(|before| self.lapsed_registration(before, &item, now));
+        let removed = match (&decoded, &before) {
+            (None, Some(before)) => before.removed_upstream(),
+            _ => None,
+        };
         let before = before.and_then(|before| before.decoded);
         match (&before, &decoded) {
             (_, Some(ItemValue::Routing(config))) => {
-                self.routing = Some(Arc::new(RoutingIndex::new(config.clone())));
+                self.routing = Some((Arc::new(RoutingIndex::new(config.clone())), era));
             }
             // A configuration that cannot be decoded leaves the previous one in force.
-            (Some(ItemValue::Routing(_)), None) if item.value.is_none() => self.routing = None,
+            // The same holds for one that a restored store has lost.
+            (Some(ItemValue::Routing(_)), None)
+                if item.value.is_none()
+                    && self.routing.as_ref().is_some_and(|(_, known)| *known == era) =>
+            {
+                self.routing = None;
+            }
             _ => {}
         }
         let change = FleetChange {
@@ -248,8 +199,14 @@
             error,
             age: changed.map(|changed| now.saturating_duration_since(changed)),
         };
-        let state =
-            ItemState { revision: item.revision, value: item.value, decoded, changed, lapsed };
+        let state = ItemState {
+            revision: item.revision,
+            value: item.value,
+            decoded,
+            changed,
+            held,
+            removed,
+        };
         self.items.insert(item.key, state);
         self.drop_oldest_tombstone();
         Some(change)
@@ -267,6 +224,11 @@
         if self.as_of.is_some_and(|known| known > as_of) {
             return Vec::new();
         }
+        let is_restored =
+            self.as_of.is_some_and(|known| era_and_number(known).0 < era_and_number(as_of).0);
+        if is_restored {
+            self.unavailable_at = Some(period.end);
+        }
         let listed: HashSet<ItemKey> = items.iter().map(|item| item.key.clone()).collect();
         let unlisted: Vec<ItemKey> = self
             .items
@@ -286,13 +248,66 @@
             .into_iter()
             .map(|item| (item, ItemSource::Listing))
             .chain(removals.map(|item| (item, ItemSource::Change)))
-            .filter_map(|(item, source)| self.apply(item, source, decoder, period))
+            .filter_map(|(item, source)| {
+                if is_restored {
+                    self.apply_copy(item, source, decoder, period)
+                } else {
+                    self.apply(item, source, decoder, period)
+                }
+            })
             .collect();
         self.tombstone_floor = self.tombstone_floor.max(as_of);
         self.advance(as_of);
         changes
     }
 
+    /// Applies an item of a store that has been restored from a copy, or its absence there.
+    fn apply_copy(
+        &mut self,
+        item: RawItem,
+        source: ItemSource,
+        decoder: &dyn DecodeItem,
+        period: ReceivePeriod,
+    ) -> Option<FleetChange> {
+        let key = item.key.clone();
+        let before = self.items.get(&key).map(|known| (known.value.clone(), known.changed));
+        let known = self.items.get(&key).map_or(KnownItem::Unknown, ItemState::known);
+        let listed = item.value.as_ref().and_then(|value| decoder.decode(&key, value).ok());
+        let held = held_after_restore(known, listed.as_ref(), period.end);
+        let change = self.apply(item, source, decoder, period)?;
+        let state = self.items.get_mut(&key)?;
+        state.held = held;
+        if let Some((value, changed)) = before
+            && value == state.value
+        {
+            // The copy contains the item unchanged, so its date is still known.
+            state.changed = changed;
+        }
+        Some(change)
+    }
+
+    /// True if a configuration is older than the one in force, which was received before the store was restored.
+    fn is_outdated_copy(&self, config: &RoutingConfig, era: StoreEra) -> bool {
+        self.routing.as_ref().is_some_and(|(routing, known_era)| {
+            *known_era < era && config.version < routing.config().version
+        })
+    }
+
+    /// Keeps the configuration in force under the revision of an outdated one.
+    fn keep_routing(&mut self, item: RawItem, now: Instant) -> Option<FleetChange> {
+        let state = self.items.get_mut(&item.key)?;
+        state.revision = item.revision;
+        let value = state.decoded.clone();
+        Some(FleetChange {
+            key: item.key,
+            revision: item.revision,
+            before: value.clone(),
+            after: value,
+            error: None,
+            age: state.changed.map(|changed| now.saturating_duration_since(changed)),
+        })
+    }
+
     /// Items that are missing at a peer that has received all changes up to `after`. The flag is true for a snapshot of
     /// all items, in which case the peer removes all other items.
     #[must_use]
@@ -355,12 +370,13 @@
         increase
     }
 
-    /// Drops upstreams that did not register again in time after an outage of the store; true if any was dropped.
+    /// Ends the time for which values stay in force that were not written again after an outage or a restore of the
+    /// store; true if any ended.
     pub fn remove_expired(&mut self, now: Instant) -> bool {
         let mut expired = false;
         for item in self.items.values_mut() {
-            if item.lapsed.as_ref().is_some_and(|(_, until)| *until <= now) {
-                item.lapsed = None;
+            if item.held.as_ref().is_some_and(|held| held.until <= now) {
+                item.held = None;
                 expired = true;
             }
         }
@@ -372,22 +388,19 @@
     pub fn view(&self) -> FleetView {
         let mut view = FleetView::default();
         view.revision = self.head;
-        self.routing.iter().for_each(|routing| view.set_routing(routing.clone()));
+        self.routing.iter().for_each(|(routing, _)| view.set_routing(routing.clone()));
         let mut upstreams = Vec::new();
         for item in self.items.values() {
-            match &item.decoded {
+            match item.in_force() {
                 Some(ItemValue::Evacuated(data_centre)) => {
                     view.evacuated.insert(data_centre.clone());
                 }
                 Some(ItemValue::Upstream(record)) => {
-                    upstreams.push((record.clone(), item.changed, item.revision));
-                }
-                Some(ItemValue::Declared { .. } | ItemValue::Other | ItemValue::Routing(_)) => {}
-                None => {
-                    if let Some((record, _)) = &item.lapsed {
-                        upstreams.push((record.clone(), None, item.revision));
-                    }
+                    let changed = if item.held.is_some() { None } else { item.changed };
+                    upstreams.push((record.clone(), changed, item.revision));
                 }
+                Some(ItemValue::Declared { .. } | ItemValue::Other | ItemValue::Routing(_))
+                | None => {}
             }
         }
         view.set_upstreams(newest_per_address(upstreams));
@@ -405,13 +418,14 @@
         before: &ItemState,
         item: &RawItem,
         now: Instant,
-    ) -> Option<(Arc<UpstreamRecord>, Instant)> {
+    ) -> Option<HeldValue> {
         if item.value.is_some() {
             return None;
         }
-        let Some(ItemValue::Upstream(record)) = &before.decoded else { return None };
+        let value = before.decoded.as_ref()?;
+        let ItemValue::Upstream(record) = value else { return None };
         let until = self.unavailable_at? + REGISTRATION_GRACE;
-        (!record.draining && now < until).then(|| (record.clone(), until))
+        (!record.draining && now < until).then(|| HeldValue { value: Some(value.clone()), until })
     }
 
     fn drop_oldest_tombstone(&mut self) {
--- a/crates/gateway/src/agent/shared.rs
+++ b/crates/gateway/src/agent/shared.rs
@@ -170,7 +170,7 @@
             .parse()
             .ok()
             .map(|address| (address, reply.origin_data_centre.as_str().into()));
-        *assignment = Some(AgentAssignment {
+        let mut next = AgentAssignment {
             digest: reply.digest,
             revision: reply.revision,
             weights: WeightsId { model: reply.model.as_str().into(), version: reply.version },
@@ -181,7 +181,19 @@
             chunk_bytes: reply.piece_bytes,
             origin,
             agents,
-        });
+        };
+        // Versions only increase. An entry that has started after the store was restored from a copy may not know the
+        // latest one yet.
+        if let Some(known) = assignment.as_ref().filter(|known| {
+            known.weights.model == next.weights.model
+                && known.weights.version > next.weights.version
+        }) {
+            next.weights = known.weights.clone();
+            next.declared_at = known.declared_at;
+            next.chunk_count = known.chunk_count;
+            next.chunk_bytes = known.chunk_bytes;
+        }
+        *assignment = Some(next);
         true
     }
 
--- a/crates/gateway/src/entry/store.rs
+++ b/crates/gateway/src/entry/store.rs
@@ -3,7 +3,10 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use base::rendezvous_weight;
-use fleet::{FleetChange, ItemSource, RawItem, ReceivePeriod, WAIT_CHECK_INTERVAL, WatchTimer};
+use fleet::{
+    FleetChange, ItemSource, RawItem, ReceivePeriod, WAIT_CHECK_INTERVAL, WatchTimer,
+    era_and_number,
+};
 use log::{info, warn};
 use rand::RngExt;
 use tokio::time::sleep;
@@ -93,6 +96,9 @@
                     warn!("event=store_list_failed error=\"{error}\"");
                     sleep(jittered(backoff)).await;
                     backoff = (backoff * 2).min(BACKOFF_RANGE.1);
+                } else {
+                    // Bounds the rate of requests if the store loses its history all the time.
+                    sleep(WATCH_PAUSE).await;
                 }
             }
             Err(error) => {
@@ -164,6 +170,11 @@
 ) -> bool {
     let decoder = &*shared.ports.decoder;
     let mut fleet_state = shared.fleet_state();
+    let known_era = fleet_state.as_of().map(|as_of| era_and_number(as_of).0);
+    let (era, number) = era_and_number(as_of);
+    if known_era.is_some_and(|known| known < era) {
+        warn!("event=store_restored era={era} as_of={number}");
+    }
     let changes = if source == ItemSource::Listing {
         fleet_state.apply_listing(items, as_of, decoder, period)
     } else {
--- a/crates/ports/src/http.rs
+++ b/crates/ports/src/http.rs
@@ -14,7 +14,7 @@
 use futures_util::{StreamExt, TryStreamExt, stream::BoxStream};
 use http_body_util::{BodyDataStream, BodyExt, Full, StreamBody, combinators::BoxBody};
 use hyper::{
-    Method, Request, Response, StatusCode,
+    HeaderMap, Method, Request, Response, StatusCode,
     body::{Body, Frame, Incoming},
     ext::on_informational,
     header::{CONTENT_TYPE, RETRY_AFTER, TRANSFER_ENCODING},
@@ -52,6 +52,8 @@
     pub content_type: CompactString,
     /// Requested retry delay, 250 ms unless the response states one; `None` unless the status is 429.
     pub retry_after: Option<Duration>,
+    /// All headers.
+    pub headers: HeaderMap,
     /// True if the length of the body is known or the body is chunked. Otherwise it ends with the connection, so that a
     /// truncated response cannot be distinguished from a complete one.
     pub is_delimited: bool,
@@ -188,6 +190,24 @@
         };
         timeout(time, request).await.map_err(|_| PlatformError::Timeout { limit: time })?
     }
+
+    /// Like [`HttpClient::fetch`] for a request without a body, and returns the headers instead of the status.
+    ///
+    /// # Errors
+    /// Fails as [`HttpClient::fetch`] does.
+    pub async fn fetch_headers(
+        &self,
+        path: &str,
+        limit: usize,
+        time: Duration,
+    ) -> Result<(HeaderMap, Bytes), PlatformError> {
+        let request = async {
+            let mut response = self.send(Method::GET, path, &[], Bytes::new()).await?;
+            let headers = std::mem::take(&mut response.headers);
+            Ok((headers, collect(response, limit).await?.1))
+        };
+        timeout(time, request).await.map_err(|_| PlatformError::Timeout { limit: time })?
+    }
 }
 
 impl HttpClient {
@@ -242,7 +262,9 @@
         .then(|| millis.or(seconds).unwrap_or(DEFAULT_RETRY_AFTER));
     let is_delimited = response.headers().contains_key(TRANSFER_ENCODING)
         || response.body().size_hint().exact().is_some();
-    let parts = BodyDataStream::new(response.into_body());
+    let (head, body) = response.into_parts();
+    let headers = head.headers;
+    let parts = BodyDataStream::new(body);
     let body = parts.map_err(|error| PlatformError::Broken { source: error.into() }).boxed();
-    UpstreamResponse { status, content_type, retry_after, is_delimited, body }
+    UpstreamResponse { status, content_type, retry_after, headers, is_delimited, body }
 }
