Heed upstreams that are leaving or want no requests for a while

An entry now sends a leaving upstream nothing more, and one that turns it away nothing for that time. A refused caller is told to return when the first upstream takes requests again. The status shows both.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    availability::AvailabilityTable,
     forecast::{EngineForecast, EngineLoad},
     rate_limit::{LIMIT_WINDOW, LimitChange, LimitStatement, LimitUsage, RateLimiter},
     refusal::{PlacementRefusal, RefusalCause},
@@ -117,6 +118,12 @@
     pub rate_limit: Option<f64>,
     /// Requests that this entry sent to the upstream in the last 4 s, the period in which a limit is judged.
     pub recent_sends: u32,
+    /// True if a response stated that the upstream is leaving.
+    #[serde(default)]
+    pub leaving: bool,
+    /// Time for which the upstream wants no requests from this entry.
+    #[serde(default)]
+    pub wait_time: Duration,
 }
 
 /// Result of [`LoadBalancer::choose`].
@@ -165,6 +172,8 @@
     cold: ColdLimiter,
     /// Limits that upstreams have stated.
     rate_limits: RateLimiter,
+    /// What upstreams have stated about when they take requests from this entry.
+    availability: AvailabilityTable,
     sent: SendLog,
     services: HashMap<ServiceId, ServiceState>,
     upstreams: HashMap<UpstreamId, UpstreamState>,
@@ -179,6 +188,7 @@
         Self {
             cold: ColdLimiter::new(options.shares),
             rate_limits: RateLimiter::new(),
+            availability: AvailabilityTable::default(),
             sent: SendLog::new(LIMIT_WINDOW),
             options,
             entries: 1,
@@ -228,6 +238,7 @@
         self.sent.retain(now, |upstream| upstreams.contains_key(upstream));
         let started_ms = |id: &UpstreamId| upstreams.get(id).map(|state| state.record.started_ms);
         self.rate_limits.retain(now, started_ms);
+        self.availability.retain(now, started_ms);
     }
 
     /// Sets the number of entries known to be alive, which are expected to send to the same upstreams.
@@ -278,6 +289,8 @@
             ejected: !remaining(state.ejected_until).is_zero(),
             rate_limit: self.rate_limits.limit_of(upstream),
             recent_sends: self.sent.count(upstream, LIMIT_WINDOW, now) as u32,
+            leaving: self.availability.is_leaving(upstream, state.record.started_ms),
+            wait_time: self.availability.wait_time(upstream, state.record.started_ms, now),
         }
     }
 
@@ -318,6 +331,25 @@
         self.rate_limits.record_statement(upstream, started_ms, statement, sent_at, now, rng)
     }
 
+    /// Records a response that states that its upstream is leaving, after which no request is sent there. Returns true if
+    /// that was not known.
+    pub fn record_leaving(&mut self, upstream: &UpstreamId, now: Instant) -> bool {
+        let Some(state) = self.upstreams.get(upstream) else { return false };
+        self.availability.record_leaving(upstream, state.record.started_ms, now)
+    }
+
+    /// Records a response by which its upstream asks this entry to send no requests for `retry_after`.
+    pub fn record_retry_after(
+        &mut self,
+        upstream: &UpstreamId,
+        retry_after: Duration,
+        now: Instant,
+    ) {
+        let Some(state) = self.upstreams.get(upstream) else { return };
+        let started_ms = state.record.started_ms;
+        self.availability.record_retry_after(upstream, started_ms, retry_after, now);
+    }
+
     /// Records what another entry knows and uses of the limit of an upstream. Returns the change of what this entry
     /// knows, if there is one. Reports about other processes of the upstream than the listed one are ignored.
     pub fn record_limit_usage(
@@ -370,11 +402,17 @@
         let mut candidates: Vec<&UpstreamId> = Vec::with_capacity(service.upstreams.len());
         let mut ejected: Vec<&UpstreamId> = Vec::new();
         let mut limited: Vec<&UpstreamId> = Vec::new();
+        let mut shortest_wait: Option<Duration> = None;
         for id in &service.upstreams {
             let Some(state) = self.upstreams.get(id) else { continue };
             if !self.is_usable(state, service, request, now) {
                 continue;
             }
+            let wait = self.availability.wait_time(id, state.record.started_ms, now);
+            if !wait.is_zero() {
+                shortest_wait = Some(shortest_wait.map_or(wait, |shortest| shortest.min(wait)));
+                continue;
+            }
             let is_limited_by_cold = cold_rate > 0.0
                 && !state.cold_for(now).is_zero()
                 && !self.cold.may_send(id, cold_rate, &self.sent, now, rng);
@@ -393,7 +431,13 @@
             candidates = ejected;
         }
         if candidates.is_empty() && limited.is_empty() {
-            return Placement::refuse(cause, rng);
+            return match shortest_wait {
+                Some(wait) if cause == RefusalCause::NoUpstream => {
+                    let refusal = PlacementRefusal::new(RefusalCause::BackingOff, rng);
+                    Placement::Refused(refusal.with_wait(wait))
+                }
+                _ => Placement::refuse(cause, rng),
+            };
         }
         let (placement, withheld) = self.pick(request, service, candidates, limited, now, rng);
         if let Some(upstream) = withheld {
@@ -530,6 +574,7 @@
     ) -> bool {
         let record = &state.record;
         if record.draining
+            || self.availability.is_leaving(&record.upstream, record.started_ms)
             || self.evacuated.contains(&record.data_centre)
             || request.tried.contains(&record.upstream)
         {
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -4,6 +4,7 @@
 //! therefore divided into one share per entry, so that they hold even if the entries cannot reach one another.
 
 mod attempt;
+mod availability;
 mod balancer;
 mod crash;
 mod duration;
--- a/crates/balance/src/refusal.rs
+++ b/crates/balance/src/refusal.rs
@@ -22,6 +22,8 @@
     Overloaded,
     /// Only cold upstreams are left, and this entry has used up its share of what each of them tolerates.
     Cold,
+    /// Only upstreams are left that want no requests for a while.
+    BackingOff,
     /// Only upstreams with a stated limit are left, and this entry has used up its share of each.
     RateLimited,
 }
@@ -34,6 +36,7 @@
             Self::NoUpstream => "no_upstream",
             Self::Overloaded => "overloaded",
             Self::Cold => "cold",
+            Self::BackingOff => "backing_off",
             Self::RateLimited => "rate_limited",
         }
     }
@@ -53,11 +56,21 @@
     pub(crate) fn new(cause: RefusalCause, rng: &mut impl Rng) -> Self {
         let (shortest, longest) = match cause {
             RefusalCause::NoUpstream => NO_UPSTREAM_RETRY_AFTER_RANGE,
-            RefusalCause::Overloaded | RefusalCause::Cold | RefusalCause::RateLimited => {
-                RETRY_AFTER_RANGE
-            }
+            RefusalCause::Overloaded
+            | RefusalCause::Cold
+            | RefusalCause::BackingOff
+            | RefusalCause::RateLimited => RETRY_AFTER_RANGE,
         };
         let retry_after = rng.random_range(shortest..longest);
         Self { cause, retry_after }
     }
+
+    /// Extends the retry delay by `wait`, after which the first upstream takes requests again. The random part still
+    /// spreads the callers out.
+    pub(crate) fn with_wait(self, wait: Duration) -> Self {
+        Self {
+            retry_after: self.retry_after.max(wait + self.retry_after - RETRY_AFTER_RANGE.0),
+            ..self
+        }
+    }
 }
--- a/crates/balance/tests/board.rs
+++ b/crates/balance/tests/board.rs
@@ -400,3 +400,58 @@
     board.balancer.set_view(&board.view, board.now);
     assert_eq!(board.balancer.load_of("u0", board.now).cold_for, Duration::from_secs(3));
 }
+
+/// Chosen upstream, or the cause and the retry delay of the refusal.
+fn placed(fixture: &mut PlacementFixture) -> Result<UpstreamId, (RefusalCause, Duration)> {
+    match fixture.choose(|_| {}) {
+        Placement::Upstream { record, .. } => Ok(record.upstream.clone()),
+        Placement::Refused(refusal) => Err((refusal.cause, refusal.retry_after)),
+    }
+}
+
+/// Guards against requests to an upstream that has stated that it is leaving, also if its registration expires and
+/// returns, and against one that stays unused after it has started again.
+#[test]
+fn leaving_upstream_gets_no_requests_until_it_has_started_again() {
+    let mut fixture = PlacementFixture::new(2);
+    let now = fixture.now;
+    assert!(fixture.balancer.record_leaving(&name(0), now));
+    assert!(!fixture.balancer.record_leaving(&name(0), now));
+    let records: Vec<_> = fixture.view.upstreams().cloned().collect();
+    let expired = records.iter().filter(|(record, _)| record.upstream != name(0)).cloned();
+    fixture.view.set_upstreams(expired.collect());
+    fixture.balancer.set_view(&fixture.view, now);
+    fixture.now += Duration::from_secs(30);
+    fixture.view.set_upstreams(records);
+    fixture.balancer.set_view(&fixture.view, fixture.now);
+    for _ in 0..50 {
+        assert_eq!(placed(&mut fixture), Ok(name(1)));
+    }
+    fixture.change(1, |record| record.draining = true);
+    assert!(matches!(placed(&mut fixture), Err((RefusalCause::NoUpstream, _))));
+    fixture.change(0, |record| record.started_ms += 1);
+    assert_eq!(placed(&mut fixture), Ok(name(0)));
+}
+
+/// Guards against requests to an upstream before the time that it has asked for, a shorter request that ends a longer
+/// one, and a retry delay for callers that ends before any upstream takes requests.
+#[test]
+fn upstream_gets_no_requests_for_the_time_that_it_asks_for() {
+    let mut fixture = PlacementFixture::new(2);
+    let now = fixture.now;
+    fixture.balancer.record_retry_after(&name(0), Duration::from_secs(6), now);
+    fixture.balancer.record_retry_after(&name(0), Duration::from_secs(1), now);
+    fixture.now += Duration::from_secs(2);
+    for _ in 0..50 {
+        assert_eq!(placed(&mut fixture), Ok(name(1)));
+    }
+    fixture.balancer.record_retry_after(&name(1), Duration::from_secs(5), fixture.now);
+    for _ in 0..50 {
+        let Err((cause, retry_after)) = placed(&mut fixture) else { panic!("none takes requests") };
+        assert_eq!(cause, RefusalCause::BackingOff);
+        let range = Duration::from_secs(4)..Duration::from_millis(5_200);
+        assert!(range.contains(&retry_after), "{retry_after:?}");
+    }
+    fixture.now = now + Duration::from_millis(6_001);
+    assert_eq!(placed(&mut fixture), Ok(name(0)));
+}
--- a/crates/cli/src/commands/status.rs
+++ b/crates/cli/src/commands/status.rs
@@ -108,9 +108,15 @@
         if upstream.draining {
             line.push_str(" draining");
         }
+        if upstream.leaving {
+            line.push_str(" leaving");
+        }
         if upstream.suspended {
             line.push_str(" suspended");
         }
+        if upstream.wait_ms > 0 {
+            line.push_str(&format!(" takes nothing for {} ms", upstream.wait_ms));
+        }
         if let Some(limit) = upstream.rate_limit {
             let sent = upstream.recent_sends;
             line.push_str(&format!(" limit {limit:.1}/s, {sent} sent in 4 s"));
--- a/crates/cli/tests/output.rs
+++ b/crates/cli/tests/output.rs
@@ -71,6 +71,8 @@
         suspended: false,
         rate_limit: (!draining).then_some(2.3),
         recent_sends: 9,
+        leaving: draining,
+        wait_ms: cold_ms,
     };
     let status = EntryStatus {
         name: "front-1".into(),
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -313,6 +313,17 @@
         if let Some(cold_for) = meta.cold_for {
             balancer.record_cold(upstream, cold_for, now);
         }
+        if meta.leaving && balancer.record_leaving(upstream, now) {
+            info!("event=upstream_leaving upstream={upstream} request={}", self.meta.id);
+        }
+        if let Some(retry_after) = meta.retry_after {
+            balancer.record_retry_after(upstream, retry_after, now);
+            info!(
+                "event=upstream_backing_off upstream={upstream} request={} retry_after_ms={}",
+                self.meta.id,
+                retry_after.as_millis()
+            );
+        }
         if meta.rate_limit == LimitStatement::Absent && !meta.signed {
             return;
         }
--- a/crates/gateway/src/entry/status.rs
+++ b/crates/gateway/src/entry/status.rs
@@ -62,6 +62,12 @@
     pub rate_limit: Option<f64>,
     /// Requests that this entry sent to the upstream in the last 4 s.
     pub recent_sends: u32,
+    /// True if a response stated that the upstream is leaving.
+    #[serde(default)]
+    pub leaving: bool,
+    /// Milliseconds for which the upstream wants no requests from this entry.
+    #[serde(default)]
+    pub wait_ms: u64,
 }
 
 /// Builds the status of the entry.
@@ -102,6 +108,8 @@
                 suspended: load.ejected,
                 rate_limit: load.rate_limit,
                 recent_sends: load.recent_sends,
+                leaving: load.leaving,
+                wait_ms: millis(load.wait_time),
             }
         })
         .collect();
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -72,6 +72,13 @@
     pub cold_for: Option<Duration>,
     /// Limit of the upstream for the requests of all entries together.
     pub rate_limit: LimitStatement,
+    /// The upstream is leaving, and takes no further requests after a while.
+    #[serde(default)]
+    pub leaving: bool,
+    /// Time for which the upstream wants no requests from this entry; `None` unless it refused the request for that
+    /// time.
+    #[serde(default)]
+    pub retry_after: Option<Duration>,
     /// Idle timeout of the connection at the upstream; `None` if the upstream states none.
     #[serde(rename = "keep_idle")]
     pub keep_alive: Option<Duration>,
