Accept an empty rest of a stream that its caller resumes

A caller may resume a stream itself after its last event; the response is then empty. The position of the caller now counts like one that the entry has seen, also if the stream is resumed at another upstream. The id of an event that is complete only at the end of the body counts as well.

--- a/crates/gateway/src/entry/relay.rs
+++ b/crates/gateway/src/entry/relay.rs
@@ -100,8 +100,13 @@
 
     /// Takes the remaining bytes at the end of the stream; `None` if they are a part of an event.
     pub(crate) fn take_rest(&mut self) -> Option<Bytes> {
-        let is_complete = end_of_events(&self.partial, true) == Some(self.partial.len());
-        (is_complete || !has_content(&self.partial)).then(|| self.partial.split().freeze())
+        if has_content(&self.partial) {
+            if end_of_events(&self.partial, true) != Some(self.partial.len()) {
+                return None;
+            }
+            self.last_id = last_event_id(&self.partial);
+        }
+        Some(self.partial.split().freeze())
     }
 
     /// Id of the last complete event; `None` if there is no event or that one has no id.
@@ -191,7 +196,7 @@
     timer: Pin<Box<Sleep>>,
     deadline: Instant,
     last_event: Instant,
-    /// True once an event with content has been passed on.
+    /// True once the caller has received an event with content.
     has_events: bool,
     /// Number of bytes received from all upstreams.
     received: usize,
@@ -211,15 +216,18 @@
         let deadline = Instant::from_std(request.deadline);
         let stall_timeout = (gap * STALL_GAP_FACTOR).max(MIN_STALL_TIMEOUT);
         let first_check = stream.cancel_at.unwrap_or(deadline).min(now + stall_timeout);
+        // A caller that resumes a stream may have received all of its events.
+        let last_id = request.meta.resume_after.clone();
+        let has_events = last_id.is_some();
         Self {
             request,
             state: RelayState::Reading(stream),
-            splitter: EventSplitter::default(),
+            splitter: EventSplitter { last_id, ..EventSplitter::default() },
             stall_timeout,
             timer: Box::pin(sleep_until(deadline.min(first_check))),
             deadline,
             last_event: now,
-            has_events: false,
+            has_events,
             received: 0,
             without_event: 0,
             _in_flight: in_flight,
@@ -277,13 +285,13 @@
             self.abandon_upstream(EVENT_INCOMPLETE)?;
             return Ok(None);
         };
-        let has_events = self.has_events || has_content(&rest);
+        self.has_events |= has_content(&rest);
         match self.take_stream() {
             Some(stream) if stream.is_framed => {
                 self.state = RelayState::Reading(stream);
                 self.finish();
             }
-            Some(stream) if !has_events => {
+            Some(stream) if !self.has_events => {
                 self.state = RelayState::Reading(stream);
                 self.abandon_upstream(NO_EVENTS)?;
             }
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -30,6 +30,9 @@
     pub key: Option<CompactString>,
     /// Requested model; `None` if the request names none.
     pub model: Option<ModelId>,
+    /// Last event that the caller has received, if it resumes a stream itself.
+    #[serde(default)]
+    pub resume_after: Option<CompactString>,
     /// Number of tokens in the prompt.
     pub prompt_tokens: u32,
     /// Maximum number of tokens in the response.
