--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -8,13 +8,13 @@
 };
 
 use base::{DataCentreId, RegionId, ServiceId, UpstreamId};
-use fleet::{FleetView, ServiceRecord, UpstreamRecord, WeightsLimits, WeightsVersion};
+use fleet::{FleetView, ServiceRecord, UpstreamRecord};
 use rand::{Rng, RngExt, seq::SliceRandom};
-use serde::{Deserialize, Serialize};
 
 use crate::{
     availability::AvailabilityTable,
     forecast::{EngineForecast, EngineLoad},
+    placement::{Placement, PlacementRequest, UpstreamLoad},
     rate_limit::{LIMIT_WINDOW, LimitChange, LimitStatement, LimitUsage, RateLimiter},
     refusal::{PlacementRefusal, RefusalCause},
     send_log::SendLog,
@@ -75,85 +75,6 @@
     pub shares: SharedLimits,
 }
 
-/// Properties of a request that determine the choice of its upstream.
-#[derive(Clone, Debug)]
-pub struct PlacementRequest<'a> {
-    /// Service that the request is for.
-    pub service: &'a ServiceId,
-    /// Number of prompt tokens; 0 for services without engines.
-    pub prompt_tokens: u32,
-    /// Regions that may serve the request according to its route and its team. An empty list allows every region.
-    pub allowed_regions: [&'a [RegionId]; 2],
-    /// Upstreams that were already tried for this request.
-    pub tried: &'a [UpstreamId],
-    /// Limits for the use of outdated weights; `None` if any version may serve the request.
-    pub weights: Option<WeightsLimits<'a>>,
-    /// Time left until the first event is late; `None` if it is already late.
-    pub time_to_target: Option<Duration>,
-    /// True for a request that was already accepted and is resumed at another upstream. It is never refused because of
-    /// load.
-    pub is_resumed: bool,
-}
-
-impl PlacementRequest<'_> {
-    /// Time for which requests may still begin to run at the upstream; `None` if its weights are not outdated.
-    fn time_left(&self, state: &UpstreamState, now: Instant) -> Option<Duration> {
-        self.weights?.time_left(state.version(now)?, now)
-    }
-}
-
-/// Load of an upstream as this entry knows it.
-#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
-pub struct UpstreamLoad {
-    /// Last report of the upstream's agent; `None` if there is none or it is stale.
-    pub report: Option<AgentReport>,
-    /// Requests that this entry has in flight at the upstream.
-    pub in_flight: u32,
-    /// Time until the upstream is no longer cold.
-    pub cold_for: Duration,
-    /// True if the upstream is ejected because of recent failures.
-    #[serde(rename = "suspended")]
-    pub ejected: bool,
-    /// Requests per second that the upstream takes from all entries together; `None` if it has stated no limit.
-    pub rate_limit: Option<f64>,
-    /// Requests that this entry sent to the upstream in the last 4 s, the period in which a limit is judged.
-    pub recent_sends: u32,
-    /// True if a response stated that the upstream is leaving.
-    #[serde(default)]
-    pub leaving: bool,
-    /// Time for which the upstream wants no requests from this entry.
-    #[serde(default)]
-    pub wait_time: Duration,
-}
-
-/// Result of [`LoadBalancer::choose`].
-#[derive(Clone, Debug)]
-pub enum Placement {
-    /// Send the request to this upstream.
-    Upstream {
-        /// Address and properties of the upstream.
-        record: Arc<UpstreamRecord>,
-        /// Predicted time until the response, or until the first event of a stream.
-        delay: Duration,
-        /// Version of the weights that the upstream has loaded; `None` if it serves no model.
-        version: Option<WeightsVersion>,
-        /// Time at which the request must be cancelled if the upstream has not begun to run it, because the weights are
-        /// then outdated; `None` if no newer version is declared.
-        cancel_at: Option<Instant>,
-        /// Version that the upstream must still have when the request arrives; `None` if it may load a newer one until
-        /// then, which may also serve the request.
-        expected_version: Option<WeightsVersion>,
-    },
-    /// Refuse the request.
-    Refused(PlacementRefusal),
-}
-
-impl Placement {
-    fn refuse(cause: RefusalCause, rng: &mut impl Rng) -> Self {
-        Self::Refused(PlacementRefusal::new(cause, rng))
-    }
-}
-
 #[derive(Debug)]
 struct ServiceState {
     record: Arc<ServiceRecord>,
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -9,6 +9,7 @@
 mod crash;
 mod duration;
 mod forecast;
+mod placement;
 mod rate_limit;
 mod refusal;
 mod send_log;
@@ -17,10 +18,11 @@
 
 pub use crate::{
     attempt::{AttemptEnd, AttemptLog, FinalStatus},
-    balancer::{LoadBalancer, LoadBalancerOptions, Placement, PlacementRequest, UpstreamLoad},
+    balancer::{LoadBalancer, LoadBalancerOptions},
     crash::{CrashDetector, fingerprint_of},
     duration::DurationTracker,
     forecast::{EngineForecast, EngineLoad},
+    placement::{Placement, PlacementRequest, UpstreamLoad},
     rate_limit::{LimitChange, LimitStatement, LimitUsage},
     refusal::{PlacementRefusal, RefusalCause},
     send_log::SendLog,
