Date changes by the head of a response, not by its end

Cause: an entry that does not follow the store closely paused 1.8 s after a change. The next watch was answered at once, but the response contained a configuration of 1,040 routes and took more than 100 ms to arrive. The check after 100 ms counted the watch as waiting at the time of its request, so a declaration made 0.8 s before the request was dated 0.2 s before it (front-dakar-plateau-4: age 331 ms, the other entries 0.8 to 1.4 s at the same time). Ruled out: the predicted wait at the engine. The request was sent 98 ms before the bound, which no prediction allows with the right date. Change: a watch counts as waiting from 200 ms after its request, and until the head of the response arrived. Test: response_that_arrives_slowly_does_not_prove_that_its_watch_was_waiting, failed with the previous rule.

--- a/crates/fleet/src/period.rs
+++ b/crates/fleet/src/period.rs
@@ -35,7 +35,8 @@
 /// Determines the periods of changes that a series of watches returns.
 ///
 /// A watch returns a change at once, so a change is made after the last time at which the watch was still waiting. The
-/// time of arrival proves nothing, because this process may have been paused before it could read the response.
+/// time of arrival proves nothing, because this process may have been paused before it could read the response, and a
+/// large response takes a while to arrive.
 #[derive(Debug)]
 pub struct WatchTimer {
     /// Time after which the changes that have not been received yet were made, or the start of the last request that
@@ -46,22 +47,31 @@
     requested: Instant,
     /// Last check of the pending watch.
     last_check: Option<Instant>,
-    /// Last time at which the pending watch is known to have been waiting.
-    waiting: Option<Instant>,
+    /// Times at which the pending watch is known to have had no complete response, the latest last.
+    pending_at: Vec<Instant>,
+    /// Time at which the head of the response arrived.
+    head_at: Option<Instant>,
 }
 
 impl WatchTimer {
     /// Creates the timer of a process that starts at `now`.
     #[must_use]
     pub fn new(now: Instant) -> Self {
-        Self { earliest: now, requested: now, last_check: None, waiting: None }
+        Self {
+            earliest: now,
+            requested: now,
+            last_check: None,
+            pending_at: Vec::new(),
+            head_at: None,
+        }
     }
 
     /// Records that a watch or a listing is requested.
     pub fn record_request(&mut self, now: Instant) {
         self.requested = now;
         self.last_check = Some(now);
-        self.waiting = None;
+        self.pending_at.clear();
+        self.head_at = None;
     }
 
     /// Records that the response has not arrived. A check counts only if the next one is on time: a late one shows that
@@ -72,13 +82,28 @@
             now.saturating_duration_since(*previous) <= WAIT_CHECK_INTERVAL * 2
         };
         if let Some(previous) = previous.filter(is_on_time) {
-            self.waiting = Some(previous);
+            self.pending_at.push(previous);
         }
     }
 
+    /// Records when the head of the response arrived; without it, the response counts as arriving all at once.
+    pub fn record_response_head(&mut self, at: Instant) {
+        self.head_at = Some(at);
+    }
+
+    /// Last time at which the watch was waiting for a change, `None` if that is not known. Right after the request, a
+    /// missing response may also be on its way.
+    fn waiting_at(&self) -> Option<Instant> {
+        let answered_by = self.requested + CHANGE_DELAY;
+        let is_waiting = |at: &Instant| {
+            *at >= answered_by && self.head_at.is_none_or(|head_at| *at <= head_at)
+        };
+        self.pending_at.iter().copied().rev().find(is_waiting)
+    }
+
     /// Records the response to the watch and returns the period of its changes.
     pub fn record_watch(&mut self, now: Instant) -> ReceivePeriod {
-        if let Some(waiting) = self.waiting {
+        if let Some(waiting) = self.waiting_at() {
             self.earliest = self.earliest.max(earlier(waiting, CHANGE_DELAY));
         }
         let period = ReceivePeriod { begin: self.earliest, end: now };
@@ -108,7 +133,8 @@
     pub fn record_suspension(&mut self, suspended: Duration) {
         self.earliest = earlier(self.earliest, suspended);
         self.requested = earlier(self.requested, suspended);
-        for time in [&mut self.last_check, &mut self.waiting].into_iter().flatten() {
+        let checks = self.last_check.iter_mut().chain(&mut self.pending_at);
+        for time in checks.chain(&mut self.head_at) {
             *time = earlier(*time, suspended);
         }
     }
--- a/crates/fleet/tests/knowledge.rs
+++ b/crates/fleet/tests/knowledge.rs
@@ -249,6 +249,40 @@
     assert!(period.begin <= at(3_500), "the change may have been made during the pause");
 }
 
+/// Guards against a date that lies after the declaration: a watch that begins after a pause is answered at once, with
+/// changes from the pause, but a large configuration among them takes longer to arrive than the interval between checks.
+/// Requests then began on weights whose time limit had passed.
+#[test]
+fn response_that_arrives_slowly_does_not_prove_that_its_watch_was_waiting() {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let mut timer = WatchTimer::new(start);
+    timer.record_request(at(950));
+    timer.record_listing(at(1_000));
+    timer.record_request(at(2_800));
+    timer.record_waiting(at(2_900));
+    let period = timer.record_watch(at(2_930));
+    assert!(period.begin <= at(1_000), "the change may have been made during the pause");
+
+    // The same with a body that takes half a second.
+    let mut timer = WatchTimer::new(start);
+    timer.record_request(at(950));
+    timer.record_listing(at(1_000));
+    timer.record_request(at(2_800));
+    (1..=5).for_each(|check| timer.record_waiting(at(2_800 + check * 100)));
+    timer.record_response_head(at(2_810));
+    let period = timer.record_watch(at(3_320));
+    assert!(period.begin <= at(1_000), "the change may have been made during the pause");
+
+    // The watch was waiting until the head of the response arrived.
+    timer.record_request(at(3_400));
+    (1..=9).for_each(|check| timer.record_waiting(at(3_400 + check * 100)));
+    timer.record_response_head(at(3_910));
+    let period = timer.record_watch(at(4_320));
+    assert!(period.begin <= at(3_710), "the response takes time to arrive");
+    assert!(period.begin >= at(3_500), "the watch was still waiting");
+}
+
 /// Guards against dates that lie ever longer before the declaration while many changes arrive, because no watch waits long
 /// enough to show when it was still waiting.
 #[test]
--- a/crates/gateway/src/entry/store.rs
+++ b/crates/gateway/src/entry/store.rs
@@ -71,7 +71,11 @@
                 let has_changes = !listing.items.is_empty();
                 let (source, period) = match after {
                     None => (ItemSource::Listing, timer.record_listing(now)),
-                    Some(_) => (ItemSource::Change, timer.record_watch(now)),
+                    Some(_) => {
+                        let head_at = now.checked_sub(listing.transfer_time).unwrap_or(now);
+                        timer.record_response_head(head_at);
+                        (ItemSource::Change, timer.record_watch(now))
+                    }
                 };
                 let has_new_items =
                     apply_items(&shared, listing.items, listing.as_of, source, period);
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -172,6 +172,8 @@
     pub items: Vec<RawItem>,
     /// Revision from which to watch next. For a listing, the revision at which it began, so some items may be newer.
     pub as_of: Revision,
+    /// Time from the arrival of the head of the response, of the last page for a listing, to the arrival of its end.
+    pub transfer_time: Duration,
 }
 
 /// Reasons why a request to the store failed.
--- a/crates/ports/src/http.rs
+++ b/crates/ports/src/http.rs
@@ -6,7 +6,7 @@
         Arc,
         atomic::{AtomicU32, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::{Bytes, BytesMut};
@@ -191,7 +191,8 @@
         timeout(time, request).await.map_err(|_| PlatformError::Timeout { limit: time })?
     }
 
-    /// Like [`HttpClient::fetch`] for a request without a body, and returns the headers instead of the status.
+    /// Like [`HttpClient::fetch`] for a request without a body, and returns the headers and the transfer time instead of
+    /// the status.
     ///
     /// # Errors
     /// Fails as [`HttpClient::fetch`] does.
@@ -200,11 +201,13 @@
         path: &str,
         limit: usize,
         time: Duration,
-    ) -> Result<(HeaderMap, Bytes), PlatformError> {
+    ) -> Result<FetchedResponse, PlatformError> {
         let request = async {
             let mut response = self.send(Method::GET, path, &[], Bytes::new()).await?;
+            let head_at = Instant::now();
             let headers = std::mem::take(&mut response.headers);
-            Ok((headers, collect(response, limit).await?.1))
+            let body = collect(response, limit).await?.1;
+            Ok(FetchedResponse { headers, body, transfer_time: head_at.elapsed() })
         };
         timeout(time, request).await.map_err(|_| PlatformError::Timeout { limit: time })?
     }
@@ -221,6 +224,17 @@
     }
 }
 
+/// A successful response and the time that it took to arrive.
+#[derive(Clone, Debug)]
+pub struct FetchedResponse {
+    /// Headers of the response.
+    pub headers: HeaderMap,
+    /// Complete body.
+    pub body: Bytes,
+    /// Time from the arrival of the head to the arrival of the end of the body.
+    pub transfer_time: Duration,
+}
+
 /// Collects the body of a successful response. Any other status except 304 results in an error.
 pub(crate) async fn collect(
     response: UpstreamResponse,
