Let two entries of each region follow the store

Cause: a configuration of 1,040 routes was sent by the store to each of 40 entries, across links of 21 Mbit/s between regions, after each change; the links were full for seconds. Change: two entries of each region follow the store, and the others take changes from an entry of their region. Heartbeats state the age of the store's last response and of the sender's state. Without a confirmation for 2.25 s an entry queries the store itself. Contacts go to the entries of the region and to eight others, and never to agents, which ignore them. During discovery as many entries are assumed as there are engines. Datagrams are counted by kind.

--- a/crates/fleet/src/period.rs
+++ b/crates/fleet/src/period.rs
@@ -95,9 +95,8 @@
     /// missing response may also be on its way.
     fn waiting_at(&self) -> Option<Instant> {
         let answered_by = self.requested + CHANGE_DELAY;
-        let is_waiting = |at: &Instant| {
-            *at >= answered_by && self.head_at.is_none_or(|head_at| *at <= head_at)
-        };
+        let is_waiting =
+            |at: &Instant| *at >= answered_by && self.head_at.is_none_or(|head_at| *at <= head_at);
         self.pending_at.iter().copied().rev().find(is_waiting)
     }
 
@@ -118,6 +117,11 @@
         ReceivePeriod { begin: self.requested, end: now }
     }
 
+    /// Records that all changes made before `at` have been received by other means than a request to the store.
+    pub fn record_confirmed(&mut self, at: Instant) {
+        self.earliest = self.earliest.max(at);
+    }
+
     /// Time after which all changes were made that have not been received yet.
     #[must_use]
     pub fn unseen_since(&self) -> Instant {
--- a/crates/gateway/src/agent/mod.rs
+++ b/crates/gateway/src/agent/mod.rs
@@ -72,7 +72,7 @@
     let peer = settings.common.peer;
     let metrics = settings.common.metrics;
     let shared = Arc::new(AgentShared::new(settings, ports, clock));
-    let socket = NoticeSocket::bind(peer, shared.key.clone()).await?;
+    let socket = NoticeSocket::bind(peer, shared.key.clone(), shared.metrics.clone()).await?;
     let listener = bind(peer).await?;
     let handler = Arc::new(uploads::AgentFrameHandler::new(shared.clone()));
     let name = shared.settings.common.name.to_string();
@@ -107,7 +107,7 @@
         "engine": shared.settings.engine,
         "report": shared.report(),
         "wanted": assignment.as_ref().map(|assignment| assignment.weights.version),
-        "revision": assignment.map(|assignment| assignment.revision),
+        "revision": assignment.as_ref().map(|assignment| assignment.revision),
         "switching": shared.is_switching(),
     })
     .to_string()
--- a/crates/gateway/src/entry/control.rs
+++ b/crates/gateway/src/entry/control.rs
@@ -1,7 +1,11 @@
 //! Control thread of an entry: exchanges heartbeats and fleet state with other entries, and receives the agents'
 //! reports.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use balance::AgentReport;
 use fleet::{ItemSource, RawItem};
@@ -28,7 +32,7 @@
 use crate::{
     frames::{FrameClient, FrameHandler, NodeError, bind, serve_frames},
     metrics::serve_metrics,
-    peers::{NoticeSocket, entry_contacts, parse_entry_heartbeat},
+    peers::{NoticeSocket, age_millis, entry_contacts, parse_entry_heartbeat},
     supervise::keep_running,
 };
 
@@ -45,12 +49,21 @@
 /// Every n-th heartbeat is also sent to all agents, which only need to know where to send their reports. Agents that do
 /// not report may have just started, and get every heartbeat.
 const AGENT_HEARTBEAT_PERIOD: u64 = 4;
-/// Delay before the fleet state of an entry that is ahead is requested: usually the store delivers the changes
-/// earlier.
+/// Delay before an entry that follows the store requests the fleet state of one that is ahead: usually the store
+/// delivers the changes earlier.
 const CATCH_UP_DELAY: Duration = Duration::from_millis(300);
+/// Delay before the fleet state is requested from another region: usually an entry of this region has it by then, and a
+/// large configuration would cross the border once for each entry.
+const REMOTE_CATCH_UP_DELAY: Duration = Duration::from_millis(700);
+/// Maximum delay before an entry that does not follow the store requests changes. The delays are random, so that not
+/// all entries of a region request a large configuration from the two that have it first.
+const MAX_RELAY_DELAY: Duration = Duration::from_millis(200);
 const ITEMS_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Maximum number of contacts in a heartbeat, so that it fits into a datagram.
 const MAX_CONTACTS: usize = 24;
+/// Maximum number of entries in other regions that get contacts with the same heartbeat. Each passes them on to its own
+/// region.
+const MAX_REMOTE_CONTACT_TARGETS: usize = 8;
 
 /// Runs the control tasks until the sender of `stopped` is dropped.
 pub(crate) async fn run(
@@ -58,7 +71,8 @@
     mut stopped: watch::Receiver<bool>,
 ) -> Result<(), NodeError> {
     let common = &shared.settings.common;
-    let socket = NoticeSocket::bind(common.peer, shared.key.clone()).await?;
+    let socket =
+        NoticeSocket::bind(common.peer, shared.key.clone(), shared.metrics.clone()).await?;
     let name = common.name.to_string();
     let client = Arc::new(FrameClient::new(shared.key.clone(), name.clone(), shared.clock.clone()));
     let handler = Arc::new(EntryFrameHandler { shared: shared.clone() });
@@ -109,6 +123,10 @@
     shared.pool.retain(|upstream| view.upstream(upstream).is_some());
     log_crashes(shared, shared.crashes().record_view(now, &view));
     let digest = assignment_digest(&view, now);
+    let has_engine =
+        |service: &str| view.service(service).is_some_and(|service| service.engine.is_some());
+    let engines = view.upstreams().filter(|(record, _)| has_engine(&record.service)).count();
+    shared.membership().set_engines(engines);
     shared.view.store(view);
     if shared.set_assignment_digest(digest) {
         shared.wake_control.notify_one();
@@ -124,6 +142,11 @@
         let is_urgent = tokio::select! {
             _ = ticks.tick() => false,
             () = shared.wake_control.notified() => true,
+            () = shared.wake_neighbours.notified() => {
+                let (heartbeat, targets) = make_heartbeat(&shared, false);
+                send_to(&shared, &socket, heartbeat, targets);
+                continue;
+            }
         };
         shared.is_stale_after_pause();
         let has_slept = !shared.record_suspension().is_zero();
@@ -134,32 +157,62 @@
         let all = is_urgent || count.is_multiple_of(AGENT_HEARTBEAT_PERIOD);
         let with_contacts = count < STARTUP_HEARTBEATS || count.is_multiple_of(CONTACTS_PERIOD);
         let with_remote = is_urgent || count.is_multiple_of(REMOTE_HEARTBEAT_PERIOD);
-        let (heartbeat, mut targets) = make_heartbeat(&shared, with_contacts, with_remote);
+        let (heartbeat, mut targets) = make_heartbeat(&shared, with_remote);
         for evidence in shared.crashes().take_due_evidence() {
             let notice = Notice::Crash(CrashNotice::new(&evidence, 0));
             socket.send(notice, shared.membership().addresses());
         }
+        if with_contacts {
+            let informed = contact_targets(&shared, &targets);
+            targets.retain(|target| !informed.contains(target));
+            let contacts = sample_contacts(&shared);
+            send_to(&shared, &socket, EntryHeartbeat { contacts, ..heartbeat.clone() }, informed);
+        }
         targets.extend(agent_addresses(&shared, all));
         count += 1;
-        targets.retain(|target| *target != shared.settings.common.peer);
-        targets.sort_unstable();
-        targets.dedup();
-        socket.send(Notice::Entry(heartbeat), targets);
+        send_to(&shared, &socket, heartbeat, targets);
     }
 }
 
-fn make_heartbeat(
+/// Sends a heartbeat once to each target other than this process.
+fn send_to(
     shared: &EntryShared,
-    with_contacts: bool,
-    with_remote: bool,
-) -> (EntryHeartbeat, Vec<SocketAddr>) {
+    socket: &NoticeSocket,
+    heartbeat: EntryHeartbeat,
+    mut targets: Vec<SocketAddr>,
+) {
+    targets.retain(|target| *target != shared.settings.common.peer);
+    targets.sort_unstable();
+    targets.dedup();
+    socket.send(Notice::Entry(heartbeat), targets);
+}
+
+/// Chooses which of `targets` get contacts: all of this region, and some of the others. Entries that this process does
+/// not know yet count as being in this region, because only contacts make them known.
+fn contact_targets(shared: &EntryShared, targets: &[SocketAddr]) -> Vec<SocketAddr> {
+    let common = &shared.settings.common;
+    let membership = shared.membership();
+    let is_remote = |peer: &&SocketAddr| {
+        let data_centre = membership.data_centre_of(**peer);
+        data_centre.is_some_and(|data_centre| !common.is_local_region(data_centre))
+    };
+    let (remote, mut informed): (Vec<_>, Vec<_>) = targets.iter().partition(is_remote);
+    informed.extend(remote.into_iter().sample(&mut rand::rng(), MAX_REMOTE_CONTACT_TARGETS));
+    informed
+}
+
+fn sample_contacts(shared: &EntryShared) -> Vec<EntryContact> {
+    let membership = shared.membership();
+    let known = membership.members_with_age(shared.clock.now());
+    entry_contacts(known.sample(&mut rand::rng(), MAX_CONTACTS))
+}
+
+/// Makes a heartbeat without contacts, and the addresses of the entries that it is sent to.
+fn make_heartbeat(shared: &EntryShared, with_remote: bool) -> (EntryHeartbeat, Vec<SocketAddr>) {
     let now = shared.clock.now();
     let own = shared.own_member();
     let mut membership = shared.membership();
     membership.expire(now);
-    let max_contacts = if with_contacts { MAX_CONTACTS } else { 0 };
-    let contacts =
-        entry_contacts(membership.members_with_age(now).sample(&mut rand::rng(), max_contacts));
     let common = &shared.settings.common;
     let seeds = shared.seeds().into_iter().map(|seed| common.peer_address_on(seed.ip()));
     let is_local = |peer: &SocketAddr| {
@@ -185,7 +238,9 @@
         leaving: own.leaving,
         head: own.revision,
         brief: own.assignment_digest,
-        contacts,
+        contacts: Vec::new(),
+        store_age_ms: own.store_age.map(age_millis),
+        state_age_ms: own.state_age.map(age_millis),
     };
     (heartbeat, targets)
 }
@@ -238,9 +293,14 @@
 fn record_entry(shared: &EntryShared, heartbeat: &EntryHeartbeat) {
     let Some(member) = parse_entry_heartbeat(heartbeat) else { return };
     let now = shared.clock.now();
+    let is_ahead = member.revision > shared.view.load().revision;
     let mut membership = shared.membership();
     membership.record_heartbeat(member, now);
     record_contacts(&mut membership, &heartbeat.contacts, shared);
+    drop(membership);
+    if is_ahead {
+        shared.wake_catch_up.notify_one();
+    }
 }
 
 fn record_contacts(
@@ -282,7 +342,15 @@
     let common = &shared.settings.common;
     let mut behind_since = None;
     loop {
-        sleep(CATCH_UP_DELAY / 2).await;
+        tokio::select! {
+            () = sleep(CATCH_UP_DELAY / 2) => {}
+            () = shared.wake_catch_up.notified() => {}
+        }
+        let follows_store = shared.follows_store.load(Ordering::Relaxed);
+        if !follows_store {
+            let delay = MAX_RELAY_DELAY.mul_f64(rand::random());
+            sleep(delay).await;
+        }
         let now = shared.clock.now();
         let own_revision = shared.fleet_state().head();
         let pauses = shared.pauses();
@@ -292,7 +360,10 @@
             membership
                 .alive(now)
                 .filter(|member| is_stale || member.revision > own_revision)
-                .max_by_key(|member| (common.is_local_region(&member.data_centre), member.revision))
+                .max_by_key(|member| {
+                    let is_local = common.is_local_region(&member.data_centre);
+                    (is_local, member.revision, rand::random::<u32>())
+                })
                 .cloned()
         };
         let Some(ahead) = ahead else {
@@ -300,7 +371,12 @@
             continue;
         };
         let since = *behind_since.get_or_insert(now);
-        if now.saturating_duration_since(since) < CATCH_UP_DELAY {
+        let delay = match () {
+            () if !is_stale && !common.is_local_region(&ahead.data_centre) => REMOTE_CATCH_UP_DELAY,
+            () if follows_store => CATCH_UP_DELAY,
+            () => Duration::ZERO,
+        };
+        if now.saturating_duration_since(since) < delay {
             continue;
         }
         behind_since = None;
--- a/crates/gateway/src/entry/shared.rs
+++ b/crates/gateway/src/entry/shared.rs
@@ -71,10 +71,19 @@
     pub(crate) wake_limits: Notify,
     /// Wakes the task that follows the store, so that it queries the store at once.
     pub(crate) wake_store: Notify,
+    /// Wakes the task that sends heartbeats, for one to the entries of the own region only.
+    pub(crate) wake_neighbours: Notify,
+    /// Wakes the task that requests changes from other entries.
+    pub(crate) wake_catch_up: Notify,
+    /// This entry follows the store; the others take changes from entries that do.
+    pub(crate) follows_store: AtomicBool,
     pauses: PauseTracker,
     sequence: AtomicU64,
-    /// Time of the last confirmation by the store, in milliseconds since the start; negative if there was none.
+    /// Time at which the fleet state is known to have been current, in milliseconds since the start; negative if it
+    /// never was.
     confirmed_at_ms: AtomicI64,
+    /// Time of the last response of the store, in milliseconds since the start; negative if its last request failed.
+    store_responded_at_ms: AtomicI64,
     started: Instant,
     assignment_digest: AtomicU64,
     balancer: Mutex<LoadBalancer>,
@@ -122,9 +131,13 @@
             wake_control: Notify::new(),
             wake_limits: Notify::new(),
             wake_store: Notify::new(),
+            wake_neighbours: Notify::new(),
+            wake_catch_up: Notify::new(),
+            follows_store: AtomicBool::new(true),
             pauses: PauseTracker::new(),
             sequence: AtomicU64::new(0),
             confirmed_at_ms: AtomicI64::new(-1),
+            store_responded_at_ms: AtomicI64::new(-1),
             started: now,
             assignment_digest: AtomicU64::new(0),
             balancer: Mutex::new(LoadBalancer::new(options)),
@@ -210,17 +223,37 @@
         RequestTimer { begin: self.clock.now(), suspended: self.clock.time_suspended() }
     }
 
-    /// Records that the fleet state was current at `now`.
-    pub(crate) fn record_confirmed(&self, now: Instant) {
-        let millis = now.saturating_duration_since(self.started).as_millis();
-        self.confirmed_at_ms.store(i64::try_from(millis).unwrap_or(i64::MAX), Ordering::Relaxed);
+    /// Records that the fleet state was current at `at`, which may be earlier than what is known.
+    pub(crate) fn record_confirmed(&self, at: Instant) {
+        self.confirmed_at_ms.fetch_max(self.millis_since_start(at), Ordering::Relaxed);
+    }
+
+    /// Records that the store responded at `now`, so that the fleet state was current then.
+    pub(crate) fn record_store_response(&self, now: Instant) {
+        self.store_responded_at_ms.store(self.millis_since_start(now), Ordering::Relaxed);
+        self.record_confirmed(now);
+    }
+
+    /// Records that a request to the store failed; true if the one before it did not.
+    pub(crate) fn record_store_failure(&self) -> bool {
+        self.store_responded_at_ms.swap(-1, Ordering::Relaxed) >= 0
     }
 
     /// Time since the fleet state was last confirmed; `None` if it never was.
     pub(crate) fn fleet_state_age(&self) -> Option<Duration> {
-        let confirmed = u64::try_from(self.confirmed_at_ms.load(Ordering::Relaxed)).ok()?;
+        self.time_since(&self.confirmed_at_ms)
+    }
+
+    fn millis_since_start(&self, at: Instant) -> i64 {
+        let millis = at.saturating_duration_since(self.started).as_millis();
+        i64::try_from(millis).unwrap_or(i64::MAX)
+    }
+
+    /// Time since the point in time that is stored in milliseconds since the start; `None` if it is negative.
+    fn time_since(&self, at_ms: &AtomicI64) -> Option<Duration> {
+        let at = u64::try_from(at_ms.load(Ordering::Relaxed)).ok()?;
         let elapsed = self.clock.now().saturating_duration_since(self.started);
-        Some(elapsed.saturating_sub(Duration::from_millis(confirmed)))
+        Some(elapsed.saturating_sub(Duration::from_millis(at)))
     }
 
     /// Counts a connection of a caller as open until the guard is dropped.
@@ -258,6 +291,8 @@
             leaving: self.is_leaving(),
             revision: self.view.load().revision,
             assignment_digest: self.assignment_digest.load(Ordering::Relaxed),
+            store_age: self.time_since(&self.store_responded_at_ms),
+            state_age: self.fleet_state_age(),
         }
     }
 }
--- a/crates/gateway/src/entry/store.rs
+++ b/crates/gateway/src/entry/store.rs
@@ -1,13 +1,16 @@
 //! Follows the platform's store and applies its changes to the fleet state.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
-use base::rendezvous_weight;
 use fleet::{
     FleetChange, ItemSource, RawItem, ReceivePeriod, WAIT_CHECK_INTERVAL, WatchTimer,
     era_and_number,
 };
 use log::{info, warn};
+use member::EntryMember;
 use rand::RngExt;
 use tokio::time::sleep;
 
@@ -15,18 +18,20 @@
 use crate::port::StoreError;
 
 /// Maximum time for which a watch request waits for changes. A watch that returns without changes confirms the fleet
-/// state.
-const WATCH_WAIT: Duration = Duration::from_millis(2_500);
+/// state, also that of the entries that do not follow the store.
+const WATCH_WAIT: Duration = Duration::from_millis(1_500);
 /// Pause after a watch that returned changes, so that a burst of changes takes few requests. It must stay far below the
 /// shortest time within which a change must be in force.
 const WATCH_PAUSE: Duration = Duration::from_millis(250);
-/// Number of entries per region that follow the store closely. The others learn of changes from these and query the
-/// store less often, because each request is billed. Two, so that one may fail.
-const READERS_PER_REGION: usize = 2;
-/// Pause of the other entries after a watch that returned changes, and the wait of their next watch. The sum stays
-/// below `MAX_FLEET_STATE_AGE`, the maximum age at which requests are rejected permanently.
-const FOLLOWER_PAUSE: Duration = Duration::from_millis(1_800);
-const FOLLOWER_WAIT: Duration = Duration::from_millis(1_400);
+/// Age of its state at which an entry that does not follow the store queries it after all. It stays below
+/// `MAX_FLEET_STATE_AGE`, the maximum age at which requests are rejected permanently, and above the interval between
+/// two responses to a watch.
+const MAX_RELAYED_AGE: Duration = Duration::from_millis(2_250);
+/// Interval at which an entry that does not follow the store checks whether it has to.
+const FOLLOW_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Margin by which confirmations by other entries date changes earlier, because a heartbeat may be delayed on a busy
+/// link.
+const CONFIRMATION_MARGIN: Duration = Duration::from_secs(1);
 /// Minimum and maximum delay before the store is queried again after a failure.
 const BACKOFF_RANGE: (Duration, Duration) =
     (Duration::from_millis(150), Duration::from_millis(1_200));
@@ -35,16 +40,15 @@
 pub(super) async fn follow_store(shared: Arc<EntryShared>) {
     let mut backoff = BACKOFF_RANGE.0;
     let mut is_failing = false;
-    let mut after_follower_pause = false;
     let mut timer = WatchTimer::new(shared.clock.now());
     loop {
+        wait_until_needed(&shared, &mut timer).await;
         let after = shared.fleet_state().as_of();
         let pauses = shared.pauses();
         // After a pause of this process, the current state is needed at once, and a response from before the pause does
         // not confirm it.
         let wait = match () {
             () if shared.is_stale_after_pause() => Duration::ZERO,
-            () if after_follower_pause => FOLLOWER_WAIT,
             () => WATCH_WAIT,
         };
         let store_request = async {
@@ -80,16 +84,15 @@
                 let has_new_items =
                     apply_items(&shared, listing.items, listing.as_of, source, period);
                 shared.fleet_state().set_unseen_since(timer.unseen_since());
-                shared.record_confirmed(now);
+                shared.record_store_response(now);
                 if has_new_items || after.is_none() {
                     publish(&shared);
+                    shared.wake_neighbours.notify_one();
                 }
                 shared.record_refreshed(pauses);
-                after_follower_pause = has_changes && !is_reader(&shared);
                 if has_changes {
-                    let pause = if after_follower_pause { FOLLOWER_PAUSE } else { WATCH_PAUSE };
                     tokio::select! {
-                        () = sleep(pause) => {}
+                        () = sleep(WATCH_PAUSE) => {}
                         () = shared.wake_store.notified() => {}
                     }
                 }
@@ -112,6 +115,10 @@
                     shared.fleet_state().set_unseen_since(timer.unseen_since());
                 }
                 shared.metrics.count("store_failures_total");
+                if shared.record_store_failure() {
+                    // Another entry of the region has to follow the store.
+                    shared.wake_neighbours.notify_one();
+                }
                 if !is_failing {
                     warn!("event=store_lost error=\"{error}\"");
                 }
@@ -132,21 +139,40 @@
     }
 }
 
-/// True if this entry is one of those in its region that follow the store closely. If entries cannot reach each
-/// other, more than [`READERS_PER_REGION`] may do so.
-fn is_reader(shared: &EntryShared) -> bool {
-    let common = &shared.settings.common;
-    let weight = |peer: SocketAddr| rendezvous_weight(b"reader", &peer.to_string());
-    let own = weight(common.peer);
-    let now = shared.clock.now();
-    let membership = shared.membership();
-    let preceding = membership
-        .alive(now)
-        .filter(|entry| entry.peer != common.peer && !entry.leaving && entry.ready)
-        .filter(|entry| common.is_local_region(&entry.data_centre))
-        .filter(|entry| weight(entry.peer) > own)
-        .count();
-    preceding < READERS_PER_REGION
+/// Returns once this entry has to query the store: it is one of those that follow it, or the other entries no longer
+/// confirm its state.
+async fn wait_until_needed(shared: &EntryShared, timer: &mut WatchTimer) {
+    loop {
+        let Some(as_of) = shared.fleet_state().as_of() else { return };
+        let now = shared.clock.now();
+        let (is_reader, confirmed_at) = {
+            let common = &shared.settings.common;
+            let membership = shared.membership();
+            let is_local = |entry: &EntryMember| common.is_local_region(&entry.data_centre);
+            (membership.is_reader(common.peer, is_local, now), membership.confirmed_at(as_of, now))
+        };
+        if let Some(at) = confirmed_at {
+            shared.record_confirmed(at);
+            timer.record_confirmed(at.checked_sub(CONFIRMATION_MARGIN).unwrap_or(at));
+            shared.fleet_state().set_unseen_since(timer.unseen_since());
+        }
+        let is_confirmed =
+            confirmed_at.is_some_and(|at| now.saturating_duration_since(at) <= MAX_RELAYED_AGE);
+        let is_needed = is_reader || !is_confirmed || shared.is_stale_after_pause();
+        if shared.follows_store.swap(is_needed, Ordering::Relaxed) != is_needed {
+            info!(
+                "event=store_following active={is_needed} reader={is_reader} confirmed_ms={}",
+                confirmed_at.map_or(-1, |at| now.saturating_duration_since(at).as_millis() as i64)
+            );
+        }
+        if is_needed {
+            return;
+        }
+        tokio::select! {
+            () = sleep(FOLLOW_CHECK_INTERVAL) => timer.record_suspension(shared.record_suspension()),
+            () = shared.wake_store.notified() => return,
+        }
+    }
 }
 
 fn jittered(span: Duration) -> Duration {
@@ -159,8 +185,9 @@
     let period = timer.record_listing(shared.clock.now());
     apply_items(shared, listing.items, listing.as_of, ItemSource::Listing, period);
     shared.fleet_state().set_unseen_since(timer.unseen_since());
-    shared.record_confirmed(period.end);
+    shared.record_store_response(period.end);
     publish(shared);
+    shared.wake_neighbours.notify_one();
     Ok(())
 }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -40,11 +40,16 @@
 impl MetricSet {
     /// Increments a counter. `name` may include labels in the text format.
     pub(crate) fn count(&self, name: &str) {
+        self.add(name, 1);
+    }
+
+    /// Increases a counter by `increase`.
+    pub(crate) fn add(&self, name: &str, increase: u64) {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         match state.counters.get_mut(name) {
-            Some(value) => *value += 1,
+            Some(value) => *value += increase,
             None => {
-                state.counters.insert(name.to_owned(), 1);
+                state.counters.insert(name.to_owned(), increase);
             }
         }
     }
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -8,6 +8,7 @@
 mod core;
 mod groups;
 mod membership;
+mod readers;
 mod subset;
 
 pub use crate::{
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -23,7 +23,7 @@
 const DISCOVERY_RANGE: (Duration, Duration) = (Duration::from_millis(800), Duration::from_secs(10));
 /// Time without a newly found entry that ends discovery: two rounds of heartbeats.
 const DISCOVERY_QUIET_TIME: Duration = Duration::from_millis(500);
-/// Number of other entries assumed during discovery, because the largest known deployment has 43 entries.
+/// Minimum number of other entries assumed during discovery; more are assumed if there are more engines.
 const ASSUMED_ENTRIES: usize = 44;
 /// Maximum number of addresses in a response to a caller. Callers ignore any further ones.
 const MAX_ADDRESSES: usize = 64;
@@ -56,6 +56,12 @@
     /// again.
     #[serde(rename = "brief")]
     pub assignment_digest: u64,
+    /// Time since the store last responded to the entry; `None` if its last request failed.
+    #[serde(default)]
+    pub store_age: Option<Duration>,
+    /// Time since the state of the entry is known to have been current; `None` if it never was.
+    #[serde(default)]
+    pub state_age: Option<Duration>,
 }
 
 /// Location of a caller, and the regions that should serve its requests.
@@ -80,6 +86,8 @@
     discovery_start: Option<Instant>,
     /// Time at which the peak last grew.
     last_growth: Option<Instant>,
+    /// Number of engines that the store lists.
+    engines: usize,
 }
 
 impl EntryMembership {
@@ -126,7 +134,7 @@
     /// be serving.
     ///
     /// A process that has just started does not know all entries yet, so during discovery the result is at least
-    /// `ASSUMED_ENTRIES`.
+    /// `ASSUMED_ENTRIES`, and at least the number of engines, because large fleets have about as many entries.
     pub fn peak_known(&mut self, now: Instant) -> usize {
         let known = self.members.len() + self.contacts.len();
         let since = |at: Instant| now.saturating_duration_since(at);
@@ -141,7 +149,12 @@
         let is_growing = self.last_growth.is_some_and(|at| since(at) < DISCOVERY_QUIET_TIME);
         let is_discovering = uptime < DISCOVERY_RANGE.0 || is_growing && uptime < DISCOVERY_RANGE.1;
         let peak = self.peak.map_or(known, |(peak, _)| peak);
-        if is_discovering { peak.max(ASSUMED_ENTRIES) } else { peak }
+        if is_discovering { peak.max(ASSUMED_ENTRIES).max(self.engines) } else { peak }
+    }
+
+    /// Sets the number of engines that the store lists.
+    pub fn set_engines(&mut self, engines: usize) {
+        self.engines = engines;
     }
 
     /// Returns the peer addresses of all known entries, whether they are alive or only contacts.
@@ -164,7 +177,15 @@
 
     /// Returns the entries whose last heartbeat is recent enough for them to count as alive.
     pub fn alive(&self, now: Instant) -> impl Iterator<Item = &EntryMember> {
-        self.members_with_age(now).filter(|(_, age)| *age < ALIVE_TIMEOUT).map(|(member, _)| member)
+        self.alive_with_age(now).map(|(member, _)| member)
+    }
+
+    /// Returns the entries that count as alive, with the time since the last heartbeat of each.
+    pub(crate) fn alive_with_age(
+        &self,
+        now: Instant,
+    ) -> impl Iterator<Item = (&EntryMember, Duration)> {
+        self.members_with_age(now).filter(|(_, age)| *age < ALIVE_TIMEOUT)
     }
 
     /// Returns the addresses to name to a caller, nearest first. Only entries of the caller's data centre are named if
--- /dev/null
+++ b/crates/member/src/readers.rs
@@ -0,0 +1,63 @@
+//! Which entries follow the store, and how recent the state of the others is.
+//!
+//! Load pattern: a configuration of hundreds of kilobytes changes while hundreds of entries wait for changes. If the
+//! store sent it to each of them, the links between regions would be full for seconds, and requests would wait behind
+//! it. Two entries of each region follow the store instead, and the others take changes from entries of their region.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use base::{Revision, rendezvous_weight};
+
+use crate::membership::{EntryMember, EntryMembership};
+
+/// Number of entries per region that follow the store. Two, so that one may fail.
+const READERS_PER_REGION: usize = 2;
+/// Maximum time since the last response of the store for an entry to count as one that follows it. A watch that waits
+/// for changes responds every 1.5 s.
+const MAX_STORE_SILENCE: Duration = Duration::from_millis(2_200);
+/// Upper bound on the time that a heartbeat needs, by which the age that it reports is increased.
+const HEARTBEAT_DELAY: Duration = Duration::from_millis(250);
+
+impl EntryMembership {
+    /// True if the entry at `own` should follow the store: fewer than [`READERS_PER_REGION`] of the entries that
+    /// `is_local` selects come before it in an order that all entries share, and follow the store at present. If
+    /// entries cannot reach each other, more of them follow it.
+    #[must_use]
+    pub fn is_reader(
+        &self,
+        own: SocketAddr,
+        is_local: impl Fn(&EntryMember) -> bool,
+        now: Instant,
+    ) -> bool {
+        let weight = |peer: SocketAddr| rendezvous_weight(b"reader", &peer.to_string());
+        let own_weight = weight(own);
+        let follows_store = |member: &EntryMember, age: Duration| {
+            member.store_age.is_some_and(|store_age| store_age + age <= MAX_STORE_SILENCE)
+        };
+        let preceding = self
+            .alive_with_age(now)
+            .filter(|(member, age)| {
+                member.peer != own
+                    && member.ready
+                    && !member.leaving
+                    && follows_store(member, *age)
+                    && is_local(member)
+                    && weight(member.peer) > own_weight
+            })
+            .count();
+        preceding < READERS_PER_REGION
+    }
+
+    /// Latest time at which the state of a process that has received all changes up to `as_of` was current, according
+    /// to the heartbeats of the others. A heartbeat proves nothing if its sender knows a later change.
+    #[must_use]
+    pub fn confirmed_at(&self, as_of: Revision, now: Instant) -> Option<Instant> {
+        self.alive_with_age(now)
+            .filter(|(member, _)| member.revision <= as_of)
+            .filter_map(|(member, age)| now.checked_sub(member.state_age? + age + HEARTBEAT_DELAY))
+            .max()
+    }
+}
--- a/crates/member/tests/roster.rs
+++ b/crates/member/tests/roster.rs
@@ -23,6 +23,8 @@
         leaving: false,
         revision: 1,
         assignment_digest: 1,
+        store_age: None,
+        state_age: None,
     }
 }
 
--- a/crates/wire/src/message/fleet.rs
+++ b/crates/wire/src/message/fleet.rs
@@ -82,6 +82,12 @@
     /// Other entries that the sender has recently seen.
     #[prost(message, repeated, tag = "11")]
     pub contacts: Vec<EntryContact>,
+    /// Milliseconds since the store last responded to the entry; none if its last request failed.
+    #[prost(uint32, optional, tag = "12")]
+    pub store_age_ms: Option<u32>,
+    /// Milliseconds since the state of the entry is known to have been current; none if it never was.
+    #[prost(uint32, optional, tag = "13")]
+    pub state_age_ms: Option<u32>,
 }
 
 /// Heartbeat of an agent, sent to the entries.
