Use the engines of the own region and some of the others

Cause: every entry used every engine. Only their agents get heartbeats of the entry and report to it. Placement counts the entries that use the same engine. Shares of limits are still divided by all entries, which is safe and leaves part of each cold engine's limit unused.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use base::{DataCentreId, RegionId, ServiceId, UpstreamId};
+use base::{DataCentreId, HostId, RegionId, ServiceId, UpstreamId};
 use fleet::{FleetView, ServiceRecord, UpstreamRecord};
 use rand::{Rng, RngExt, seq::SliceRandom};
 
@@ -19,6 +19,7 @@
     refusal::{PlacementRefusal, RefusalCause},
     send_log::SendLog,
     share::{ColdLimiter, MIN_ENTRIES, SharedLimits},
+    subset::{EngineCandidate, EngineSubset, choose_engines},
     upstream::{AgentReport, AttemptOutcome, UpstreamState},
 };
 
@@ -71,6 +72,8 @@
     pub regions: HashMap<DataCentreId, RegionId>,
     /// This entry's region.
     pub region: RegionId,
+    /// Name of this entry, which determines the engines that it uses in other regions.
+    pub entry: HostId,
     /// Limits that apply to all entries together.
     pub shares: SharedLimits,
 }
@@ -80,6 +83,8 @@
     record: Arc<ServiceRecord>,
     forecast: Option<EngineForecast>,
     upstreams: Vec<UpstreamId>,
+    /// Upstreams that this entry uses unless none of them can take a request.
+    subset: EngineSubset,
 }
 
 /// Load and health of all upstreams, as one entry knows them.
@@ -88,6 +93,8 @@
     options: LoadBalancerOptions,
     /// Entries known to be alive.
     entries: usize,
+    /// Those of them that are in this entry's region.
+    local_entries: usize,
     /// Entries that may be alive, including those that this entry cannot reach.
     possible_entries: usize,
     cold: ColdLimiter,
@@ -102,6 +109,31 @@
     by_address: HashMap<SocketAddr, UpstreamId>,
 }
 
+/// Chooses the upstreams of a service that this entry uses, among those that are in service. Services without engines have few upstreams and no reports,
+/// so all of them are used.
+fn subset_of(
+    service: &ServiceState,
+    upstreams: &HashMap<UpstreamId, UpstreamState>,
+    evacuated: &HashSet<DataCentreId>,
+    options: &LoadBalancerOptions,
+) -> EngineSubset {
+    if service.record.engine.is_none() {
+        return EngineSubset { upstreams: service.upstreams.clone(), remote_fraction: 1.0 };
+    }
+    let candidates: Vec<EngineCandidate> = service
+        .upstreams
+        .iter()
+        .filter_map(|id| upstreams.get(id))
+        .filter(|state| !state.record.draining && !evacuated.contains(&state.record.data_centre))
+        .map(|state| EngineCandidate {
+            upstream: state.record.upstream.clone(),
+            address: state.record.address,
+            region: options.regions.get(&state.record.data_centre).cloned(),
+        })
+        .collect();
+    choose_engines(&options.entry, &options.region, &candidates)
+}
+
 impl LoadBalancer {
     /// Creates a load balancer without upstreams; [`LoadBalancer::set_view`] adds them.
     #[must_use]
@@ -113,6 +145,7 @@
             sent: SendLog::new(LIMIT_WINDOW),
             options,
             entries: 1,
+            local_entries: 0,
             possible_entries: MIN_ENTRIES,
             services: HashMap::new(),
             upstreams: HashMap::new(),
@@ -128,8 +161,12 @@
             .services()
             .map(|record| {
                 let forecast = record.engine.as_ref().map(EngineForecast::new);
-                let state =
-                    ServiceState { record: record.clone(), forecast, upstreams: Vec::new() };
+                let state = ServiceState {
+                    record: record.clone(),
+                    forecast,
+                    upstreams: Vec::new(),
+                    subset: EngineSubset::default(),
+                };
                 (record.service.clone(), state)
             })
             .collect();
@@ -153,6 +190,7 @@
         self.upstreams.retain(|upstream, _| view.upstream(upstream).is_some());
         for service in self.services.values_mut() {
             service.upstreams.sort_unstable();
+            service.subset = subset_of(service, &self.upstreams, &self.evacuated, &self.options);
         }
         let upstreams = &self.upstreams;
         self.cold.retain(|upstream| upstreams.contains_key(upstream));
@@ -167,6 +205,25 @@
         self.entries = entries.max(1);
     }
 
+    /// Sets the number of live entries in this entry's region, which use all of its engines.
+    pub fn set_local_entries(&mut self, entries: usize) {
+        self.local_entries = entries;
+    }
+
+    /// True if this entry uses the upstream while any upstream that it uses can take a request.
+    #[must_use]
+    pub fn is_in_subset(&self, record: &UpstreamRecord) -> bool {
+        self.services
+            .get(&record.service)
+            .is_some_and(|service| service.subset.upstreams.binary_search(&record.upstream).is_ok())
+    }
+
+    /// Expected number of entries that use the same upstream of a service.
+    fn users(&self, service: &ServiceState) -> f64 {
+        let local = self.local_entries.min(self.entries);
+        local as f64 + (self.entries - local) as f64 * service.subset.remote_fraction
+    }
+
     /// Sets the number of entries that may be alive, among which connection limits and the limits of cold upstreams are
     /// divided.
     pub fn set_possible_entries(&mut self, entries: usize) {
@@ -324,7 +381,13 @@
         let mut ejected: Vec<&UpstreamId> = Vec::new();
         let mut limited: Vec<&UpstreamId> = Vec::new();
         let mut shortest_wait: Option<Duration> = None;
-        for id in &service.upstreams {
+        let in_subset = |id: &&UpstreamId| service.subset.upstreams.binary_search(id).is_ok();
+        let others = service.upstreams.iter().filter(|id| !in_subset(id));
+        for (index, id) in service.subset.upstreams.iter().chain(others).enumerate() {
+            let is_found = !candidates.is_empty() || !ejected.is_empty() || !limited.is_empty();
+            if index >= service.subset.upstreams.len() && is_found {
+                break;
+            }
             let Some(state) = self.upstreams.get(id) else { continue };
             if !self.is_usable(state, service, request, now) {
                 continue;
@@ -402,7 +465,7 @@
             if compared >= limit {
                 continue;
             }
-            let occupancy = state.occupancy(now, self.entries as f64);
+            let occupancy = state.occupancy(now, self.users(service));
             let Some(delay) = self.expected_delay(service, request, state, occupancy, now) else {
                 continue;
             };
@@ -464,7 +527,7 @@
         let delay_at =
             |occupancy| forecast.delay(EngineLoad { occupancy, ..load }, request.prompt_tokens);
         let projected =
-            state.projected_occupancy(now, self.entries as f64 * CONCURRENT_ENTRY_FRACTION);
+            state.projected_occupancy(now, self.users(service) * CONCURRENT_ENTRY_FRACTION);
         let fits = match request.time_to_target {
             _ if request.is_resumed => true,
             Some(remaining) => delay_at(projected) <= remaining.mul_f64(TARGET_TOLERANCE),
@@ -522,7 +585,7 @@
         now: Instant,
     ) -> bool {
         let Some(left) = request.time_left(state, now) else { return true };
-        let occupancy = state.occupancy(now, self.entries as f64);
+        let occupancy = state.occupancy(now, self.users(service));
         let load = state.engine_load(occupancy, now);
         let delay = Self::begin_delay(service, request, load);
         delay.mul_f64(BEGIN_TIME_FACTOR) + BEGIN_MARGIN <= left
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -14,6 +14,7 @@
 mod refusal;
 mod send_log;
 mod share;
+mod subset;
 mod upstream;
 
 pub use crate::{
@@ -27,5 +28,6 @@
     refusal::{PlacementRefusal, RefusalCause},
     send_log::SendLog,
     share::{ColdLimiter, RetryBudgetShare, SharedLimits},
+    subset::{EngineCandidate, EngineSubset, choose_engines},
     upstream::{AgentReport, AttemptOutcome},
 };
--- a/crates/balance/tests/board.rs
+++ b/crates/balance/tests/board.rs
@@ -455,3 +455,28 @@
     fixture.now = now + Duration::from_millis(6_001);
     assert_eq!(placed(&mut fixture), Ok(name(0)));
 }
+
+/// Engines of another region that this entry does not use do not report to it. They get its requests only once those that
+/// it uses are out of service: else each engine's load would be unknown to most entries that send to it.
+#[test]
+fn engines_outside_the_subset_take_over_from_those_that_leave() {
+    let mut fixture = PlacementFixture::new(120);
+    for index in 0..120 {
+        fixture.change(index, |record| record.data_centre = "south".into());
+    }
+    let used: Vec<UpstreamId> = fixture
+        .view
+        .upstreams()
+        .filter(|(record, _)| fixture.balancer.is_in_subset(record))
+        .map(|(record, _)| record.upstream.clone())
+        .collect();
+    assert_eq!(used.len(), 64);
+    for _ in 0..50 {
+        assert!(used.contains(&fixture.place(|_| {}).expect("many engines are free")));
+    }
+    for index in (0..120).filter(|index| used.contains(&name(*index))) {
+        fixture.change(index, |record| record.draining = true);
+    }
+    let placed = fixture.place(|_| {}).expect("the other engines are free");
+    assert!(!used.contains(&placed));
+}
--- a/crates/gateway/src/entry/control.rs
+++ b/crates/gateway/src/entry/control.rs
@@ -11,6 +11,7 @@
 use fleet::{ItemSource, RawItem};
 use futures_util::future::BoxFuture;
 use log::{info, warn};
+use member::EntryMember;
 use rand::seq::IteratorRandom;
 use tokio::{
     sync::watch,
@@ -222,9 +223,12 @@
     let targets =
         membership.addresses().chain(seeds).filter(|peer| with_remote || is_local(peer)).collect();
     let live_entries = membership.alive(now).count() + 1;
+    let is_local_entry = |entry: &&EntryMember| common.is_local_region(&entry.data_centre);
+    let local_entries = membership.alive(now).filter(is_local_entry).count() + 1;
     let possible_entries = membership.peak_known(now) + 1;
     drop(membership);
     shared.balancer().set_live_entries(live_entries);
+    shared.balancer().set_local_entries(local_entries);
     shared.balancer().set_possible_entries(possible_entries);
     shared.retry_budget().set_entries(possible_entries);
     let heartbeat = EntryHeartbeat {
@@ -245,7 +249,7 @@
     (heartbeat, targets)
 }
 
-/// Addresses of the agents. Each runs on the host of an upstream that serves models, and uses the port that all
+/// Addresses of the agents of the engines that this entry uses, which report to it in turn. Each runs on the host of an upstream that serves models, and uses the port that all
 /// processes share. Unless `all` is set, only agents without a current report are included.
 fn agent_addresses(shared: &EntryShared, all: bool) -> Vec<SocketAddr> {
     let view = shared.view.load();
@@ -255,6 +259,7 @@
     view.upstreams()
         .filter(|(record, _)| {
             view.service(&record.service).is_some_and(|service| service.engine.is_some())
+                && balancer.is_in_subset(record)
                 && (all || !balancer.has_report(record.address, now))
         })
         .map(|(record, _)| common.peer_address_on(record.address.ip()))
--- a/crates/gateway/src/entry/shared.rs
+++ b/crates/gateway/src/entry/shared.rs
@@ -112,6 +112,7 @@
         let options = LoadBalancerOptions {
             regions: settings.common.regions.clone(),
             region: settings.common.region(),
+            entry: settings.common.name.clone(),
             shares: settings.shares,
         };
         Self {
