Load simulator: take the entry's name from the default options

The simulator did not build with the new option; all its engines are in the region of the entry, so the name has no effect.

--- a/crates/standin/src/measure/load/policy.rs
+++ b/crates/standin/src/measure/load/policy.rs
@@ -63,6 +63,7 @@
             regions: [("d".into(), "r".into())].into(),
             region: "r".into(),
             shares: SharedLimits::default(),
+            ..LoadBalancerOptions::default()
         };
         let mut balancer = LoadBalancer::new(options);
         balancer.set_live_entries(entries);
