Do not trust heartbeats from a pause, nor the age of a state before one

Found by reading, no caller was seen affected: after a pause, an entry reads heartbeats that arrived meanwhile as if they had just been sent, and the monotonic clock does not include a suspension of the host. Both made a state that was seconds old count as confirmed, and dated the next declaration too late by as much. Change: heartbeats count only if they are received 0.5 s after the end of a pause or later, and an entry states no ages until its state has been refreshed. Test: heartbeats_that_arrived_during_a_pause_confirm_nothing.

--- a/crates/gateway/src/entry/shared.rs
+++ b/crates/gateway/src/entry/shared.rs
@@ -281,6 +281,8 @@
 
     /// Describes this entry as a member, with a new sequence number.
     pub(crate) fn own_member(&self) -> EntryMember {
+        // The ages do not include a pause of this process, after which its state may be outdated.
+        let is_current = !self.pauses.is_stale();
         EntryMember {
             name: self.settings.common.name.clone(),
             incarnation: self.incarnation,
@@ -292,8 +294,8 @@
             leaving: self.is_leaving(),
             revision: self.view.load().revision,
             assignment_digest: self.assignment_digest.load(Ordering::Relaxed),
-            store_age: self.time_since(&self.store_responded_at_ms),
-            state_age: self.fleet_state_age(),
+            store_age: self.time_since(&self.store_responded_at_ms).filter(|_| is_current),
+            state_age: self.fleet_state_age().filter(|_| is_current),
         }
     }
 }
--- a/crates/gateway/src/entry/store.rs
+++ b/crates/gateway/src/entry/store.rs
@@ -41,8 +41,9 @@
     let mut backoff = BACKOFF_RANGE.0;
     let mut is_failing = false;
     let mut timer = WatchTimer::new(shared.clock.now());
+    let mut known_pauses = shared.pauses();
     loop {
-        wait_until_needed(&shared, &mut timer).await;
+        wait_until_needed(&shared, &mut timer, &mut known_pauses).await;
         let after = shared.fleet_state().as_of();
         let pauses = shared.pauses();
         // After a pause of this process, the current state is needed at once, and a response from before the pause does
@@ -141,10 +142,14 @@
 
 /// Returns once this entry has to query the store: it is one of those that follow it, or the other entries no longer
 /// confirm its state.
-async fn wait_until_needed(shared: &EntryShared, timer: &mut WatchTimer) {
+async fn wait_until_needed(shared: &EntryShared, timer: &mut WatchTimer, known_pauses: &mut u64) {
     loop {
         let Some(as_of) = shared.fleet_state().as_of() else { return };
+        let is_stale = shared.is_stale_after_pause();
         let now = shared.clock.now();
+        if std::mem::replace(known_pauses, shared.pauses()) != shared.pauses() {
+            shared.membership().record_pause(now);
+        }
         let (is_reader, confirmed_at) = {
             let common = &shared.settings.common;
             let membership = shared.membership();
@@ -158,7 +163,7 @@
         }
         let is_confirmed =
             confirmed_at.is_some_and(|at| now.saturating_duration_since(at) <= MAX_RELAYED_AGE);
-        let is_needed = is_reader || !is_confirmed || shared.is_stale_after_pause();
+        let is_needed = is_reader || !is_confirmed || is_stale;
         if shared.follows_store.swap(is_needed, Ordering::Relaxed) != is_needed {
             info!(
                 "event=store_following active={is_needed} reader={is_reader} confirmed_ms={}",
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -88,6 +88,8 @@
     last_growth: Option<Instant>,
     /// Number of engines that the store lists.
     engines: usize,
+    /// Heartbeats that were received before this time may have arrived during a pause of this process.
+    pub(crate) backlog_until: Option<Instant>,
 }
 
 impl EntryMembership {
--- a/crates/member/src/readers.rs
+++ b/crates/member/src/readers.rs
@@ -20,6 +20,8 @@
 const MAX_STORE_SILENCE: Duration = Duration::from_millis(2_200);
 /// Upper bound on the time that a heartbeat needs, by which the age that it reports is increased.
 const HEARTBEAT_DELAY: Duration = Duration::from_millis(250);
+/// Time after a pause of this process in which it still reads heartbeats that arrived meanwhile, whose age is unknown.
+const BACKLOG_TIME: Duration = Duration::from_millis(500);
 
 impl EntryMembership {
     /// True if the entry at `own` should follow the store: fewer than [`READERS_PER_REGION`] of the entries that
@@ -51,12 +53,20 @@
         preceding < READERS_PER_REGION
     }
 
+    /// Records that a pause of this process has ended, after which the heartbeats known so far prove nothing.
+    pub fn record_pause(&mut self, now: Instant) {
+        self.backlog_until = Some(now + BACKLOG_TIME);
+    }
+
     /// Latest time at which the state of a process that has received all changes up to `as_of` was current, according
     /// to the heartbeats of the others. A heartbeat proves nothing if its sender knows a later change.
     #[must_use]
     pub fn confirmed_at(&self, as_of: Revision, now: Instant) -> Option<Instant> {
         self.alive_with_age(now)
-            .filter(|(member, _)| member.revision <= as_of)
+            .filter(|(member, age)| {
+                let is_recent = self.backlog_until.is_none_or(|until| now >= until + *age);
+                member.revision <= as_of && is_recent
+            })
             .filter_map(|(member, age)| now.checked_sub(member.state_age? + age + HEARTBEAT_DELAY))
             .max()
     }
--- a/crates/member/tests/readers.rs
+++ b/crates/member/tests/readers.rs
@@ -111,3 +111,17 @@
     membership.record_heartbeat(EntryMember { sequence: 2, ..entry(1, None) }, later);
     assert_eq!(membership.confirmed_at(7, later), None, "its state was never current");
 }
+
+/// While a process is paused, heartbeats wait in its socket. It reads them when it resumes, as if they had just been sent.
+#[test]
+fn heartbeats_that_arrived_during_a_pause_confirm_nothing() {
+    let resumed = Instant::now() + Duration::from_secs(10);
+    let mut membership = EntryMembership::new();
+    membership.record_heartbeat(entry(1, Some(NOW_AGE)), resumed);
+    membership.record_pause(resumed);
+    membership.record_heartbeat(entry(2, Some(NOW_AGE)), resumed + Duration::from_millis(40));
+    let later = resumed + Duration::from_millis(700);
+    assert_eq!(membership.confirmed_at(7, later), None);
+    membership.record_heartbeat(EntryMember { sequence: 2, ..entry(1, Some(NOW_AGE)) }, later);
+    assert!(membership.confirmed_at(7, later).is_some());
+}
