--- a/crates/gateway/src/entry/control.rs
+++ b/crates/gateway/src/entry/control.rs
@@ -8,6 +8,7 @@
 };
 
 use balance::AgentReport;
+use bytes::Bytes;
 use fleet::{ItemSource, RawItem};
 use futures_util::future::BoxFuture;
 use log::{info, warn};
@@ -390,11 +391,14 @@
         let timer = shared.start_request();
         match client.call(ahead.peer, request, ITEMS_TIMEOUT).await {
             Ok(Payload::ItemsResponse(reply)) if reply.as_of > 0 => {
+                let bytes: usize =
+                    reply.items.iter().filter_map(|item| item.value.as_ref().map(Bytes::len)).sum();
                 info!(
-                    "event=caught_up peer={} after={after} as_of={} items={}",
+                    "event=caught_up peer={} after={after} as_of={} items={} bytes={bytes} ms={}",
                     ahead.name,
                     reply.as_of,
-                    reply.items.len()
+                    reply.items.len(),
+                    shared.clock.now().saturating_duration_since(now).as_millis()
                 );
                 let items = reply.items.into_iter().map(raw_item).collect();
                 let is_complete = reply.snapshot || after == 0;
--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -405,9 +405,11 @@
     pub(crate) fn log_end(&self, result: &str, status: Option<u16>) {
         let progress = self.progress();
         let elapsed = self.elapsed();
+        let view = self.shared.view.load();
         info!(
             "event=request_ended request={} result={result} status={} route={} team={} upstream={} sends={} \
-             tried={} ms={} first_ms={} predicted_ms={} pause_ms={} version={} version_left_ms={} revision={}",
+             tried={} ms={} first_ms={} predicted_ms={} pause_ms={} version={} version_left_ms={} revision={} \
+             config={}",
             self.meta.id,
             status.unwrap_or(0),
             self.route.name,
@@ -421,7 +423,8 @@
             progress.longest_pause.as_millis(),
             progress.version.unwrap_or(0),
             progress.version_time_left.map_or(-1, |left| left.as_millis() as i64),
-            self.shared.view.load().revision
+            view.revision,
+            view.config().map_or(0, |config| config.version)
         );
         self.shared.metrics.count(&format!("requests_total{{result=\"{result}\"}}"));
         self.shared.metrics.observe("request_seconds", elapsed);
--- a/crates/gateway/src/entry/store.rs
+++ b/crates/gateway/src/entry/store.rs
@@ -5,17 +5,19 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use fleet::{
     FleetChange, ItemSource, RawItem, ReceivePeriod, WAIT_CHECK_INTERVAL, WatchTimer,
     era_and_number,
 };
-use log::{info, warn};
+use log::{debug, info, warn};
 use member::EntryMember;
+use ports::PlatformError;
 use rand::RngExt;
 use tokio::time::sleep;
 
 use super::{control::publish, shared::EntryShared};
-use crate::port::StoreError;
+use crate::port::{StateListing, StoreError};
 
 /// Maximum time for which a watch request waits for changes. A watch that returns without changes confirms the fleet
 /// state, also that of the entries that do not follow the store.
@@ -32,6 +34,8 @@
 /// Margin by which confirmations by other entries date changes earlier, because a heartbeat may be delayed on a busy
 /// link.
 const CONFIRMATION_MARGIN: Duration = Duration::from_secs(1);
+/// Time for a response to arrive from which it is logged; usual responses arrive within milliseconds.
+const LONG_TRANSFER: Duration = Duration::from_millis(250);
 /// Minimum and maximum delay before the store is queried again after a failure.
 const BACKOFF_RANGE: (Duration, Duration) =
     (Duration::from_millis(150), Duration::from_millis(1_200));
@@ -67,6 +71,9 @@
         timer.record_suspension(shared.record_suspension());
         let now = shared.clock.now();
         shared.metrics.count("store_calls_total");
+        if let Ok(listing) = &result {
+            log_transfer(&shared, listing);
+        }
         match result {
             Ok(listing) => {
                 if is_failing {
@@ -123,6 +130,10 @@
                 if !is_failing {
                     warn!("event=store_lost error=\"{error}\"");
                 }
+                if matches!(error, StoreError::Request { source: PlatformError::Timeout { .. } }) {
+                    shared.metrics.count("store_timeouts_total");
+                    debug!("event=store_timeout after={} error=\"{error}\"", after.unwrap_or(0));
+                }
                 is_failing = true;
                 sleep(jittered(backoff)).await;
                 backoff = (backoff * 2).min(BACKOFF_RANGE.1);
@@ -131,6 +142,21 @@
     }
 }
 
+/// Logs a response that takes long, usually because a large configuration changed.
+fn log_transfer(shared: &EntryShared, listing: &StateListing) {
+    shared.metrics.observe("store_transfer_seconds", listing.transfer_time);
+    if listing.transfer_time >= LONG_TRANSFER {
+        let bytes: usize =
+            listing.items.iter().filter_map(|item| item.value.as_ref().map(Bytes::len)).sum();
+        info!(
+            "event=store_transfer items={} bytes={bytes} ms={} as_of={}",
+            listing.items.len(),
+            listing.transfer_time.as_millis(),
+            listing.as_of
+        );
+    }
+}
+
 /// Records at regular intervals that a request is still waiting for its response. Never returns.
 async fn check_waiting(shared: &EntryShared, timer: &mut WatchTimer) {
     loop {
