Let a large response of the store arrive, and do not query the store meanwhile

Callers saw requests on routes with home regions run elsewhere, seconds after the configuration that forbids it was acknowledged. Cause: a response of a megabyte took longer than the fixed limit of 2.5 s on a busy link between regions.

Changes: a transfer is given up without progress or below 48 KiB/s instead of after a fixed time; an entry whose response makes progress tells the others that the store responds; an entry that cannot get the changes of its region's readers queries the store in turn, from 5 s without a confirmation.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -6,6 +6,7 @@
 mod digest;
 mod outcome;
 mod rank;
+mod transfer;
 
 use compact_str::CompactString;
 
@@ -14,6 +15,7 @@
     digest::{ContentDigest, DigestError},
     outcome::{Outcome, RefusalReason},
     rank::{rank_by_weight, rendezvous_weight},
+    transfer::{TransferLimits, TransferTimer},
 };
 
 /// Id of a host, as used in the host list.
--- a/crates/gateway/src/entry/shared.rs
+++ b/crates/gateway/src/entry/shared.rs
@@ -235,6 +235,12 @@
         self.record_confirmed(now);
     }
 
+    /// Records that part of a response of the store arrived at `now`. The store responds, but the fleet state is not
+    /// current before the response is complete.
+    pub(crate) fn record_store_progress(&self, now: Instant) {
+        self.store_responded_at_ms.store(self.millis_since_start(now), Ordering::Relaxed);
+    }
+
     /// Records that a request to the store failed; true if the one before it did not.
     pub(crate) fn record_store_failure(&self) -> bool {
         self.store_responded_at_ms.swap(-1, Ordering::Relaxed) >= 0
--- a/crates/gateway/src/entry/store.rs
+++ b/crates/gateway/src/entry/store.rs
@@ -12,7 +12,7 @@
 };
 use log::{debug, info, warn};
 use member::EntryMember;
-use ports::PlatformError;
+use ports::{PlatformError, TransferObserver};
 use rand::RngExt;
 use tokio::time::sleep;
 
@@ -25,10 +25,6 @@
 /// Pause after a watch that returned changes, so that a burst of changes takes few requests. It must stay far below the
 /// shortest time within which a change must be in force.
 const WATCH_PAUSE: Duration = Duration::from_millis(250);
-/// Age of its state at which an entry that does not follow the store queries it after all. It stays below
-/// `MAX_FLEET_STATE_AGE`, the maximum age at which requests are rejected permanently, and above the interval between
-/// two responses to a watch.
-const MAX_RELAYED_AGE: Duration = Duration::from_millis(2_250);
 /// Interval at which an entry that does not follow the store checks whether it has to.
 const FOLLOW_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Margin by which confirmations by other entries date changes earlier, because a heartbeat may be delayed on a busy
@@ -40,12 +36,25 @@
 const BACKOFF_RANGE: (Duration, Duration) =
     (Duration::from_millis(150), Duration::from_millis(1_200));
 
+/// Tells the other entries that the store responds while a response is still arriving. They would all query the store
+/// otherwise, and slow down the response further.
+struct StoreObserver {
+    shared: Arc<EntryShared>,
+}
+
+impl TransferObserver for StoreObserver {
+    fn record_progress(&self, _count: usize) {
+        self.shared.record_store_progress(self.shared.clock.now());
+    }
+}
+
 /// Keeps the fleet state up to date: lists the store once, then watches for changes.
 pub(super) async fn follow_store(shared: Arc<EntryShared>) {
     let mut backoff = BACKOFF_RANGE.0;
     let mut is_failing = false;
     let mut timer = WatchTimer::new(shared.clock.now());
     let mut known_pauses = shared.pauses();
+    let observer = StoreObserver { shared: shared.clone() };
     loop {
         wait_until_needed(&shared, &mut timer, &mut known_pauses).await;
         let after = shared.fleet_state().as_of();
@@ -58,8 +67,8 @@
         };
         let store_request = async {
             match after {
-                None => shared.ports.store.list().await,
-                Some(after) => shared.ports.store.watch(after, wait).await,
+                None => shared.ports.store.list(&observer).await,
+                Some(after) => shared.ports.store.watch(after, wait, &observer).await,
             }
         };
         timer.record_request(shared.clock.now());
@@ -107,7 +116,7 @@
             }
             Err(StoreError::Compacted) => {
                 info!("event=store_history_lost after={}", after.unwrap_or_default());
-                if let Err(error) = list_again(&shared, &mut timer).await {
+                if let Err(error) = list_again(&shared, &mut timer, &observer).await {
                     warn!("event=store_list_failed error=\"{error}\"");
                     sleep(jittered(backoff)).await;
                     backoff = (backoff * 2).min(BACKOFF_RANGE.1);
@@ -176,20 +185,23 @@
         if std::mem::replace(known_pauses, shared.pauses()) != shared.pauses() {
             shared.membership().record_pause(now);
         }
-        let (is_reader, confirmed_at) = {
+        let (is_reader, is_turn, confirmed_at) = {
             let common = &shared.settings.common;
             let membership = shared.membership();
             let is_local = |entry: &EntryMember| common.is_local_region(&entry.data_centre);
-            (membership.is_reader(common.peer, is_local, now), membership.confirmed_at(as_of, now))
+            let unconfirmed = shared.fleet_state_age().unwrap_or(Duration::MAX);
+            (
+                membership.is_reader(common.peer, is_local, now),
+                membership.is_turn(common.peer, is_local, unconfirmed, now),
+                membership.confirmed_at(as_of, now),
+            )
         };
         if let Some(at) = confirmed_at {
             shared.record_confirmed(at);
             timer.record_confirmed(at.checked_sub(CONFIRMATION_MARGIN).unwrap_or(at));
             shared.fleet_state().set_unseen_since(timer.unseen_since());
         }
-        let is_confirmed =
-            confirmed_at.is_some_and(|at| now.saturating_duration_since(at) <= MAX_RELAYED_AGE);
-        let is_needed = is_reader || !is_confirmed || is_stale;
+        let is_needed = is_reader || is_turn || is_stale;
         if shared.follows_store.swap(is_needed, Ordering::Relaxed) != is_needed {
             info!(
                 "event=store_following active={is_needed} reader={is_reader} confirmed_ms={}",
@@ -210,9 +222,13 @@
     span.mul_f64(rand::rng().random_range(0.7..1.3))
 }
 
-async fn list_again(shared: &EntryShared, timer: &mut WatchTimer) -> Result<(), StoreError> {
+async fn list_again(
+    shared: &EntryShared,
+    timer: &mut WatchTimer,
+    observer: &StoreObserver,
+) -> Result<(), StoreError> {
     timer.record_request(shared.clock.now());
-    let listing = shared.ports.store.list().await?;
+    let listing = shared.ports.store.list(observer).await?;
     let period = timer.record_listing(shared.clock.now());
     apply_items(shared, listing.items, listing.as_of, ItemSource::Listing, period);
     shared.fleet_state().set_unseen_since(timer.unseen_since());
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -13,7 +13,7 @@
     HeaderMap,
     http::{request, response},
 };
-use ports::PlatformError;
+use ports::{PlatformError, TransferObserver};
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
@@ -196,18 +196,22 @@
     },
 }
 
-/// Read access to the platform's store.
+/// Read access to the platform's store. Responses may be large, so `observer` is told of their progress.
 pub trait StateStore: Send + Sync {
     /// Lists all items.
-    fn list(&self) -> BoxFuture<'_, Result<StateListing, StoreError>>;
+    fn list<'a>(
+        &'a self,
+        observer: &'a dyn TransferObserver,
+    ) -> BoxFuture<'a, Result<StateListing, StoreError>>;
 
     /// Waits at most `wait` for changes after a revision. The listing contains the changed items and the revision from
     /// which to continue.
-    fn watch(
-        &self,
+    fn watch<'a>(
+        &'a self,
         after: Revision,
         wait: Duration,
-    ) -> BoxFuture<'_, Result<StateListing, StoreError>>;
+        observer: &'a dyn TransferObserver,
+    ) -> BoxFuture<'a, Result<StateListing, StoreError>>;
 }
 
 /// State of an engine as it reports it.
--- a/crates/member/tests/readers.rs
+++ b/crates/member/tests/readers.rs
@@ -125,3 +125,21 @@
     membership.record_heartbeat(EntryMember { sequence: 2, ..entry(1, Some(NOW_AGE)) }, later);
     assert!(membership.confirmed_at(7, later).is_some());
 }
+
+/// Guards against entries that all query the store at once when a change takes long to reach them.
+#[test]
+fn entries_without_a_confirmation_query_the_store_in_turn() {
+    let now = Instant::now();
+    let store_age = vec![Some(NOW_AGE); 31];
+    let queries_at = |unconfirmed: Duration| {
+        let takes_turn = |own: u8| {
+            membership(own, 30, now, &store_age).is_turn(peer(own), is_north, unconfirmed, now)
+        };
+        (1..=30).filter(|own| takes_turn(*own)).count()
+    };
+    assert_eq!(queries_at(Duration::from_millis(4_900)), 0);
+    for turns in 0..30 {
+        let unconfirmed = Duration::from_millis(5_000) + Duration::from_millis(500) * turns;
+        assert_eq!(queries_at(unconfirmed), usize::try_from(turns).expect("fits") + 1);
+    }
+}
--- a/crates/ports/src/http.rs
+++ b/crates/ports/src/http.rs
@@ -9,6 +9,7 @@
     time::{Duration, Instant},
 };
 
+use base::{TransferLimits, TransferTimer};
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
 use futures_util::{StreamExt, TryStreamExt, stream::BoxStream};
@@ -24,7 +25,10 @@
     rt::{TokioExecutor, TokioTimer},
 };
 use snafu::{OptionExt, ResultExt};
-use tokio::{sync::Notify, time::timeout};
+use tokio::{
+    sync::Notify,
+    time::{timeout, timeout_at},
+};
 
 use crate::error::{
     InformationalSnafu, MalformedSnafu, PlatformError, RateLimitedSnafu, RequestSnafu,
@@ -191,28 +195,62 @@
         timeout(time, request).await.map_err(|_| PlatformError::Timeout { limit: time })?
     }
 
-    /// Like [`HttpClient::fetch`] for a request without a body, and returns the headers and the transfer time instead of
-    /// the status.
+    /// Sends a request without a body and collects a successful response of at most `max_bytes` within time limits that
+    /// depend on its progress. Reports each part to `observer` as it arrives.
     ///
     /// # Errors
-    /// Fails as [`HttpClient::fetch`] does.
-    pub async fn fetch_headers(
+    /// Fails if the request cannot be sent, the connection breaks, the status is not a success, or the response exceeds
+    /// `max_bytes` or `limits`.
+    pub async fn fetch_large(
         &self,
         path: &str,
-        limit: usize,
-        time: Duration,
+        max_bytes: usize,
+        limits: TransferLimits,
+        observer: &dyn TransferObserver,
     ) -> Result<FetchedResponse, PlatformError> {
-        let request = async {
-            let mut response = self.send(Method::GET, path, &[], Bytes::new()).await?;
-            let head_at = Instant::now();
-            let headers = std::mem::take(&mut response.headers);
-            let body = collect(response, limit).await?.1;
-            Ok(FetchedResponse { headers, body, transfer_time: head_at.elapsed() })
-        };
-        timeout(time, request).await.map_err(|_| PlatformError::Timeout { limit: time })?
+        let mut timer = TransferTimer::new(limits, Instant::now());
+        let request = self.send(Method::GET, path, &[], Bytes::new());
+        let mut response = within(&timer, request).await??;
+        let head_at = Instant::now();
+        timer.record(0, head_at);
+        observer.record_progress(0);
+        let headers = std::mem::take(&mut response.headers);
+        check_status(&response)?;
+        let mut body = BytesMut::new();
+        while let Some(part) = within(&timer, response.body.try_next()).await?? {
+            snafu::ensure!(
+                body.len() + part.len() <= max_bytes,
+                TooLargeSnafu { limit: max_bytes }
+            );
+            body.extend_from_slice(&part);
+            timer.record(part.len(), Instant::now());
+            observer.record_progress(part.len());
+        }
+        Ok(FetchedResponse { headers, body: body.freeze(), transfer_time: head_at.elapsed() })
     }
 }
 
+/// Waits for a part of a transfer until its deadline.
+async fn within<T>(
+    timer: &TransferTimer,
+    part: impl Future<Output = T>,
+) -> Result<T, PlatformError> {
+    timeout_at(timer.deadline().into(), part)
+        .await
+        .map_err(|_| PlatformError::Timeout { limit: timer.elapsed(Instant::now()) })
+}
+
+/// Is told of the progress of a transfer.
+pub trait TransferObserver: Send + Sync {
+    /// Called when the head of a response has arrived, with a count of 0, and when `count` bytes of its body have.
+    fn record_progress(&self, count: usize);
+}
+
+/// Ignores the progress.
+impl TransferObserver for () {
+    fn record_progress(&self, _count: usize) {}
+}
+
 impl HttpClient {
     /// Reads the status of an engine or a plain service.
     pub(crate) async fn read_status<T: serde::de::DeserializeOwned>(
@@ -240,14 +278,8 @@
     response: UpstreamResponse,
     limit: usize,
 ) -> Result<(u16, Bytes), PlatformError> {
-    let UpstreamResponse { status, retry_after, mut body, .. } = response;
-    if let Some(retry_after) = retry_after {
-        return RateLimitedSnafu { retry_after }.fail();
-    }
-    let known = StatusCode::from_u16(status)
-        .ok()
-        .filter(|code| code.is_success() || *code == StatusCode::NOT_MODIFIED);
-    known.context(crate::error::StatusSnafu { status })?;
+    check_status(&response)?;
+    let UpstreamResponse { status, mut body, .. } = response;
     let mut collected = BytesMut::new();
     while let Some(part) = body.try_next().await? {
         snafu::ensure!(collected.len() + part.len() <= limit, TooLargeSnafu { limit });
@@ -256,6 +288,17 @@
     Ok((status, collected.freeze()))
 }
 
+fn check_status(response: &UpstreamResponse) -> Result<(), PlatformError> {
+    let status = response.status;
+    if let Some(retry_after) = response.retry_after {
+        return RateLimitedSnafu { retry_after }.fail();
+    }
+    let known = StatusCode::from_u16(status)
+        .ok()
+        .filter(|code| code.is_success() || *code == StatusCode::NOT_MODIFIED);
+    known.map(drop).context(crate::error::StatusSnafu { status })
+}
+
 /// Parses a JSON response.
 ///
 /// # Errors
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -14,7 +14,7 @@
         LoadOrder, LoadedModel, ModelEngine,
     },
     error::PlatformError,
-    http::{FetchedResponse, HttpClient, UpstreamResponse, parse},
+    http::{FetchedResponse, HttpClient, TransferObserver, UpstreamResponse, parse},
     service::{HttpService, PlainService, ServiceRequest, ServiceStatus},
     source::{
         ConfigService, HostDirectory, HttpConfigService, HttpHostDirectory, HttpWeightSource,
