Compress large values that entries pass to one another, and let them arrive

After a change of a large configuration, each entry takes a megabyte from another one within 1.5 s, and a new attempt starts from the beginning; the links of entries and between regions carry that a dozen times at once. Values of 2 KiB and more are compressed (LZ4) if the receiver reads that, and a transfer is given up without progress instead of after a fixed time. The first state from another entry ends the listing that the store is still sending.

--- a/crates/gateway/src/entry/control.rs
+++ b/crates/gateway/src/entry/control.rs
@@ -8,6 +8,7 @@
 };
 
 use balance::AgentReport;
+use base::TransferLimits;
 use bytes::Bytes;
 use fleet::{ItemSource, RawItem};
 use futures_util::future::BoxFuture;
@@ -19,8 +20,8 @@
     time::{MissedTickBehavior, interval, sleep},
 };
 use wire::{
-    AgentHeartbeat, CrashNotice, EntryContact, EntryHeartbeat, FleetItem, ItemsRequest,
-    ItemsResponse, Notice, Payload,
+    AgentHeartbeat, CompressionError, CrashNotice, EntryContact, EntryHeartbeat, FleetItem,
+    ItemsRequest, ItemsResponse, Notice, Payload,
 };
 
 use super::{
@@ -60,7 +61,13 @@
 /// Maximum delay before an entry that does not follow the store requests changes. The delays are random, so that not
 /// all entries of a region request a large configuration from the two that have it first.
 const MAX_RELAY_DELAY: Duration = Duration::from_millis(200);
-const ITEMS_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time limits of a transfer of changes from another entry. The first bytes arrive at once unless the entry is paused or
+/// its link is full; dozens of entries may share a link between regions.
+const ITEMS_LIMITS: TransferLimits = TransferLimits {
+    head: Duration::from_millis(1_500),
+    idle: Duration::from_millis(750),
+    min_rate: 32 << 10,
+};
 /// Maximum number of contacts in a heartbeat, so that it fits into a datagram.
 const MAX_CONTACTS: usize = 24;
 /// Maximum number of entries in other regions that get contacts with the same heartbeat. Each passes them on to its own
@@ -387,12 +394,15 @@
         }
         behind_since = None;
         let after = shared.fleet_state().as_of().unwrap_or_default();
-        let request = Payload::ItemsRequest(ItemsRequest { after });
+        let request = Payload::ItemsRequest(ItemsRequest { after, reads_compressed: true });
         let timer = shared.start_request();
-        match client.call(ahead.peer, request, ITEMS_TIMEOUT).await {
+        match client.transfer(ahead.peer, request, ITEMS_LIMITS).await {
             Ok(Payload::ItemsResponse(reply)) if reply.as_of > 0 => {
-                let bytes: usize =
-                    reply.items.iter().filter_map(|item| item.value.as_ref().map(Bytes::len)).sum();
+                let values = reply.items.iter().map(|item| (&item.value, &item.compressed));
+                let bytes: usize = values
+                    .filter_map(|(value, compressed)| value.as_ref().or(compressed.as_ref()))
+                    .map(Bytes::len)
+                    .sum();
                 info!(
                     "event=caught_up peer={} after={after} as_of={} items={} bytes={bytes} ms={}",
                     ahead.name,
@@ -400,7 +410,14 @@
                     reply.items.len(),
                     shared.clock.now().saturating_duration_since(now).as_millis()
                 );
-                let items = reply.items.into_iter().map(raw_item).collect();
+                let items: Vec<_> = match reply.items.into_iter().map(raw_item).collect() {
+                    Ok(items) => items,
+                    Err(error) => {
+                        let error: CompressionError = error;
+                        warn!("event=catch_up_failed peer={} error=\"{error}\"", ahead.name);
+                        continue;
+                    }
+                };
                 let is_complete = reply.snapshot || after == 0;
                 let source = if is_complete { ItemSource::Listing } else { ItemSource::Relayed };
                 shared.record_suspension();
@@ -408,6 +425,10 @@
                 if apply_items(&shared, items, reply.as_of, source, period) {
                     publish(&shared);
                 }
+                if after == 0 {
+                    // The listing that the store is still sending is no longer needed.
+                    shared.wake_store.notify_one();
+                }
                 shared.record_refreshed(pauses);
             }
             Ok(_) => warn!(
@@ -419,13 +440,10 @@
     }
 }
 
-fn raw_item(item: FleetItem) -> RawItem {
-    RawItem {
-        key: item.key.into(),
-        value: item.value,
-        revision: item.revision,
-        age: item.age_ms.map(Duration::from_millis),
-    }
+fn raw_item(item: FleetItem) -> Result<RawItem, CompressionError> {
+    let (key, revision) = (item.key.as_str().into(), item.revision);
+    let age = item.age_ms.map(Duration::from_millis);
+    Ok(RawItem { key, value: item.into_value()?, revision, age })
 }
 
 /// Handles the frames of other processes.
@@ -438,18 +456,22 @@
         let now = self.shared.clock.now();
         let response = match payload {
             Payload::ItemsRequest(request) => {
-                let fleet_state = self.shared.fleet_state();
-                let (items, snapshot) = fleet_state.items_after(request.after, now);
-                let items = items
-                    .into_iter()
-                    .map(|item| FleetItem {
-                        key: item.key.to_string(),
-                        value: item.value,
-                        revision: item.revision,
-                        age_ms: item.age.map(millis),
-                    })
-                    .collect();
-                let as_of = fleet_state.as_of().unwrap_or_default();
+                let (items, snapshot, as_of) = {
+                    let fleet_state = self.shared.fleet_state();
+                    let (items, snapshot) = fleet_state.items_after(request.after, now);
+                    (items, snapshot, fleet_state.as_of().unwrap_or_default())
+                };
+                let items = items.into_iter().map(|item| FleetItem {
+                    key: item.key.to_string(),
+                    value: item.value,
+                    revision: item.revision,
+                    age_ms: item.age.map(millis),
+                    compressed: None,
+                });
+                let items = match request.reads_compressed {
+                    true => items.map(FleetItem::with_compressed_value).collect(),
+                    false => items.collect(),
+                };
                 Some(Payload::ItemsResponse(ItemsResponse { items, as_of, snapshot }))
             }
             Payload::BriefRequest(request) => {
--- a/crates/gateway/src/frames.rs
+++ b/crates/gateway/src/frames.rs
@@ -1,16 +1,28 @@
 //! Request/response frames between processes: a server, and a client that reuses idle channels.
 
-use std::{collections::HashMap, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    pin::{Pin, pin},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    task::{Context, Poll},
+    time::Duration,
+};
 
-use base::Clock;
+use base::{Clock, TransferLimits, TransferTimer};
 use futures_util::future::BoxFuture;
 use log::{debug, warn};
 use snafu::{IntoError, ResultExt, Snafu};
 use socket2::SockRef;
 use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
     net::{TcpListener, TcpStream},
     sync::Mutex,
-    time::{sleep, timeout},
+    time::{sleep, timeout, timeout_at},
 };
 use wire::{ChannelError, ChannelLimits, FleetKey, FrameChannel, Payload};
 
@@ -26,6 +38,8 @@
 const SERVER_IDLE_TIMEOUT: Duration = Duration::from_secs(8);
 /// Delay after a failed `accept`, for example when the process is out of file descriptors.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(10);
+/// Interval at which the progress of a transfer is checked.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum number of open channels per server.
 const MAX_CHANNELS: usize = 256;
 
@@ -179,7 +193,49 @@
     Ok(())
 }
 
-type PeerChannel = FrameChannel<TcpStream>;
+/// Connection that counts the bytes received, which show the progress of a large frame.
+struct CountedStream {
+    stream: TcpStream,
+    received: Arc<AtomicU64>,
+}
+
+impl AsyncRead for CountedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let count = buffer.filled().len() - before;
+        self.received.fetch_add(count as u64, Ordering::Relaxed);
+        result
+    }
+}
+
+impl AsyncWrite for CountedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
+
+/// Open channel to a peer.
+struct PeerChannel {
+    frames: FrameChannel<CountedStream>,
+    received: Arc<AtomicU64>,
+}
 
 /// Sends requests to other processes over channels that are kept for reuse.
 pub(crate) struct FrameClient {
@@ -206,12 +262,64 @@
                 Some(channel) => channel,
                 None => self.connect(peer).await?,
             };
-            let response = channel.call(payload).await.context(ChannelSnafu { peer })?;
-            let now = self.clock.now();
-            self.idle.lock().await.entry(peer).or_default().push((channel, now));
-            Ok(response)
+            self.exchange(peer, &mut channel, payload).await.map(|response| (channel, response))
         };
-        timeout(limit, exchange).await.unwrap_or_else(|_| TimeoutSnafu { peer, limit }.fail())
+        let (channel, response) = timeout(limit, exchange)
+            .await
+            .unwrap_or_else(|_| TimeoutSnafu { peer, limit }.fail())?;
+        self.keep(peer, channel).await;
+        Ok(response)
+    }
+
+    /// Sends a message to a peer and waits for a response that may be large, as long as it makes progress.
+    pub(crate) async fn transfer(
+        &self,
+        peer: SocketAddr,
+        payload: Payload,
+        limits: TransferLimits,
+    ) -> Result<Payload, NodeError> {
+        let mut channel = match self.take_idle(peer).await {
+            Some(channel) => channel,
+            None => self.connect(peer).await?,
+        };
+        let counter = channel.received.clone();
+        let mut received = counter.load(Ordering::Relaxed);
+        let mut timer = TransferTimer::new(limits, self.clock.now());
+        let result = {
+            let mut exchange = pin!(self.exchange(peer, &mut channel, payload));
+            loop {
+                let wait_until = timer.deadline().min(self.clock.now() + PROGRESS_INTERVAL);
+                if let Ok(result) = timeout_at(wait_until.into(), exchange.as_mut()).await {
+                    break result;
+                }
+                let now = self.clock.now();
+                let total = counter.load(Ordering::Relaxed);
+                if total > received {
+                    timer.record(usize::try_from(total - received).unwrap_or(usize::MAX), now);
+                    received = total;
+                } else if now >= timer.deadline() {
+                    break TimeoutSnafu { peer, limit: timer.elapsed(now) }.fail();
+                }
+            }
+        };
+        let response = result?;
+        self.keep(peer, channel).await;
+        Ok(response)
+    }
+
+    async fn exchange(
+        &self,
+        peer: SocketAddr,
+        channel: &mut PeerChannel,
+        payload: Payload,
+    ) -> Result<Payload, NodeError> {
+        channel.frames.call(payload).await.context(ChannelSnafu { peer })
+    }
+
+    /// Keeps a channel for reuse.
+    async fn keep(&self, peer: SocketAddr, channel: PeerChannel) {
+        let now = self.clock.now();
+        self.idle.lock().await.entry(peer).or_default().push((channel, now));
     }
 
     async fn take_idle(&self, peer: SocketAddr) -> Option<PeerChannel> {
@@ -230,9 +338,12 @@
             .map_err(|_| TimeoutSnafu { peer, limit: CONNECT_TIMEOUT }.build())?
             .context(ConnectSnafu { peer })?;
         set_socket_options(&stream);
-        wire::connect(stream, &self.key, &self.name, FRAME_LIMITS)
+        let received = Arc::new(AtomicU64::new(0));
+        let stream = CountedStream { stream, received: received.clone() };
+        let frames = wire::connect(stream, &self.key, &self.name, FRAME_LIMITS)
             .await
-            .map_err(|error| ChannelSnafu { peer }.into_error(error))
+            .map_err(|error| ChannelSnafu { peer }.into_error(error))?;
+        Ok(PeerChannel { frames, received })
     }
 }
 
--- a/crates/wire/src/message/fleet.rs
+++ b/crates/wire/src/message/fleet.rs
@@ -3,6 +3,7 @@
 
 use bytes::Bytes;
 use prost::{Message, Oneof};
+use snafu::{ResultExt, Snafu, ensure};
 
 use super::{CrashNotice, LimitNotice};
 
@@ -149,6 +150,9 @@
     /// Revision up to which the sender knows all items; 0 if it knows none.
     #[prost(uint64, tag = "1")]
     pub after: u64,
+    /// True if the sender reads values that are compressed; older versions do not.
+    #[prost(bool, tag = "2")]
+    pub reads_compressed: bool,
 }
 
 /// An item of the platform's store.
@@ -166,6 +170,55 @@
     /// Time since the change was observed, in milliseconds; absent if no known process observed it.
     #[prost(uint64, optional, tag = "4")]
     pub age_ms: Option<u64>,
+    /// Value in the LZ4 block format, after its size as a little-endian 32-bit number; replaces `value`.
+    #[prost(bytes = "bytes", optional, tag = "5")]
+    pub compressed: Option<Bytes>,
+}
+
+impl FleetItem {
+    /// Compresses a value of at least [`MIN_COMPRESSED_BYTES`]. Configurations are repetitive, and every entry of a
+    /// region receives them from another one.
+    #[must_use]
+    pub fn with_compressed_value(mut self) -> Self {
+        if let Some(value) = self.value.take_if(|value| value.len() >= MIN_COMPRESSED_BYTES) {
+            self.compressed = Some(lz4_flex::compress_prepend_size(&value).into());
+        }
+        self
+    }
+
+    /// Value of the item, decompressed if necessary; `None` if the item was removed.
+    ///
+    /// # Errors
+    /// Fails if the value cannot be decompressed, or exceeds [`MAX_VALUE_BYTES`].
+    pub fn into_value(self) -> Result<Option<Bytes>, CompressionError> {
+        let Some(compressed) = self.compressed else { return Ok(self.value) };
+        let (size, _) = lz4_flex::block::uncompressed_size(&compressed).context(CorruptSnafu)?;
+        ensure!(size <= MAX_VALUE_BYTES, TooLargeSnafu { size });
+        let value = lz4_flex::decompress_size_prepended(&compressed).context(CorruptSnafu)?;
+        Ok(Some(value.into()))
+    }
+}
+
+/// Minimum size of a value that is compressed, in bytes. Smaller values fit into a packet or two.
+pub const MIN_COMPRESSED_BYTES: usize = 2 << 10;
+/// Maximum size of a value in bytes; the platform's store accepts values of up to a mebibyte.
+pub const MAX_VALUE_BYTES: usize = 8 << 20;
+
+/// Reason why a compressed value cannot be read.
+#[derive(Debug, Snafu)]
+pub enum CompressionError {
+    /// The value is not in the expected format.
+    #[snafu(display("value cannot be decompressed: {source}"))]
+    Corrupt {
+        /// Error of the decompressor.
+        source: lz4_flex::block::DecompressError,
+    },
+    /// The value exceeds [`MAX_VALUE_BYTES`].
+    #[snafu(display("value of {size} bytes exceeds {MAX_VALUE_BYTES} bytes"))]
+    TooLarge {
+        /// Size of the value in bytes.
+        size: usize,
+    },
 }
 
 /// Response to [`ItemsRequest`]: the items that the receiver lacks.
