Decide in one type which regions may serve a request

The load balancer and the directory each evaluated the regions of routes and teams, in two different ways. RegionPolicy combines the restrictions of a route and a team; placement takes a policy instead of two lists, and only the new module and FleetView::entry_regions read the lists. No change of behaviour. The test of placement also checks a route and a team without a common region.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -565,7 +565,8 @@
             return false;
         }
         let connection_share = self.connection_share(&service.record);
-        if !self.is_allowed(record, request) || state.in_flight >= connection_share {
+        let region = self.options.regions.get(&record.data_centre);
+        if !request.regions.permits(region) || state.in_flight >= connection_share {
             return false;
         }
         if service.record.engine.is_none() {
@@ -601,13 +602,6 @@
         forecast.map_or(Duration::ZERO, |forecast| forecast.delay(load, request.prompt_tokens))
     }
 
-    fn is_allowed(&self, record: &UpstreamRecord, request: &PlacementRequest<'_>) -> bool {
-        let region = self.options.regions.get(&record.data_centre);
-        request.allowed_regions.iter().all(|allowed| {
-            allowed.is_empty() || region.is_some_and(|region| allowed.contains(region))
-        })
-    }
-
     fn is_remote(&self, record: &UpstreamRecord) -> bool {
         self.options.regions.get(&record.data_centre) != Some(&self.options.region)
     }
--- a/crates/balance/src/placement.rs
+++ b/crates/balance/src/placement.rs
@@ -5,8 +5,8 @@
     time::{Duration, Instant},
 };
 
-use base::{RegionId, ServiceId, UpstreamId};
-use fleet::{UpstreamRecord, WeightsLimits, WeightsVersion};
+use base::{ServiceId, UpstreamId};
+use fleet::{RegionPolicy, UpstreamRecord, WeightsLimits, WeightsVersion};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
@@ -22,8 +22,8 @@
     pub service: &'a ServiceId,
     /// Number of prompt tokens; 0 for services without engines.
     pub prompt_tokens: u32,
-    /// Regions that may serve the request according to its route and its team. An empty list allows every region.
-    pub allowed_regions: [&'a [RegionId]; 2],
+    /// Regions that may serve the request.
+    pub regions: &'a RegionPolicy,
     /// Upstreams that were already tried for this request.
     pub tried: &'a [UpstreamId],
     /// Limits for the use of outdated weights; `None` if any version may serve the request.
--- a/crates/balance/tests/board.rs
+++ b/crates/balance/tests/board.rs
@@ -13,8 +13,9 @@
 };
 use base::{ServiceId, UpstreamId};
 use fleet::{
-    ClientLimits, EngineCosts, EngineModel, EngineRecord, FleetView, LoadedWeights, RoutingConfig,
-    RoutingIndex, ServiceRecord, UpstreamRecord, WeightsLimits, WeightsState, WeightsVersion,
+    ClientLimits, EngineCosts, EngineModel, EngineRecord, FleetView, LoadedWeights, RegionPolicy,
+    RetryPolicy, RouteRecord, RoutingConfig, RoutingIndex, ServiceRecord, TeamRecord,
+    UpstreamRecord, WeightsLimits, WeightsState, WeightsVersion,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -23,6 +24,7 @@
 const ROLLOUT_TIMEOUT: Duration = Duration::from_secs(8);
 
 static CHAT: ServiceId = ServiceId::const_new("chat");
+static ANY_REGION: RegionPolicy = RegionPolicy::UNRESTRICTED;
 
 fn engine() -> EngineRecord {
     EngineRecord {
@@ -153,7 +155,7 @@
         let mut request = PlacementRequest {
             service: &CHAT,
             prompt_tokens: 1_000,
-            allowed_regions: [&[], &[]],
+            regions: &ANY_REGION,
             tried: &[],
             weights: None,
             time_to_target: Some(Duration::from_millis(400)),
@@ -186,6 +188,32 @@
     }
 }
 
+fn route(regions: &[&str]) -> RouteRecord {
+    RouteRecord {
+        name: "a".into(),
+        host: "h".into(),
+        prefix: "/a/".into(),
+        repeat: RetryPolicy::Idempotent,
+        timeout: Duration::from_secs(1),
+        target_latency: Duration::from_millis(100),
+        target_gap: None,
+        priority: 0,
+        backends: Vec::new(),
+        max_attempts: 1,
+        public: false,
+        allowed_regions: regions.iter().map(|region| (*region).into()).collect(),
+    }
+}
+
+fn team(regions: &[&str]) -> TeamRecord {
+    TeamRecord {
+        team: "t".into(),
+        keys: Vec::new(),
+        priority: None,
+        allowed_regions: regions.iter().map(|region| (*region).into()).collect(),
+    }
+}
+
 #[test]
 fn draining_and_evacuated_upstreams_receive_no_requests() {
     let mut fixture = PlacementFixture::new(2);
@@ -202,14 +230,19 @@
 fn placement_respects_allowed_regions_and_skips_tried_upstreams() {
     let mut fixture = PlacementFixture::new(2);
     fixture.change(1, |record| record.data_centre = "south".into());
-    let home = ["s".into()];
-    assert_eq!(fixture.place(|request| request.allowed_regions[0] = &home), Ok(name(1)));
+    let by_route = RegionPolicy::new(&route(&["s"]), None);
+    assert_eq!(fixture.place(|request| request.regions = &by_route), Ok(name(1)));
     let tried = [name(1)];
+    let by_team = RegionPolicy::new(&route(&[]), Some(&team(&["s"])));
+    assert_eq!(fixture.place(|request| request.regions = &by_team), Ok(name(1)));
     let refused = fixture.place(|request| {
-        request.allowed_regions[1] = &home;
+        request.regions = &by_team;
         request.tried = &tried;
     });
     assert_eq!(refused, Err(RefusalCause::NoUpstream));
+    let conflicting = RegionPolicy::new(&route(&["s"]), Some(&team(&["r"])));
+    let refused = fixture.place(|request| request.regions = &conflicting);
+    assert_eq!(refused, Err(RefusalCause::NoUpstream));
 }
 
 #[test]
--- a/crates/balance/tests/limit_sharing.rs
+++ b/crates/balance/tests/limit_sharing.rs
@@ -12,7 +12,10 @@
     PlacementRequest,
 };
 use base::{ServiceId, UpstreamId};
-use fleet::{ClientLimits, FleetView, RoutingConfig, RoutingIndex, ServiceRecord, UpstreamRecord};
+use fleet::{
+    ClientLimits, FleetView, RegionPolicy, RoutingConfig, RoutingIndex, ServiceRecord,
+    UpstreamRecord,
+};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -126,7 +129,7 @@
         let request = PlacementRequest {
             service: &DESK,
             prompt_tokens: 0,
-            allowed_regions: [&[], &[]],
+            regions: &RegionPolicy::default(),
             tried: &[],
             weights: None,
             time_to_target: Some(Duration::from_millis(400)),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 mod item;
 mod period;
 mod record;
+mod region;
 mod state;
 mod view;
 
@@ -21,6 +22,7 @@
         RetryPolicy, RouteBackend, RouteRecord, RoutingConfig, ServiceRecord, TeamRecord,
         UpstreamRecord, WeightsVersion,
     },
+    region::RegionPolicy,
     state::FleetState,
     view::{FleetView, RouteMatch, RoutingIndex, WeightsLimits, WeightsState},
 };
--- /dev/null
+++ b/crates/fleet/src/region.rs
@@ -0,0 +1,55 @@
+//! Which regions may serve a request.
+
+use base::RegionId;
+
+use crate::record::{RouteRecord, TeamRecord};
+
+/// Regions that may serve a request, according to its route and its team. This is the only place where their
+/// restrictions are evaluated.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct RegionPolicy {
+    /// Allowed regions, possibly none; `None` if every region is allowed.
+    allowed: Option<Vec<RegionId>>,
+}
+
+impl RegionPolicy {
+    /// Policy that allows every region.
+    pub const UNRESTRICTED: Self = Self { allowed: None };
+
+    /// Creates the policy of a request of a route and a team. Where both are restricted, both restrictions apply.
+    #[must_use]
+    pub fn new(route: &RouteRecord, team: Option<&TeamRecord>) -> Self {
+        let mut policy = Self::default();
+        policy.restrict(&route.allowed_regions);
+        if let Some(team) = team {
+            policy.restrict(&team.allowed_regions);
+        }
+        policy
+    }
+
+    /// Allows only those regions that `other` allows as well.
+    pub fn intersect(&mut self, other: &Self) {
+        let Some(others) = &other.allowed else { return };
+        match &mut self.allowed {
+            Some(allowed) => allowed.retain(|region| others.contains(region)),
+            None => self.allowed = Some(others.clone()),
+        }
+    }
+
+    /// True if a host in `region` may serve the request; `None` stands for an unknown region, which only a request
+    /// without restrictions may use.
+    #[must_use]
+    pub fn permits(&self, region: Option<&RegionId>) -> bool {
+        match &self.allowed {
+            Some(allowed) => region.is_some_and(|region| allowed.contains(region)),
+            None => true,
+        }
+    }
+
+    /// Applies the regions of a record, where an empty list allows every region.
+    fn restrict(&mut self, regions: &[RegionId]) {
+        if !regions.is_empty() {
+            self.intersect(&Self { allowed: Some(regions.to_vec()) });
+        }
+    }
+}
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use base::{DataCentreId, ModelId, Revision, ServiceId, UpstreamId};
+use base::{DataCentreId, ModelId, RegionId, Revision, ServiceId, UpstreamId};
 use compact_str::CompactString;
 
 use crate::record::{
@@ -195,6 +195,14 @@
         routing.and_then(|routing| routing.routes.get(host)).map_or(&[], Vec::as_slice)
     }
 
+    /// Regions whose entries are named to callers of a host; empty if all are.
+    #[must_use]
+    pub fn entry_regions(&self, host: &str) -> Vec<RegionId> {
+        let restricted =
+            self.routes_for_host(host).iter().find(|route| !route.allowed_regions.is_empty());
+        restricted.map_or_else(Vec::new, |route| route.allowed_regions.clone())
+    }
+
     /// True if callers need keys.
     #[must_use]
     pub fn needs_keys(&self) -> bool {
--- a/crates/gateway/src/entry/http.rs
+++ b/crates/gateway/src/entry/http.rs
@@ -233,15 +233,12 @@
 }
 
 fn addresses_for(shared: &EntryShared, query: &crate::port::AddressQuery) -> Vec<SocketAddr> {
-    let view = shared.view.load();
-    let routes = view.routes_for_host(&query.host);
-    let home_regions = routes
-        .iter()
-        .map(|route| &route.allowed_regions)
-        .find(|regions| !regions.is_empty())
-        .map_or(&[][..], Vec::as_slice);
-    let location =
-        CallerLocation { data_centre: &query.data_centre, region: &query.region, home_regions };
+    let home_regions = shared.view.load().entry_regions(&query.host);
+    let location = CallerLocation {
+        data_centre: &query.data_centre,
+        region: &query.region,
+        home_regions: &home_regions,
+    };
     let own = shared.own_member();
     let regions = &shared.settings.common.regions;
     shared.membership().addresses_for(
--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -12,7 +12,9 @@
 use base::{ServiceId, UpstreamId};
 use bytes::Bytes;
 use compact_str::CompactString;
-use fleet::{FleetView, RouteRecord, TeamRecord, UpstreamRecord, WeightsLimits, WeightsVersion};
+use fleet::{
+    FleetView, RegionPolicy, RouteRecord, TeamRecord, UpstreamRecord, WeightsLimits, WeightsVersion,
+};
 use http_body_util::Full;
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming, http::response,
@@ -48,6 +50,8 @@
     /// Time by which the caller must have the complete response.
     pub(crate) deadline: Instant,
     pub(super) team: Option<Arc<TeamRecord>>,
+    /// Regions that may serve the request.
+    regions: RegionPolicy,
     service: ServiceId,
     pub(super) method: Method,
     pub(super) uri: Uri,
@@ -141,6 +145,7 @@
         headers: head.headers,
         shared,
         meta,
+        regions: RegionPolicy::new(&route, team.as_deref()),
         route,
         team,
         service,
@@ -303,11 +308,10 @@
         is_resumed: bool,
     ) -> Placement {
         let latency_target = self.started + self.route.target_latency;
-        let regions = self.team.as_ref().map_or(&[][..], |team| team.allowed_regions.as_slice());
         let placement_request = PlacementRequest {
             service: &self.service,
             prompt_tokens: self.meta.prompt_tokens,
-            allowed_regions: [&self.route.allowed_regions, regions],
+            regions: &self.regions,
             tried,
             weights: self.weights_limits(view),
             time_to_target: self
--- a/crates/standin/src/measure/load/policy.rs
+++ b/crates/standin/src/measure/load/policy.rs
@@ -8,8 +8,8 @@
 };
 use base::{ServiceId, UpstreamId};
 use fleet::{
-    ClientLimits, EngineRecord, FleetView, LoadedWeights, RoutingConfig, RoutingIndex,
-    ServiceRecord, UpstreamRecord,
+    ClientLimits, EngineRecord, FleetView, LoadedWeights, RegionPolicy, RoutingConfig,
+    RoutingIndex, ServiceRecord, UpstreamRecord,
 };
 use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
@@ -138,7 +138,7 @@
         let placement_request = PlacementRequest {
             service: &self.service,
             prompt_tokens: request.prompt,
-            allowed_regions: [&[], &[]],
+            regions: &RegionPolicy::default(),
             tried: &[],
             weights: None,
             time_to_target: first_try.then(|| request.target()),
