Apply restrictions to regions that come after a request to its later attempts

A request was placed by the records of route and team under which it was admitted. A retry, a resumed stream and the check for an alternative upstream could therefore go to a region that a newer configuration no longer allowed. Each placement now also applies the policy of the configuration in force. Restrictions accumulate over the life of a request: one that was lifted meanwhile still applies, so that no attempt contradicts either configuration.

--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -9,9 +9,12 @@
 use base::{DataCentreId, ModelId, RegionId, Revision, ServiceId, UpstreamId};
 use compact_str::CompactString;
 
-use crate::record::{
-    ClientLimits, RouteRecord, RoutingConfig, ServiceRecord, TeamRecord, UpstreamRecord,
-    WeightsVersion,
+use crate::{
+    record::{
+        ClientLimits, RouteRecord, RoutingConfig, ServiceRecord, TeamRecord, UpstreamRecord,
+        WeightsVersion,
+    },
+    region::RegionPolicy,
 };
 
 /// Result of looking up a request's route.
@@ -195,6 +198,19 @@
         routing.and_then(|routing| routing.routes.get(host)).map_or(&[], Vec::as_slice)
     }
 
+    /// Regions that may serve a request according to the configuration in force. Without one, or without a matching
+    /// route or team, there is no restriction.
+    #[must_use]
+    pub fn region_policy(&self, host: &str, path: &str, key: Option<&str>) -> RegionPolicy {
+        match self.route(host, path) {
+            RouteMatch::Found(route) => {
+                let team = key.and_then(|key| self.team(key));
+                RegionPolicy::new(&route, team.map(|team| &**team))
+            }
+            RouteMatch::Unknown | RouteMatch::NoConfig => RegionPolicy::UNRESTRICTED,
+        }
+    }
+
     /// Regions whose entries are named to callers of a host; empty if all are.
     #[must_use]
     pub fn entry_regions(&self, host: &str) -> Vec<RegionId> {
--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -50,8 +50,6 @@
     /// Time by which the caller must have the complete response.
     pub(crate) deadline: Instant,
     pub(super) team: Option<Arc<TeamRecord>>,
-    /// Regions that may serve the request.
-    regions: RegionPolicy,
     service: ServiceId,
     pub(super) method: Method,
     pub(super) uri: Uri,
@@ -75,6 +73,8 @@
 pub(super) struct RequestProgress {
     pub(super) attempts: AttemptLog,
     tried: Vec<UpstreamId>,
+    /// Regions that may serve the request, according to each configuration since it was admitted.
+    regions: RegionPolicy,
     /// Upstream of the last attempt.
     pub(super) last: Option<UpstreamId>,
     /// Time until the first event of a stream, and the longest pause between two events.
@@ -133,6 +133,7 @@
         progress: Mutex::new(RequestProgress {
             attempts: AttemptLog::new(route.repeat, route.max_attempts),
             tried: Vec::new(),
+            regions: RegionPolicy::new(&route, team.as_deref()),
             last: None,
             first_event: None,
             longest_pause: Duration::ZERO,
@@ -145,7 +146,6 @@
         headers: head.headers,
         shared,
         meta,
-        regions: RegionPolicy::new(&route, team.as_deref()),
         route,
         team,
         service,
@@ -299,6 +299,16 @@
         Some(WeightsLimits::new(state, self.shared.settings.common.rollout_timeout))
     }
 
+    /// Regions that may serve the request from now on. A restriction that has come since the request was admitted
+    /// applies to it as well; one that was lifted meanwhile still does.
+    fn narrow_regions(&self, view: &FleetView) -> RegionPolicy {
+        let current =
+            view.region_policy(&self.meta.host, self.uri.path(), self.meta.key.as_deref());
+        let mut progress = self.progress();
+        progress.regions.intersect(&current);
+        progress.regions.clone()
+    }
+
     /// Chooses an upstream that is not among those already `tried`.
     fn place(
         &self,
@@ -311,7 +321,7 @@
         let placement_request = PlacementRequest {
             service: &self.service,
             prompt_tokens: self.meta.prompt_tokens,
-            regions: &self.regions,
+            regions: &self.narrow_regions(view),
             tried,
             weights: self.weights_limits(view),
             time_to_target: self
