Reject unknown keys on public routes while the state may be out of date

A request on a public route whose key the entry does not know was served without a team, and so without the regions that the team allows. If the state of the entry may be out of date, the key may belong to a team that it does not know yet. Such a request now gets 503, as one with an unknown key on any other route does. An entry with a current state still serves it without a team, and requests without a key are not affected.

--- a/crates/gateway/src/entry/admit.rs
+++ b/crates/gateway/src/entry/admit.rs
@@ -24,10 +24,12 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Minimum time between the expected end of a request and the end of a stopping process, for which it is accepted.
 const STOP_MARGIN: Duration = Duration::from_millis(200);
-/// Maximum age of the fleet state at which an unknown route or key is rejected permanently. It covers the longest time
-/// between two confirmations by the store; beyond it the configuration may have changed, so the caller is told to
-/// retry.
+/// Maximum age of the fleet state at which an unknown route or key is rejected permanently, or an unknown key ignored.
+/// It covers the longest time between two confirmations by the store; beyond it the configuration may have changed, so
+/// the caller is told to retry.
 const MAX_FLEET_STATE_AGE: Duration = Duration::from_millis(3_500);
+/// Temporary rejection of a request that a newer configuration may treat in another way.
+const STALE_KNOWLEDGE: (StatusCode, &str) = (StatusCode::SERVICE_UNAVAILABLE, "stale_knowledge");
 
 /// Reads a body within the limits; the error is the status to return to the caller.
 pub(super) async fn read_body(
@@ -68,16 +70,12 @@
     if shared.refusing.load(Ordering::Relaxed) {
         return Err((StatusCode::SERVICE_UNAVAILABLE, "stopping"));
     }
-    // The age is only evaluated for permanent rejections, which saves all other requests a read of the clock.
-    let unless_stale = |status, cause| {
-        let is_fresh = !shared.is_stale_after_pause()
-            && shared.fleet_state_age().is_some_and(|age| age <= MAX_FLEET_STATE_AGE);
-        if is_fresh {
-            (status, cause)
-        } else {
-            (StatusCode::SERVICE_UNAVAILABLE, "stale_knowledge")
-        }
+    // The age is only evaluated for unknown routes and keys, which saves all other requests a read of the clock.
+    let is_fresh = || {
+        !shared.is_stale_after_pause()
+            && shared.fleet_state_age().is_some_and(|age| age <= MAX_FLEET_STATE_AGE)
     };
+    let unless_stale = |status, cause| if is_fresh() { (status, cause) } else { STALE_KNOWLEDGE };
     let route = match view.route(&meta.host, path) {
         RouteMatch::Found(route) => route,
         RouteMatch::Unknown => return Err(unless_stale(StatusCode::NOT_FOUND, "no_route")),
@@ -93,8 +91,14 @@
         return Ok((route, None));
     }
     let team = meta.key.as_ref().and_then(|key| view.team(key)).cloned();
-    if team.is_none() && !route.public {
-        return Err(unless_stale(StatusCode::UNAUTHORIZED, "unknown_key"));
+    if team.is_none() {
+        if !route.public {
+            return Err(unless_stale(StatusCode::UNAUTHORIZED, "unknown_key"));
+        }
+        // The key may belong to a team that is restricted to other regions.
+        if meta.key.is_some() && !is_fresh() {
+            return Err(STALE_KNOWLEDGE);
+        }
     }
     Ok((route, team))
 }
