Respect the regions of all routes of a host in answers about entries

The directory used the regions of the first restricted route of a host. Callers of its other routes were directed to entries in regions that those routes do not allow. A query does not name a route, so the directory now prefers entries in regions that may serve all routes of the host, or any of them if no region may serve all.

--- a/crates/fleet/src/region.rs
+++ b/crates/fleet/src/region.rs
@@ -1,5 +1,7 @@
 //! Which regions may serve a request.
 
+use std::sync::Arc;
+
 use base::RegionId;
 
 use crate::record::{RouteRecord, TeamRecord};
@@ -53,3 +55,23 @@
         }
     }
 }
+
+/// Regions that may serve all `routes`, or those that may serve any of them if there is no such region. Empty if no route
+/// is restricted.
+pub(crate) fn common_regions(routes: &[Arc<RouteRecord>]) -> Vec<RegionId> {
+    let mut common = RegionPolicy::UNRESTRICTED;
+    for route in routes {
+        common.intersect(&RegionPolicy::new(route, None));
+    }
+    match common.allowed {
+        Some(regions) if regions.is_empty() => {
+            let mut regions: Vec<_> =
+                routes.iter().flat_map(|route| &route.allowed_regions).cloned().collect();
+            regions.sort_unstable();
+            regions.dedup();
+            regions
+        }
+        Some(regions) => regions,
+        None => Vec::new(),
+    }
+}
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -14,7 +14,7 @@
         ClientLimits, RouteRecord, RoutingConfig, ServiceRecord, TeamRecord, UpstreamRecord,
         WeightsVersion,
     },
-    region::RegionPolicy,
+    region::{RegionPolicy, common_regions},
 };
 
 /// Result of looking up a request's route.
@@ -211,12 +211,10 @@
         }
     }
 
-    /// Regions whose entries are named to callers of a host; empty if all are.
+    /// Regions whose entries are named to callers of a host, whichever of its routes they need; empty if all are.
     #[must_use]
     pub fn entry_regions(&self, host: &str) -> Vec<RegionId> {
-        let restricted =
-            self.routes_for_host(host).iter().find(|route| !route.allowed_regions.is_empty());
-        restricted.map_or_else(Vec::new, |route| route.allowed_regions.clone())
+        common_regions(self.routes_for_host(host))
     }
 
     /// True if callers need keys.
