Test: the directory does not know the regions of an unknown host

Fails: for a host without a route in its configuration, or before it has one, the directory takes all regions as allowed and names entries of any region if the caller's data centre has fewer than two:

regions_of_an_unknown_host_are_unknown left: Some([]) right: None

--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -212,9 +212,10 @@
     }
 
     /// Regions whose entries are named to callers of a host, whichever of its routes they need; empty if all are.
+    /// `None` if the configuration in force has no route of the host.
     #[must_use]
-    pub fn entry_regions(&self, host: &str) -> Vec<RegionId> {
-        common_regions(self.routes_for_host(host))
+    pub fn entry_regions(&self, host: &str) -> Option<Vec<RegionId>> {
+        Some(common_regions(self.routes_for_host(host)))
     }
 
     /// True if callers need keys.
--- a/crates/fleet/tests/regions.rs
+++ b/crates/fleet/tests/regions.rs
@@ -53,19 +53,26 @@
         route("h", "/", &[]),
         route("other", "/", &["u"]),
     ];
-    assert_eq!(view(routes).entry_regions("h"), names(&["s"]));
+    assert_eq!(view(routes).entry_regions("h"), Some(names(&["s"])));
 }
 
 /// Guards against entries that may serve no route of the host, if no region may serve all of them.
 #[test]
 fn named_entries_may_serve_some_route_if_none_may_serve_every_one() {
     let routes = vec![route("h", "/a/", &["r"]), route("h", "/b/", &["s"]), route("h", "/", &[])];
-    let mut regions = view(routes).entry_regions("h");
+    let mut regions = view(routes).entry_regions("h").expect("the host is known");
     regions.sort_unstable();
     assert_eq!(regions, names(&["r", "s"]));
 }
 
 #[test]
 fn every_entry_is_named_if_no_route_of_the_host_is_restricted() {
-    assert_eq!(view(vec![route("h", "/", &[])]).entry_regions("h"), names(&[]));
+    assert_eq!(view(vec![route("h", "/", &[])]).entry_regions("h"), Some(names(&[])));
+}
+
+/// Guards against entries of any region for a host that only a newer configuration knows and may restrict.
+#[test]
+fn regions_of_an_unknown_host_are_unknown() {
+    assert_eq!(view(vec![route("h", "/", &[])]).entry_regions("later"), None);
+    assert_eq!(FleetView::default().entry_regions("h"), None);
 }
--- a/crates/gateway/src/entry/http.rs
+++ b/crates/gateway/src/entry/http.rs
@@ -233,7 +233,9 @@
 }
 
 fn addresses_for(shared: &EntryShared, query: &crate::port::AddressQuery) -> Vec<SocketAddr> {
+    // An unknown host may be one that a newer configuration restricts.
     let home_regions = shared.view.load().entry_regions(&query.host);
+    let home_regions = home_regions.unwrap_or_else(|| vec![query.region.clone()]);
     let location = CallerLocation {
         data_centre: &query.data_centre,
         region: &query.region,
