Name no distant entries for hosts that the configuration does not know

For a host without a route, or before a configuration has arrived, the directory named entries of any region beside a single near one. A newer configuration may restrict the host to other regions. Entries outside the caller's region are now named for such a host only if no entry of the region is available.

--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -215,7 +215,8 @@
     /// `None` if the configuration in force has no route of the host.
     #[must_use]
     pub fn entry_regions(&self, host: &str) -> Option<Vec<RegionId>> {
-        Some(common_regions(self.routes_for_host(host)))
+        let routes = self.routes_for_host(host);
+        (!routes.is_empty()).then(|| common_regions(routes))
     }
 
     /// True if callers need keys.
