Apply a team's regions although its route is gone

The policy of the configuration in force was only determined if it had a route for the request. A later attempt of a request whose route a newer configuration had removed ignored the regions of the team in that configuration.

--- a/crates/balance/tests/board.rs
+++ b/crates/balance/tests/board.rs
@@ -230,17 +230,17 @@
 fn placement_respects_allowed_regions_and_skips_tried_upstreams() {
     let mut fixture = PlacementFixture::new(2);
     fixture.change(1, |record| record.data_centre = "south".into());
-    let by_route = RegionPolicy::new(&route(&["s"]), None);
+    let by_route = RegionPolicy::new(Some(&route(&["s"])), None);
     assert_eq!(fixture.place(|request| request.regions = &by_route), Ok(name(1)));
     let tried = [name(1)];
-    let by_team = RegionPolicy::new(&route(&[]), Some(&team(&["s"])));
+    let by_team = RegionPolicy::new(Some(&route(&[])), Some(&team(&["s"])));
     assert_eq!(fixture.place(|request| request.regions = &by_team), Ok(name(1)));
     let refused = fixture.place(|request| {
         request.regions = &by_team;
         request.tried = &tried;
     });
     assert_eq!(refused, Err(RefusalCause::NoUpstream));
-    let conflicting = RegionPolicy::new(&route(&["s"]), Some(&team(&["r"])));
+    let conflicting = RegionPolicy::new(Some(&route(&["s"])), Some(&team(&["r"])));
     let refused = fixture.place(|request| request.regions = &conflicting);
     assert_eq!(refused, Err(RefusalCause::NoUpstream));
 }
--- a/crates/balance/tests/regions/main.rs
+++ b/crates/balance/tests/regions/main.rs
@@ -238,7 +238,7 @@
                 let Some(admitted) = admitted else {
                     return Err(TestCaseError::fail("a request is admitted without configuration"));
                 };
-                let policy = RegionPolicy::new(&route, team.map(|team| &**team));
+                let policy = RegionPolicy::new(Some(&route), team.map(|team| &**team));
                 let tried = Vec::new();
                 self.request = Some(OpenRequest { path, key, policy, tried, admitted });
             }
--- a/crates/fleet/src/region.rs
+++ b/crates/fleet/src/region.rs
@@ -20,9 +20,11 @@
 
     /// Creates the policy of a request of a route and a team. Where both are restricted, both restrictions apply.
     #[must_use]
-    pub fn new(route: &RouteRecord, team: Option<&TeamRecord>) -> Self {
-        let mut policy = Self::default();
-        policy.restrict(&route.allowed_regions);
+    pub fn new(route: Option<&RouteRecord>, team: Option<&TeamRecord>) -> Self {
+        let mut policy = Self::UNRESTRICTED;
+        if let Some(route) = route {
+            policy.restrict(&route.allowed_regions);
+        }
         if let Some(team) = team {
             policy.restrict(&team.allowed_regions);
         }
@@ -61,7 +63,7 @@
 pub(crate) fn common_regions(routes: &[Arc<RouteRecord>]) -> Vec<RegionId> {
     let mut common = RegionPolicy::UNRESTRICTED;
     for route in routes {
-        common.intersect(&RegionPolicy::new(route, None));
+        common.intersect(&RegionPolicy::new(Some(route), None));
     }
     match common.allowed {
         Some(regions) if regions.is_empty() => {
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -198,17 +198,16 @@
         routing.and_then(|routing| routing.routes.get(host)).map_or(&[], Vec::as_slice)
     }
 
-    /// Regions that may serve a request according to the configuration in force. Without one, or without a matching
-    /// route or team, there is no restriction.
+    /// Regions that may serve a request according to the configuration in force. A route or team that it does not
+    /// contain restricts nothing.
     #[must_use]
     pub fn region_policy(&self, host: &str, path: &str, key: Option<&str>) -> RegionPolicy {
-        match self.route(host, path) {
-            RouteMatch::Found(route) => {
-                let team = key.and_then(|key| self.team(key));
-                RegionPolicy::new(&route, team.map(|team| &**team))
-            }
-            RouteMatch::Unknown | RouteMatch::NoConfig => RegionPolicy::UNRESTRICTED,
-        }
+        let route = match self.route(host, path) {
+            RouteMatch::Found(route) => Some(route),
+            RouteMatch::Unknown | RouteMatch::NoConfig => None,
+        };
+        let team = key.and_then(|key| self.team(key));
+        RegionPolicy::new(route.as_deref(), team.map(|team| &**team))
     }
 
     /// Regions whose entries are named to callers of a host, whichever of its routes they need; empty if all are.
--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -133,7 +133,7 @@
         progress: Mutex::new(RequestProgress {
             attempts: AttemptLog::new(route.repeat, route.max_attempts),
             tried: Vec::new(),
-            regions: RegionPolicy::new(&route, team.as_deref()),
+            regions: RegionPolicy::new(Some(&route), team.as_deref()),
             last: None,
             first_event: None,
             longest_pause: Duration::ZERO,
