Test: no attempt is refused while an upstream is allowed

The property of the regions now also holds the other way round, so that a policy that allows nothing does not pass, and each attempt is checked against all configurations that were in force at an attempt of the request.

--- a/crates/balance/tests/regions/main.rs
+++ b/crates/balance/tests/regions/main.rs
@@ -1,5 +1,6 @@
 //! Draws sequences of configuration changes, restarts, restores of the store and steps of a request, and checks that
-//! neither an attempt nor an answer about entries leaves the allowed regions.
+//! neither an attempt nor an answer about entries leaves the allowed regions, and that no attempt is refused while an
+//! upstream is allowed.
 
 mod draw;
 
@@ -61,13 +62,13 @@
     }
 }
 
-/// A request in progress: what a process keeps of it, and the configuration by which it was admitted.
+/// A request in progress: what a process keeps of it, and the configurations that restrict it.
 struct OpenRequest {
     path: &'static str,
     key: usize,
     policy: RegionPolicy,
     tried: Vec<UpstreamId>,
-    admitted: usize,
+    binding: Vec<usize>,
 }
 
 struct RegionFixture<'a> {
@@ -86,8 +87,6 @@
     evacuated: BTreeSet<&'static str>,
     /// Configuration that the process must apply, and the era in which it received it.
     in_force: Option<(usize, u64)>,
-    /// Number of attempts that were placed.
-    placed: usize,
 }
 
 impl<'a> RegionFixture<'a> {
@@ -110,7 +109,6 @@
             stored: None,
             evacuated: BTreeSet::new(),
             in_force: None,
-            placed: 0,
         };
         fixture.list();
         fixture
@@ -214,7 +212,6 @@
                     && let Some(request) = &mut self.request
                 {
                     request.tried.push(upstream);
-                    self.placed += 1;
                 }
             }
             Step::CheckAlternative => {
@@ -240,7 +237,8 @@
                 };
                 let policy = RegionPolicy::new(Some(&route), team.map(|team| &**team));
                 let tried = Vec::new();
-                self.request = Some(OpenRequest { path, key, policy, tried, admitted });
+                self.request =
+                    Some(OpenRequest { path, key, policy, tried, binding: vec![admitted] });
             }
             RouteMatch::Unknown => {
                 let route = self.config().and_then(|config| config.route(path));
@@ -252,7 +250,7 @@
     }
 
     /// Places the open request, and checks the upstream against the configuration by which the request was admitted and
-    /// the one in force.
+    /// those in force at each attempt.
     fn place(&mut self, is_resumed: bool) -> Result<Option<UpstreamId>, TestCaseError> {
         let Some(request) = &mut self.request else { return Ok(None) };
         let key = KEYS[request.key];
@@ -267,26 +265,27 @@
             is_resumed,
         };
         let placement = self.balancer.choose(&placement_request, self.now, &mut self.rng);
-        let in_force = self.in_force.map(|(index, _)| index);
-        let binding: Vec<&ConfigDraw> = [Some(request.admitted), in_force]
-            .into_iter()
-            .flatten()
-            .map(|index| &self.decoder.configs[index])
-            .collect();
-        let is_permitted = |centre: &str| {
-            let region = region_of(centre);
-            binding
-                .iter()
-                .all(|config| config.permits(request.path, request.key, region.as_deref()))
+        request.binding.extend(self.in_force.map(|(index, _)| index));
+        let is_usable = |record: &UpstreamRecord| {
+            let region = region_of(&record.data_centre);
+            !record.draining
+                && !self.evacuated.contains(&*record.data_centre)
+                && !request.tried.contains(&record.upstream)
+                && request.binding.iter().all(|index| {
+                    let config = &self.decoder.configs[*index];
+                    config.permits(request.path, request.key, region.as_deref())
+                })
         };
         match placement {
             Placement::Upstream { record, .. } => {
-                prop_assert!(is_permitted(&record.data_centre), "sent to {:?}", record);
-                prop_assert!(!request.tried.contains(&record.upstream));
-                prop_assert!(!self.evacuated.contains(&*record.data_centre) && !record.draining);
+                prop_assert!(is_usable(&record), "sent to {:?}", record);
                 Ok(Some(record.upstream.clone()))
             }
-            Placement::Refused(_) => Ok(None),
+            Placement::Refused(_) => {
+                let is_any_usable = self.view.upstreams().any(|(record, _)| is_usable(record));
+                prop_assert!(!is_any_usable, "refused although an upstream is allowed");
+                Ok(None)
+            }
         }
     }
 
