--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -6,12 +6,15 @@
     time::{Duration, Instant},
 };
 
-use base::{DataCentreId, ModelId, Revision, ServiceId, UpstreamId};
+use base::{DataCentreId, ModelId, RegionId, Revision, ServiceId, UpstreamId};
 use compact_str::CompactString;
 
-use crate::record::{
-    ClientLimits, RouteRecord, RoutingConfig, ServiceRecord, TeamRecord, UpstreamRecord,
-    WeightsVersion,
+use crate::{
+    record::{
+        ClientLimits, RouteRecord, RoutingConfig, ServiceRecord, TeamRecord, UpstreamRecord,
+        WeightsVersion,
+    },
+    region::{RegionPolicy, common_regions},
 };
 
 /// Result of looking up a request's route.
@@ -195,6 +198,26 @@
         routing.and_then(|routing| routing.routes.get(host)).map_or(&[], Vec::as_slice)
     }
 
+    /// Regions that may serve a request according to the configuration in force. A route or team that it does not
+    /// contain restricts nothing.
+    #[must_use]
+    pub fn region_policy(&self, host: &str, path: &str, key: Option<&str>) -> RegionPolicy {
+        let route = match self.route(host, path) {
+            RouteMatch::Found(route) => Some(route),
+            RouteMatch::Unknown | RouteMatch::NoConfig => None,
+        };
+        let team = key.and_then(|key| self.team(key));
+        RegionPolicy::new(route.as_deref(), team.map(|team| &**team))
+    }
+
+    /// Regions whose entries are named to callers of a host, whichever of its routes they need; empty if all are.
+    /// `None` if the configuration in force has no route of the host.
+    #[must_use]
+    pub fn entry_regions(&self, host: &str) -> Option<Vec<RegionId>> {
+        let routes = self.routes_for_host(host);
+        (!routes.is_empty()).then(|| common_regions(routes))
+    }
+
     /// True if callers need keys.
     #[must_use]
     pub fn needs_keys(&self) -> bool {
--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -12,7 +12,9 @@
 use base::{ServiceId, UpstreamId};
 use bytes::Bytes;
 use compact_str::CompactString;
-use fleet::{FleetView, RouteRecord, TeamRecord, UpstreamRecord, WeightsLimits, WeightsVersion};
+use fleet::{
+    FleetView, RegionPolicy, RouteRecord, TeamRecord, UpstreamRecord, WeightsLimits, WeightsVersion,
+};
 use http_body_util::Full;
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming, http::response,
@@ -71,6 +73,8 @@
 pub(super) struct RequestProgress {
     pub(super) attempts: AttemptLog,
     tried: Vec<UpstreamId>,
+    /// Regions that may serve the request, according to each configuration since it was admitted.
+    regions: RegionPolicy,
     /// Upstream of the last attempt.
     pub(super) last: Option<UpstreamId>,
     /// Time until the first event of a stream, and the longest pause between two events.
@@ -129,6 +133,7 @@
         progress: Mutex::new(RequestProgress {
             attempts: AttemptLog::new(route.repeat, route.max_attempts),
             tried: Vec::new(),
+            regions: RegionPolicy::new(Some(&route), team.as_deref()),
             last: None,
             first_event: None,
             longest_pause: Duration::ZERO,
@@ -294,6 +299,16 @@
         Some(WeightsLimits::new(state, self.shared.settings.common.rollout_timeout))
     }
 
+    /// Regions that may serve the request from now on. A restriction that has come since the request was admitted
+    /// applies to it as well; one that was lifted meanwhile still does.
+    fn narrow_regions(&self, view: &FleetView) -> RegionPolicy {
+        let current =
+            view.region_policy(&self.meta.host, self.uri.path(), self.meta.key.as_deref());
+        let mut progress = self.progress();
+        progress.regions.intersect(&current);
+        progress.regions.clone()
+    }
+
     /// Chooses an upstream that is not among those already `tried`.
     fn place(
         &self,
@@ -303,11 +318,10 @@
         is_resumed: bool,
     ) -> Placement {
         let latency_target = self.started + self.route.target_latency;
-        let regions = self.team.as_ref().map_or(&[][..], |team| team.allowed_regions.as_slice());
         let placement_request = PlacementRequest {
             service: &self.service,
             prompt_tokens: self.meta.prompt_tokens,
-            allowed_regions: [&self.route.allowed_regions, regions],
+            regions: &self.narrow_regions(view),
             tried,
             weights: self.weights_limits(view),
             time_to_target: self
