Read the shared parts of a request's prompt

RequestMeta lists the ids of all parts in Prompt-Prefix but the last, which belongs to the request or its session.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -28,6 +28,8 @@
 pub type UpstreamId = CompactString;
 /// Id of a model or of an adapter.
 pub type ModelId = CompactString;
+/// Id of a part of a prompt, which several requests may share: hexadecimal digits in lower case.
+pub type PromptPartId = CompactString;
 /// Name of a version of a model.
 pub type VersionName = CompactString;
 /// Id of a plain service, as opposed to a model.
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -3,7 +3,7 @@
 use std::{error::Error, net::SocketAddr, time::Duration};
 
 use balance::LimitStatement;
-use base::{ModelId, Revision};
+use base::{ModelId, PromptPartId, Revision};
 use bytes::Bytes;
 use chunks::{ChunkDigest, ChunkIndex, WeightsId};
 use compact_str::CompactString;
@@ -38,6 +38,10 @@
     /// Maximum number of tokens in the response.
     #[serde(rename = "answer_tokens")]
     pub max_response_tokens: u32,
+    /// Parts of the prompt that other requests may share, without the last part, which belongs to the request or to its
+    /// session. Parts that cannot be read are missing.
+    #[serde(default)]
+    pub shared_parts: Vec<PromptPartId>,
 }
 
 /// Metadata that the system adds to a request when it sends it to an upstream.
