Log each confirmed crash with the prompt parts in flight

A confirmation named only a number of requests, so that a part common to all crashes could not be found in the logs. The new line upstream_crashed names the engine, the shared parts of the requests that the engine had not yet shown to be harmless, and the time from the broken connection to the confirmation. Requests keep the start time of the process that they were sent to, which identifies the crash even if the engine has already been replaced.

--- a/crates/balance/src/crash.rs
+++ b/crates/balance/src/crash.rs
@@ -5,14 +5,16 @@
 //! restarted shortly afterwards.
 
 use std::{
-    collections::VecDeque,
+    collections::{BTreeMap, VecDeque},
     time::{Duration, Instant},
 };
 
-use base::{ContentDigest, UpstreamId};
+use base::{ContentDigest, PromptPartId, UpstreamId};
 use fleet::FleetView;
 use route::{CrashEvidence, CrashTable, CrashTableOptions, CrashVerdict, Fingerprint};
 
+use crate::part_suspects::{PartSuspects, UpstreamCrash};
+
 /// Number of crashes after which a request is refused. With 2, a harmless request could be refused: the failure of a
 /// host or a data centre hits many requests at once, and one that is retried elsewhere may be hit twice.
 const CRASH_LIMIT: u32 = 3;
@@ -20,6 +22,8 @@
 const CONFIRM_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum number of broken connections that wait for confirmation; the oldest are dropped first.
 const MAX_PENDING: usize = 4_096;
+/// Maximum number of confirmed crashes that wait to be logged; the others are not logged.
+const MAX_CONFIRMED: usize = 64;
 /// Number of times that the same evidence is sent to the other entries. It is repeated because datagrams may be lost.
 const EVIDENCE_COPIES: u32 = 3;
 
@@ -33,21 +37,68 @@
     ContentDigest::of(&parts.concat())
 }
 
-/// A request whose connection to the upstream broke, waiting for confirmation of a crash.
-#[derive(Debug)]
-struct LostRequest {
-    fingerprint: Fingerprint,
-    upstream: UpstreamId,
+/// A request whose connection to the upstream broke. It waits for confirmation of a crash.
+#[derive(Clone, Debug)]
+pub struct LostRequest {
+    /// Fingerprint of the request.
+    pub fingerprint: Fingerprint,
+    /// Upstream that ran the request.
+    pub upstream: UpstreamId,
     /// Start of the upstream's process in Unix milliseconds, to detect a restart.
-    started_ms: u64,
-    at: Instant,
+    pub started_ms: u64,
+    /// Shared parts of the prompt; empty if the upstream had written enough of the response to clear them, or if it was
+    /// about to stop.
+    pub suspect_parts: Vec<PromptPartId>,
+}
+
+/// A crash that has been confirmed, for logs.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ConfirmedCrash {
+    /// Upstream that crashed.
+    pub upstream: UpstreamId,
+    /// Number of this entry's requests that were in flight.
+    pub requests: usize,
+    /// Suspect parts of each of them, without those that succeeded a short time before.
+    pub suspect_parts: Vec<Vec<PromptPartId>>,
+    /// Time from the first broken connection to its confirmation.
+    pub delay: Duration,
+}
+
+/// Reason and duration of the refusal of a request because of crashes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CrashRefusal {
+    /// The same request crashed too many upstreams.
+    Request(Duration),
+    /// Requests with a part of its prompt crashed too many upstreams.
+    PromptPart(Duration),
+}
+
+impl CrashRefusal {
+    /// Name of the reason in logs and metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Request(_) => "crashes_upstreams",
+            Self::PromptPart(_) => "crashing_prompt_part",
+        }
+    }
+
+    /// Time after which the caller may return.
+    #[must_use]
+    pub fn retry_after(self) -> Duration {
+        match self {
+            Self::Request(time) | Self::PromptPart(time) => time,
+        }
+    }
 }
 
 /// Detects requests that crash upstreams, from this entry's broken connections and the evidence of other entries.
 #[derive(Debug)]
 pub struct CrashDetector {
     table: CrashTable,
-    pending: VecDeque<LostRequest>,
+    parts: PartSuspects,
+    pending: VecDeque<(LostRequest, Instant)>,
+    confirmed: Vec<ConfirmedCrash>,
     outbox: Vec<(CrashEvidence, u32)>,
 }
 
@@ -63,7 +114,46 @@
     pub fn new() -> Self {
         let options =
             CrashTableOptions { shared_limit: CRASH_LIMIT, ..CrashTableOptions::default() };
-        Self { table: CrashTable::new(options), pending: VecDeque::new(), outbox: Vec::new() }
+        Self {
+            table: CrashTable::new(options),
+            parts: PartSuspects::new(),
+            pending: VecDeque::new(),
+            confirmed: Vec::new(),
+            outbox: Vec::new(),
+        }
+    }
+
+    /// Evidence for and against prompt parts.
+    pub fn parts(&mut self) -> &mut PartSuspects {
+        &mut self.parts
+    }
+
+    /// Decides whether a new request with these shared parts may run. One with a suspect part may be let through, so
+    /// that a harmless part is cleared.
+    pub fn admit(
+        &mut self,
+        now: Instant,
+        parts: &[PromptPartId],
+        fingerprint: impl FnOnce() -> Fingerprint,
+    ) -> Option<CrashRefusal> {
+        match self.refusal_time(now, fingerprint) {
+            Some(time) => Some(CrashRefusal::Request(time)),
+            None => self.parts.admit(now, parts).map(CrashRefusal::PromptPart),
+        }
+    }
+
+    /// Decides whether a request may run at another upstream; `None` if it may.
+    #[must_use]
+    pub fn refusal(
+        &self,
+        now: Instant,
+        parts: &[PromptPartId],
+        fingerprint: impl FnOnce() -> Fingerprint,
+    ) -> Option<CrashRefusal> {
+        match self.refusal_time(now, fingerprint) {
+            Some(time) => Some(CrashRefusal::Request(time)),
+            None => self.parts.refusal_time(now, parts).map(CrashRefusal::PromptPart),
+        }
     }
 
     /// Remaining time for which a request is refused because it crashed too many upstreams; `None` if it may run. The
@@ -83,19 +173,12 @@
         }
     }
 
-    /// Records that the connection to an upstream, whose process started at `started_ms`, broke while it ran a request.
-    pub fn record_connection_lost(
-        &mut self,
-        now: Instant,
-        fingerprint: Fingerprint,
-        upstream: &UpstreamId,
-        started_ms: u64,
-    ) {
+    /// Records that the connection to an upstream broke while it ran a request.
+    pub fn record_connection_lost(&mut self, now: Instant, lost: LostRequest) {
         if self.pending.len() >= MAX_PENDING {
             self.pending.pop_front();
         }
-        let lost = LostRequest { fingerprint, upstream: upstream.clone(), started_ms, at: now };
-        self.pending.push_back(lost);
+        self.pending.push_back((lost, now));
     }
 
     /// Records that a request succeeded, which clears the evidence against it.
@@ -137,17 +220,43 @@
         due
     }
 
+    /// Takes the crashes that were confirmed since the last call.
+    pub fn take_confirmed(&mut self) -> Vec<ConfirmedCrash> {
+        std::mem::take(&mut self.confirmed)
+    }
+
     fn confirm_crashes(&mut self, now: Instant, is_down: impl Fn(&LostRequest) -> bool) -> usize {
-        let recent = |lost: &LostRequest| now.saturating_duration_since(lost.at) <= CONFIRM_TIMEOUT;
-        let (down, pending): (VecDeque<_>, VecDeque<_>) =
-            std::mem::take(&mut self.pending).into_iter().filter(recent).partition(is_down);
+        let recent = |at: Instant| now.saturating_duration_since(at) <= CONFIRM_TIMEOUT;
+        let (down, pending): (VecDeque<_>, VecDeque<_>) = std::mem::take(&mut self.pending)
+            .into_iter()
+            .filter(|(_, at)| recent(*at))
+            .partition(|(lost, _)| is_down(lost));
         self.pending = pending;
-        let mut confirmed = 0;
-        for lost in down {
+        let mut count = 0;
+        let mut crashes: BTreeMap<(UpstreamId, u64), Vec<(LostRequest, Instant)>> = BTreeMap::new();
+        for (lost, at) in down {
             let evidence = self.table.record_crash(now, &lost.upstream, lost.fingerprint, false);
-            confirmed += usize::from(evidence.is_some());
+            count += usize::from(evidence.is_some());
             self.outbox.extend(evidence.map(|evidence| (evidence, EVIDENCE_COPIES)));
+            crashes.entry((lost.upstream.clone(), lost.started_ms)).or_default().push((lost, at));
+        }
+        for ((upstream, started_ms), lost) in crashes {
+            let first = lost.iter().map(|(_, at)| *at).min().unwrap_or(now);
+            let delay = now.saturating_duration_since(first);
+            let requests = lost.len();
+            let suspect_parts = self.parts.record_crash(
+                now,
+                UpstreamCrash {
+                    upstream: upstream.clone(),
+                    started_ms,
+                    age: delay,
+                    requests: lost.into_iter().map(|(lost, _)| lost.suspect_parts).collect(),
+                },
+            );
+            if self.confirmed.len() < MAX_CONFIRMED {
+                self.confirmed.push(ConfirmedCrash { upstream, requests, suspect_parts, delay });
+            }
         }
-        confirmed
+        count
     }
 }
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -4,11 +4,13 @@
 //! therefore divided into one share per entry, so that they hold even if the entries cannot reach one another.
 
 mod attempt;
+mod attribution;
 mod availability;
 mod balancer;
 mod crash;
 mod duration;
 mod forecast;
+mod part_suspects;
 mod placement;
 mod rate_limit;
 mod refusal;
@@ -16,13 +18,15 @@
 mod share;
 mod subset;
 mod upstream;
+mod writing;
 
 pub use crate::{
     attempt::{AttemptEnd, AttemptLog, FinalStatus},
     balancer::{LoadBalancer, LoadBalancerOptions},
-    crash::{CrashDetector, fingerprint_of},
+    crash::{ConfirmedCrash, CrashDetector, CrashRefusal, LostRequest, fingerprint_of},
     duration::DurationTracker,
     forecast::{EngineForecast, EngineLoad},
+    part_suspects::{PartEvidence, PartSuccess, PartSuspects, PartVerdictChange, UpstreamCrash},
     placement::{Placement, PlacementRequest, UpstreamLoad},
     rate_limit::{LimitChange, LimitStatement, LimitUsage},
     refusal::{PlacementRefusal, RefusalCause},
@@ -30,4 +34,5 @@
     share::{ColdLimiter, RetryBudgetShare, SharedLimits},
     subset::{EngineCandidate, EngineSubset, choose_engines},
     upstream::{AgentReport, AttemptOutcome},
+    writing::WritingProof,
 };
--- a/crates/balance/tests/crash.rs
+++ b/crates/balance/tests/crash.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use balance::{CrashDetector, fingerprint_of};
+use balance::{CrashDetector, LostRequest, fingerprint_of};
 use fleet::{FleetView, UpstreamRecord};
 use route::Fingerprint;
 
@@ -34,6 +34,10 @@
     view
 }
 
+fn lost(fingerprint: Fingerprint, upstream: &str) -> LostRequest {
+    LostRequest { fingerprint, upstream: upstream.into(), started_ms: 1, suspect_parts: Vec::new() }
+}
+
 /// Records a confirmed crash by the request. Each `round` uses a different upstream.
 fn crash(
     detector: &mut CrashDetector,
@@ -41,8 +45,8 @@
     fingerprint: Fingerprint,
     round: u64,
 ) -> usize {
-    let upstream = format!("u{round}").into();
-    detector.record_connection_lost(now, fingerprint, &upstream, 1);
+    let upstream = format!("u{round}");
+    detector.record_connection_lost(now, lost(fingerprint, &upstream));
     detector.record_unreachable(now, &upstream)
 }
 
@@ -66,7 +70,7 @@
     let mut detector = CrashDetector::new();
     let now = Instant::now();
     for round in 0..5 {
-        detector.record_connection_lost(now, request("slow"), &format!("u{round}").into(), 1);
+        detector.record_connection_lost(now, lost(request("slow"), &format!("u{round}")));
     }
     let known = [("u0", 1), ("u1", 1), ("u2", 1), ("u3", 2), ("u4", 1)];
     assert_eq!(detector.record_view(now, &view(&known)), 1, "only u3 was restarted");
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use balance::{AttemptEnd, AttemptOutcome, LimitStatement, fingerprint_of};
+use balance::{AttemptEnd, AttemptOutcome, LimitStatement, LostRequest, fingerprint_of};
 use base::UpstreamId;
 use bytes::Bytes;
 use fleet::UpstreamRecord;
@@ -60,12 +60,23 @@
         fingerprint_of(key, self.uri.path(), &self.body)
     }
 
-    /// Records that the connection to an upstream was lost while the upstream ran this request.
-    pub(crate) fn record_connection_lost(&self, upstream: &UpstreamId) {
+    /// Records that the connection to an upstream was lost while the upstream ran this request. If the upstream had
+    /// shown that the request does not crash it (`is_proven`), the parts of the prompt are not suspect.
+    pub(crate) fn record_connection_lost(&self, upstream: &UpstreamId, is_proven: bool) {
         let view = self.shared.view.load();
-        let started_ms = view.upstream(upstream).map_or(0, |record| record.started_ms);
-        let now = self.shared.clock.now();
-        self.shared.crashes().record_connection_lost(now, self.fingerprint(), upstream, started_ms);
+        // An upstream that is about to stop ends its requests on its own.
+        let is_draining = view.upstream(upstream).is_some_and(|record| record.draining);
+        let lost = LostRequest {
+            fingerprint: self.fingerprint(),
+            upstream: upstream.clone(),
+            started_ms: self.progress().last_started_ms,
+            suspect_parts: if is_proven || is_draining {
+                Vec::new()
+            } else {
+                self.meta.shared_parts.clone()
+            },
+        };
+        self.shared.crashes().record_connection_lost(self.shared.clock.now(), lost);
     }
 
     async fn open_connection(&self, upstream: &UpstreamRecord) -> Option<UpstreamConnection> {
@@ -97,7 +108,11 @@
         // Other responses arrive when they are complete, so a missing one does not show that the request has not begun.
         let cancel_at = chosen.cancel_at.filter(|_| self.route.repeat.is_stream());
         let shared = &self.shared;
-        self.progress().last = Some(upstream.upstream.clone());
+        {
+            let mut progress = self.progress();
+            progress.last = Some(upstream.upstream.clone());
+            progress.last_started_ms = upstream.started_ms;
+        }
         let guard = AttemptGuard::new(shared.clone(), upstream.upstream.clone());
         let Some(mut connection) = self.open_connection(upstream).await else {
             guard.finish(AttemptOutcome::Unreachable);
@@ -121,7 +136,7 @@
                 if let Some(idle_for) = connection.idle_for {
                     shared.pool.record_reset(idle_for);
                 }
-                self.record_connection_lost(&upstream.upstream);
+                self.record_connection_lost(&upstream.upstream, false);
                 guard.fail();
                 return AttemptResult::Failed(AttemptEnd::Lost, None);
             }
--- a/crates/gateway/src/entry/control.rs
+++ b/crates/gateway/src/entry/control.rs
@@ -114,6 +114,18 @@
         info!("event=crashes_confirmed requests={confirmed}");
         shared.wake_control.notify_one();
     }
+    let crashes = shared.crashes().take_confirmed();
+    for crash in crashes {
+        let suspects: Vec<_> = crash.suspect_parts.iter().map(|parts| parts.join("+")).collect();
+        info!(
+            "event=upstream_crashed upstream={} requests={} unproven={} parts={} delay_ms={}",
+            crash.upstream,
+            crash.requests,
+            crash.suspect_parts.len(),
+            if suspects.is_empty() { "none".to_owned() } else { suspects.join(",") },
+            crash.delay.as_millis()
+        );
+    }
 }
 
 /// Publishes a new snapshot of the fleet state to the traffic thread.
--- a/crates/gateway/src/entry/relay.rs
+++ b/crates/gateway/src/entry/relay.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use balance::AttemptOutcome;
+use balance::{AttemptOutcome, WritingProof};
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
 use futures_util::future::BoxFuture;
@@ -196,6 +196,8 @@
     timer: Pin<Box<Sleep>>,
     deadline: Instant,
     last_event: Instant,
+    /// Tells whether the current upstream has shown that the request does not crash it.
+    proof: WritingProof,
     /// True once the caller has received an event with content.
     has_events: bool,
     /// Number of bytes received from all upstreams.
@@ -227,6 +229,7 @@
             timer: Box::pin(sleep_until(deadline.min(first_check))),
             deadline,
             last_event: now,
+            proof: WritingProof::default(),
             has_events,
             received: 0,
             without_event: 0,
@@ -240,7 +243,8 @@
         if let Some(stream) = self.take_stream() {
             is_framed = stream.is_framed;
             if [CONNECTION_LOST, EVENT_INCOMPLETE, NO_EVENTS, UPSTREAM_GONE].contains(&cause) {
-                self.request.record_connection_lost(stream.guard.upstream());
+                let is_proven = self.proof.is_proven();
+                self.request.record_connection_lost(stream.guard.upstream(), is_proven);
             }
             if cause == WEIGHTS_OUTDATED {
                 stream.guard.finish(AttemptOutcome::Abandoned);
@@ -339,6 +343,7 @@
                             let now = Instant::now();
                             self.request.record_event(now - self.last_event);
                             self.last_event = now;
+                            self.proof.record_events(now.into_std());
                             self.has_events = true;
                             self.without_event = self.splitter.partial_len();
                             stream.cancel_at = None;
@@ -410,6 +415,7 @@
                 RelayState::Resuming(resume) => match resume.as_mut().poll(context) {
                     Poll::Ready(Some(stream)) => {
                         this.last_event = Instant::now();
+                        this.proof = WritingProof::default();
                         if let Some(at) = stream.cancel_at {
                             this.timer.as_mut().reset(at.min(this.deadline));
                         }
--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -73,6 +73,8 @@
     tried: Vec<UpstreamId>,
     /// Upstream of the last attempt.
     pub(super) last: Option<UpstreamId>,
+    /// Start of the process of the last upstream in Unix milliseconds.
+    pub(super) last_started_ms: u64,
     /// Time until the first event of a stream, and the longest pause between two events.
     first_event: Option<Duration>,
     longest_pause: Duration,
@@ -130,6 +132,7 @@
             attempts: AttemptLog::new(route.repeat, route.max_attempts),
             tried: Vec::new(),
             last: None,
+            last_started_ms: 0,
             first_event: None,
             longest_pause: Duration::ZERO,
             predicted: None,
