Refuse requests with a crashing prompt part at every entry

Callers' streams kept breaking on engine after engine, because the request that crashed them was never recognised. Now a request with a culprit among its shared parts is refused at once with 503 and the cause crashing_prompt_part, by one check that first attempts, retries, resumed streams and the search for alternatives all use.

Crashes are confirmed by connecting to the upstream right after a connection to it broke, with one check per upstream at a time.

--- a/crates/balance/src/part_suspects.rs
+++ b/crates/balance/src/part_suspects.rs
@@ -37,6 +37,8 @@
 const MAX_REPEATED: usize = 8;
 /// Number of times that the same evidence is sent to the other entries, because datagrams may be lost.
 const EVIDENCE_COPIES: u32 = 4;
+/// Interval between these copies, so that a short fault of the network does not hit all of them.
+const COPY_INTERVAL: Duration = Duration::from_millis(200);
 /// Range of the time after which the caller of a refused request may return.
 const RETRY_AFTER_RANGE: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(60));
 
@@ -98,6 +100,14 @@
     reported_at: Option<Instant>,
 }
 
+#[derive(Debug)]
+struct QueuedEvidence {
+    evidence: PartEvidence,
+    queued_at: Instant,
+    due_at: Instant,
+    copies_left: u32,
+}
+
 #[derive(Debug)]
 struct PartVerdict {
     parts: BTreeSet<PromptPartId>,
@@ -122,7 +132,7 @@
     crashes: Vec<KnownCrash>,
     successes: HashMap<PromptPartId, KnownSuccess>,
     verdicts: Vec<PartVerdict>,
-    outbox: Vec<(PartEvidence, Instant, u32)>,
+    outbox: Vec<QueuedEvidence>,
     changes: Vec<PartVerdictChange>,
 }
 
@@ -197,7 +207,7 @@
         }
         let crash = UpstreamCrash { requests: requests.clone(), ..crash };
         if self.add_crash(now, &crash) {
-            self.outbox.push((PartEvidence::Crash(crash), now, EVIDENCE_COPIES));
+            self.queue(now, PartEvidence::Crash(crash));
             self.update_verdicts(now);
         }
         requests
@@ -245,24 +255,19 @@
         is_new
     }
 
-    /// Evidence to send to the other entries now. The same evidence is returned by several calls in a row.
+    /// Evidence to send to the other entries now. The same evidence is returned again after some time.
     pub fn take_due_evidence(&mut self, now: Instant) -> Vec<PartEvidence> {
-        let due = self.outbox.iter().map(|(evidence, queued_at, _)| {
-            let waited = now.saturating_duration_since(*queued_at);
-            match evidence.clone() {
-                PartEvidence::Crash(crash) => {
-                    PartEvidence::Crash(UpstreamCrash { age: crash.age + waited, ..crash })
-                }
-                PartEvidence::Success(success) => {
-                    PartEvidence::Success(PartSuccess { age: success.age + waited, ..success })
-                }
-            }
-        });
-        let due = due.collect();
-        self.outbox.retain_mut(|(_, _, copies_left)| {
-            *copies_left -= 1;
-            *copies_left > 0
-        });
+        let mut due = Vec::new();
+        for queued in self.outbox.iter_mut().filter(|queued| queued.due_at <= now) {
+            let mut evidence = queued.evidence.clone();
+            let (PartEvidence::Crash(UpstreamCrash { age, .. })
+            | PartEvidence::Success(PartSuccess { age, .. })) = &mut evidence;
+            *age += now.saturating_duration_since(queued.queued_at);
+            due.push(evidence);
+            queued.due_at = now + COPY_INTERVAL;
+            queued.copies_left -= 1;
+        }
+        self.outbox.retain(|queued| queued.copies_left > 0);
         due
     }
 
@@ -366,6 +371,11 @@
         is_new
     }
 
+    fn queue(&mut self, now: Instant, evidence: PartEvidence) {
+        let copies_left = EVIDENCE_COPIES;
+        self.outbox.push(QueuedEvidence { evidence, queued_at: now, due_at: now, copies_left });
+    }
+
     fn add_success(&mut self, part: &PromptPartId, at: Instant) {
         if let Some(success) = self.successes.get_mut(part) {
             success.at = success.at.max(at);
@@ -389,7 +399,7 @@
         success.reported_at = Some(now);
         let age = now.saturating_duration_since(success.at);
         let success = PartSuccess { part: part.clone(), age };
-        self.outbox.push((PartEvidence::Success(success), now, EVIDENCE_COPIES));
+        self.queue(now, PartEvidence::Success(success));
     }
 
     /// Reports a success if another entry suspects its part in a crash before it, and the part has been in several
--- a/crates/gateway/src/agent/heartbeats.rs
+++ b/crates/gateway/src/agent/heartbeats.rs
@@ -124,7 +124,10 @@
                 }
             }
             (Notice::Chunk(notice), peer) => record_peer_chunks(&shared, &socket, &notice, peer),
-            (Notice::Agent(_) | Notice::Crash(_) | Notice::Limits(_), _) => {}
+            (
+                Notice::Agent(_) | Notice::Crash(_) | Notice::Limits(_) | Notice::PromptParts(_),
+                _,
+            ) => {}
         }
     }
 }
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -1,6 +1,7 @@
 //! A single attempt of a request at an upstream.
 
 use std::{
+    net::SocketAddr,
     pin::pin,
     sync::Arc,
     time::{Duration, Instant},
@@ -21,6 +22,7 @@
 use tokio::time::{timeout, timeout_at};
 
 use super::{
+    crashes::check_upstream,
     guards::AttemptGuard,
     limits::log_limit_change,
     outcome::AttemptResult,
@@ -62,7 +64,12 @@
 
     /// Records that the connection to an upstream was lost while the upstream ran this request. If the upstream had
     /// shown that the request does not crash it (`is_proven`), the parts of the prompt are not suspect.
-    pub(crate) fn record_connection_lost(&self, upstream: &UpstreamId, is_proven: bool) {
+    pub(crate) fn record_connection_lost(
+        &self,
+        upstream: &UpstreamId,
+        address: SocketAddr,
+        is_proven: bool,
+    ) {
         let view = self.shared.view.load();
         // An upstream that is about to stop ends its requests on its own.
         let is_draining = view.upstream(upstream).is_some_and(|record| record.draining);
@@ -77,6 +84,7 @@
             },
         };
         self.shared.crashes().record_connection_lost(self.shared.clock.now(), lost);
+        check_upstream(&self.shared, upstream, address);
     }
 
     async fn open_connection(&self, upstream: &UpstreamRecord) -> Option<UpstreamConnection> {
@@ -136,7 +144,7 @@
                 if let Some(idle_for) = connection.idle_for {
                     shared.pool.record_reset(idle_for);
                 }
-                self.record_connection_lost(&upstream.upstream, false);
+                self.record_connection_lost(&upstream.upstream, upstream.address, false);
                 guard.fail();
                 return AttemptResult::Failed(AttemptEnd::Lost, None);
             }
@@ -300,6 +308,10 @@
         }
         guard.succeed();
         self.record_success();
+        // The end of the connection does not show that the upstream has not crashed, and neither does a refusal.
+        if is_framed && head.status.is_success() {
+            self.record_parts_success();
+        }
         AttemptResult::Complete(head, body)
     }
 
@@ -357,4 +369,12 @@
         let now = self.shared.clock.now();
         self.shared.crashes().record_success(now, || self.fingerprint());
     }
+
+    /// Records that an upstream has shown that the parts of the prompt do not crash it.
+    pub(crate) fn record_parts_success(&self) {
+        if !self.meta.shared_parts.is_empty() {
+            let now = self.shared.clock.now();
+            self.shared.crashes().parts().record_success(now, &self.meta.shared_parts);
+        }
+    }
 }
--- a/crates/gateway/src/entry/control.rs
+++ b/crates/gateway/src/entry/control.rs
@@ -24,6 +24,7 @@
 
 use super::{
     assignment::{assignment_digest, make_assignment, millis},
+    crashes::{log_crashes, record_prompt_parts, report_crashes},
     dating::date_declarations,
     limits::{record_limits, report_limits},
     shared::EntryShared,
@@ -98,6 +99,8 @@
     keep_running("heartbeats", move || send_heartbeats(state.clone(), sender.clone()));
     let (state, sender) = (shared.clone(), socket.clone());
     keep_running("limits", move || report_limits(state.clone(), sender.clone()));
+    let (state, sender) = (shared.clone(), socket.clone());
+    keep_running("crashes", move || report_crashes(state.clone(), sender.clone()));
     let (state, peers) = (shared.clone(), client.clone());
     keep_running("catch_up", move || catch_up(state.clone(), peers.clone()));
     let state = shared.clone();
@@ -108,33 +111,14 @@
     Ok(())
 }
 
-/// Logs confirmed crashes, and wakes the task that reports them to the other entries.
-pub(super) fn log_crashes(shared: &EntryShared, confirmed: usize) {
-    if confirmed > 0 {
-        info!("event=crashes_confirmed requests={confirmed}");
-        shared.wake_control.notify_one();
-    }
-    let crashes = shared.crashes().take_confirmed();
-    for crash in crashes {
-        let suspects: Vec<_> = crash.suspect_parts.iter().map(|parts| parts.join("+")).collect();
-        info!(
-            "event=upstream_crashed upstream={} requests={} unproven={} parts={} delay_ms={}",
-            crash.upstream,
-            crash.requests,
-            crash.suspect_parts.len(),
-            if suspects.is_empty() { "none".to_owned() } else { suspects.join(",") },
-            crash.delay.as_millis()
-        );
-    }
-}
-
 /// Publishes a new snapshot of the fleet state to the traffic thread.
 pub(super) fn publish(shared: &EntryShared) {
     let now = shared.clock.now();
     let view = Arc::new(shared.fleet_state().view());
     shared.balancer().set_view(&view, now);
     shared.pool.retain(|upstream| view.upstream(upstream).is_some());
-    log_crashes(shared, shared.crashes().record_view(now, &view));
+    let confirmed = shared.crashes().record_view(now, &view);
+    log_crashes(shared, confirmed);
     let digest = assignment_digest(&view, now);
     let has_engine =
         |service: &str| view.service(service).is_some_and(|service| service.engine.is_some());
@@ -243,6 +227,7 @@
     shared.balancer().set_local_entries(local_entries);
     shared.balancer().set_possible_entries(possible_entries);
     shared.retry_budget().set_entries(possible_entries);
+    shared.crashes().parts().set_entries(live_entries);
     let heartbeat = EntryHeartbeat {
         name: own.name.to_string(),
         incarnation: own.incarnation,
@@ -286,6 +271,7 @@
             Notice::Agent(heartbeat) => record_agent(&shared, &heartbeat),
             Notice::Crash(notice) => record_crash(&shared, &notice),
             Notice::Limits(notice) => record_limits(&shared, &notice, peer),
+            Notice::PromptParts(notice) => record_prompt_parts(&shared, &socket, &notice, peer),
             Notice::Chunk(_) => {}
         }
     }
--- a/crates/gateway/src/entry/guards.rs
+++ b/crates/gateway/src/entry/guards.rs
@@ -5,7 +5,7 @@
 use balance::AttemptOutcome;
 use base::UpstreamId;
 
-use super::{control::log_crashes, shared::EntryShared};
+use super::{crashes::log_crashes, shared::EntryShared};
 
 /// Maximum total size of buffered request bodies, well below the memory of an entry's host.
 const MAX_HELD_BODIES: usize = 48 << 20;
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod assignment;
 mod attempt;
 mod control;
+mod crashes;
 mod dating;
 mod guards;
 mod head_timer;
--- a/crates/gateway/src/entry/relay.rs
+++ b/crates/gateway/src/entry/relay.rs
@@ -244,7 +244,8 @@
             is_framed = stream.is_framed;
             if [CONNECTION_LOST, EVENT_INCOMPLETE, NO_EVENTS, UPSTREAM_GONE].contains(&cause) {
                 let is_proven = self.proof.is_proven();
-                self.request.record_connection_lost(stream.guard.upstream(), is_proven);
+                let (upstream, address) = (stream.guard.upstream(), stream.address);
+                self.request.record_connection_lost(upstream, address, is_proven);
             }
             if cause == WEIGHTS_OUTDATED {
                 stream.guard.finish(AttemptOutcome::Abandoned);
@@ -312,10 +313,14 @@
 
     fn finish(&mut self) {
         if let Some(stream) = self.take_stream() {
-            let OpenStream { connection, guard, keep_alive, closes, .. } = stream;
+            let OpenStream { connection, guard, keep_alive, closes, is_framed, .. } = stream;
             let upstream = guard.upstream().clone();
             guard.succeed();
             self.request.record_success();
+            // The connection of an upstream that crashed ends like that of one that sent a complete response.
+            if is_framed {
+                self.request.record_parts_success();
+            }
             if !closes {
                 self.request.shared.pool.put(&upstream, connection, keep_alive);
             }
@@ -343,7 +348,9 @@
                             let now = Instant::now();
                             self.request.record_event(now - self.last_event);
                             self.last_event = now;
-                            self.proof.record_events(now.into_std());
+                            if self.proof.record_events(now.into_std()) {
+                                self.request.record_parts_success();
+                            }
                             self.has_events = true;
                             self.without_event = self.splitter.partial_len();
                             stream.cancel_at = None;
--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -6,8 +6,8 @@
 };
 
 use balance::{
-    AttemptEnd, AttemptLog, FinalStatus, Placement, PlacementRefusal, PlacementRequest,
-    RefusalCause,
+    AttemptEnd, AttemptLog, CrashRefusal, FinalStatus, Placement, PlacementRefusal,
+    PlacementRequest, RefusalCause,
 };
 use base::{ServiceId, UpstreamId};
 use bytes::Bytes;
@@ -152,10 +152,14 @@
         caller_deadline,
     });
     let shared = &request.shared;
-    if let Some(retry_after) = shared.crashes().refusal_time(started, || request.fingerprint()) {
-        info!("event=refused request={id} cause=crashes_upstreams status=503");
-        shared.metrics.count("requests_total{result=\"crashes_upstreams\"}");
-        return local_response(shared, &id, StatusCode::SERVICE_UNAVAILABLE, Some(retry_after));
+    let refusal =
+        shared.crashes().admit(started, &request.meta.shared_parts, || request.fingerprint());
+    if let Some(refusal) = refusal {
+        let cause = refusal.as_str();
+        info!("event=refused request={id} cause={cause} status=503");
+        shared.metrics.count(&format!("requests_total{{result=\"{cause}\"}}"));
+        let retry_after = Some(refusal.retry_after());
+        return local_response(shared, &id, StatusCode::SERVICE_UNAVAILABLE, retry_after);
     }
     shared.retry_budget().record_request(&request.service, started);
     let end = request.run(None).await;
@@ -262,11 +266,17 @@
         }
     }
 
+    /// Reason why the request may not run at another upstream because of crashes; `None` if it may.
+    fn crash_refusal(&self, now: Instant) -> Option<CrashRefusal> {
+        let crashes = self.shared.crashes();
+        crashes.refusal(now, &self.meta.shared_parts, || self.fingerprint())
+    }
+
     fn may_retry(&self, end: AttemptEnd) -> bool {
         let is_allowed = self.progress().attempts.record(end);
         let now = self.shared.clock.now();
-        if self.shared.crashes().refusal_time(now, || self.fingerprint()).is_some() {
-            info!("event=repeat_refused request={} cause=crashes_upstreams", self.meta.id);
+        if let Some(refusal) = self.crash_refusal(now) {
+            info!("event=repeat_refused request={} cause={}", self.meta.id, refusal.as_str());
             return false;
         }
         is_allowed
@@ -284,7 +294,7 @@
         };
         tried.extend(last);
         attempts.record(AttemptEnd::Lost)
-            && self.shared.crashes().refusal_time(now, || self.fingerprint()).is_none()
+            && self.crash_refusal(now).is_none()
             && self.shared.retry_budget().has_room(&self.service, now)
             && matches!(
                 self.place(&self.shared.view.load(), &tried, now, is_resumed),
--- a/crates/gateway/src/entry/shared.rs
+++ b/crates/gateway/src/entry/shared.rs
@@ -1,6 +1,7 @@
 //! State shared by the control thread and the traffic thread of an entry.
 
 use std::{
+    collections::HashSet,
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, OnceLock, PoisonError,
@@ -13,7 +14,7 @@
 use balance::{
     CrashDetector, DurationTracker, LoadBalancer, LoadBalancerOptions, RetryBudgetShare,
 };
-use base::{Clock, Incarnation};
+use base::{Clock, Incarnation, UpstreamId};
 use fleet::{FleetState, FleetView, ReceivePeriod};
 use log::{info, warn};
 use member::{EntryMember, EntryMembership};
@@ -69,6 +70,8 @@
     pub(crate) wake_control: Notify,
     /// Wakes the task that reports limits of upstreams, so that the other entries learn of a change at once.
     pub(crate) wake_limits: Notify,
+    /// Wakes the task that reports crashes of upstreams, so that the other entries learn of one at once.
+    pub(crate) wake_crashes: Notify,
     /// Wakes the task that follows the store, so that it queries the store at once.
     pub(crate) wake_store: Notify,
     /// Wakes the task that sends heartbeats, for one to the entries of the own region only.
@@ -91,6 +94,7 @@
     membership: Mutex<EntryMembership>,
     fleet_state: Mutex<FleetState>,
     crashes: Mutex<CrashDetector>,
+    crash_checks: Mutex<HashSet<UpstreamId>>,
     durations: Mutex<DurationTracker>,
     seeds: Mutex<Vec<SocketAddr>>,
 }
@@ -131,6 +135,7 @@
             listening: AtomicBool::new(false),
             wake_control: Notify::new(),
             wake_limits: Notify::new(),
+            wake_crashes: Notify::new(),
             wake_store: Notify::new(),
             wake_neighbours: Notify::new(),
             wake_catch_up: Notify::new(),
@@ -146,6 +151,7 @@
             membership: Mutex::new(EntryMembership::new()),
             fleet_state: Mutex::new(FleetState::new()),
             crashes: Mutex::new(CrashDetector::new()),
+            crash_checks: Mutex::default(),
             durations: Mutex::new(DurationTracker::new()),
             seeds: Mutex::new(settings.common.seeds.clone()),
             settings,
@@ -174,6 +180,11 @@
         self.crashes.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Upstreams that are being checked for a crash.
+    pub(crate) fn crash_checks(&self) -> MutexGuard<'_, HashSet<UpstreamId>> {
+        self.crash_checks.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn durations(&self) -> MutexGuard<'_, DurationTracker> {
         self.durations.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -33,6 +33,7 @@
         Notice::Chunk(_) => "chunks",
         Notice::Crash(_) => "crash",
         Notice::Limits(_) => "limits",
+        Notice::PromptParts(_) => "prompt_parts",
     }
 }
 
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -3,6 +3,7 @@
 mod fleet;
 mod limit;
 mod load;
+mod prompt_part;
 mod transfer;
 
 use std::time::Duration;
@@ -12,7 +13,7 @@
 use prost::{Message, Oneof};
 use route::CrashEvidence;
 
-pub use self::{fleet::*, limit::*, load::LoadReport, transfer::*};
+pub use self::{fleet::*, limit::*, load::LoadReport, prompt_part::*, transfer::*};
 
 /// Content of a frame: exactly one message.
 #[derive(Clone, Message, PartialEq)]
--- a/crates/wire/src/message/fleet.rs
+++ b/crates/wire/src/message/fleet.rs
@@ -4,13 +4,13 @@
 use bytes::Bytes;
 use prost::{Message, Oneof};
 
-use super::{CrashNotice, LimitNotice};
+use super::{CrashNotice, LimitNotice, PromptPartNotice};
 
 /// Content of a datagram: exactly one notice.
 #[derive(Clone, Message, PartialEq)]
 pub struct Datagram {
     /// The notice; `None` if its type is unknown to this version.
-    #[prost(oneof = "Notice", tags = "1, 2, 3, 4, 5")]
+    #[prost(oneof = "Notice", tags = "1, 2, 3, 4, 5, 6")]
     pub notice: Option<Notice>,
 }
 
@@ -32,6 +32,9 @@
     /// What an entry knows and uses of the limits of upstreams.
     #[prost(message, tag = "5")]
     Limits(LimitNotice),
+    /// Evidence about prompt parts that may crash upstreams.
+    #[prost(message, tag = "6")]
+    PromptParts(PromptPartNotice),
 }
 
 /// An entry, as known to the sender of a heartbeat.
