--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -1,12 +1,13 @@
 //! A single attempt of a request at an upstream.
 
 use std::{
+    net::SocketAddr,
     pin::pin,
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use balance::{AttemptEnd, AttemptOutcome, LimitStatement, fingerprint_of};
+use balance::{AttemptEnd, AttemptOutcome, LimitStatement, LostRequest, fingerprint_of};
 use base::UpstreamId;
 use bytes::Bytes;
 use fleet::UpstreamRecord;
@@ -21,6 +22,7 @@
 use tokio::time::{timeout, timeout_at};
 
 use super::{
+    crashes::check_upstream,
     guards::AttemptGuard,
     limits::log_limit_change,
     outcome::AttemptResult,
@@ -60,12 +62,29 @@
         fingerprint_of(key, self.uri.path(), &self.body)
     }
 
-    /// Records that the connection to an upstream was lost while the upstream ran this request.
-    pub(crate) fn record_connection_lost(&self, upstream: &UpstreamId) {
+    /// Records that the connection to an upstream was lost while the upstream ran this request. If the upstream had
+    /// shown that the request does not crash it (`is_proven`), the parts of the prompt are not suspect.
+    pub(crate) fn record_connection_lost(
+        &self,
+        upstream: &UpstreamId,
+        address: SocketAddr,
+        is_proven: bool,
+    ) {
         let view = self.shared.view.load();
-        let started_ms = view.upstream(upstream).map_or(0, |record| record.started_ms);
-        let now = self.shared.clock.now();
-        self.shared.crashes().record_connection_lost(now, self.fingerprint(), upstream, started_ms);
+        // An upstream that is about to stop ends its requests on its own.
+        let is_draining = view.upstream(upstream).is_some_and(|record| record.draining);
+        let lost = LostRequest {
+            fingerprint: self.fingerprint(),
+            upstream: upstream.clone(),
+            started_ms: self.progress().last_started_ms,
+            suspect_parts: if is_proven || is_draining {
+                Vec::new()
+            } else {
+                self.meta.shared_parts.clone()
+            },
+        };
+        self.shared.crashes().record_connection_lost(self.shared.clock.now(), lost);
+        check_upstream(&self.shared, upstream, address);
     }
 
     async fn open_connection(&self, upstream: &UpstreamRecord) -> Option<UpstreamConnection> {
@@ -97,7 +116,11 @@
         // Other responses arrive when they are complete, so a missing one does not show that the request has not begun.
         let cancel_at = chosen.cancel_at.filter(|_| self.route.repeat.is_stream());
         let shared = &self.shared;
-        self.progress().last = Some(upstream.upstream.clone());
+        {
+            let mut progress = self.progress();
+            progress.last = Some(upstream.upstream.clone());
+            progress.last_started_ms = upstream.started_ms;
+        }
         let guard = AttemptGuard::new(shared.clone(), upstream.upstream.clone());
         let Some(mut connection) = self.open_connection(upstream).await else {
             guard.finish(AttemptOutcome::Unreachable);
@@ -121,7 +144,7 @@
                 if let Some(idle_for) = connection.idle_for {
                     shared.pool.record_reset(idle_for);
                 }
-                self.record_connection_lost(&upstream.upstream);
+                self.record_connection_lost(&upstream.upstream, upstream.address, false);
                 guard.fail();
                 return AttemptResult::Failed(AttemptEnd::Lost, None);
             }
@@ -285,6 +308,10 @@
         }
         guard.succeed();
         self.record_success();
+        // The end of the connection does not show that the upstream has not crashed, and neither does a refusal.
+        if is_framed && head.status.is_success() {
+            self.record_parts_success();
+        }
         AttemptResult::Complete(head, body)
     }
 
@@ -342,4 +369,12 @@
         let now = self.shared.clock.now();
         self.shared.crashes().record_success(now, || self.fingerprint());
     }
+
+    /// Records that an upstream has shown that the parts of the prompt do not crash it.
+    pub(crate) fn record_parts_success(&self) {
+        if !self.meta.shared_parts.is_empty() {
+            let now = self.shared.clock.now();
+            self.shared.crashes().parts().record_success(now, &self.meta.shared_parts);
+        }
+    }
 }
