Age of a state that was confirmed before the start of an entry

Callers saw: while the store was down, an entry that had just started answered 404 or 401 permanently according to a fleet state that nobody had confirmed for longer than the maximum of 3.5 s; some seconds later the other entries did so too. Cause: the time of the last confirmation is kept in milliseconds since the start of the process. A confirmation by another entry from before the start was clamped to the start itself, so an old state counted as confirmed at the start. The entry also reported this age in its heartbeats, from which the others renewed their own confirmation and the dates of changes. Each entry that starts during an outage renewed it again. Change: times before the start are kept as negative values.

--- a/crates/gateway/src/entry/shared.rs
+++ b/crates/gateway/src/entry/shared.rs
@@ -24,6 +24,9 @@
 use super::{EntryPorts, pool::ConnectionPool};
 use crate::{lifecycle::PauseTracker, metrics::MetricSet, settings::EntrySettings};
 
+/// Stands for a point in time that does not exist.
+const NEVER: i64 = i64::MIN;
+
 /// Begin of a request to another entry or to the store.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RequestTimer {
@@ -79,10 +82,10 @@
     pub(crate) follows_store: AtomicBool,
     pauses: PauseTracker,
     sequence: AtomicU64,
-    /// Time at which the fleet state is known to have been current, in milliseconds since the start; negative if it
-    /// never was.
+    /// Time at which the fleet state is known to have been current, in milliseconds since the start. It is negative if
+    /// another entry confirmed it before the start, and [`NEVER`] if nobody did.
     confirmed_at_ms: AtomicI64,
-    /// Time of the last response of the store, in milliseconds since the start; negative if its last request failed.
+    /// Time of the last response of the store, in milliseconds since the start; [`NEVER`] if its last request failed.
     store_responded_at_ms: AtomicI64,
     started: Instant,
     assignment_digest: AtomicU64,
@@ -137,8 +140,8 @@
             follows_store: AtomicBool::new(true),
             pauses: PauseTracker::new(),
             sequence: AtomicU64::new(0),
-            confirmed_at_ms: AtomicI64::new(-1),
-            store_responded_at_ms: AtomicI64::new(-1),
+            confirmed_at_ms: AtomicI64::new(NEVER),
+            store_responded_at_ms: AtomicI64::new(NEVER),
             started: now,
             assignment_digest: AtomicU64::new(0),
             balancer: Mutex::new(LoadBalancer::new(options)),
@@ -237,7 +240,7 @@
 
     /// Records that a request to the store failed; true if the one before it did not.
     pub(crate) fn record_store_failure(&self) -> bool {
-        self.store_responded_at_ms.swap(-1, Ordering::Relaxed) >= 0
+        self.store_responded_at_ms.swap(NEVER, Ordering::Relaxed) != NEVER
     }
 
     /// Time since the fleet state was last confirmed; `None` if it never was.
@@ -245,16 +248,18 @@
         self.time_since(&self.confirmed_at_ms)
     }
 
+    /// Milliseconds from the start to `at`, negative if `at` is earlier.
     fn millis_since_start(&self, at: Instant) -> i64 {
-        let millis = at.saturating_duration_since(self.started).as_millis();
-        i64::try_from(millis).unwrap_or(i64::MAX)
+        let millis = |span: Duration| i64::try_from(span.as_millis()).unwrap_or(i64::MAX);
+        millis(at.saturating_duration_since(self.started))
+            - millis(self.started.saturating_duration_since(at))
     }
 
-    /// Time since the point in time that is stored in milliseconds since the start; `None` if it is negative.
+    /// Time since the point in time that is stored in milliseconds since the start; `None` if it is [`NEVER`].
     fn time_since(&self, at_ms: &AtomicI64) -> Option<Duration> {
-        let at = u64::try_from(at_ms.load(Ordering::Relaxed)).ok()?;
-        let elapsed = self.clock.now().saturating_duration_since(self.started);
-        Some(elapsed.saturating_sub(Duration::from_millis(at)))
+        let at_ms = Some(at_ms.load(Ordering::Relaxed)).filter(|at_ms| *at_ms != NEVER)?;
+        let elapsed_ms = self.millis_since_start(self.clock.now()).saturating_sub(at_ms);
+        Some(Duration::from_millis(u64::try_from(elapsed_ms).unwrap_or_default()))
     }
 
     /// Counts a connection of a caller as open until the guard is dropped.
