Answer requests that have arrived before a stopping entry closes their connection

Callers saw: in a planned stop, a request on an open connection got a reset instead of a response, although it had arrived before the entry closed the connection. Cause: an idle connection is closed 20 ms after the listener, unless a part of a request has been read. If the process does not run in these 20 ms (busy host, pause), the delay has ended when it runs again, and the connection was closed before the socket was read: the two futures were polled in random order, and the runtime may run timers before it has asked the kernel for readable sockets. The kernel resets a connection that is closed with unread data. Change: after the delay, the runtime looks for arrived data once more, and the connection is polled first.

This may be the cause of the connection that was reset in planned_stop_under_load_answers_every_accepted_request; that is not shown. A connection that the kernel completes between the last accept and the close of the listener is still reset.

--- a/crates/gateway/src/entry/http.rs
+++ b/crates/gateway/src/entry/http.rs
@@ -21,7 +21,11 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::{debug, info};
 use member::CallerLocation;
-use tokio::{net::TcpStream, time::sleep};
+use tokio::{
+    net::TcpStream,
+    task::yield_now,
+    time::{Instant, sleep},
+};
 
 use super::{
     head_timer::{BusyGuard, ConnectionState, TimedStream},
@@ -155,6 +159,8 @@
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let served = tokio::select! {
+        // Reads what has arrived before it decides whether the connection may be closed.
+        biased;
         served = connection.as_mut() => served,
         () = wait_for_close(&shared, &state) => {
             connection.as_mut().graceful_shutdown();
@@ -171,13 +177,14 @@
 async fn wait_for_close(shared: &EntryShared, state: &ConnectionState) {
     shared.closing.cancelled().await;
     sleep(READ_DELAY).await;
-    let timeout = sleep(HEAD_DELAY);
-    let mut timeout = pin!(timeout);
-    while state.is_receiving() {
-        tokio::select! {
-            () = sleep(READ_DELAY) => {}
-            () = timeout.as_mut() => return,
+    let head_end = Instant::now() + HEAD_DELAY;
+    loop {
+        // If the process was held up, the delay may end before the runtime knows what has arrived meanwhile.
+        yield_now().await;
+        if !state.is_receiving() || Instant::now() >= head_end {
+            return;
         }
+        sleep(READ_DELAY).await;
     }
 }
 
