Do not let the loss of many engines decide which part is to blame

Harmless requests were refused for seconds in the simulated fleet: after the loss of all engines at once, a part that all requests have was in flight at one crash more than the crashing part, and took the blame for all of them.

Test: loss_of_many_engines_does_not_shift_the_blame_to_a_common_part, which fails without the change.

--- a/crates/balance/src/attribution.rs
+++ b/crates/balance/src/attribution.rs
@@ -14,6 +14,10 @@
 /// sent again after a crash may be hit by another one.
 const MIN_CRASHES: usize = 3;
 
+/// Number of crashes within [`SAME_CAUSE_WINDOW`] from which they are a loss of many upstreams, with most parts in flight.
+/// It counts, but does not make one part more likely to blame than another.
+const MASS_LOSS: usize = 4;
+
 /// A crash, and the parts of each request in flight that have not been found harmless since.
 #[derive(Clone, Debug)]
 pub(crate) struct SuspectCrash {
@@ -40,21 +44,28 @@
             crashes_of.entry(part).or_default().push(index);
         }
     }
+    let is_mass_loss: Vec<_> =
+        crashes.iter().map(|crash| count_around(crashes, crash.at) >= MASS_LOSS).collect();
+    let without_losses = |indices: &[usize]| {
+        let single: Vec<_> =
+            indices.iter().copied().filter(|index| !is_mass_loss[*index]).collect();
+        if single.is_empty() { indices.to_vec() } else { single }
+    };
     let mut culprits = Vec::new();
     loop {
-        crashes_of.retain(|_, indices| indices.len() >= MIN_CRASHES);
-        let count = |indices: &[usize]| (count_causes(crashes, indices), indices.len());
-        let Some(most) = crashes_of.values().map(|indices| count(indices)).max() else { break };
-        if most.0 < MIN_CRASHES {
-            break;
-        }
+        crashes_of.retain(|_, indices| count_causes(crashes, indices) >= MIN_CRASHES);
+        let rank = |indices: &[usize]| {
+            let single = without_losses(indices);
+            (count_causes(crashes, &single), single.len())
+        };
+        let Some(highest) = crashes_of.values().map(|indices| rank(indices)).max() else { break };
         let mut groups: BTreeMap<Vec<usize>, BTreeSet<PromptPartId>> = BTreeMap::new();
-        for (part, indices) in &crashes_of {
-            if count(indices) == most {
-                groups.entry(indices.clone()).or_default().insert((*part).clone());
-            }
+        for (part, indices) in crashes_of.iter().filter(|(_, indices)| rank(indices) == highest) {
+            groups.entry(without_losses(indices)).or_default().insert((*part).clone());
         }
-        let explained: BTreeSet<_> = groups.keys().flatten().copied().collect();
+        let is_culprit = |part: &PromptPartId| groups.values().any(|parts| parts.contains(part));
+        let explained = crashes_of.iter().filter(|(part, _)| is_culprit(part));
+        let explained: BTreeSet<_> = explained.flat_map(|(_, indices)| indices.clone()).collect();
         for indices in crashes_of.values_mut() {
             indices.retain(|index| !explained.contains(index));
         }
@@ -65,6 +76,14 @@
     culprits
 }
 
+/// Number of crashes within [`SAME_CAUSE_WINDOW`] before or after `at`.
+fn count_around(crashes: &[SuspectCrash], at: Instant) -> usize {
+    let distance = |other: Instant| {
+        at.saturating_duration_since(other).max(other.saturating_duration_since(at))
+    };
+    crashes.iter().filter(|crash| distance(crash.at) < SAME_CAUSE_WINDOW).count()
+}
+
 /// Number of the crashes that happened at least [`SAME_CAUSE_WINDOW`] after the one counted before.
 fn count_causes(crashes: &[SuspectCrash], indices: &[usize]) -> usize {
     let mut times: Vec<_> = indices.iter().map(|index| crashes[*index].at).collect();
--- a/crates/balance/tests/prompt_parts.rs
+++ b/crates/balance/tests/prompt_parts.rs
@@ -151,6 +151,21 @@
     assert!(admit(&mut trial));
 }
 
+/// Guards against blaming a part that all requests have, because it was also in flight when many engines ended at once.
+#[test]
+fn loss_of_many_engines_does_not_shift_the_blame_to_a_common_part() {
+    let mut trial = Trial::new();
+    for _ in 0..8 {
+        trial.crash(&[&["shared"]]);
+    }
+    trial.now += SPACING;
+    for _ in 0..3 {
+        trial.crash_spaced(&[&["shared", "bad"], &["shared"]]);
+    }
+    assert!(trial.is_refused(&["shared", "bad"]));
+    assert!(!trial.is_refused(&["shared"]));
+}
+
 /// Guards against refusing a harmless part because all requests with the crashing one have it as well.
 #[test]
 fn part_that_always_comes_with_the_crashing_one_may_run_without_it() {
