Date a state by the head of a transfer, and bound the whole of one between entries

A response of the store shows the state as it was at its head, or at the request of a listing; since responses may take long to arrive, a state counted as current at their end, so that a request could be refused permanently, or a declaration dated, by an outdated one. A transfer between entries did not count the handshake, which takes 3 s if the other process is paused. The rate of a transfer counts from its head. A refused request counts as no progress. An entry uses the confirmation of a heartbeat before it decides whether to query the store.

--- a/crates/base/src/transfer.rs
+++ b/crates/base/src/transfer.rs
@@ -10,8 +10,8 @@
     pub head: Duration,
     /// Maximum time without any byte after that.
     pub idle: Duration,
-    /// Minimum average rate in bytes per second, once `head` has passed. Ends a transfer that is kept open with a few
-    /// bytes now and then.
+    /// Minimum average rate in bytes per second, from `idle` after the head. Ends a transfer that is kept open with a
+    /// few bytes now and then.
     pub min_rate: u32,
 }
 
@@ -20,7 +20,8 @@
 pub struct TransferTimer {
     limits: TransferLimits,
     began: Instant,
-    progress: Option<Instant>,
+    /// Times at which the head, and the last byte so far, arrived.
+    progress: Option<(Instant, Instant)>,
     received: u64,
 }
 
@@ -33,17 +34,18 @@
 
     /// Records that the head of the response, or `count` bytes of its body, arrived at `now`.
     pub fn record(&mut self, count: usize, now: Instant) {
-        self.progress = Some(now);
+        let head_at = self.progress.map_or(now, |(head_at, _)| head_at);
+        self.progress = Some((head_at, now));
         self.received = self.received.saturating_add(count as u64);
     }
 
     /// Time at which the transfer is given up unless it makes progress.
     #[must_use]
     pub fn deadline(&self) -> Instant {
-        let Some(progress) = self.progress else { return self.began + self.limits.head };
+        let Some((head_at, last)) = self.progress else { return self.began + self.limits.head };
         let allowed = self.received as f64 / f64::from(self.limits.min_rate.max(1));
-        let by_rate = self.began + self.limits.head + Duration::from_secs_f64(allowed);
-        by_rate.min(progress + self.limits.idle)
+        let by_rate = head_at + self.limits.idle + Duration::from_secs_f64(allowed);
+        by_rate.min(last + self.limits.idle)
     }
 
     /// Number of bytes received so far.
--- a/crates/gateway/src/entry/shared.rs
+++ b/crates/gateway/src/entry/shared.rs
@@ -243,10 +243,10 @@
         self.confirmed_at_ms.fetch_max(self.millis_since_start(at), Ordering::Relaxed);
     }
 
-    /// Records that the store responded at `now`, so that the fleet state was current then.
-    pub(crate) fn record_store_response(&self, now: Instant) {
-        self.store_responded_at_ms.store(self.millis_since_start(now), Ordering::Relaxed);
-        self.record_confirmed(now);
+    /// Records a complete response of the store at `now`, which shows the fleet state as it was at `current_at`.
+    pub(crate) fn record_store_response(&self, now: Instant, current_at: Instant) {
+        self.record_store_progress(now);
+        self.record_confirmed(current_at);
     }
 
     /// Records that part of a response of the store arrived at `now`. The store responds, but the fleet state is not
@@ -265,6 +265,12 @@
         self.time_since(&self.confirmed_at_ms)
     }
 
+    /// Time since the fleet state was last confirmed, or since the start of the process if it never was.
+    pub(crate) fn unconfirmed_for(&self) -> Duration {
+        let since_start = || self.clock.now().saturating_duration_since(self.started);
+        self.fleet_state_age().unwrap_or_else(since_start)
+    }
+
     /// Milliseconds from the start to `at`, negative if `at` is earlier.
     fn millis_since_start(&self, at: Instant) -> i64 {
         let millis = |span: Duration| i64::try_from(span.as_millis()).unwrap_or(i64::MAX);
--- a/crates/gateway/src/entry/store.rs
+++ b/crates/gateway/src/entry/store.rs
@@ -71,7 +71,8 @@
                 Some(after) => shared.ports.store.watch(after, wait, &observer).await,
             }
         };
-        timer.record_request(shared.clock.now());
+        let requested_at = shared.clock.now();
+        timer.record_request(requested_at);
         let result = tokio::select! {
             () = shared.wake_store.notified() => continue,
             result = store_request => result,
@@ -90,18 +91,19 @@
                 }
                 (is_failing, backoff) = (false, BACKOFF_RANGE.0);
                 let has_changes = !listing.items.is_empty();
-                let (source, period) = match after {
-                    None => (ItemSource::Listing, timer.record_listing(now)),
+                // A response may take long to arrive, and changes that were made meanwhile are not in it.
+                let (source, period, current_at) = match after {
+                    None => (ItemSource::Listing, timer.record_listing(now), requested_at),
                     Some(_) => {
                         let head_at = now.checked_sub(listing.transfer_time).unwrap_or(now);
                         timer.record_response_head(head_at);
-                        (ItemSource::Change, timer.record_watch(now))
+                        (ItemSource::Change, timer.record_watch(now), head_at)
                     }
                 };
                 let has_new_items =
                     apply_items(&shared, listing.items, listing.as_of, source, period);
                 shared.fleet_state().set_unseen_since(timer.unseen_since());
-                shared.record_store_response(now);
+                shared.record_store_response(now, current_at);
                 if has_new_items || after.is_none() {
                     publish(&shared);
                     shared.wake_neighbours.notify_one();
@@ -185,22 +187,22 @@
         if std::mem::replace(known_pauses, shared.pauses()) != shared.pauses() {
             shared.membership().record_pause(now);
         }
-        let (is_reader, is_turn, confirmed_at) = {
+        let confirmed_at = shared.membership().confirmed_at(as_of, now);
+        if let Some(at) = confirmed_at {
+            shared.record_confirmed(at);
+            timer.record_confirmed(at.checked_sub(CONFIRMATION_MARGIN).unwrap_or(at));
+            shared.fleet_state().set_unseen_since(timer.unseen_since());
+        }
+        let (is_reader, is_turn) = {
             let common = &shared.settings.common;
             let membership = shared.membership();
             let is_local = |entry: &EntryMember| common.is_local_region(&entry.data_centre);
-            let unconfirmed = shared.fleet_state_age().unwrap_or(Duration::MAX);
+            let unconfirmed = shared.unconfirmed_for();
             (
                 membership.is_reader(common.peer, is_local, now),
                 membership.is_turn(common.peer, is_local, unconfirmed, now),
-                membership.confirmed_at(as_of, now),
             )
         };
-        if let Some(at) = confirmed_at {
-            shared.record_confirmed(at);
-            timer.record_confirmed(at.checked_sub(CONFIRMATION_MARGIN).unwrap_or(at));
-            shared.fleet_state().set_unseen_since(timer.unseen_since());
-        }
         let is_needed = is_reader || is_turn || is_stale;
         if shared.follows_store.swap(is_needed, Ordering::Relaxed) != is_needed {
             info!(
@@ -227,12 +229,13 @@
     timer: &mut WatchTimer,
     observer: &StoreObserver,
 ) -> Result<(), StoreError> {
-    timer.record_request(shared.clock.now());
+    let requested_at = shared.clock.now();
+    timer.record_request(requested_at);
     let listing = shared.ports.store.list(observer).await?;
     let period = timer.record_listing(shared.clock.now());
     apply_items(shared, listing.items, listing.as_of, ItemSource::Listing, period);
     shared.fleet_state().set_unseen_since(timer.unseen_since());
-    shared.record_store_response(period.end);
+    shared.record_store_response(period.end, requested_at);
     publish(shared);
     shared.wake_neighbours.notify_one();
     Ok(())
--- a/crates/gateway/src/frames.rs
+++ b/crates/gateway/src/frames.rs
@@ -278,10 +278,15 @@
         payload: Payload,
         limits: TransferLimits,
     ) -> Result<Payload, NodeError> {
-        let mut channel = match self.take_idle(peer).await {
-            Some(channel) => channel,
-            None => self.connect(peer).await?,
+        let open = async {
+            match self.take_idle(peer).await {
+                Some(channel) => Ok(channel),
+                None => self.connect(peer).await,
+            }
         };
+        let limit = limits.head;
+        let mut channel =
+            timeout(limit, open).await.unwrap_or_else(|_| TimeoutSnafu { peer, limit }.fail())?;
         let counter = channel.received.clone();
         let mut received = counter.load(Ordering::Relaxed);
         let mut timer = TransferTimer::new(limits, self.clock.now());
--- a/crates/ports/src/http.rs
+++ b/crates/ports/src/http.rs
@@ -213,9 +213,9 @@
         let mut response = within(&timer, request).await??;
         let head_at = Instant::now();
         timer.record(0, head_at);
-        observer.record_progress(0);
         let headers = std::mem::take(&mut response.headers);
         check_status(&response)?;
+        observer.record_progress(0);
         let mut body = BytesMut::new();
         while let Some(part) = within(&timer, response.body.try_next()).await?? {
             snafu::ensure!(
@@ -242,7 +242,7 @@
 
 /// Is told of the progress of a transfer.
 pub trait TransferObserver: Send + Sync {
-    /// Called when the head of a response has arrived, with a count of 0, and when `count` bytes of its body have.
+    /// Called when the head of a successful response has arrived, with a count of 0, and when `count` bytes of its body have.
     fn record_progress(&self, count: usize);
 }
 
