Count the bytes of a channel with the library's reader

Callers see no difference. CountedStream was the third hand-written stream that delegates reads and writes; tokio-util has InspectReader for that. Both ways of sending a frame open their channel in one function.

--- a/crates/gateway/src/frames.rs
+++ b/crates/gateway/src/frames.rs
@@ -4,12 +4,11 @@
     collections::HashMap,
     io,
     net::SocketAddr,
-    pin::{Pin, pin},
+    pin::pin,
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
     },
-    task::{Context, Poll},
     time::Duration,
 };
 
@@ -19,11 +18,11 @@
 use snafu::{IntoError, ResultExt, Snafu};
 use socket2::SockRef;
 use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
     net::{TcpListener, TcpStream},
     sync::Mutex,
     time::{sleep, timeout, timeout_at},
 };
+use tokio_util::io::InspectReader;
 use wire::{ChannelError, ChannelLimits, FleetKey, FrameChannel, Payload};
 
 /// The largest frame holds the whole fleet state: a configuration of about a megabyte and a few thousand items.
@@ -193,47 +192,13 @@
     Ok(())
 }
 
-/// Connection that counts the bytes received, which show the progress of a large frame.
-struct CountedStream {
-    stream: TcpStream,
-    received: Arc<AtomicU64>,
-}
-
-impl AsyncRead for CountedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
-        let count = buffer.filled().len() - before;
-        self.received.fetch_add(count as u64, Ordering::Relaxed);
-        result
-    }
-}
-
-impl AsyncWrite for CountedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-}
+/// Connection that reports the bytes received.
+type CountedStream = InspectReader<TcpStream, Box<dyn FnMut(&[u8]) + Send>>;
 
 /// Open channel to a peer.
 struct PeerChannel {
     frames: FrameChannel<CountedStream>,
+    /// Number of bytes received, which shows the progress of a large frame.
     received: Arc<AtomicU64>,
 }
 
@@ -258,10 +223,7 @@
         limit: Duration,
     ) -> Result<Payload, NodeError> {
         let exchange = async {
-            let mut channel = match self.take_idle(peer).await {
-                Some(channel) => channel,
-                None => self.connect(peer).await?,
-            };
+            let mut channel = self.open(peer).await?;
             self.exchange(peer, &mut channel, payload).await.map(|response| (channel, response))
         };
         let (channel, response) = timeout(limit, exchange)
@@ -278,15 +240,10 @@
         payload: Payload,
         limits: TransferLimits,
     ) -> Result<Payload, NodeError> {
-        let open = async {
-            match self.take_idle(peer).await {
-                Some(channel) => Ok(channel),
-                None => self.connect(peer).await,
-            }
-        };
         let limit = limits.head;
-        let mut channel =
-            timeout(limit, open).await.unwrap_or_else(|_| TimeoutSnafu { peer, limit }.fail())?;
+        let mut channel = timeout(limit, self.open(peer))
+            .await
+            .unwrap_or_else(|_| TimeoutSnafu { peer, limit }.fail())?;
         let counter = channel.received.clone();
         let mut received = counter.load(Ordering::Relaxed);
         let mut timer = TransferTimer::new(limits, self.clock.now());
@@ -312,6 +269,14 @@
         Ok(response)
     }
 
+    /// Returns a channel that is kept for reuse, or a new one.
+    async fn open(&self, peer: SocketAddr) -> Result<PeerChannel, NodeError> {
+        match self.take_idle(peer).await {
+            Some(channel) => Ok(channel),
+            None => self.connect(peer).await,
+        }
+    }
+
     async fn exchange(
         &self,
         peer: SocketAddr,
@@ -344,7 +309,11 @@
             .context(ConnectSnafu { peer })?;
         set_socket_options(&stream);
         let received = Arc::new(AtomicU64::new(0));
-        let stream = CountedStream { stream, received: received.clone() };
+        let counter = received.clone();
+        let count = move |bytes: &[u8]| {
+            counter.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+        };
+        let stream: CountedStream = InspectReader::new(stream, Box::new(count));
         let frames = wire::connect(stream, &self.key, &self.name, FRAME_LIMITS)
             .await
             .map_err(|error| ChannelSnafu { peer }.into_error(error))?;
