Do not repeat work for each attempt, check and report

Callers see no difference. Each attempt looked its route and team up again for their regions, also the first one right after admission and every check for an alternative; now only if the configuration has changed since. An entry hashed all others ten times a second to find its turn to query the store, also while its state was confirmed. The task that reports crashes collected the addresses of all entries four times a second with nothing to send, in a loop of its own; it calls the function of the limit reports, and only with something to send.

--- a/crates/gateway/src/entry/crashes.rs
+++ b/crates/gateway/src/entry/crashes.rs
@@ -9,7 +9,7 @@
 use tokio::time::{MissedTickBehavior, interval, sleep};
 use wire::{CrashedUpstream, HarmlessPart, Notice, PromptPartNotice, SuspectRequest};
 
-use super::shared::EntryShared;
+use super::{limits::peers, shared::EntryShared};
 use crate::peers::{NoticeSocket, age_millis};
 
 /// Interval between the copies of evidence that is sent to all entries.
@@ -116,8 +116,11 @@
             (due, if is_repeated { parts.verdict_evidence(now) } else { Vec::new() })
         };
         log_verdicts(&shared);
-        let own = shared.settings.common.peer;
-        let others: Vec<_> = shared.membership().addresses().filter(|peer| *peer != own).collect();
+        let is_starting = !is_urgent && count <= STARTUP_REPORTS;
+        if due.is_empty() && repeated.is_empty() && !is_starting {
+            continue;
+        }
+        let others = peers(&shared, true);
         for notice in notices(&due) {
             socket.send(Notice::PromptParts(notice), others.iter().copied());
         }
@@ -125,7 +128,7 @@
         for notice in notices(&repeated) {
             socket.send(Notice::PromptParts(notice), other);
         }
-        if !is_urgent && count <= STARTUP_REPORTS {
+        if is_starting {
             let asked = others.iter().copied().sample(&mut rand::rng(), MAX_ASKED);
             let notice = PromptPartNotice { wants_evidence: true, ..PromptPartNotice::default() };
             socket.send(Notice::PromptParts(notice), asked);
--- a/crates/gateway/src/entry/limits.rs
+++ b/crates/gateway/src/entry/limits.rs
@@ -44,7 +44,7 @@
 }
 
 /// Addresses of the other entries, with `with_remote` also of those in other regions.
-fn peers(shared: &EntryShared, with_remote: bool) -> Vec<SocketAddr> {
+pub(super) fn peers(shared: &EntryShared, with_remote: bool) -> Vec<SocketAddr> {
     let common = &shared.settings.common;
     let membership = shared.membership();
     let is_local = |peer: &SocketAddr| {
--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -1,7 +1,7 @@
 //! Handling of a caller's request: checks, choice of an upstream, attempts and response.
 
 use std::{
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, PoisonError, Weak},
     time::{Duration, Instant},
 };
 
@@ -13,7 +13,8 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use fleet::{
-    FleetView, RegionPolicy, RouteRecord, TeamRecord, UpstreamRecord, WeightsLimits, WeightsVersion,
+    FleetView, RegionPolicy, RouteRecord, RoutingConfig, TeamRecord, UpstreamRecord, WeightsLimits,
+    WeightsVersion,
 };
 use http_body_util::Full;
 use hyper::{
@@ -75,6 +76,8 @@
     tried: Vec<UpstreamId>,
     /// Regions that may serve the request, according to each configuration since it was admitted.
     regions: RegionPolicy,
+    /// Configuration that was last applied to `regions`.
+    regions_config: Weak<RoutingConfig>,
     /// Upstream of the last attempt.
     pub(super) last: Option<UpstreamId>,
     /// Start of the process of the last upstream in Unix milliseconds.
@@ -90,6 +93,11 @@
     version_time_left: Option<Duration>,
 }
 
+/// Reference to the configuration of a view that does not keep it in memory.
+fn downgrade_config(view: &FleetView) -> Weak<RoutingConfig> {
+    view.config().map(Arc::downgrade).unwrap_or_default()
+}
+
 /// Handles a caller's request and returns the response.
 pub(crate) async fn handle(shared: Arc<EntryShared>, request: Request<Incoming>) -> CallerResponse {
     let started = shared.clock.now();
@@ -136,6 +144,7 @@
             attempts: AttemptLog::new(route.repeat, route.max_attempts),
             tried: Vec::new(),
             regions: RegionPolicy::new(Some(&route), team.as_deref()),
+            regions_config: downgrade_config(&view),
             last: None,
             last_started_ms: 0,
             first_event: None,
@@ -315,10 +324,14 @@
     /// Regions that may serve the request from now on. A restriction that has come since the request was admitted
     /// applies to it as well; one that was lifted meanwhile still does.
     fn narrow_regions(&self, view: &FleetView) -> RegionPolicy {
-        let current =
-            view.region_policy(&self.meta.host, self.uri.path(), self.meta.key.as_deref());
+        let config = downgrade_config(view);
         let mut progress = self.progress();
-        progress.regions.intersect(&current);
+        if !Weak::ptr_eq(&progress.regions_config, &config) {
+            let key = self.meta.key.as_deref();
+            let current = view.region_policy(&self.meta.host, self.uri.path(), key);
+            progress.regions.intersect(&current);
+            progress.regions_config = config;
+        }
         progress.regions.clone()
     }
 
--- a/crates/gateway/src/entry/store.rs
+++ b/crates/gateway/src/entry/store.rs
@@ -81,11 +81,9 @@
         timer.record_suspension(shared.record_suspension());
         let now = shared.clock.now();
         shared.metrics.count("store_calls_total");
-        if let Ok(listing) = &result {
-            log_transfer(&shared, listing);
-        }
         match result {
             Ok(listing) => {
+                log_transfer(&shared, &listing);
                 if is_failing {
                     info!("event=store_regained as_of={}", listing.as_of);
                 }
--- a/crates/member/src/readers.rs
+++ b/crates/member/src/readers.rs
@@ -61,9 +61,10 @@
         unconfirmed: Duration,
         now: Instant,
     ) -> bool {
-        let preceding = self.preceding(own, is_local, now).count();
-        let turn = u32::try_from(preceding).unwrap_or(u32::MAX);
-        unconfirmed >= MAX_UNCONFIRMED + TURN_INTERVAL.saturating_mul(turn)
+        unconfirmed.checked_sub(MAX_UNCONFIRMED).is_some_and(|waited| {
+            let preceding = self.preceding(own, is_local, now).count();
+            waited >= TURN_INTERVAL.saturating_mul(u32::try_from(preceding).unwrap_or(u32::MAX))
+        })
     }
 
     /// Other live entries of the region that come before the one at `own` in an order that all entries share, with the
