--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -530,6 +530,7 @@
             state.projected_occupancy(now, self.users(service) * CONCURRENT_ENTRY_FRACTION);
         let fits = match request.time_to_target {
             _ if request.is_resumed => true,
+            _ if let Some(limit) = request.delay_limit => delay_at(projected) <= limit,
             Some(remaining) => delay_at(projected) <= remaining.mul_f64(TARGET_TOLERANCE),
             None => projected + LATE_RESERVED_SLOTS < slots,
         };
--- a/crates/balance/src/placement.rs
+++ b/crates/balance/src/placement.rs
@@ -30,6 +30,9 @@
     pub weights: Option<WeightsLimits<'a>>,
     /// Time left until the first event is late; `None` if it is already late.
     pub time_to_target: Option<Duration>,
+    /// Longest predicted time to the first event with which the request may be placed; `None` to derive it from
+    /// `time_to_target`.
+    pub delay_limit: Option<Duration>,
     /// True for a request that was already accepted and is resumed at another upstream. It is never refused because of
     /// load.
     pub is_resumed: bool,
--- a/crates/balance/tests/board.rs
+++ b/crates/balance/tests/board.rs
@@ -159,6 +159,7 @@
             tried: &[],
             weights: None,
             time_to_target: Some(Duration::from_millis(400)),
+            delay_limit: None,
             is_resumed: false,
         };
         change(&mut request);
--- a/crates/balance/tests/limit_sharing.rs
+++ b/crates/balance/tests/limit_sharing.rs
@@ -133,6 +133,7 @@
             tried: &[],
             weights: None,
             time_to_target: Some(Duration::from_millis(400)),
+            delay_limit: None,
             is_resumed: false,
         };
         let now = self.now();
--- a/crates/balance/tests/regions/main.rs
+++ b/crates/balance/tests/regions/main.rs
@@ -262,6 +262,7 @@
             tried: &request.tried,
             weights: None,
             time_to_target: Some(Duration::from_secs(10)),
+            delay_limit: None,
             is_resumed,
         };
         let placement = self.balancer.choose(&placement_request, self.now, &mut self.rng);
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -335,6 +335,12 @@
     /// Records what a response states about its upstream. Only a signed response can end a limit, because another one may
     /// come from a part of the upstream that does not know the limit.
     fn record_statements(&self, upstream: &UpstreamId, meta: &ResponseMeta, sent_at: Instant) {
+        if meta.signed
+            && meta.load.is_some_and(|load| load.slowdown_percent.is_some())
+            && self.shared.contention().record_shared_host(&self.service)
+        {
+            info!("event=shared_hosts_found service={} upstream={upstream}", self.service);
+        }
         let now = self.shared.clock.now();
         let mut balancer = self.shared.balancer();
         if let Some(cold_for) = meta.cold_for {
--- a/crates/gateway/src/entry/control.rs
+++ b/crates/gateway/src/entry/control.rs
@@ -124,6 +124,9 @@
     let now = shared.clock.now();
     let view = Arc::new(shared.fleet_state().view());
     shared.balancer().set_view(&view, now);
+    if let Some(config) = view.config() {
+        shared.contention().set_config(config);
+    }
     shared.pool.retain(|upstream| view.upstream(upstream).is_some());
     let confirmed = shared.crashes().record_view(now, &view);
     log_crashes(shared, confirmed);
--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -51,7 +51,7 @@
     /// Time by which the caller must have the complete response.
     pub(crate) deadline: Instant,
     pub(super) team: Option<Arc<TeamRecord>>,
-    service: ServiceId,
+    pub(super) service: ServiceId,
     pub(super) method: Method,
     pub(super) uri: Uri,
     pub(super) headers: HeaderMap,
@@ -353,6 +353,7 @@
             time_to_target: self
                 .is_on_time()
                 .then(|| latency_target.saturating_duration_since(now)),
+            delay_limit: None,
             is_resumed,
         };
         self.shared.balancer().choose(&placement_request, now, &mut rand::rng())
--- a/crates/gateway/src/entry/shared.rs
+++ b/crates/gateway/src/entry/shared.rs
@@ -18,6 +18,7 @@
 use fleet::{FleetState, FleetView, ReceivePeriod};
 use log::{info, warn};
 use member::{EntryMember, EntryMembership};
+use shed::ContentionTable;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use wire::FleetKey;
@@ -93,6 +94,7 @@
     started: Instant,
     assignment_digest: AtomicU64,
     balancer: Mutex<LoadBalancer>,
+    contention: Mutex<ContentionTable>,
     retry_budget: Mutex<RetryBudgetShare>,
     membership: Mutex<EntryMembership>,
     fleet_state: Mutex<FleetState>,
@@ -150,6 +152,7 @@
             started: now,
             assignment_digest: AtomicU64::new(0),
             balancer: Mutex::new(LoadBalancer::new(options)),
+            contention: Mutex::new(ContentionTable::new()),
             retry_budget: Mutex::new(RetryBudgetShare::new(settings.shares, now)),
             membership: Mutex::new(EntryMembership::new()),
             fleet_state: Mutex::new(FleetState::new()),
@@ -167,6 +170,10 @@
         self.balancer.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn contention(&self) -> MutexGuard<'_, ContentionTable> {
+        self.contention.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn retry_budget(&self) -> MutexGuard<'_, RetryBudgetShare> {
         self.retry_budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -13,6 +13,7 @@
     HeaderMap,
     http::{request, response},
 };
+use pace::UpstreamOccupancy;
 use ports::{PlatformError, TransferObserver};
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
@@ -73,8 +74,8 @@
     pub signed: bool,
     /// Id of the request to which this is the response.
     pub id: Option<CompactString>,
-    /// Numbers of running and queued requests at the upstream.
-    pub load: Option<(u32, u32)>,
+    /// Load that the upstream states; `None` if it states none.
+    pub load: Option<UpstreamOccupancy>,
     /// Remaining cold period of the upstream; `None` if it is warm.
     pub cold_for: Option<Duration>,
     /// Limit of the upstream for the requests of all entries together.
--- a/crates/standin/src/measure/load/policy.rs
+++ b/crates/standin/src/measure/load/policy.rs
@@ -142,6 +142,7 @@
             tried: &[],
             weights: None,
             time_to_target: first_try.then(|| request.target()),
+            delay_limit: None,
             is_resumed: false,
         };
         match self.balancer.choose(&placement_request, now, &mut self.random) {
