Fetch a configuration that a restore of the store has lost

Change: heartbeats carry the version and revision of the configuration in force; an entry that lacks a newer one which the store no longer contains refuses all requests (RegionPolicy permits no region), fetches it with ConfigRequest from the entry that announced it, and keeps it until the same or a newer version is written. The property test of region paths also draws announcements, fetches and starts after a restore; without the check in region_policy it fails.

--- a/crates/balance/tests/regions/draw.rs
+++ b/crates/balance/tests/regions/draw.rs
@@ -117,8 +117,14 @@
     Repeat(Index),
     /// The store comes back from a copy that contains this configuration.
     Restore(Index),
-    /// The process is started again and knows nothing.
+    /// The process is started again, knows nothing and listens for announcements.
     Restart,
+    /// The time for which a process that has started listens for announcements passes.
+    Wait,
+    /// An entry that has kept the newest configuration announces it.
+    Announce,
+    /// The process fetches a configuration that it lacks from the entry that announced it.
+    Fetch,
     /// The process lists the store.
     List,
     Evacuate(Index, bool),
@@ -152,6 +158,9 @@
         1 => index().prop_map(Step::Repeat),
         1 => index().prop_map(Step::Restore),
         1 => Just(Step::Restart),
+        1 => Just(Step::Wait),
+        2 => Just(Step::Announce),
+        1 => Just(Step::Fetch),
         2 => Just(Step::List),
         1 => (index(), any::<bool>()).prop_map(|(centre, on)| Step::Evacuate(centre, on)),
         5 => (index(), index()).prop_map(|(path, key)| Step::Admit(path, key)),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 mod declared;
 mod era;
 mod item;
+mod lost_config;
 mod period;
 mod record;
 mod region;
@@ -16,6 +17,7 @@
 pub use crate::{
     era::{StoreEra, era_and_number, revision_in},
     item::{DecodeItem, FleetChange, ItemError, ItemKey, ItemSource, ItemValue, RawItem},
+    lost_config::{ANNOUNCEMENT_WAIT, ConfigStamp},
     period::{ReceivePeriod, WAIT_CHECK_INTERVAL, WatchTimer},
     record::{
         ClientLimits, EngineCosts, EngineModel, EngineRecord, LoadedWeights, OriginRecord,
--- a/crates/fleet/src/region.rs
+++ b/crates/fleet/src/region.rs
@@ -18,6 +18,12 @@
     /// Policy that allows every region.
     pub const UNRESTRICTED: Self = Self { allowed: None };
 
+    /// Policy that allows no region, for a request whose restrictions are not known.
+    #[must_use]
+    pub fn nowhere() -> Self {
+        Self { allowed: Some(Vec::new()) }
+    }
+
     /// Creates the policy of a request of a route and a team. Where both are restricted, both restrictions apply.
     #[must_use]
     pub fn new(route: Option<&RouteRecord>, team: Option<&TeamRecord>) -> Self {
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -15,6 +15,7 @@
     declared::{DeclaredVersions, MissedChanges},
     era::{HeldValue, KnownItem, REGISTRATION_GRACE, StoreEra, era_and_number, held_after_restore},
     item::{DecodeItem, FleetChange, ItemKey, ItemSource, ItemValue, RawItem},
+    lost_config::{ActiveConfig, ConfigStamp, ConfigTracker},
     period::ReceivePeriod,
     record::{RoutingConfig, UpstreamRecord, WeightsVersion},
     view::{FleetView, RoutingIndex},
@@ -80,8 +81,7 @@
     head: Revision,
     /// Last time at which the store was unavailable.
     unavailable_at: Option<Instant>,
-    /// Lookup tables of the configuration in force, and the era of the store in which it was received.
-    routing: Option<(Arc<RoutingIndex>, StoreEra)>,
+    pub(crate) config: ConfigTracker,
 }
 
 impl FleetState {
@@ -179,15 +179,20 @@
         let before = before.and_then(|before| before.decoded);
         match (&before, &decoded) {
             (_, Some(ItemValue::Routing(config))) => {
-                self.routing = Some((Arc::new(RoutingIndex::new(config.clone())), era));
+                self.config.active = item.value.clone().map(|value| ActiveConfig {
+                    index: Arc::new(RoutingIndex::new(config.clone())),
+                    key: item.key.clone(),
+                    value,
+                    revision: item.revision,
+                });
             }
             // A configuration that cannot be decoded leaves the previous one in force.
             // The same holds for one that a restored store has lost.
             (Some(ItemValue::Routing(_)), None)
                 if item.value.is_none()
-                    && self.routing.as_ref().is_some_and(|(_, known)| *known == era) =>
+                    && self.config.stamp().is_some_and(|known| era_of(known) == era) =>
             {
-                self.routing = None;
+                self.config.active = None;
             }
             _ => {}
         }
@@ -229,6 +234,7 @@
         if is_restored {
             self.unavailable_at = Some(period.end);
         }
+        self.config.record_listing(era_and_number(as_of).0);
         let listed: HashSet<ItemKey> = items.iter().map(|item| item.key.clone()).collect();
         let unlisted: Vec<ItemKey> = self
             .items
@@ -288,9 +294,9 @@
 
     /// True if a configuration is older than the one in force, which was received before the store was restored.
     fn is_outdated_copy(&self, config: &RoutingConfig, era: StoreEra) -> bool {
-        self.routing.as_ref().is_some_and(|(routing, known_era)| {
-            *known_era < era && config.version < routing.config().version
-        })
+        self.config
+            .stamp()
+            .is_some_and(|known| era_of(known) < era && config.version < known.version)
     }
 
     /// Keeps the configuration in force under the revision of an outdated one.
@@ -373,7 +379,7 @@
     /// Ends the time for which values stay in force that were not written again after an outage or a restore of the
     /// store; true if any ended.
     pub fn remove_expired(&mut self, now: Instant) -> bool {
-        let mut expired = false;
+        let mut expired = self.config.expire(now);
         for item in self.items.values_mut() {
             if item.held.as_ref().is_some_and(|held| held.until <= now) {
                 item.held = None;
@@ -388,7 +394,8 @@
     pub fn view(&self) -> FleetView {
         let mut view = FleetView::default();
         view.revision = self.head;
-        self.routing.iter().for_each(|(routing, _)| view.set_routing(routing.clone()));
+        self.config.active.iter().for_each(|config| view.set_routing(config.index.clone()));
+        view.set_config_behind(self.config.is_behind(self.as_of));
         let mut upstreams = Vec::new();
         for item in self.items.values() {
             match item.in_force() {
@@ -446,6 +453,10 @@
     }
 }
 
+fn era_of(stamp: ConfigStamp) -> StoreEra {
+    era_and_number(stamp.revision).0
+}
+
 type ListedUpstream = (Arc<UpstreamRecord>, Option<Instant>, Revision);
 
 /// Keeps only the upstream that was started last at each address. After a crash, the registration of the previous
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -150,6 +150,7 @@
     /// Declared weights by model.
     pub weights: HashMap<ModelId, WeightsState>,
     routing: Option<Arc<RoutingIndex>>,
+    is_config_behind: bool,
     upstreams: HashMap<UpstreamId, (Arc<UpstreamRecord>, Option<Instant>)>,
 }
 
@@ -159,6 +160,17 @@
         self.routing = Some(routing);
     }
 
+    /// Sets whether another process uses a newer configuration that a restore of the store has lost.
+    pub fn set_config_behind(&mut self, is_behind: bool) {
+        self.is_config_behind = is_behind;
+    }
+
+    /// True if another process uses a newer configuration, so that the restrictions of a request may not be known.
+    #[must_use]
+    pub fn is_config_behind(&self) -> bool {
+        self.is_config_behind
+    }
+
     /// Replaces the upstreams. Each comes with the time at which the change of its record was observed, if it was.
     pub fn set_upstreams(&mut self, upstreams: Vec<(Arc<UpstreamRecord>, Option<Instant>)>) {
         self.upstreams = upstreams
@@ -199,9 +211,12 @@
     }
 
     /// Regions that may serve a request according to the configuration in force. A route or team that it does not
-    /// contain restricts nothing.
+    /// contain restricts nothing. No region may while the configuration is behind that of another process.
     #[must_use]
     pub fn region_policy(&self, host: &str, path: &str, key: Option<&str>) -> RegionPolicy {
+        if self.is_config_behind {
+            return RegionPolicy::nowhere();
+        }
         let route = match self.route(host, path) {
             RouteMatch::Found(route) => Some(route),
             RouteMatch::Unknown | RouteMatch::NoConfig => None,
@@ -211,9 +226,12 @@
     }
 
     /// Regions whose entries are named to callers of a host, whichever of its routes they need; empty if all are.
-    /// `None` if the configuration in force has no route of the host.
+    /// `None` if the configuration in force has no route of the host, or is behind that of another process.
     #[must_use]
     pub fn entry_regions(&self, host: &str) -> Option<Vec<RegionId>> {
+        if self.is_config_behind {
+            return None;
+        }
         let routes = self.routes_for_host(host);
         (!routes.is_empty()).then(|| common_regions(routes))
     }
--- a/crates/gateway/src/entry/admit.rs
+++ b/crates/gateway/src/entry/admit.rs
@@ -70,6 +70,9 @@
     if shared.refusing.load(Ordering::Relaxed) {
         return Err((StatusCode::SERVICE_UNAVAILABLE, "stopping"));
     }
+    if view.is_config_behind() {
+        return Err((StatusCode::SERVICE_UNAVAILABLE, "config_behind"));
+    }
     // The age is only evaluated for unknown routes and keys, which saves all other requests a read of the clock.
     let is_fresh = || {
         !shared.is_stale_after_pause()
--- a/crates/gateway/src/entry/control.rs
+++ b/crates/gateway/src/entry/control.rs
@@ -29,6 +29,7 @@
     crashes::{log_crashes, record_prompt_parts, report_crashes},
     dating::date_declarations,
     limits::{record_limits, report_limits},
+    lost_config::{config_response, fetch_lost_config, record_announcement},
     shared::EntryShared,
     status::entry_status,
     store::{apply_items, follow_store},
@@ -64,7 +65,7 @@
 const MAX_RELAY_DELAY: Duration = Duration::from_millis(200);
 /// Time limits of a transfer of changes from another entry. The first bytes arrive at once unless the entry is paused or
 /// its link is full; dozens of entries may share a link between regions.
-const ITEMS_LIMITS: TransferLimits = TransferLimits {
+pub(super) const ITEMS_LIMITS: TransferLimits = TransferLimits {
     head: Duration::from_millis(1_500),
     idle: Duration::from_millis(750),
     min_rate: 32 << 10,
@@ -111,6 +112,8 @@
     keep_running("crashes", move || report_crashes(state.clone(), sender.clone()));
     let (state, peers) = (shared.clone(), client.clone());
     keep_running("catch_up", move || catch_up(state.clone(), peers.clone()));
+    let (state, peers) = (shared.clone(), client.clone());
+    keep_running("lost_config", move || fetch_lost_config(state.clone(), peers.clone()));
     let state = shared.clone();
     keep_running("dates", move || date_declarations(state.clone(), client.clone()));
     keep_running("notices", move || receive_notices(shared.clone(), socket.clone()));
@@ -239,6 +242,7 @@
     shared.balancer().set_possible_entries(possible_entries);
     shared.retry_budget().set_entries(possible_entries);
     shared.crashes().parts().set_entries(live_entries);
+    let config_stamp = shared.fleet_state().config_stamp();
     let heartbeat = EntryHeartbeat {
         name: own.name.to_string(),
         incarnation: own.incarnation,
@@ -253,6 +257,8 @@
         contacts: Vec::new(),
         store_age_ms: own.store_age.map(age_millis),
         state_age_ms: own.state_age.map(age_millis),
+        config_version: config_stamp.map(|stamp| stamp.version),
+        config_revision: config_stamp.map_or(0, |stamp| stamp.revision),
     };
     (heartbeat, targets)
 }
@@ -306,12 +312,13 @@
 
 fn record_entry(shared: &EntryShared, heartbeat: &EntryHeartbeat) {
     let Some(member) = parse_entry_heartbeat(heartbeat) else { return };
-    let now = shared.clock.now();
+    let (now, peer) = (shared.clock.now(), member.peer);
     let is_ahead = member.revision > shared.view.load().revision;
     let mut membership = shared.membership();
     membership.record_heartbeat(member, now);
     record_contacts(&mut membership, &heartbeat.contacts, shared);
     drop(membership);
+    record_announcement(shared, heartbeat, peer);
     if is_ahead {
         shared.wake_catch_up.notify_one();
     }
@@ -441,7 +448,17 @@
     }
 }
 
-fn raw_item(item: FleetItem) -> Result<RawItem, CompressionError> {
+pub(super) fn fleet_item(item: RawItem) -> FleetItem {
+    FleetItem {
+        key: item.key.to_string(),
+        value: item.value,
+        revision: item.revision,
+        age_ms: item.age.map(millis),
+        compressed: None,
+    }
+}
+
+pub(super) fn raw_item(item: FleetItem) -> Result<RawItem, CompressionError> {
     let (key, revision) = (item.key.as_str().into(), item.revision);
     let age = item.age_ms.map(Duration::from_millis);
     Ok(RawItem { key, value: item.into_value()?, revision, age })
@@ -462,19 +479,14 @@
                     let (items, snapshot) = fleet_state.items_after(request.after, now);
                     (items, snapshot, fleet_state.as_of().unwrap_or_default())
                 };
-                let items = items.into_iter().map(|item| FleetItem {
-                    key: item.key.to_string(),
-                    value: item.value,
-                    revision: item.revision,
-                    age_ms: item.age.map(millis),
-                    compressed: None,
-                });
+                let items = items.into_iter().map(fleet_item);
                 let items = match request.reads_compressed {
                     true => items.map(FleetItem::with_compressed_value).collect(),
                     false => items.collect(),
                 };
                 Some(Payload::ItemsResponse(ItemsResponse { items, as_of, snapshot }))
             }
+            Payload::ConfigRequest(request) => Some(config_response(&self.shared, request)),
             Payload::BriefRequest(request) => {
                 let assignment = make_assignment(&self.shared.view.load(), &request.service, now);
                 Some(Payload::BriefReply(assignment.unwrap_or_default()))
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod head_timer;
 mod http;
 mod limits;
+mod lost_config;
 mod outcome;
 mod pool;
 mod relay;
--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -324,6 +324,10 @@
     /// Regions that may serve the request from now on. A restriction that has come since the request was admitted
     /// applies to it as well; one that was lifted meanwhile still does.
     fn narrow_regions(&self, view: &FleetView) -> RegionPolicy {
+        if view.is_config_behind() {
+            // Not kept: the request may run once its restrictions are known.
+            return RegionPolicy::nowhere();
+        }
         let config = downgrade_config(view);
         let mut progress = self.progress();
         if !Weak::ptr_eq(&progress.regions_config, &config) {
--- a/crates/gateway/src/entry/shared.rs
+++ b/crates/gateway/src/entry/shared.rs
@@ -15,7 +15,7 @@
     CrashDetector, DurationTracker, LoadBalancer, LoadBalancerOptions, RetryBudgetShare,
 };
 use base::{Clock, Incarnation, UpstreamId};
-use fleet::{FleetState, FleetView, ReceivePeriod};
+use fleet::{ANNOUNCEMENT_WAIT, FleetState, FleetView, ReceivePeriod};
 use log::{info, warn};
 use member::{EntryMember, EntryMembership};
 use shed::ContentionTable;
@@ -82,6 +82,8 @@
     pub(crate) wake_neighbours: Notify,
     /// Wakes the task that requests changes from other entries.
     pub(crate) wake_catch_up: Notify,
+    /// Wakes the task that fetches a configuration that the store has lost.
+    pub(crate) wake_lost_config: Notify,
     /// This entry follows the store; the others take changes from entries that do.
     pub(crate) follows_store: AtomicBool,
     pauses: PauseTracker,
@@ -118,6 +120,8 @@
 impl EntryShared {
     pub(crate) fn new(settings: EntrySettings, ports: EntryPorts, clock: Arc<dyn Clock>) -> Self {
         let now = clock.now();
+        let mut fleet_state = FleetState::new();
+        fleet_state.listen_until(now + ANNOUNCEMENT_WAIT);
         let options = LoadBalancerOptions {
             regions: settings.common.regions.clone(),
             region: settings.common.region(),
@@ -144,6 +148,7 @@
             wake_store: Notify::new(),
             wake_neighbours: Notify::new(),
             wake_catch_up: Notify::new(),
+            wake_lost_config: Notify::new(),
             follows_store: AtomicBool::new(true),
             pauses: PauseTracker::new(),
             sequence: AtomicU64::new(0),
@@ -155,7 +160,7 @@
             contention: Mutex::new(ContentionTable::new()),
             retry_budget: Mutex::new(RetryBudgetShare::new(settings.shares, now)),
             membership: Mutex::new(EntryMembership::new()),
-            fleet_state: Mutex::new(FleetState::new()),
+            fleet_state: Mutex::new(fleet_state),
             crashes: Mutex::new(CrashDetector::new()),
             crash_checks: Mutex::default(),
             durations: Mutex::new(DurationTracker::new()),
@@ -309,9 +314,11 @@
 
     /// True if callers may be directed to this entry.
     pub(crate) fn is_ready(&self) -> bool {
+        let view = self.view.load();
         !self.is_leaving()
             && self.listening.load(Ordering::Relaxed)
-            && self.view.load().config().is_some()
+            && view.config().is_some()
+            && !view.is_config_behind()
     }
 
     /// Describes this entry as a member, with a new sequence number.
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -21,7 +21,7 @@
     /// The message; `None` if its type is unknown to this version.
     #[prost(
         oneof = "Payload",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31"
     )]
     pub payload: Option<Payload>,
 }
@@ -116,6 +116,12 @@
     /// Response to [`ChunkListRequest`].
     #[prost(message, tag = "29")]
     ChunkListResponse(ChunkListResponse),
+    /// Requests the configuration in force from an entry that has announced it.
+    #[prost(message, tag = "30")]
+    ConfigRequest(ConfigRequest),
+    /// Response to [`ConfigRequest`].
+    #[prost(message, tag = "31")]
+    ConfigResponse(ConfigResponse),
 }
 
 /// First frame of each side.
--- a/crates/wire/src/message/fleet.rs
+++ b/crates/wire/src/message/fleet.rs
@@ -92,6 +92,12 @@
     /// Milliseconds since the state of the entry is known to have been current; none if it never was.
     #[prost(uint32, optional, tag = "13")]
     pub state_age_ms: Option<u32>,
+    /// Version of the configuration in force; absent if the entry knows none, or in messages of older processes.
+    #[prost(uint64, optional, tag = "14")]
+    pub config_version: Option<u64>,
+    /// Revision under which that configuration was received.
+    #[prost(uint64, tag = "15")]
+    pub config_revision: u64,
 }
 
 /// Heartbeat of an agent, sent to the entries.
@@ -238,6 +244,23 @@
     pub snapshot: bool,
 }
 
+/// Requests the configuration that the receiver has in force.
+#[derive(Clone, Copy, Message, PartialEq)]
+pub struct ConfigRequest {
+    /// Version of the configuration that the sender has in force; absent if it has none.
+    #[prost(uint64, optional, tag = "1")]
+    pub version: Option<u64>,
+}
+
+/// Response to [`ConfigRequest`].
+#[derive(Clone, Message, PartialEq)]
+pub struct ConfigResponse {
+    /// Configuration in force, under the revision at which the sender received it; absent if its version is not above
+    /// that of the request.
+    #[prost(message, optional, tag = "1")]
+    pub item: Option<FleetItem>,
+}
+
 /// Requests the assignment of an agent: the weights to load, the other agents of its service and the origin.
 #[derive(Clone, Message, PartialEq)]
 pub struct BriefRequest {
