Limit the predicted delay of requests by rank at contended services

At ranked services the delay-tolerant class was admitted at a load at which urgent classes no longer were, and late requests needed only a free slot.

The balancer applies the limit in addition to its own rule, for a prompt of mean size, so that large prompts are not refused more often because of it. Services that are not contended are served as before.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -528,9 +528,13 @@
             |occupancy| forecast.delay(EngineLoad { occupancy, ..load }, request.prompt_tokens);
         let projected =
             state.projected_occupancy(now, self.users(service) * CONCURRENT_ENTRY_FRACTION);
+        // The limit compares the load of engines, so that large prompts are not refused more often because of it.
+        let is_within_limit = request.delay_limit.is_none_or(|limit| {
+            forecast.typical_delay(EngineLoad { occupancy: projected, ..load }) <= limit
+        });
         let fits = match request.time_to_target {
             _ if request.is_resumed => true,
-            _ if let Some(limit) = request.delay_limit => delay_at(projected) <= limit,
+            _ if !is_within_limit => false,
             Some(remaining) => delay_at(projected) <= remaining.mul_f64(TARGET_TOLERANCE),
             None => projected + LATE_RESERVED_SLOTS < slots,
         };
--- a/crates/balance/src/forecast.rs
+++ b/crates/balance/src/forecast.rs
@@ -67,6 +67,12 @@
         Duration::from_secs_f64(self.mean_cost)
     }
 
+    /// Predicted time from sending a request with a prompt of mean size to its first event.
+    #[must_use]
+    pub fn typical_delay(&self, load: EngineLoad) -> Duration {
+        self.delay(load, self.mean_prompt as u32)
+    }
+
     /// Predicted time from sending a request to its first event. An engine with free slots may still have many prefills
     /// to do first, for example right after it has switched weights.
     #[must_use]
--- a/crates/balance/src/placement.rs
+++ b/crates/balance/src/placement.rs
@@ -30,8 +30,9 @@
     pub weights: Option<WeightsLimits<'a>>,
     /// Time left until the first event is late; `None` if it is already late.
     pub time_to_target: Option<Duration>,
-    /// Longest predicted time to the first event with which the request may be placed; `None` to derive it from
-    /// `time_to_target`.
+    /// Longest predicted time to the first event, for a prompt of mean size, of an engine at which the request may be
+    /// placed. It applies in addition to the rule for `time_to_target`; `None` if only that applies. Services without
+    /// engines have no such prediction and ignore it.
     pub delay_limit: Option<Duration>,
     /// True for a request that was already accepted and is resumed at another upstream. It is never refused because of
     /// load.
--- a/crates/balance/tests/board.rs
+++ b/crates/balance/tests/board.rs
@@ -514,3 +514,44 @@
     let placed = fixture.place(|_| {}).expect("the other engines are free");
     assert!(!used.contains(&placed));
 }
+
+/// Guards against late requests that take capacity where on-time requests may not, and against a limit on the load that
+/// refuses large prompts more often than small ones.
+#[test]
+fn delay_limit_compares_the_load_of_engines() {
+    let mut fixture = PlacementFixture::new(1);
+    fixture.report(0, 0, 1);
+    let limit = |millis| Some(Duration::from_millis(millis));
+    assert!(fixture.place(|request| request.delay_limit = limit(1_000)).is_ok());
+    for (time_to_target, prompt_tokens) in
+        [(limit(400), 1_000), (limit(400), 100), (None, 1_000), (None, 100)]
+    {
+        let refused = fixture.place(|request| {
+            request.time_to_target = time_to_target;
+            request.prompt_tokens = prompt_tokens;
+            request.delay_limit = limit(1);
+        });
+        assert_eq!(refused, Err(RefusalCause::Overloaded));
+    }
+    assert!(
+        fixture
+            .place(|request| {
+                request.delay_limit = limit(1);
+                request.is_resumed = true;
+            })
+            .is_ok()
+    );
+    let large = |request: &mut PlacementRequest<'_>| {
+        request.prompt_tokens = 50_000;
+        request.time_to_target = limit(60_000);
+        request.delay_limit = limit(400);
+    };
+    assert!(fixture.place(large).is_ok());
+    // A late request still needs a free slot.
+    fixture.report(0, 16, 1);
+    let late = fixture.place(|request| {
+        request.time_to_target = None;
+        request.delay_limit = limit(60_000);
+    });
+    assert_eq!(late, Err(RefusalCause::Overloaded));
+}
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -340,6 +340,7 @@
             && self.shared.contention().record_shared_host(&self.service)
         {
             info!("event=shared_hosts_found service={} upstream={upstream}", self.service);
+            self.shared.apply_contention();
         }
         let now = self.shared.clock.now();
         let mut balancer = self.shared.balancer();
--- a/crates/gateway/src/entry/control.rs
+++ b/crates/gateway/src/entry/control.rs
@@ -126,6 +126,7 @@
     shared.balancer().set_view(&view, now);
     if let Some(config) = view.config() {
         shared.contention().set_config(config);
+        shared.apply_contention();
     }
     shared.pool.retain(|upstream| view.upstream(upstream).is_some());
     let confirmed = shared.crashes().record_view(now, &view);
--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -177,6 +177,7 @@
     }
     shared.retry_budget().record_request(&request.service, started);
     let end = request.run(None).await;
+    request.record_shed(&end);
     request.finish(end, in_flight)
 }
 
@@ -343,17 +344,14 @@
         now: Instant,
         is_resumed: bool,
     ) -> Placement {
-        let latency_target = self.started + self.route.target_latency;
         let placement_request = PlacementRequest {
             service: &self.service,
             prompt_tokens: self.meta.prompt_tokens,
             regions: &self.narrow_regions(view),
             tried,
             weights: self.weights_limits(view),
-            time_to_target: self
-                .is_on_time()
-                .then(|| latency_target.saturating_duration_since(now)),
-            delay_limit: None,
+            time_to_target: self.time_to_target(now),
+            delay_limit: self.delay_limit(now, is_resumed),
             is_resumed,
         };
         self.shared.balancer().choose(&placement_request, now, &mut rand::rng())
@@ -387,6 +385,17 @@
             .is_none_or(|left| left.saturating_add(self.route.target_latency) >= self.route.timeout)
     }
 
+    /// Time left at `now` until the first event is late; `None` if the caller has returned too late for it.
+    pub(super) fn time_to_target(&self, now: Instant) -> Option<Duration> {
+        let latency_target = self.started + self.route.target_latency;
+        self.is_on_time().then(|| latency_target.saturating_duration_since(now))
+    }
+
+    /// Predicted time to the first event at the first attempt; `None` if no upstream was chosen.
+    pub(super) fn predicted(&self) -> Option<Duration> {
+        self.progress().predicted
+    }
+
     pub(super) fn elapsed(&self) -> Duration {
         self.shared.clock.now().saturating_duration_since(self.started)
     }
--- a/crates/gateway/src/entry/shared.rs
+++ b/crates/gateway/src/entry/shared.rs
@@ -18,7 +18,7 @@
 use fleet::{FleetState, FleetView, ReceivePeriod};
 use log::{info, warn};
 use member::{EntryMember, EntryMembership};
-use shed::ContentionTable;
+use shed::{ContentionTable, ShedControl};
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use wire::FleetKey;
@@ -95,6 +95,7 @@
     assignment_digest: AtomicU64,
     balancer: Mutex<LoadBalancer>,
     contention: Mutex<ContentionTable>,
+    shedding: Mutex<ShedControl>,
     retry_budget: Mutex<RetryBudgetShare>,
     membership: Mutex<EntryMembership>,
     fleet_state: Mutex<FleetState>,
@@ -153,6 +154,7 @@
             assignment_digest: AtomicU64::new(0),
             balancer: Mutex::new(LoadBalancer::new(options)),
             contention: Mutex::new(ContentionTable::new()),
+            shedding: Mutex::new(ShedControl::new()),
             retry_budget: Mutex::new(RetryBudgetShare::new(settings.shares, now)),
             membership: Mutex::new(EntryMembership::new()),
             fleet_state: Mutex::new(FleetState::new()),
@@ -174,6 +176,10 @@
         self.contention.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn shedding(&self) -> MutexGuard<'_, ShedControl> {
+        self.shedding.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn retry_budget(&self) -> MutexGuard<'_, RetryBudgetShare> {
         self.retry_budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/shed/src/lib.rs
+++ b/crates/shed/src/lib.rs
@@ -2,5 +2,11 @@
 //! I/O.
 
 mod contention;
+mod control;
+mod request;
 
-pub use crate::contention::{ContentionTable, RequestRank};
+pub use crate::{
+    contention::{ContentionTable, RequestRank},
+    control::ShedControl,
+    request::{ShedOutcome, ShedRequest},
+};
