Shed ranks by a load level with hysteresis, with fair shares and floors

Fixed limits by rank left engines unused at low load, and let the delay-tolerant rank take too much at high load: while slots are the scarce resource, a lower limit alone changes the chance of admission little.

A level rises while urgent requests are refused or predicted late, according to the agents' reports and the entry's own requests, and falls when they have room. Its steps shed one position after the other: late requests, then ranks from the least urgent on, teams beyond their max-min share one rank earlier. Credits turn the share that is still admitted into single requests. Ranks and teams served less than 0.4 times as often as all requests are admitted up to their own target. The balancer forecasts from the reports how many requests with the limit of the most urgent rank would be refused.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -25,7 +25,7 @@
 
 /// Number of randomly chosen upstreams that are compared for a request. Comparing all of them would make every entry
 /// with the same load reports send to the same least loaded upstream.
-const COMPARED_UPSTREAMS: usize = 4;
+pub(crate) const COMPARED_UPSTREAMS: usize = 4;
 /// Maximum number of upstreams of other regions among them while this region has capacity, because bandwidth between
 /// regions is scarce.
 const COMPARED_REMOTE_UPSTREAMS: usize = 1;
@@ -49,7 +49,7 @@
 const TARGET_TOLERANCE: f64 = 1.3;
 /// Fraction of the entries assumed to send to the same upstream before its next report. Not all of them do: each
 /// compares only a few random upstreams, and agents report twice as often to the entries of their own region.
-const CONCURRENT_ENTRY_FRACTION: f64 = 0.5;
+pub(crate) const CONCURRENT_ENTRY_FRACTION: f64 = 0.5;
 /// Number of slots that must stay free after a request that has already missed its target is placed. A late response
 /// counts for only a fraction of a timely one, so such requests use only spare capacity.
 const LATE_RESERVED_SLOTS: f64 = 1.0;
@@ -79,12 +79,12 @@
 }
 
 #[derive(Debug)]
-struct ServiceState {
+pub(crate) struct ServiceState {
     record: Arc<ServiceRecord>,
-    forecast: Option<EngineForecast>,
+    pub(crate) forecast: Option<EngineForecast>,
     upstreams: Vec<UpstreamId>,
     /// Upstreams that this entry uses unless none of them can take a request.
-    subset: EngineSubset,
+    pub(crate) subset: EngineSubset,
 }
 
 /// Load and health of all upstreams, as one entry knows them.
@@ -103,8 +103,8 @@
     /// What upstreams have stated about when they take requests from this entry.
     availability: AvailabilityTable,
     sent: SendLog,
-    services: HashMap<ServiceId, ServiceState>,
-    upstreams: HashMap<UpstreamId, UpstreamState>,
+    pub(crate) services: HashMap<ServiceId, ServiceState>,
+    pub(crate) upstreams: HashMap<UpstreamId, UpstreamState>,
     evacuated: HashSet<DataCentreId>,
     by_address: HashMap<SocketAddr, UpstreamId>,
 }
@@ -219,7 +219,7 @@
     }
 
     /// Expected number of entries that use the same upstream of a service.
-    fn users(&self, service: &ServiceState) -> f64 {
+    pub(crate) fn users(&self, service: &ServiceState) -> f64 {
         let local = self.local_entries.min(self.entries);
         local as f64 + (self.entries - local) as f64 * service.subset.remote_fraction
     }
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -7,6 +7,7 @@
 mod attribution;
 mod availability;
 mod balancer;
+mod capacity;
 mod crash;
 mod duration;
 mod forecast;
@@ -23,6 +24,7 @@
 pub use crate::{
     attempt::{AttemptEnd, AttemptLog, FinalStatus},
     balancer::{LoadBalancer, LoadBalancerOptions},
+    capacity::CapacityForecast,
     crash::{ConfirmedCrash, CrashDetector, CrashRefusal, LostRequest, fingerprint_of},
     duration::DurationTracker,
     forecast::{EngineForecast, EngineLoad},
--- a/crates/gateway/src/entry/shedding.rs
+++ b/crates/gateway/src/entry/shedding.rs
@@ -2,9 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use balance::FinalStatus;
+use balance::{FinalStatus, RefusalCause};
 use hyper::StatusCode;
-use shed::{ShedOutcome, ShedRequest};
+use shed::{LoadForecast, ShedOutcome, ShedRequest};
 
 use super::{outcome::RequestResult, request::RequestContext, shared::EntryShared};
 
@@ -12,7 +12,18 @@
     /// Tells load shedding which services are contended, after a change.
     pub(super) fn apply_contention(&self) {
         let contention = self.contention().clone();
-        self.shedding().set_contention(contention);
+        self.shedding().set_contention(&contention, self.clock.now());
+    }
+
+    /// Tells load shedding how urgent requests would be served according to the agents' reports, if that is due.
+    fn update_forecast(&self, service: &str, now: Instant) {
+        let Some(limit) = self.shedding().due_forecast(service, now) else { return };
+        let forecast = self.balancer().capacity_forecast(service, limit, now);
+        let forecast = forecast.map(|forecast| LoadForecast {
+            delay: forecast.delay,
+            refused_fraction: forecast.refused_fraction,
+        });
+        self.shedding().record_forecast(service, forecast, now);
     }
 }
 
@@ -34,6 +45,7 @@
         if is_resumed {
             return None;
         }
+        self.shared.update_forecast(&self.service, now);
         self.shared.shedding().delay_limit(&self.shed_request(now), now)
     }
 
@@ -54,9 +66,14 @@
                 }
             }
         };
-        let outcome = match self.predicted().filter(|_| has_run) {
-            Some(predicted) => ShedOutcome::Placed(predicted),
-            None => ShedOutcome::Refused,
+        let outcome = match (self.predicted().filter(|_| has_run), end) {
+            (Some(predicted), _) => ShedOutcome::Placed(predicted),
+            (None, RequestResult::Refused(refusal))
+                if refusal.cause == RefusalCause::Overloaded =>
+            {
+                ShedOutcome::Refused
+            }
+            (None, _) => ShedOutcome::Unavailable,
         };
         self.shared.shedding().record(&self.shed_request(now), outcome, now);
     }
--- a/crates/shed/src/contention.rs
+++ b/crates/shed/src/contention.rs
@@ -48,6 +48,11 @@
             && self.shared_hosts.insert(service.clone())
     }
 
+    /// Services to which routes lead.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceId> {
+        self.ranks.keys()
+    }
+
     /// True if routes of the service have different priorities.
     #[must_use]
     pub fn is_ranked(&self, service: &str) -> bool {
--- a/crates/shed/src/control.rs
+++ b/crates/shed/src/control.rs
@@ -1,22 +1,25 @@
 //! Decides with which predicted time to the first event a request may be placed.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
 
-use crate::{ContentionTable, ShedOutcome, ShedRequest};
+use base::ServiceId;
 
-/// Factor on a target within which the first event must be predicted. It equals the tolerance of the load balancer, so
-/// that the most urgent rank is admitted as at services without load shedding.
-const TARGET_TOLERANCE: f64 = 1.3;
-/// Factor on the limit of the most urgent rank that the least urgent rank has. With a target of 400 ms it gives 312 ms,
-/// more than 1.5 times the prediction at an idle engine (150 to 180 ms), so that engines with room are used.
-const LEAST_URGENT_FACTOR: f64 = 0.6;
-/// Factor on the limit of the most urgent rank that late requests have. It is below that of every rank.
-const LATE_FACTOR: f64 = 0.5;
+use crate::{
+    ContentionTable, LoadForecast, ServiceUsage, ShedLimit, ShedOutcome, ShedRequest,
+    service::ServiceState,
+};
+
+/// Interval between forecasts from the agents' reports, which arrive every 100 ms.
+const FORECAST_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Load shedding of one entry.
 #[derive(Debug, Default)]
 pub struct ShedControl {
-    contention: ContentionTable,
+    services: HashMap<ServiceId, ServiceState>,
+    seed: u64,
 }
 
 impl ShedControl {
@@ -26,39 +29,72 @@
         Self::default()
     }
 
-    /// Applies what is known of the services that are contended.
-    pub fn set_contention(&mut self, contention: ContentionTable) {
-        self.contention = contention;
+    /// Like [`ShedControl::new`], with a seed that differs between entries, so that entries that see few requests of a
+    /// team do not all treat its first request alike.
+    #[must_use]
+    pub fn with_seed(seed: u64) -> Self {
+        Self { seed, ..Self::default() }
+    }
+
+    /// Applies what is known of the services that are contended. The state of services whose ranks are unchanged is
+    /// kept.
+    pub fn set_contention(&mut self, contention: &ContentionTable, now: Instant) {
+        let mut services = HashMap::new();
+        for service in contention.services().filter(|service| contention.is_contended(service)) {
+            let Some(fresh) = ServiceState::new(contention, service, self.seed, now) else {
+                continue;
+            };
+            let known = self.services.remove(service);
+            let state = known.filter(|known| known.has_same_ranks(&fresh)).unwrap_or(fresh);
+            services.insert(service.clone(), state);
+        }
+        self.services = services;
     }
 
     /// Longest predicted time to the first event with which the request may be placed; `None` if its service is not
-    /// contended.
+    /// contended. It depends only on what was recorded before, however often it is called.
+    #[must_use]
+    pub fn delay_limit(&self, request: &ShedRequest, now: Instant) -> Option<Duration> {
+        self.limit(request, now).map(|limit| limit.delay)
+    }
+
+    /// Like [`ShedControl::delay_limit`], with the rule that determines the limit.
+    #[must_use]
+    pub fn limit(&self, request: &ShedRequest, now: Instant) -> Option<ShedLimit> {
+        self.services.get(&request.service).map(|state| state.limit(request, now))
+    }
+
+    /// Records the final outcome of a request. Must be called once for each request.
+    pub fn record(&mut self, request: &ShedRequest, outcome: ShedOutcome, now: Instant) {
+        if let Some(state) = self.services.get_mut(&request.service) {
+            state.record(request, outcome, now);
+        }
+    }
+
+    /// Limit of the most urgent rank, for which a forecast is due; `None` if none is due or the service is not contended.
     #[must_use]
-    pub fn delay_limit(&self, request: &ShedRequest, _now: Instant) -> Option<Duration> {
-        if !self.contention.is_contended(&request.service) {
-            return None;
+    pub fn due_forecast(&self, service: &str, now: Instant) -> Option<Duration> {
+        let state = self.services.get(service)?;
+        let is_due = state
+            .forecast_at()
+            .is_none_or(|at| now.saturating_duration_since(at) >= FORECAST_INTERVAL);
+        is_due.then(|| state.top_limit())
+    }
+
+    /// Records a forecast from the agents' reports for the limit that [`ShedControl::due_forecast`] returned; `None` if
+    /// there are no reports.
+    pub fn record_forecast(&mut self, service: &str, forecast: Option<LoadForecast>, now: Instant) {
+        if let Some(state) = self.services.get_mut(service) {
+            state.record_forecast(forecast, now);
         }
-        let ranks = self.contention.ranks(&request.service)?;
-        let shortest = ranks.values().min().copied().unwrap_or(request.target);
-        let top = shortest.min(request.target).mul_f64(TARGET_TOLERANCE);
-        let Some(left) = request.time_to_target else { return Some(top.mul_f64(LATE_FACTOR)) };
-        let bound = ranks
-            .range(..=request.rank)
-            .map(|(_, target)| *target)
-            .min()
-            .unwrap_or(request.target)
-            .min(request.target)
-            .mul_f64(TARGET_TOLERANCE);
-        let factor = if self.contention.is_ranked(&request.service) {
-            let position = ranks.range(..request.rank).count();
-            let steps = ranks.len().saturating_sub(1).max(1);
-            1.0 - (1.0 - LEAST_URGENT_FACTOR) * (position as f64 / steps as f64).min(1.0)
-        } else {
-            1.0
-        };
-        Some(bound.mul_f64(factor).min(left.mul_f64(TARGET_TOLERANCE)))
     }
 
-    /// Records the final outcome of a request.
-    pub fn record(&mut self, _request: &ShedRequest, _outcome: ShedOutcome, _now: Instant) {}
+    /// State of all contended services for operators, sorted by service.
+    #[must_use]
+    pub fn usage(&self, now: Instant) -> Vec<ServiceUsage> {
+        let mut usage: Vec<_> =
+            self.services.iter().map(|(service, state)| state.usage(service, now)).collect();
+        usage.sort_by(|left, right| left.service.cmp(&right.service));
+        usage
+    }
 }
--- a/crates/shed/src/lib.rs
+++ b/crates/shed/src/lib.rs
@@ -3,10 +3,17 @@
 
 mod contention;
 mod control;
+mod count;
+mod level;
 mod request;
+mod service;
+mod share;
+mod status;
 
 pub use crate::{
     contention::{ContentionTable, RequestRank},
     control::ShedControl,
-    request::{ShedOutcome, ShedRequest},
+    level::LoadForecast,
+    request::{ShedCause, ShedLimit, ShedOutcome, ShedRequest},
+    status::{RankUsage, ServiceUsage, TeamUsage},
 };
--- a/crates/shed/src/request.rs
+++ b/crates/shed/src/request.rs
@@ -26,6 +26,46 @@
 pub enum ShedOutcome {
     /// An upstream took the request; with the predicted time to the first event at its first attempt.
     Placed(Duration),
-    /// No upstream took the request.
+    /// No upstream took the request because all were too loaded for its limit.
     Refused,
+    /// No upstream took the request for another reason, such as that there was none. It says nothing about the load.
+    Unavailable,
+}
+
+/// Rule that determines the limit of a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ShedCause {
+    /// The targets of its own and the more urgent ranks; nothing of it is shed.
+    Target,
+    /// Its rank is shed in favour of more urgent ones.
+    Rank,
+    /// Its team is beyond its fair share, so it is shed one rank earlier.
+    Share,
+    /// It is late and may only use capacity that no other request needs.
+    Late,
+    /// Its rank or team was served too rarely, so only its own target applies.
+    Floor,
+}
+
+impl ShedCause {
+    /// Name in log lines and metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Target => "target",
+            Self::Rank => "rank",
+            Self::Share => "share",
+            Self::Late => "late",
+            Self::Floor => "floor",
+        }
+    }
+}
+
+/// Limit of a request, and why it applies.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ShedLimit {
+    /// Longest predicted time to the first event with which the request may be placed.
+    pub delay: Duration,
+    /// Rule that determines the limit.
+    pub cause: ShedCause,
 }
--- a/crates/shed/tests/common/mod.rs
+++ b/crates/shed/tests/common/mod.rs
@@ -1,5 +1,9 @@
 //! Configurations for the tests.
 
+#![allow(dead_code, reason = "each test uses only a part")]
+
+pub mod simulation;
+
 use std::time::Duration;
 
 use fleet::{ClientLimits, RetryPolicy, RouteBackend, RouteRecord, RoutingConfig};
--- a/crates/shed/tests/limits.rs
+++ b/crates/shed/tests/limits.rs
@@ -23,7 +23,7 @@
     let mut table = ContentionTable::new();
     table.set_config(&config(routes));
     let mut control = ShedControl::new();
-    control.set_contention(table);
+    control.set_contention(&table, Instant::now());
     control
 }
 
