--- a/crates/cli/src/commands/status.rs
+++ b/crates/cli/src/commands/status.rs
@@ -5,6 +5,7 @@
 use clap::{Arg, ArgAction, ArgGroup, ArgMatches, Command, value_parser};
 use gateway::{entry::status::EntryStatus, metrics::STATUS_PATH};
 use serde_json::Value;
+use shed::ServiceUsage;
 
 use crate::{
     admin_client::read_admin,
@@ -126,6 +127,7 @@
         }
         line.trim_end().to_owned()
     }));
+    lines.extend(status.shedding.iter().flat_map(shedding_lines));
     lines.join("\n") + "\n"
 }
 
@@ -205,3 +207,36 @@
         other => other.to_string(),
     }
 }
+
+/// Lines about load shedding at a service: its level, the shares of its ranks, and the teams that are beyond their share.
+fn shedding_lines(usage: &ServiceUsage) -> Vec<String> {
+    let share = |placed: f64, requests: f64| {
+        if requests > 0.0 { (100.0 * placed / requests).min(100.0) } else { 100.0 }
+    };
+    let mut lines = vec![format!(
+        "shedding {:<16} level {:.1} of {}, a team's share {}",
+        usage.service,
+        usage.level,
+        usage.levels,
+        usage.fair_use.map_or("-".to_owned(), |fair_use| format!("{fair_use:.1}/s"))
+    )];
+    lines.extend(usage.ranks.iter().map(|rank| {
+        let mut line = format!(
+            "  rank {:<4} {:.1} requests, {:.0}% served",
+            rank.rank,
+            rank.requests,
+            share(rank.placed, rank.requests)
+        );
+        for (cause, count) in &rank.refused {
+            line.push_str(&format!(", {count:.1} refused ({})", cause.as_str()));
+        }
+        line
+    }));
+    lines.extend(usage.teams.iter().filter(|team| team.is_beyond_share).map(|team| {
+        format!(
+            "  team {} beyond its share: {:.1}/s of {:.1}/s served",
+            team.team, team.placed, team.offered
+        )
+    }));
+    lines
+}
--- a/crates/cli/tests/output.rs
+++ b/crates/cli/tests/output.rs
@@ -5,6 +5,7 @@
 use gateway::entry::status::{EntryStatus, UpstreamStatus};
 use insta::assert_snapshot;
 use serde_json::json;
+use shed::{RankUsage, ServiceUsage, ShedCause, TeamUsage};
 
 const EXAMPLE: &str = include_str!("../../../examples/fleet.json");
 
@@ -56,6 +57,27 @@
     assert_eq!(explain::explain("999", [first].into_iter()), "");
 }
 
+fn shedding() -> ServiceUsage {
+    let rank = |rank, requests, placed, refused| RankUsage { rank, requests, placed, refused };
+    let team = |team: &str, offered, placed, is_beyond_share| TeamUsage {
+        team: team.into(),
+        offered,
+        placed,
+        is_beyond_share,
+    };
+    ServiceUsage {
+        service: "llm".into(),
+        level: 1.25,
+        levels: 2,
+        fair_use: Some(2.5),
+        ranks: vec![
+            rank(0, 12.0, 12.0, Vec::new()),
+            rank(2, 20.0, 8.0, vec![(ShedCause::Rank, 10.0), (ShedCause::Late, 2.0)]),
+        ],
+        teams: vec![team("rabo238", 4.0, 3.0, true), team("zida833", 1.0, 1.0, false)],
+    }
+}
+
 #[test]
 fn status_of_an_entry_on_a_platform_is_readable() {
     let upstream = |upstream: &str, load, cold_ms, draining| UpstreamStatus {
@@ -86,6 +108,7 @@
         evacuated: vec!["south".into()],
         declared: vec![("daka".into(), 2)],
         upstreams: vec![upstream("i-1", Some((12, 3)), 0, false), upstream("i-2", None, 900, true)],
+        shedding: vec![shedding()],
     };
     assert_snapshot!(status::render_entry(&status));
 }
--- a/crates/gateway/src/entry/shared.rs
+++ b/crates/gateway/src/entry/shared.rs
@@ -119,6 +119,7 @@
 impl EntryShared {
     pub(crate) fn new(settings: EntrySettings, ports: EntryPorts, clock: Arc<dyn Clock>) -> Self {
         let now = clock.now();
+        let incarnation: Incarnation = rand::random();
         let options = LoadBalancerOptions {
             regions: settings.common.regions.clone(),
             region: settings.common.region(),
@@ -127,7 +128,7 @@
         };
         Self {
             key: FleetKey::new(&settings.common.fleet_secret),
-            incarnation: rand::random(),
+            incarnation,
             view: ArcSwap::from_pointee(FleetView::default()),
             metrics: MetricSet::default(),
             pool: ConnectionPool::new(clock.clone()),
@@ -154,7 +155,7 @@
             assignment_digest: AtomicU64::new(0),
             balancer: Mutex::new(LoadBalancer::new(options)),
             contention: Mutex::new(ContentionTable::new()),
-            shedding: Mutex::new(ShedControl::new()),
+            shedding: Mutex::new(ShedControl::with_seed(incarnation)),
             retry_budget: Mutex::new(RetryBudgetShare::new(settings.shares, now)),
             membership: Mutex::new(EntryMembership::new()),
             fleet_state: Mutex::new(FleetState::new()),
--- a/crates/gateway/src/entry/shedding.rs
+++ b/crates/gateway/src/entry/shedding.rs
@@ -4,7 +4,8 @@
 
 use balance::{FinalStatus, RefusalCause};
 use hyper::StatusCode;
-use shed::{LoadForecast, ShedOutcome, ShedRequest};
+use log::info;
+use shed::{LoadForecast, ShedOutcome, ShedRecord, ShedRequest};
 
 use super::{outcome::RequestResult, request::RequestContext, shared::EntryShared};
 
@@ -75,6 +76,40 @@
             }
             (None, _) => ShedOutcome::Unavailable,
         };
-        self.shared.shedding().record(&self.shed_request(now), outcome, now);
+        let request = self.shed_request(now);
+        let record = self.shared.shedding().record(&request, outcome, now);
+        if let Some(record) = record {
+            self.report_shed(&request, outcome, record);
+        }
+    }
+
+    /// Counts the request by rank and team, and logs a refusal with its cause.
+    fn report_shed(&self, request: &ShedRequest, outcome: ShedOutcome, record: ShedRecord) {
+        let (rank, cause) = (request.rank, record.limit.cause.as_str());
+        let team = request.team.as_deref().unwrap_or("none");
+        let label = if record.is_team_listed { team } else { "other" };
+        let label = label.replace(['"', '\\', '\n'], "_");
+        let name = match outcome {
+            ShedOutcome::Placed(_) => {
+                format!("shed_placed_total{{rank=\"{rank}\",team=\"{label}\"}}")
+            }
+            ShedOutcome::Refused => {
+                format!("shed_refused_total{{rank=\"{rank}\",team=\"{label}\",cause=\"{cause}\"}}")
+            }
+            ShedOutcome::Unavailable => {
+                format!("shed_unavailable_total{{rank=\"{rank}\",team=\"{label}\"}}")
+            }
+        };
+        self.shared.metrics.count(&name);
+        if outcome == ShedOutcome::Refused {
+            info!(
+                "event=request_shed request={} service={} rank={rank} team={team} cause={cause} \
+                 limit_ms={} on_time={}",
+                self.meta.id,
+                request.service,
+                record.limit.delay.as_millis(),
+                request.time_to_target.is_some()
+            );
+        }
     }
 }
--- a/crates/gateway/src/entry/status.rs
+++ b/crates/gateway/src/entry/status.rs
@@ -5,6 +5,7 @@
 use base::{DataCentreId, HostId, ModelId, Revision, ServiceId, UpstreamId};
 use fleet::WeightsVersion;
 use serde::{Deserialize, Serialize};
+use shed::ServiceUsage;
 
 use super::{assignment::millis, shared::EntryShared};
 
@@ -33,6 +34,9 @@
     pub declared: Vec<(ModelId, WeightsVersion)>,
     /// All upstreams, sorted by id.
     pub upstreams: Vec<UpstreamStatus>,
+    /// Load shedding at contended services, sorted by service.
+    #[serde(default)]
+    pub shedding: Vec<ServiceUsage>,
 }
 
 /// State of an upstream as an entry sees it.
@@ -126,5 +130,6 @@
         evacuated,
         declared,
         upstreams,
+        shedding: shared.shedding().usage(now),
     }
 }
--- a/crates/shed/src/control.rs
+++ b/crates/shed/src/control.rs
@@ -8,7 +8,7 @@
 use base::ServiceId;
 
 use crate::{
-    ContentionTable, LoadForecast, ServiceUsage, ShedLimit, ShedOutcome, ShedRequest,
+    ContentionTable, LoadForecast, ServiceUsage, ShedLimit, ShedOutcome, ShedRecord, ShedRequest,
     service::ServiceState,
 };
 
@@ -64,11 +64,16 @@
         self.services.get(&request.service).map(|state| state.limit(request, now))
     }
 
-    /// Records the final outcome of a request. Must be called once for each request.
-    pub fn record(&mut self, request: &ShedRequest, outcome: ShedOutcome, now: Instant) {
-        if let Some(state) = self.services.get_mut(&request.service) {
-            state.record(request, outcome, now);
-        }
+    /// Records the final outcome of a request. Must be called once for each request. Returns how the request was treated;
+    /// `None` if its service is not contended.
+    pub fn record(
+        &mut self,
+        request: &ShedRequest,
+        outcome: ShedOutcome,
+        now: Instant,
+    ) -> Option<ShedRecord> {
+        let state = self.services.get_mut(&request.service)?;
+        Some(state.record(request, outcome, now))
     }
 
     /// Limit of the most urgent rank, for which a forecast is due; `None` if none is due or the service is not contended.
--- a/crates/shed/src/lib.rs
+++ b/crates/shed/src/lib.rs
@@ -14,6 +14,6 @@
     contention::{ContentionTable, RequestRank},
     control::ShedControl,
     level::LoadForecast,
-    request::{ShedCause, ShedLimit, ShedOutcome, ShedRequest},
+    request::{ShedCause, ShedLimit, ShedOutcome, ShedRecord, ShedRequest},
     status::{RankUsage, ServiceUsage, TeamUsage},
 };
--- a/crates/shed/src/request.rs
+++ b/crates/shed/src/request.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use base::{ServiceId, TeamId};
+use serde::{Deserialize, Serialize};
 
 use crate::RequestRank;
 
@@ -33,7 +34,8 @@
 }
 
 /// Rule that determines the limit of a request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum ShedCause {
     /// The targets of its own and the more urgent ranks; nothing of it is shed.
     Target,
@@ -48,6 +50,10 @@
 }
 
 impl ShedCause {
+    /// All causes.
+    pub(crate) const ALL: [Self; 5] =
+        [Self::Target, Self::Rank, Self::Share, Self::Late, Self::Floor];
+
     /// Name in log lines and metrics.
     #[must_use]
     pub fn as_str(self) -> &'static str {
@@ -69,3 +75,12 @@
     /// Rule that determines the limit.
     pub cause: ShedCause,
 }
+
+/// How a request was treated, for logs and metrics.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ShedRecord {
+    /// Limit of the request when it ended.
+    pub limit: ShedLimit,
+    /// False if there are too many teams to keep a label in metrics for each.
+    pub is_team_listed: bool,
+}
--- a/crates/shed/src/service.rs
+++ b/crates/shed/src/service.rs
@@ -5,7 +5,8 @@
 use base::{ServiceId, TeamId};
 
 use crate::{
-    ContentionTable, LoadForecast, RequestRank, ShedCause, ShedLimit, ShedOutcome, ShedRequest,
+    ContentionTable, LoadForecast, RequestRank, ShedCause, ShedLimit, ShedOutcome, ShedRecord,
+    ShedRequest,
     count::{AdmissionCredit, DecayingCount},
     level::LoadLevel,
     share::TeamTable,
@@ -31,6 +32,8 @@
 const FLOOR_SHARE: f64 = 0.4;
 /// Served share of all requests above which none can starve, apart from single refusals.
 const FULL_SERVICE: f64 = 0.95;
+/// Decayed count below which a cause is not shown to operators: a single refusal of 12 s ago.
+const MIN_SHOWN_COUNT: f64 = 0.05;
 /// Time constant of the served shares, which the requirement measures over 8 s.
 const FLOOR_TIME_CONSTANT: Duration = Duration::from_secs(4);
 
@@ -43,6 +46,8 @@
     floor: AdmissionCredit,
     requests: DecayingCount,
     placed: DecayingCount,
+    /// Refused requests by cause, in the order of [`ShedCause::ALL`].
+    refused: [DecayingCount; ShedCause::ALL.len()],
 }
 
 /// Load shedding at one service. Ranks have places, 0 for the most urgent. The position of a request in the order of
@@ -82,7 +87,8 @@
             .map(|(rank, target)| {
                 bound = bound.min(*target);
                 let floor = AdmissionCredit::new(0.0, now);
-                RankState { rank: *rank, bound, floor, requests: count, placed: count }
+                let refused = [count; ShedCause::ALL.len()];
+                RankState { rank: *rank, bound, floor, requests: count, placed: count, refused }
             })
             .collect();
         if !contention.is_ranked(service) {
@@ -174,8 +180,31 @@
         self.decide(request, now).limit
     }
 
-    pub(crate) fn record(&mut self, request: &ShedRequest, outcome: ShedOutcome, now: Instant) {
+    pub(crate) fn record(
+        &mut self,
+        request: &ShedRequest,
+        outcome: ShedOutcome,
+        now: Instant,
+    ) -> ShedRecord {
         let decision = self.decide(request, now);
+        self.record_use(request, &decision, outcome, now);
+        if request.time_to_target.is_some() {
+            self.record_pressure(request, &decision, outcome, now);
+        }
+        ShedRecord {
+            limit: decision.limit,
+            is_team_listed: self.teams.is_listed(request.team.as_ref()),
+        }
+    }
+
+    /// Records whether the request was served, for the floors and the shares of teams.
+    fn record_use(
+        &mut self,
+        request: &ShedRequest,
+        decision: &ShedDecision,
+        outcome: ShedOutcome,
+        now: Instant,
+    ) {
         let place = self.place_of(request.rank);
         let floor_share = self.floor_share(now);
         let is_placed = matches!(outcome, ShedOutcome::Placed(_));
@@ -188,12 +217,25 @@
             self.placed.add(1.0, now);
             rank.placed.add(1.0, now);
         }
-        let bound = rank.bound.min(request.target);
+        if outcome == ShedOutcome::Refused {
+            rank.refused[decision.limit.cause as usize].add(1.0, now);
+        }
         self.teams.record(request.team.as_ref(), is_on_time, is_placed, floor_share, now);
-        if !is_on_time {
-            return;
+        if is_on_time {
+            let share = 1.0 - decision.shed_share;
+            self.credits[decision.position].record(share, is_placed, now);
         }
-        self.credits[decision.position].record(1.0 - decision.shed_share, is_placed, now);
+    }
+
+    /// Records what the outcome of a request on time says about the load.
+    fn record_pressure(
+        &mut self,
+        request: &ShedRequest,
+        decision: &ShedDecision,
+        outcome: ShedOutcome,
+        now: Instant,
+    ) {
+        let bound = self.ranks[self.place_of(request.rank)].bound.min(request.target);
         let pressure = match outcome {
             ShedOutcome::Placed(predicted) => {
                 Some(predicted.as_secs_f64() / bound.as_secs_f64().max(0.001))
@@ -229,6 +271,7 @@
             service: service.clone(),
             level: self.level.value(),
             levels: self.ranks.len(),
+            fair_use: self.teams.fair_use(),
             ranks: self
                 .ranks
                 .iter()
@@ -236,6 +279,11 @@
                     rank: state.rank,
                     requests: state.requests.value(now),
                     placed: state.placed.value(now),
+                    refused: ShedCause::ALL
+                        .into_iter()
+                        .zip(state.refused.map(|count| count.value(now)))
+                        .filter(|(_, count)| *count >= MIN_SHOWN_COUNT)
+                        .collect(),
                 })
                 .collect(),
             teams: self.teams.usage(now).into_iter().map(team).collect(),
--- a/crates/shed/src/share.rs
+++ b/crates/shed/src/share.rs
@@ -74,6 +74,16 @@
         self.find(team).is_some_and(|team| team.floor.is_full(now))
     }
 
+    /// True if the team is tracked.
+    pub(crate) fn is_listed(&self, team: Option<&TeamId>) -> bool {
+        self.find(team).is_some()
+    }
+
+    /// Use up to which no team is beyond its share; `None` if all demand is met.
+    pub(crate) fn fair_use(&self) -> Option<f64> {
+        self.fair_use.filter(|fair_use| fair_use.is_finite())
+    }
+
     fn find(&self, team: Option<&TeamId>) -> Option<&TeamUse> {
         // The key type of the table owns its text, so a lookup needs a clone; a short id is copied without allocation.
         self.teams.get(&team.cloned())
--- a/crates/shed/src/status.rs
+++ b/crates/shed/src/status.rs
@@ -3,7 +3,7 @@
 use base::{ServiceId, TeamId};
 use serde::{Deserialize, Serialize};
 
-use crate::RequestRank;
+use crate::{RequestRank, ShedCause};
 
 /// Load shedding at a contended service, as one entry sees it.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -14,6 +14,8 @@
     pub level: f64,
     /// Highest value of `level`: the number of ranks, or 1 if the service is not ranked.
     pub levels: usize,
+    /// Requests within about a second up to which a team is within its share; `None` if all demand is met.
+    pub fair_use: Option<f64>,
     /// Ranks, the most urgent first.
     pub ranks: Vec<RankUsage>,
     /// Teams with recent requests, sorted by id.
@@ -21,7 +23,7 @@
 }
 
 /// Recent requests of a rank, weighted exponentially with a time constant of 4 s.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct RankUsage {
     /// The rank.
     pub rank: RequestRank,
@@ -29,6 +31,8 @@
     pub requests: f64,
     /// Requests that an upstream took.
     pub placed: f64,
+    /// Requests that were refused because of load, by the rule that determined their limit.
+    pub refused: Vec<(ShedCause, f64)>,
 }
 
 /// Recent requests of a team, weighted exponentially with a time constant of 1 s.
