--- a/crates/gateway/src/entry/shared.rs
+++ b/crates/gateway/src/entry/shared.rs
@@ -18,7 +18,7 @@
 use fleet::{ANNOUNCEMENT_WAIT, FleetState, FleetView, ReceivePeriod};
 use log::{info, warn};
 use member::{EntryMember, EntryMembership};
-use shed::ContentionTable;
+use shed::{ContentionTable, ShedControl};
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use wire::FleetKey;
@@ -97,6 +97,7 @@
     assignment_digest: AtomicU64,
     balancer: Mutex<LoadBalancer>,
     contention: Mutex<ContentionTable>,
+    shedding: Mutex<ShedControl>,
     retry_budget: Mutex<RetryBudgetShare>,
     membership: Mutex<EntryMembership>,
     fleet_state: Mutex<FleetState>,
@@ -122,6 +123,7 @@
         let now = clock.now();
         let mut fleet_state = FleetState::new();
         fleet_state.listen_until(now + ANNOUNCEMENT_WAIT);
+        let incarnation: Incarnation = rand::random();
         let options = LoadBalancerOptions {
             regions: settings.common.regions.clone(),
             region: settings.common.region(),
@@ -130,7 +132,7 @@
         };
         Self {
             key: FleetKey::new(&settings.common.fleet_secret),
-            incarnation: rand::random(),
+            incarnation,
             view: ArcSwap::from_pointee(FleetView::default()),
             metrics: MetricSet::default(),
             pool: ConnectionPool::new(clock.clone()),
@@ -158,6 +160,7 @@
             assignment_digest: AtomicU64::new(0),
             balancer: Mutex::new(LoadBalancer::new(options)),
             contention: Mutex::new(ContentionTable::new()),
+            shedding: Mutex::new(ShedControl::with_seed(incarnation)),
             retry_budget: Mutex::new(RetryBudgetShare::new(settings.shares, now)),
             membership: Mutex::new(EntryMembership::new()),
             fleet_state: Mutex::new(fleet_state),
@@ -179,6 +182,10 @@
         self.contention.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn shedding(&self) -> MutexGuard<'_, ShedControl> {
+        self.shedding.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn retry_budget(&self) -> MutexGuard<'_, RetryBudgetShare> {
         self.retry_budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
