Queue requests at the entry while no upstream can take them

Cause: at a contended service, a request that no upstream can take is refused at once, although most shortages last less than the time left to its target. Change: wait::WaitingRoom is a bounded queue without I/O, ordered by lateness, rank, return and team (limit::FairQueue, which gains an order by deadline, a way to put an item back and one to remove the excess). A task of the entry gives queued requests their turns when a report arrives, an attempt ends or 25 ms pass; a request chooses its upstream itself and repeats the checks of a new one. The queue is closed as soon as the entry is stopping. Other services call choose_upstream as before.

--- a/crates/gateway/src/entry/control.rs
+++ b/crates/gateway/src/entry/control.rs
@@ -347,6 +347,7 @@
     };
     let now = shared.clock.now();
     shared.balancer().record_report(upstream, report, now, &mut rand::rng());
+    shared.waiting.wake();
     record_contacts(&mut shared.membership(), &heartbeat.contacts, shared);
 }
 
--- a/crates/gateway/src/entry/guards.rs
+++ b/crates/gateway/src/entry/guards.rs
@@ -75,5 +75,6 @@
             let confirmed = self.shared.crashes().record_unreachable(now, &self.upstream);
             log_crashes(&self.shared, confirmed);
         }
+        self.shared.waiting.wake();
     }
 }
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -19,6 +19,7 @@
 mod shared;
 pub mod status;
 mod store;
+mod waiting;
 
 use std::{
     pin::pin,
@@ -37,13 +38,14 @@
     time::{sleep, timeout_at},
 };
 
-use self::shared::EntryShared;
+use self::{shared::EntryShared, waiting::run_rooms};
 use crate::{
     frames::{NodeError, ThreadSnafu},
     lifecycle::{ProcessSignals, reload_seeds},
     log_sink::LogSink,
     port::{MessageCodec, SettingsSource, StateStore},
     settings::EntrySettings,
+    supervise::keep_running,
 };
 
 /// Interval between writes of the buffered log lines.
@@ -126,6 +128,8 @@
     logs: LogSink,
 ) -> Result<(), NodeError> {
     let log_task = tokio::spawn(logs.flush_forever(LOG_INTERVAL));
+    let state = shared.clone();
+    let waiting_task = keep_running("waiting", move || run_rooms(state.clone()));
     let mut serving = pin!(http::serve(shared.clone()));
     let served = tokio::select! {
         result = serving.as_mut() => result,
@@ -146,6 +150,7 @@
         }
     };
     log_task.abort();
+    waiting_task.abort();
     served
 }
 
--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -56,7 +56,7 @@
     pub(super) uri: Uri,
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
-    started: Instant,
+    pub(super) started: Instant,
     /// Deadline stated by the caller.
     pub(super) caller_deadline: Option<Instant>,
     progress: Mutex<RequestProgress>,
@@ -91,6 +91,8 @@
     /// the upstream was chosen.
     version: Option<WeightsVersion>,
     version_time_left: Option<Duration>,
+    /// Time for which the request was queued at this entry.
+    pub(super) waited: Duration,
 }
 
 /// Reference to the configuration of a view that does not keep it in memory.
@@ -152,6 +154,7 @@
             predicted: None,
             version: None,
             version_time_left: None,
+            waited: Duration::ZERO,
         }),
         method: head.method,
         uri: head.uri,
@@ -239,14 +242,14 @@
             if self.deadline.saturating_duration_since(now) < MIN_ATTEMPT_TIME {
                 return RequestResult::Expired(self.progress().attempts.final_status());
             }
-            let chosen = match self.choose_upstream(now, resume_after.is_some()) {
+            let chosen = match self.choose_or_wait(now, resume_after.is_some()).await {
                 Ok(chosen) => chosen,
                 Err(refusal) => {
                     if let Some((head, body)) = error_response {
                         return RequestResult::Complete(head, body);
                     }
                     return match self.progress().attempts.final_status() {
-                        FinalStatus::NotRun => RequestResult::Refused(refusal),
+                        FinalStatus::NotRun => refusal.into(),
                         FinalStatus::Unknown => RequestResult::Failed(FinalStatus::Unknown),
                     };
                 }
@@ -281,7 +284,7 @@
     }
 
     /// Reason why the request may not run at another upstream because of crashes; `None` if it may.
-    fn crash_refusal(&self, now: Instant) -> Option<CrashRefusal> {
+    pub(super) fn crash_refusal(&self, now: Instant) -> Option<CrashRefusal> {
         let crashes = self.shared.crashes();
         crashes.refusal(now, &self.meta.shared_parts, || self.fingerprint())
     }
@@ -359,7 +362,7 @@
         self.shared.balancer().choose(&placement_request, now, &mut rand::rng())
     }
 
-    fn choose_upstream(
+    pub(super) fn choose_upstream(
         &self,
         now: Instant,
         is_resumed: bool,
@@ -413,6 +416,12 @@
                     Some(refusal.retry_after),
                 )
             }
+            RequestResult::Rejected(status, cause) => {
+                self.log_end(cause, Some(status.as_u16()));
+                let is_temporary = status == StatusCode::SERVICE_UNAVAILABLE;
+                let retry_after = is_temporary.then_some(DEFAULT_RETRY_AFTER);
+                local_response(&self.shared, id, status, retry_after)
+            }
             RequestResult::Failed(FinalStatus::NotRun)
             | RequestResult::Expired(FinalStatus::NotRun) => {
                 self.log_end(RefusalCause::NoUpstream.as_str(), Some(503));
@@ -449,7 +458,7 @@
         let view = self.shared.view.load();
         info!(
             "event=request_ended request={} result={result} status={} route={} team={} upstream={} sends={} \
-             tried={} ms={} first_ms={} predicted_ms={} pause_ms={} version={} version_left_ms={} revision={} \
+             tried={} ms={} first_ms={} predicted_ms={} waited_ms={} pause_ms={} version={} version_left_ms={} revision={} \
              config={}",
             self.meta.id,
             status.unwrap_or(0),
@@ -461,6 +470,7 @@
             elapsed.as_millis(),
             progress.first_event.map_or(-1, |first| first.as_millis() as i64),
             progress.predicted.map_or(-1, |predicted| predicted.as_millis() as i64),
+            progress.waited.as_millis(),
             progress.longest_pause.as_millis(),
             progress.version.unwrap_or(0),
             progress.version_time_left.map_or(-1, |left| left.as_millis() as i64),
--- a/crates/gateway/src/entry/shared.rs
+++ b/crates/gateway/src/entry/shared.rs
@@ -23,7 +23,7 @@
 use tokio_util::sync::CancellationToken;
 use wire::FleetKey;
 
-use super::{EntryPorts, pool::ConnectionPool};
+use super::{EntryPorts, pool::ConnectionPool, waiting::WaitingRooms};
 use crate::{lifecycle::PauseTracker, metrics::MetricSet, settings::EntrySettings};
 
 /// Stands for a point in time that does not exist.
@@ -54,6 +54,8 @@
     pub(crate) view: ArcSwap<FleetView>,
     pub(crate) metrics: MetricSet,
     pub(crate) pool: ConnectionPool,
+    /// Requests that wait for an upstream.
+    pub(crate) waiting: Arc<WaitingRooms>,
     /// Number of requests whose response is not yet complete.
     pub(crate) in_flight: AtomicUsize,
     /// Total size of the buffered request bodies.
@@ -130,6 +132,7 @@
             view: ArcSwap::from_pointee(FleetView::default()),
             metrics: MetricSet::default(),
             pool: ConnectionPool::new(clock.clone()),
+            waiting: Arc::default(),
             in_flight: AtomicUsize::new(0),
             body_bytes: AtomicUsize::new(0),
             leaving: AtomicBool::new(false),
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -14,5 +14,5 @@
     concurrency::{
         ConcurrencyLimit, LimitDecrease, LimitOptions, UpstreamEpoch, WorkPermit, WorkResult,
     },
-    queue::{FairQueue, OfferResult, TeamShares, WorkId, WorkItem},
+    queue::{FairQueue, OfferResult, TeamOrder, TeamShares, WorkId, WorkItem},
 };
--- a/crates/limit/src/queue.rs
+++ b/crates/limit/src/queue.rs
@@ -6,6 +6,7 @@
 //! accumulate credit while it is idle.
 
 use std::{
+    cmp::Ordering,
     collections::{BTreeMap, HashMap},
     time::{Duration, Instant},
 };
@@ -55,7 +56,7 @@
 /// Shares by team; teams without an entry have share 1.
 pub type TeamShares = HashMap<TeamId, u32>;
 
-/// Virtual arrival time and sequence number; the item with the smallest key is dispatched first.
+/// Virtual arrival time and sequence number, or deadline and id; the item with the smallest key is dispatched first.
 type OrderKey = (Instant, u64);
 
 #[derive(Debug, Default)]
@@ -65,10 +66,21 @@
     items: BTreeMap<OrderKey, WorkItem>,
 }
 
-/// Bounded queue of an agent, ordered by team shares, priority and arrival.
+/// Order of the items of one team.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum TeamOrder {
+    /// By arrival, brought forward for higher priorities.
+    #[default]
+    Arrival,
+    /// By deadline, then by id, regardless of priority.
+    Deadline,
+}
+
+/// Bounded queue, ordered by team shares and, within a team, as its [`TeamOrder`] states.
 #[derive(Debug)]
 pub struct FairQueue {
     capacity: usize,
+    order: TeamOrder,
     shares: TeamShares,
     teams: BTreeMap<TeamId, TeamQueue>,
     virtual_time: u64,
@@ -82,6 +94,7 @@
     pub fn new(capacity: usize) -> Self {
         Self {
             capacity,
+            order: TeamOrder::default(),
             shares: TeamShares::new(),
             teams: BTreeMap::new(),
             virtual_time: 0,
@@ -90,6 +103,13 @@
         }
     }
 
+    /// Sets the order of the items of a team.
+    #[must_use]
+    pub fn with_order(mut self, order: TeamOrder) -> Self {
+        self.order = order;
+        self
+    }
+
     /// Replaces the shares of all teams.
     pub fn set_shares(&mut self, shares: TeamShares) {
         self.shares = shares;
@@ -138,6 +158,28 @@
         Some(item)
     }
 
+    /// Returns an item that was removed by [`FairQueue::pop`] and could not be dispatched, and refunds the charge. In
+    /// the order of deadlines it has the same place as before. The queue may exceed its capacity by the number of items
+    /// that are returned.
+    pub fn put_back(&mut self, item: WorkItem, isolated_cost: u32, now: Instant) {
+        let cost = if item.isolated { u64::from(isolated_cost.max(1)) } else { 1 };
+        let refund = STRIDE / self.share(&item.team) * cost;
+        if let Some(queue) = self.teams.get_mut(&item.team) {
+            queue.served = queue.served.saturating_sub(refund);
+        }
+        let order = self.next_order(&item, now);
+        self.insert(item, order);
+    }
+
+    /// Removes the last item of the team that exceeds its share most; `None` if the queue is empty.
+    pub fn pop_excess(&mut self) -> Option<WorkItem> {
+        let (team, _) = self.fullest_team()?;
+        let team = team.clone();
+        let item = self.pop_last(&team);
+        self.remove_idle_teams();
+        item
+    }
+
     /// Corrects the charge of a dispatch after its work has ended, so that a team with long requests does not get more
     /// than its share of the upstream's time. `cost` is the service time relative to the average.
     pub fn correct_charge(&mut self, team: &TeamId, cost: f64) {
@@ -174,7 +216,7 @@
     /// team, plus the dispatches that the other waiting teams get meanwhile, capped at the length of the queue.
     #[must_use]
     pub fn count_ahead_of(&self, item: &WorkItem, now: Instant) -> usize {
-        let order = (virtual_arrival(item, now), self.sequence + 1);
+        let order = self.order_key(item, self.sequence + 1, now);
         let own_ahead =
             self.teams.get(&item.team).map_or(0, |queue| queue.items.range(..order).count());
         let others: u64 = self
@@ -195,7 +237,14 @@
 
     fn next_order(&mut self, item: &WorkItem, now: Instant) -> OrderKey {
         self.sequence += 1;
-        (virtual_arrival(item, now), self.sequence)
+        self.order_key(item, self.sequence, now)
+    }
+
+    fn order_key(&self, item: &WorkItem, sequence: u64, now: Instant) -> OrderKey {
+        match self.order {
+            TeamOrder::Arrival => (virtual_arrival(item, now), sequence),
+            TeamOrder::Deadline => (item.deadline, item.id),
+        }
     }
 
     fn next_team(&self) -> Option<&TeamId> {
@@ -216,16 +265,18 @@
         self.len += 1;
     }
 
-    fn find_team_to_displace(&self, team: &TeamId, order: OrderKey) -> Option<TeamId> {
-        // Compares the items per share of two teams without division: left / left_share with right / right_share.
-        let compare_loads =
-            |left: (u64, u64), right: (u64, u64)| (left.0 * right.1).cmp(&(right.0 * left.1));
-        let (fullest, queue) = self.teams.iter().max_by(|left, right| {
+    /// Team with the most items per share; `None` if there are no teams.
+    fn fullest_team(&self) -> Option<(&TeamId, &TeamQueue)> {
+        self.teams.iter().max_by(|left, right| {
             let load = |(team, queue): &(&TeamId, &TeamQueue)| {
                 (queue.items.len() as u64, self.share(team))
             };
             compare_loads(load(left), load(right))
-        })?;
+        })
+    }
+
+    fn find_team_to_displace(&self, team: &TeamId, order: OrderKey) -> Option<TeamId> {
+        let (fullest, queue) = self.fullest_team()?;
         let own = self.teams.get(team);
         let own_len = own.map_or(0, |queue| queue.items.len()) as u64 + 1;
         let fullest_load = (queue.items.len() as u64, self.share(fullest));
@@ -264,6 +315,11 @@
     }
 }
 
+/// Compares the items per share of two teams without division: left / left_share with right / right_share.
+fn compare_loads(left: (u64, u64), right: (u64, u64)) -> Ordering {
+    (left.0 * right.1).cmp(&(right.0 * left.1))
+}
+
 fn virtual_arrival(item: &WorkItem, now: Instant) -> Instant {
     now + AGING_STEP * u32::from(MAX_PRIORITY.saturating_sub(item.priority))
 }
