--- a/crates/limit/src/queue.rs
+++ b/crates/limit/src/queue.rs
@@ -147,8 +147,13 @@
     /// dispatches, because no other work runs on the upstream meanwhile.
     pub fn pop(&mut self, isolated_cost: u32) -> Option<WorkItem> {
         let team = self.next_team()?.clone();
-        let share = self.share(&team);
-        let queue = self.teams.get_mut(&team)?;
+        self.pop_from(&team, isolated_cost)
+    }
+
+    /// Removes the next item of a team, whether or not it is the team's turn, and charges the team for it.
+    pub fn pop_from(&mut self, team: &TeamId, isolated_cost: u32) -> Option<WorkItem> {
+        let share = self.share(team);
+        let queue = self.teams.get_mut(team)?;
         let (_, item) = queue.items.pop_first()?;
         let cost = if item.isolated { u64::from(isolated_cost.max(1)) } else { 1 };
         self.virtual_time = self.virtual_time.max(queue.served);
@@ -171,6 +176,11 @@
         self.insert(item, order);
     }
 
+    /// Teams with queued items.
+    pub fn waiting_teams(&self) -> impl Iterator<Item = &TeamId> {
+        self.teams.iter().filter(|(_, queue)| !queue.items.is_empty()).map(|(team, _)| team)
+    }
+
     /// Removes the last item of the team that exceeds its share most; `None` if the queue is empty.
     pub fn pop_excess(&mut self) -> Option<WorkItem> {
         let (team, _) = self.fullest_team()?;
--- a/crates/wait/src/room.rs
+++ b/crates/wait/src/room.rs
@@ -9,7 +9,7 @@
 use limit::{FairQueue, OfferResult, TeamOrder, WorkId, WorkItem};
 use shed::RequestRank;
 
-use crate::{lane::WorkLane, rate::DequeueRate};
+use crate::{lane::WorkLane, ledger::ShareLedger, rate::DequeueRate};
 
 /// Bounds of a [`WaitingRoom`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -125,6 +125,9 @@
     entries: HashMap<WorkId, WaitingEntry>,
     bytes: usize,
     rate: DequeueRate,
+    /// On-time requests of the service, including those that did not have to wait.
+    ranks: ShareLedger<RequestRank>,
+    teams: ShareLedger<TeamId>,
     /// Requests that have left their lane because their time has passed, until [`WaitingRoom::expire`] returns them.
     expired: Vec<WorkId>,
     is_closed: bool,
@@ -140,6 +143,8 @@
             entries: HashMap::new(),
             bytes: 0,
             rate: DequeueRate::default(),
+            ranks: ShareLedger::default(),
+            teams: ShareLedger::default(),
             expired: Vec::new(),
             is_closed: false,
         }
@@ -170,6 +175,10 @@
         if self.is_closed {
             return RoomOffer::refused(LeaveCause::Closed);
         }
+        if !work.is_late {
+            self.ranks.record_offered(&work.rank, now);
+            self.teams.record_offered(&work.team, now);
+        }
         if work.bytes > self.bounds.bytes || self.entries.contains_key(&work.id) {
             return RoomOffer::refused(LeaveCause::Full);
         }
@@ -198,14 +207,30 @@
         RoomOffer { refusal: is_evicted.then_some(LeaveCause::Full), evicted }
     }
 
-    /// Gives the next request its turn, in the order of the lanes; `None` if all have had theirs. For each returned
-    /// request, [`WaitingRoom::settle`] or [`WaitingRoom::remove`] must follow.
+    /// Records a request that was placed without waiting. It counts towards the share of its rank and team.
+    pub fn record_passed(&mut self, work: &WaitingWork, now: Instant) {
+        if !work.is_late {
+            self.ranks.record_offered(&work.rank, now);
+            self.teams.record_offered(&work.team, now);
+            self.record_placed(work, now);
+        }
+    }
+
+    /// On-time requests per second that were offered or passed recently.
+    #[must_use]
+    pub fn offered_per_second(&mut self, now: Instant) -> f64 {
+        self.ranks.offered_per_second(now)
+    }
+
+    /// Gives the next request its turn; `None` if all have had theirs. A rank or team that has been served too rarely
+    /// goes first, then the lanes follow in their order. For each returned request, [`WaitingRoom::settle`] or [`WaitingRoom::remove`] must follow.
     pub fn next(&mut self, now: Instant) -> Option<WorkId> {
         if self.is_closed {
             return None;
         }
         self.sweep(now);
-        let item = self.lanes.values_mut().find_map(|lane| lane.pop(1))?;
+        let item =
+            self.pop_owed().or_else(|| self.lanes.values_mut().find_map(|lane| lane.pop(1)))?;
         if let Some(entry) = self.entries.get_mut(&item.id) {
             entry.has_turn = true;
         }
@@ -216,7 +241,11 @@
     pub fn settle(&mut self, id: WorkId, is_placed: bool, now: Instant) {
         let Some(entry) = self.entries.get_mut(&id).filter(|entry| entry.has_turn) else { return };
         if is_placed {
+            let work = entry.work.clone();
             self.rate.record_placed(now);
+            if !work.is_late {
+                self.record_placed(&work, now);
+            }
             self.forget(id);
             return;
         }
@@ -282,6 +311,31 @@
         self.entries.get(&id).map(|entry| now.saturating_duration_since(entry.offered))
     }
 
+    fn record_placed(&mut self, work: &WaitingWork, now: Instant) {
+        self.ranks.record_placed(&work.rank, now);
+        self.teams.record_placed(&work.team, now);
+    }
+
+    /// Removes the next on-time request of the rank, or else of the team, that is owed most.
+    fn pop_owed(&mut self) -> Option<WorkItem> {
+        let on_time = self.lanes.iter().filter(|(lane, queue)| !lane.is_late && !queue.is_empty());
+        let ranks = on_time.clone().map(|(lane, _)| (self.ranks.debt(&lane.rank), *lane));
+        let owed_rank = ranks
+            .filter(|(debt, _)| *debt >= 1.0)
+            .max_by(|left, right| left.0.total_cmp(&right.0).then(right.1.cmp(&left.1)));
+        if let Some((_, lane)) = owed_rank {
+            return self.lanes.get_mut(&lane)?.pop(1);
+        }
+        let teams = on_time.flat_map(|(lane, queue)| {
+            queue.waiting_teams().map(|team| (self.teams.debt(team), *lane, team))
+        });
+        let (_, lane, team) = teams
+            .filter(|(debt, ..)| *debt >= 1.0)
+            .max_by(|left, right| left.0.total_cmp(&right.0).then(right.1.cmp(&left.1)))?;
+        let team = team.clone();
+        self.lanes.get_mut(&lane)?.pop_from(&team, 1)
+    }
+
     fn insert(&mut self, work: &WaitingWork, now: Instant) {
         // The lane has room for one request more than the room, which evicts one then.
         let capacity = self.bounds.requests + 1;
