--- a/crates/cli/src/commands/status.rs
+++ b/crates/cli/src/commands/status.rs
@@ -93,6 +93,12 @@
     lines.extend(
         status.declared.iter().map(|(model, version)| format!("model {model} version {version}")),
     );
+    lines.extend(status.waiting.iter().map(|waiting| {
+        format!(
+            "waiting for {} with rank {}: {} requests ({} late), the first for {} ms",
+            waiting.service, waiting.rank, waiting.requests, waiting.late, waiting.longest_ms
+        )
+    }));
     lines.extend(status.upstreams.iter().map(|upstream| {
         let load =
             upstream.load.map_or("-".to_owned(), |(running, queued)| format!("{running}+{queued}"));
--- a/crates/cli/tests/output.rs
+++ b/crates/cli/tests/output.rs
@@ -2,7 +2,7 @@
 
 use cli::commands::{self, diff, explain, status};
 use config::{ConfigDiff, FleetConfig};
-use gateway::entry::status::{EntryStatus, UpstreamStatus};
+use gateway::entry::status::{EntryStatus, UpstreamStatus, WaitingStatus};
 use insta::assert_snapshot;
 use serde_json::json;
 
@@ -85,6 +85,13 @@
         entries: vec!["front-1".into(), "front-2".into()],
         evacuated: vec!["south".into()],
         declared: vec![("daka".into(), 2)],
+        waiting: vec![WaitingStatus {
+            service: "llm".into(),
+            rank: 1,
+            requests: 4,
+            late: 1,
+            longest_ms: 230,
+        }],
         upstreams: vec![upstream("i-1", Some((12, 3)), 0, false), upstream("i-2", None, 900, true)],
     };
     assert_snapshot!(status::render_entry(&status));
--- a/crates/gateway/src/entry/status.rs
+++ b/crates/gateway/src/entry/status.rs
@@ -31,10 +31,28 @@
     pub evacuated: Vec<DataCentreId>,
     /// Declared version of each model's weights.
     pub declared: Vec<(ModelId, WeightsVersion)>,
+    /// Requests that wait at the entry, by service and rank.
+    #[serde(default)]
+    pub waiting: Vec<WaitingStatus>,
     /// All upstreams, sorted by id.
     pub upstreams: Vec<UpstreamStatus>,
 }
 
+/// Requests of one rank of a service that wait at an entry because no upstream can take them.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WaitingStatus {
+    /// Service that the requests are for.
+    pub service: ServiceId,
+    /// Rank of the requests; 0 is the most urgent.
+    pub rank: u8,
+    /// Number of requests.
+    pub requests: usize,
+    /// Number of them that can no longer be on time.
+    pub late: usize,
+    /// Milliseconds for which the first of them has been waiting.
+    pub longest_ms: u64,
+}
+
 /// State of an upstream as an entry sees it.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct UpstreamStatus {
@@ -87,6 +105,7 @@
         .filter_map(|(model, state)| Some((model.clone(), state.declared()?)))
         .collect();
     declared.sort();
+    let waiting = shared.waiting.status(now);
     let balancer = shared.balancer();
     let mut upstreams: Vec<UpstreamStatus> = view
         .upstreams()
@@ -125,6 +144,7 @@
         entries,
         evacuated,
         declared,
+        waiting,
         upstreams,
     }
 }
--- a/crates/gateway/src/entry/waiting.rs
+++ b/crates/gateway/src/entry/waiting.rs
@@ -24,9 +24,11 @@
 
 use super::{
     admit::admit,
+    assignment::millis,
     outcome::ChoiceRefusal,
     request::{ChosenUpstream, RequestContext},
     shared::EntryShared,
+    status::WaitingStatus,
 };
 
 /// Time after which queued requests have a turn even if no report has arrived and no request has ended.
@@ -190,6 +192,26 @@
         schedule.retry_after(&forecast, time_left, now, &mut rand::rng())
     }
 
+    /// Queued requests by service and rank.
+    pub(super) fn status(&self, now: Instant) -> Vec<WaitingStatus> {
+        let set = self.set();
+        let mut status: Vec<WaitingStatus> = set
+            .services
+            .iter()
+            .flat_map(|(service, queue)| {
+                queue.room.ranks(now).into_iter().map(|(rank, ranked)| WaitingStatus {
+                    service: service.clone(),
+                    rank,
+                    requests: ranked.requests,
+                    late: ranked.late,
+                    longest_ms: millis(ranked.longest),
+                })
+            })
+            .collect();
+        status.sort_by(|left, right| (&left.service, left.rank).cmp(&(&right.service, right.rank)));
+        status
+    }
+
     /// Refuses all queued requests, because the entry is stopping.
     fn close(&self) {
         let mut set = self.set();
--- a/crates/wait/src/lib.rs
+++ b/crates/wait/src/lib.rs
@@ -10,6 +10,6 @@
 
 pub use crate::{
     lane::WorkLane,
-    room::{LeaveCause, RoomBounds, RoomOffer, WaitingRoom, WaitingWork},
+    room::{LeaveCause, RankQueue, RoomBounds, RoomOffer, WaitingRoom, WaitingWork},
     schedule::{CapacityForecast, RETRY_AFTER_RANGE, ReturnSchedule},
 };
--- a/crates/wait/src/room.rs
+++ b/crates/wait/src/room.rs
@@ -114,6 +114,17 @@
     }
 }
 
+/// Queued requests of one rank.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct RankQueue {
+    /// Number of requests.
+    pub requests: usize,
+    /// Number of them that can no longer be on time.
+    pub late: usize,
+    /// Time for which the first of them has been queued.
+    pub longest: Duration,
+}
+
 #[derive(Debug)]
 struct WaitingEntry {
     work: WaitingWork,
@@ -316,12 +327,6 @@
         Some(Duration::from_secs_f64((before + within) as f64 / per_second))
     }
 
-    /// Time for which a request has been in the room; `None` if it is not in the room.
-    #[must_use]
-    pub fn waited(&self, id: WorkId, now: Instant) -> Option<Duration> {
-        self.entries.get(&id).map(|entry| now.saturating_duration_since(entry.offered))
-    }
-
     fn record_placed(&mut self, work: &WaitingWork, now: Instant) {
         self.ranks.record_placed(&work.rank, now);
         self.teams.record_placed(&work.team, now);
@@ -345,6 +350,19 @@
         self.lanes.get_mut(&lane)?.pop_from(&team, 1)
     }
 
+    /// Queued requests by rank.
+    #[must_use]
+    pub fn ranks(&self, now: Instant) -> BTreeMap<RequestRank, RankQueue> {
+        let mut ranks: BTreeMap<RequestRank, RankQueue> = BTreeMap::new();
+        for entry in self.entries.values() {
+            let queue = ranks.entry(entry.work.rank).or_default();
+            queue.requests += 1;
+            queue.late += usize::from(entry.work.is_late);
+            queue.longest = queue.longest.max(now.saturating_duration_since(entry.offered));
+        }
+        ranks
+    }
+
     fn insert(&mut self, work: &WaitingWork, now: Instant) {
         // The lane has room for one request more than the room, which evicts one then.
         let capacity = self.bounds.requests + 1;
