Treat callers that return early as new; split the queue's module

Cause: a caller told 1.5 s that returns after 0.3 s was preferred to new ones. An on-time request whose last usable upstream has gone kept others waiting until it expired, although it cannot be served. Change: the return schedule remembers the shortest time told within the last 2 to 4 s; callers that return sooner count as new. An on-time request without a usable upstream leaves the queue in its turn. rooms.rs holds the queues and the task that gives turns, waiting.rs the request's side.

--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -16,6 +16,7 @@
 mod request;
 mod response;
 mod response_head;
+mod rooms;
 mod shared;
 pub mod status;
 mod store;
@@ -38,7 +39,7 @@
     time::{sleep, timeout_at},
 };
 
-use self::{shared::EntryShared, waiting::run_rooms};
+use self::{rooms::run_rooms, shared::EntryShared};
 use crate::{
     frames::{NodeError, ThreadSnafu},
     lifecycle::{ProcessSignals, reload_seeds},
--- a/crates/gateway/src/entry/shared.rs
+++ b/crates/gateway/src/entry/shared.rs
@@ -23,7 +23,7 @@
 use tokio_util::sync::CancellationToken;
 use wire::FleetKey;
 
-use super::{EntryPorts, pool::ConnectionPool, waiting::WaitingRooms};
+use super::{EntryPorts, pool::ConnectionPool, rooms::WaitingRooms};
 use crate::{lifecycle::PauseTracker, metrics::MetricSet, settings::EntrySettings};
 
 /// Stands for a point in time that does not exist.
--- a/crates/wait/src/lib.rs
+++ b/crates/wait/src/lib.rs
@@ -11,5 +11,5 @@
 pub use crate::{
     lane::WorkLane,
     room::{LeaveCause, RankQueue, RoomBounds, RoomOffer, WaitingRoom, WaitingWork},
-    schedule::{CapacityForecast, RETRY_AFTER_RANGE, ReturnSchedule},
+    schedule::{CapacityForecast, RETRY_AFTER_RANGE, ReturnSchedule, time_since_first_attempt},
 };
--- a/crates/wait/src/room.rs
+++ b/crates/wait/src/room.rs
@@ -82,6 +82,8 @@
     WaitTooLong,
     /// The request has waited as long as it can.
     Expired,
+    /// There is no usable upstream any more.
+    NoUpstream,
     /// The entry is stopping.
     Closed,
 }
@@ -94,6 +96,7 @@
             Self::Full => "queue_full",
             Self::WaitTooLong => "wait_too_long",
             Self::Expired => "wait_expired",
+            Self::NoUpstream => "no_upstream",
             Self::Closed => "stopping",
         }
     }
--- a/crates/wait/src/schedule.rs
+++ b/crates/wait/src/schedule.rs
@@ -22,6 +22,13 @@
 /// passed by then.
 const OVERFLOW_BEGIN: f64 = 0.5;
 
+/// Time between a caller's first attempt and one with `time_left` until the caller's deadline, if the caller grants the
+/// route's timeout; zero without a deadline.
+#[must_use]
+pub fn time_since_first_attempt(timeout: Duration, time_left: Option<Duration>) -> Duration {
+    time_left.map_or(Duration::ZERO, |left| timeout.saturating_sub(left))
+}
+
 /// Capacity of a service for the requests of one entry.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct CapacityForecast {
@@ -53,6 +60,10 @@
     begin: Option<Instant>,
     /// Number of callers that were told to return within each slot.
     told: VecDeque<u32>,
+    /// Shortest times that callers were told in the current period and in the one before.
+    shortest: [Option<Duration>; 2],
+    /// Begin of the current period.
+    period_begin: Option<Instant>,
 }
 
 impl Default for ReturnSchedule {
@@ -65,7 +76,7 @@
     /// Creates a schedule without returns.
     #[must_use]
     pub fn new() -> Self {
-        Self { begin: None, told: VecDeque::new() }
+        Self { begin: None, told: VecDeque::new(), shortest: [None; 2], period_begin: None }
     }
 
     /// Time after which a refused caller that has `time_left` until its deadline returns: the first at which the
@@ -105,7 +116,18 @@
         });
         self.told[slot] += 1;
         let within = SLOT_TIME.mul_f64(rng.random());
-        (SLOT_TIME * slot as u32 + within).saturating_sub(offset).clamp(shortest, latest)
+        let after = (SLOT_TIME * slot as u32 + within).saturating_sub(offset);
+        let after = after.clamp(shortest, latest);
+        self.advance_period(now);
+        self.shortest[0] = Some(self.shortest[0].map_or(after, |shortest| shortest.min(after)));
+        after
+    }
+
+    /// Shortest time that a caller who returns now can have been told. Callers that return sooner repeat on their own;
+    /// other entries forecast much the same, so this also holds for callers that they refused.
+    pub fn shortest_told(&mut self, now: Instant) -> Duration {
+        self.advance_period(now);
+        self.shortest.into_iter().flatten().min().unwrap_or(RETRY_AFTER_RANGE.0)
     }
 
     /// Number of callers that were told to return and are not due yet.
@@ -114,6 +136,18 @@
         self.told.iter().sum()
     }
 
+    /// Begins a new period if the current one is longer than the longest time that callers are told.
+    fn advance_period(&mut self, now: Instant) {
+        let period = RETRY_AFTER_RANGE.1;
+        let begin = *self.period_begin.get_or_insert(now);
+        let elapsed = now.saturating_duration_since(begin);
+        if elapsed >= period {
+            let previous = if elapsed < period * 2 { self.shortest[0] } else { None };
+            self.shortest = [None, previous];
+            self.period_begin = Some(now);
+        }
+    }
+
     /// Forgets the slots that have passed. Returns the begin of the first slot.
     fn advance(&mut self, now: Instant) -> Instant {
         let begin = *self.begin.get_or_insert(now);
--- a/crates/wait/tests/schedule.rs
+++ b/crates/wait/tests/schedule.rs
@@ -5,7 +5,7 @@
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use wait::{CapacityForecast, RETRY_AFTER_RANGE, ReturnSchedule};
+use wait::{CapacityForecast, RETRY_AFTER_RANGE, ReturnSchedule, time_since_first_attempt};
 
 const TIME_LEFT: Duration = Duration::from_secs(6);
 
@@ -61,6 +61,35 @@
     assert!((40..=60).contains(&early), "{early} of 100 return in the first half");
 }
 
+/// Guards against callers that return early and are preferred to new ones.
+#[test]
+fn shortest_time_told_is_remembered_while_callers_can_return() {
+    let mut rng = ChaCha8Rng::seed_from_u64(2);
+    let mut schedule = ReturnSchedule::new();
+    let start = Instant::now();
+    assert_eq!(schedule.shortest_told(start), RETRY_AFTER_RANGE.0);
+    let told: Vec<Duration> =
+        (0..20).map(|_| schedule.retry_after(&forecast(0.0), TIME_LEFT, start, &mut rng)).collect();
+    let shortest = told.into_iter().min().expect("callers were refused");
+    assert!(shortest >= Duration::from_millis(900));
+    for after_ms in [0, 1_000, 1_999, 2_500] {
+        let at = start + Duration::from_millis(after_ms);
+        assert_eq!(schedule.shortest_told(at), shortest);
+    }
+    let later = start + Duration::from_millis(6_000);
+    assert_eq!(schedule.shortest_told(later), RETRY_AFTER_RANGE.0);
+}
+
+#[test]
+fn time_since_the_first_attempt_follows_from_the_deadline() {
+    let timeout = Duration::from_secs(6);
+    let since = |left_ms| time_since_first_attempt(timeout, Some(Duration::from_millis(left_ms)));
+    assert_eq!(since(6_000), Duration::ZERO);
+    assert_eq!(since(9_000), Duration::ZERO);
+    assert_eq!(since(4_500), Duration::from_millis(1_500));
+    assert_eq!(time_since_first_attempt(timeout, None), Duration::ZERO);
+}
+
 proptest! {
     /// Guards against times outside the range, after a third of the time left, or forgotten returns.
     #[test]
