--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -1,5 +1,7 @@
 //! Chooses an upstream for a request, or refuses the request if no upstream can serve it.
 
+mod capacity;
+
 use std::{
     collections::{HashMap, HashSet},
     net::SocketAddr,
@@ -11,6 +13,8 @@
 use fleet::{FleetView, ServiceRecord, UpstreamRecord};
 use rand::{Rng, RngExt, seq::SliceRandom};
 
+pub use self::capacity::ServiceCapacity;
+
 use crate::{
     availability::AvailabilityTable,
     forecast::{EngineForecast, EngineLoad},
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -17,10 +17,12 @@
 mod request;
 mod response;
 mod response_head;
+mod rooms;
 mod shared;
 mod shedding;
 pub mod status;
 mod store;
+mod waiting;
 
 use std::{
     pin::pin,
@@ -39,13 +41,14 @@
     time::{sleep, timeout_at},
 };
 
-use self::shared::EntryShared;
+use self::{rooms::run_rooms, shared::EntryShared};
 use crate::{
     frames::{NodeError, ThreadSnafu},
     lifecycle::{ProcessSignals, reload_seeds},
     log_sink::LogSink,
     port::{MessageCodec, SettingsSource, StateStore},
     settings::EntrySettings,
+    supervise::keep_running,
 };
 
 /// Interval between writes of the buffered log lines.
@@ -128,6 +131,8 @@
     logs: LogSink,
 ) -> Result<(), NodeError> {
     let log_task = tokio::spawn(logs.flush_forever(LOG_INTERVAL));
+    let state = shared.clone();
+    let waiting_task = keep_running("waiting", move || run_rooms(state.clone()));
     let mut serving = pin!(http::serve(shared.clone()));
     let served = tokio::select! {
         result = serving.as_mut() => result,
@@ -148,6 +153,7 @@
         }
     };
     log_task.abort();
+    waiting_task.abort();
     served
 }
 
--- a/crates/gateway/src/entry/shedding.rs
+++ b/crates/gateway/src/entry/shedding.rs
@@ -61,7 +61,7 @@
                     head.status != StatusCode::SERVICE_UNAVAILABLE
                         || progress.attempts.final_status() == FinalStatus::Unknown
                 }
-                RequestResult::Refused(_) => false,
+                RequestResult::Refused(_) | RequestResult::Rejected(..) => false,
                 RequestResult::Failed(status) | RequestResult::Expired(status) => {
                     *status == FinalStatus::Unknown
                 }
