Place requests by the learned capacity of plain upstreams

Plain services were placed by a constant of 10 ms per request, and refused at three requests per slot, although upstreams state their load and the slowdown of their host. The table in the crate pace learns work time and the load from which an upstream slows down; the balancer draws upstreams in proportion to the learned capacity and refuses by predicted time against target and deadline. The entry feeds it with complete responses, and engines' forecasts are scaled by the part of their error that is particular to the engine. It applies to services whose upstreams state a slowdown only, and learned_capacity=false or WIGEONHAVEN_LEARNED_CAPACITY=false switches it off. Entries do not exchange measurements yet.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -1,5 +1,8 @@
 //! Chooses an upstream for a request, or refuses the request if no upstream can serve it.
 
+mod learned;
+mod subset_choice;
+
 use std::{
     collections::{HashMap, HashSet},
     net::SocketAddr,
@@ -9,8 +12,11 @@
 
 use base::{DataCentreId, HostId, RegionId, ServiceId, UpstreamId};
 use fleet::{FleetView, ServiceRecord, UpstreamRecord};
+use pace::SpeedTable;
 use rand::{Rng, RngExt, seq::SliceRandom};
 
+pub use self::learned::ForecastCheck;
+use self::subset_choice::subset_of;
 use crate::{
     availability::AvailabilityTable,
     forecast::{EngineForecast, EngineLoad},
@@ -19,7 +25,7 @@
     refusal::{PlacementRefusal, RefusalCause},
     send_log::SendLog,
     share::{ColdLimiter, MIN_ENTRIES, SharedLimits},
-    subset::{EngineCandidate, EngineSubset, choose_engines},
+    subset::EngineSubset,
     upstream::{AgentReport, AttemptOutcome, UpstreamState},
 };
 
@@ -35,8 +41,6 @@
 const FAILURE_PENALTY: Duration = Duration::from_millis(250);
 /// Cost of each request at an upstream, even while slots are free: a request holds its slot for about a second.
 const OCCUPANCY_PENALTY: Duration = Duration::from_millis(6);
-/// Predicted delay per request that runs or waits at a service without engines.
-const SERVICE_REQUEST_TIME: Duration = Duration::from_millis(10);
 /// Duration of a typical stream. A stream that starts less than this before its engine switches weights is interrupted,
 /// and its prompt needs another prefill at a different engine.
 const TYPICAL_STREAM_TIME: Duration = Duration::from_millis(1_500);
@@ -62,8 +66,6 @@
 /// addition to the time to its first event at an idle engine. It covers the way to the upstream, and a process that is
 /// not scheduled for most of a scheduling period of 100 ms.
 const CANCEL_MARGIN: Duration = Duration::from_millis(150);
-/// Maximum number of requests per slot, running or waiting, at a service without engines.
-const MAX_LOAD_PER_SLOT: f64 = 3.0;
 
 /// Settings of the load balancer that are not part of the fleet view.
 #[derive(Clone, Debug, Default)]
@@ -76,6 +78,8 @@
     pub entry: HostId,
     /// Limits that apply to all entries together.
     pub shares: SharedLimits,
+    /// True to place requests by the learned capacity of upstreams, at services whose upstreams share their hosts.
+    pub learned_capacity: bool,
 }
 
 #[derive(Debug)]
@@ -105,35 +109,12 @@
     sent: SendLog,
     services: HashMap<ServiceId, ServiceState>,
     upstreams: HashMap<UpstreamId, UpstreamState>,
+    /// Learned speeds of the upstreams of each service whose upstreams share their hosts.
+    speeds: HashMap<ServiceId, SpeedTable>,
     evacuated: HashSet<DataCentreId>,
     by_address: HashMap<SocketAddr, UpstreamId>,
 }
 
-/// Chooses the upstreams of a service that this entry uses, among those that are in service. Services without engines have few upstreams and no reports,
-/// so all of them are used.
-fn subset_of(
-    service: &ServiceState,
-    upstreams: &HashMap<UpstreamId, UpstreamState>,
-    evacuated: &HashSet<DataCentreId>,
-    options: &LoadBalancerOptions,
-) -> EngineSubset {
-    if service.record.engine.is_none() {
-        return EngineSubset { upstreams: service.upstreams.clone(), remote_fraction: 1.0 };
-    }
-    let candidates: Vec<EngineCandidate> = service
-        .upstreams
-        .iter()
-        .filter_map(|id| upstreams.get(id))
-        .filter(|state| !state.record.draining && !evacuated.contains(&state.record.data_centre))
-        .map(|state| EngineCandidate {
-            upstream: state.record.upstream.clone(),
-            address: state.record.address,
-            region: options.regions.get(&state.record.data_centre).cloned(),
-        })
-        .collect();
-    choose_engines(&options.entry, &options.region, &candidates)
-}
-
 impl LoadBalancer {
     /// Creates a load balancer without upstreams; [`LoadBalancer::set_view`] adds them.
     #[must_use]
@@ -149,6 +130,7 @@
             possible_entries: MIN_ENTRIES,
             services: HashMap::new(),
             upstreams: HashMap::new(),
+            speeds: HashMap::new(),
             evacuated: HashSet::new(),
             by_address: HashMap::new(),
         }
@@ -192,6 +174,7 @@
             service.upstreams.sort_unstable();
             service.subset = subset_of(service, &self.upstreams, &self.evacuated, &self.options);
         }
+        self.retain_speeds();
         let upstreams = &self.upstreams;
         self.cold.retain(|upstream| upstreams.contains_key(upstream));
         self.sent.retain(now, |upstream| upstreams.contains_key(upstream));
@@ -424,6 +407,9 @@
             };
         }
         let (placement, withheld) = self.pick(request, service, candidates, limited, now, rng);
+        if let Some(table) = self.speeds.get_mut(request.service) {
+            table.record_choice(now);
+        }
         if let Some(upstream) = withheld {
             self.rate_limits.record_withheld(&upstream, now);
         }
@@ -454,22 +440,21 @@
             .chain(limited.into_iter().map(|id| (&self.upstreams[id], true)))
             .collect();
         upstreams.shuffle(rng);
+        let compared_upstreams = self.order_by_capacity(service, request, &mut upstreams, now, rng);
         let (local, remote): (Vec<_>, Vec<_>) =
             upstreams.into_iter().partition(|(state, _)| !self.is_remote(&state.record));
-        let limit = COMPARED_UPSTREAMS - COMPARED_REMOTE_UPSTREAMS.min(remote.len());
+        let limit = compared_upstreams - COMPARED_REMOTE_UPSTREAMS.min(remote.len());
         let ordered = local
             .into_iter()
             .map(|state| (state, limit))
-            .chain(remote.into_iter().map(|state| (state, COMPARED_UPSTREAMS)));
+            .chain(remote.into_iter().map(|state| (state, compared_upstreams)));
         for ((state, is_limited), limit) in ordered {
             if compared >= limit {
                 continue;
             }
-            let occupancy = state.occupancy(now, self.users(service));
-            let Some(delay) = self.expected_delay(service, request, state, occupancy, now) else {
+            let Some((delay, cost)) = self.delay_and_cost(service, request, state, now) else {
                 continue;
             };
-            let cost = delay + self.penalties(state, occupancy, now);
             if is_limited {
                 if withheld.is_none_or(|(lowest, _)| cost < lowest) {
                     withheld = Some((cost, state));
@@ -508,22 +493,36 @@
         (placement, withheld)
     }
 
-    /// Predicted time until the response, or until the first event of a stream; `None` if the upstream has no capacity
-    /// left for the request.
+    /// Predicted time until the response, or until the first event of a stream, and the cost by which upstreams are
+    /// compared; `None` if the upstream has no capacity left for the request.
+    fn delay_and_cost(
+        &self,
+        service: &ServiceState,
+        request: &PlacementRequest<'_>,
+        state: &UpstreamState,
+        now: Instant,
+    ) -> Option<(Duration, Duration)> {
+        let occupancy = state.occupancy(now, self.users(service));
+        let Some(forecast) = &service.forecast else {
+            return self.plain_delay_and_cost(request, state, occupancy, now);
+        };
+        let delay = self.expected_delay(service, forecast, request, state, occupancy, now)?;
+        Some((delay, delay + self.penalties(state, occupancy, now)))
+    }
+
+    /// Predicted time until the first event at an engine; `None` if the engine has no capacity left for the request.
     fn expected_delay(
         &self,
         service: &ServiceState,
+        forecast: &EngineForecast,
         request: &PlacementRequest<'_>,
         state: &UpstreamState,
         occupancy: f64,
         now: Instant,
     ) -> Option<Duration> {
         let slots = f64::from(state.record.slots.max(1));
-        let Some(forecast) = &service.forecast else {
-            let fits = occupancy <= slots * MAX_LOAD_PER_SLOT;
-            return fits.then(|| SERVICE_REQUEST_TIME.mul_f64(occupancy));
-        };
-        let load = state.engine_load(occupancy, now);
+        let mut load = state.engine_load(occupancy, now);
+        load.slowdown *= self.forecast_factor(state, now);
         let delay_at =
             |occupancy| forecast.delay(EngineLoad { occupancy, ..load }, request.prompt_tokens);
         let projected =
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -22,7 +22,7 @@
 
 pub use crate::{
     attempt::{AttemptEnd, AttemptLog, FinalStatus},
-    balancer::{LoadBalancer, LoadBalancerOptions},
+    balancer::{ForecastCheck, LoadBalancer, LoadBalancerOptions},
     crash::{ConfirmedCrash, CrashDetector, CrashRefusal, LostRequest, fingerprint_of},
     duration::DurationTracker,
     forecast::{EngineForecast, EngineLoad},
--- a/crates/balance/src/placement.rs
+++ b/crates/balance/src/placement.rs
@@ -33,6 +33,9 @@
     /// Longest predicted time to the first event with which the request may be placed; `None` to derive it from
     /// `time_to_target`.
     pub delay_limit: Option<Duration>,
+    /// Time left until the caller must have the complete response; `None` if it is not limited. Only the placement by
+    /// learned capacity uses it.
+    pub time_to_deadline: Option<Duration>,
     /// True for a request that was already accepted and is resumed at another upstream. It is never refused because of
     /// load.
     pub is_resumed: bool,
--- a/crates/balance/src/upstream.rs
+++ b/crates/balance/src/upstream.rs
@@ -221,6 +221,18 @@
         self.unreported.push_back(now);
     }
 
+    /// Number of own requests that were sent after `stated` and may still run. Send times older than the maximum age of a
+    /// report are not kept.
+    pub(crate) fn sent_since(&self, stated: Instant) -> u32 {
+        let sent = self.unreported.iter().rev().take_while(|sent| **sent >= stated).count();
+        u32::try_from(sent).unwrap_or(u32::MAX).min(self.in_flight)
+    }
+
+    /// True if the last attempts to connect failed.
+    pub(crate) fn is_unproven(&self) -> bool {
+        self.connect_failures > 0
+    }
+
     /// Estimated number of requests that run or wait. Without a report, all entries are assumed to send as much as this
     /// one.
     pub(crate) fn occupancy(&self, now: Instant, entries: f64) -> f64 {
--- a/crates/balance/tests/board.rs
+++ b/crates/balance/tests/board.rs
@@ -160,6 +160,7 @@
             weights: None,
             time_to_target: Some(Duration::from_millis(400)),
             delay_limit: None,
+            time_to_deadline: None,
             is_resumed: false,
         };
         change(&mut request);
--- a/crates/balance/tests/limit_sharing.rs
+++ b/crates/balance/tests/limit_sharing.rs
@@ -134,6 +134,7 @@
             weights: None,
             time_to_target: Some(Duration::from_millis(400)),
             delay_limit: None,
+            time_to_deadline: None,
             is_resumed: false,
         };
         let now = self.now();
--- a/crates/balance/tests/regions/main.rs
+++ b/crates/balance/tests/regions/main.rs
@@ -263,6 +263,7 @@
             weights: None,
             time_to_target: Some(Duration::from_secs(10)),
             delay_limit: None,
+            time_to_deadline: None,
             is_resumed,
         };
         let placement = self.balancer.choose(&placement_request, self.now, &mut self.rng);
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -3,7 +3,6 @@
 use std::{
     net::SocketAddr,
     pin::pin,
-    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -161,7 +160,7 @@
                 return AttemptResult::Failed(AttemptEnd::Lost, None);
             }
         };
-        self.read_response(upstream, response, connection, guard, cancel_at, now).await
+        self.read_response(chosen, response, connection, guard, now).await
     }
 
     /// Waits for a part of the response to a request that was sent at `sent_at`. An upstream that takes long is only
@@ -235,15 +234,15 @@
 
     async fn read_response(
         &self,
-        upstream: &Arc<UpstreamRecord>,
+        chosen: &ChosenUpstream,
         response: Response<Incoming>,
         connection: UpstreamConnection,
         guard: AttemptGuard,
-        cancel_at: Option<Instant>,
         sent_at: Instant,
     ) -> AttemptResult {
         connection.head_gate.end();
         let shared = &self.shared;
+        let upstream = &chosen.record;
         let (head, body) = response.into_parts();
         let meta = shared.ports.codec.read_response(&head);
         let has_wrong_id = match &meta.id {
@@ -263,6 +262,9 @@
             self.record_statements(&upstream.upstream, &meta, sent_at);
         }
         if meta.not_run || meta.wrong_upstream {
+            if !meta.wrong_upstream {
+                self.record_speed(upstream, &meta, sent_at, false);
+            }
             guard.finish(AttemptOutcome::NotRun);
             return AttemptResult::Failed(AttemptEnd::NotRun, None);
         }
@@ -278,7 +280,8 @@
                 keep_alive: meta.keep_alive,
                 closes: meta.closes,
                 is_framed,
-                cancel_at: cancel_at.map(Into::into),
+                cancel_at: chosen.cancel_at.map(Into::into),
+                forecast: self.begin_forecast_check(chosen, sent_at).map(Box::new),
             };
             return AttemptResult::Stream(head, stream);
         }
@@ -302,6 +305,8 @@
         if !meta.closes {
             shared.pool.put(&upstream.upstream, connection, meta.keep_alive);
         }
+        let has_content = head.status.is_success() && !body.is_empty();
+        self.record_speed(upstream, &meta, sent_at, has_content);
         if head.status.is_server_error() {
             guard.fail();
             return AttemptResult::Failed(AttemptEnd::Failed, Some((head, body)));
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -17,6 +17,7 @@
 mod response;
 mod response_head;
 mod shared;
+mod speeds;
 pub mod status;
 mod store;
 
--- a/crates/gateway/src/entry/relay.rs
+++ b/crates/gateway/src/entry/relay.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use balance::{AttemptOutcome, WritingProof};
+use balance::{AttemptOutcome, ForecastCheck, WritingProof};
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
 use futures_util::future::BoxFuture;
@@ -177,6 +177,9 @@
     /// Time at which the stream is abandoned if no event has arrived, because the weights of the upstream are then
     /// outdated; `None` if they are not, or once an event has arrived.
     pub(crate) cancel_at: Option<Instant>,
+    /// Prediction that the first event is compared with; `None` if the speed of the upstream is not learned, or once an
+    /// event has arrived.
+    pub(crate) forecast: Option<Box<ForecastCheck>>,
 }
 
 enum RelayState {
@@ -354,6 +357,9 @@
                             self.has_events = true;
                             self.without_event = self.splitter.partial_len();
                             stream.cancel_at = None;
+                            if let Some(check) = stream.forecast.take() {
+                                self.request.record_first_event(stream.guard.upstream(), *check);
+                            }
                         }
                         if self.without_event <= MAX_EVENT_BYTES {
                             return Poll::Ready(Some(Ok(events)));
--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -65,6 +65,8 @@
 /// Upstream that was chosen for an attempt.
 pub(super) struct ChosenUpstream {
     pub(super) record: Arc<UpstreamRecord>,
+    /// Predicted time until the response, or until the first event of a stream.
+    pub(super) delay: Duration,
     /// Time at which the attempt is cancelled if it has not begun to run; see [`Placement::Upstream`].
     pub(super) cancel_at: Option<Instant>,
     /// Version of the weights that the upstream must have; see [`Placement::Upstream`].
@@ -354,6 +356,7 @@
                 .is_on_time()
                 .then(|| latency_target.saturating_duration_since(now)),
             delay_limit: None,
+            time_to_deadline: Some(self.deadline.saturating_duration_since(now)),
             is_resumed,
         };
         self.shared.balancer().choose(&placement_request, now, &mut rand::rng())
@@ -373,7 +376,7 @@
                 progress.version = version;
                 progress.version_time_left =
                     version.and_then(|version| self.weights_limits(&view)?.time_left(version, now));
-                Ok(ChosenUpstream { record, cancel_at, expected_version })
+                Ok(ChosenUpstream { record, delay, cancel_at, expected_version })
             }
             Placement::Refused(refusal) => Err(refusal),
         }
--- a/crates/gateway/src/entry/shared.rs
+++ b/crates/gateway/src/entry/shared.rs
@@ -123,6 +123,7 @@
             region: settings.common.region(),
             entry: settings.common.name.clone(),
             shares: settings.shares,
+            learned_capacity: settings.learned_capacity,
         };
         Self {
             key: FleetKey::new(&settings.common.fleet_secret),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -76,6 +76,8 @@
     pub shares: SharedLimits,
     /// Maximum time for which callers may cache the response to an address query.
     pub max_ttl: Duration,
+    /// True to place requests by the learned capacity of upstreams, at services whose upstreams share their hosts.
+    pub learned_capacity: bool,
 }
 
 /// Settings of an agent.
--- a/crates/pace/src/lib.rs
+++ b/crates/pace/src/lib.rs
@@ -1,5 +1,14 @@
 //! Capacity of upstreams, as it is learned from their responses. This crate does no I/O.
 
+mod evidence;
 mod occupancy;
+mod probe;
+mod share;
+mod table;
 
-pub use crate::occupancy::UpstreamOccupancy;
+pub use crate::{
+    occupancy::UpstreamOccupancy,
+    probe::{PROBE_AFTER, ProbeCandidate, choose_probe},
+    share::SpeedShare,
+    table::{ResponseSample, SpeedEstimate, SpeedTable, StatedLoad},
+};
--- a/crates/standin/src/measure/load/policy.rs
+++ b/crates/standin/src/measure/load/policy.rs
@@ -143,6 +143,7 @@
             weights: None,
             time_to_target: first_try.then(|| request.target()),
             delay_limit: None,
+            time_to_deadline: None,
             is_resumed: false,
         };
         match self.balancer.choose(&placement_request, now, &mut self.random) {
