Exchange measured speeds between entries and show them to operators

With 40 entries, one entry alone sees a response of an upstream every few seconds, too few to learn its speed.

--- a/crates/balance/src/balancer/learned.rs
+++ b/crates/balance/src/balancer/learned.rs
@@ -55,6 +55,24 @@
         self.speed_of(self.upstreams.get(upstream)?, now)
     }
 
+    /// Share of the requests of its service that a plain upstream gets while none is loaded more than the others; `None`
+    /// if capacity is not learned at its service, or if it gets no requests.
+    #[must_use]
+    pub fn learned_share(&self, upstream: &str, now: Instant) -> Option<f64> {
+        let state = self.upstreams.get(upstream)?;
+        let service = self.services.get(&state.record.service)?;
+        if service.forecast.is_some() || !self.speeds.contains_key(&state.record.service) {
+            return None;
+        }
+        let gets_requests = |state: &&UpstreamState| {
+            !state.record.draining && !self.evacuated.contains(&state.record.data_centre)
+        };
+        let upstreams = service.upstreams.iter().filter_map(|id| self.upstreams.get(id));
+        let all: f64 =
+            upstreams.filter(gets_requests).map(|state| self.capacity_of(state, now)).sum();
+        gets_requests(&state).then(|| self.capacity_of(state, now) / all.max(f64::EPSILON))
+    }
+
     pub(super) fn retain_speeds(&mut self) {
         let (services, upstreams) = (&self.services, &self.upstreams);
         self.speeds.retain(|service, _| services.contains_key(service));
--- a/crates/balance/tests/learned/fleet.rs
+++ b/crates/balance/tests/learned/fleet.rs
@@ -14,7 +14,7 @@
     UpstreamRecord,
 };
 use pace::{ResponseSample, UpstreamOccupancy};
-use rand::{Rng, RngExt, SeedableRng};
+use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 /// Step of the simulated clock.
--- a/crates/cli/src/commands/status.rs
+++ b/crates/cli/src/commands/status.rs
@@ -4,6 +4,7 @@
 
 use clap::{Arg, ArgAction, ArgGroup, ArgMatches, Command, value_parser};
 use gateway::{entry::status::EntryStatus, metrics::STATUS_PATH};
+use pace::SpeedEstimate;
 use serde_json::Value;
 
 use crate::{
@@ -124,11 +125,44 @@
         if upstream.cold_ms > 0 {
             line.push_str(&format!(" cold for {} ms", upstream.cold_ms));
         }
+        if let Some(speed) = &upstream.speed {
+            line.push_str(&learned_text(speed, upstream.share));
+        }
         line.trim_end().to_owned()
     }));
     lines.join("\n") + "\n"
 }
 
+/// Formats what was learned of an upstream: its work time relative to the usual one, the load per slot from which it slows
+/// down, the current slowdown of its host, its load, the weight and the age of the measurements, and its share of the
+/// requests.
+fn learned_text(speed: &SpeedEstimate, share: Option<f64>) -> String {
+    let mut text = format!(" work x{:.2}", speed.relative);
+    if let (Some(work), Some(_)) = (speed.work, share) {
+        text.push_str(&format!(" ({:.1} ms)", work.as_secs_f64() * 1_000.0));
+    }
+    if let Some(share) = share {
+        text.push_str(&format!(
+            " knee {:.2} host x{:.2} load {:.2}/slot share {:.1}%",
+            speed.knee,
+            speed.slowdown,
+            speed.load_per_slot,
+            share * 100.0
+        ));
+    }
+    match speed.age {
+        Some(age) => {
+            text.push_str(&format!(
+                " learned {} ms ago, weight {:.1}",
+                age.as_millis(),
+                speed.weight
+            ));
+        }
+        None => text.push_str(" nothing learned"),
+    }
+    text
+}
+
 /// Formats the status from the administration API as human-readable text; missing values are shown as `-`.
 #[must_use]
 pub fn render(status: &Value) -> String {
--- a/crates/cli/tests/output.rs
+++ b/crates/cli/tests/output.rs
@@ -1,9 +1,12 @@
 //! Snapshots of the output that operators see.
 
+use std::time::Duration;
+
 use cli::commands::{self, diff, explain, status};
 use config::{ConfigDiff, FleetConfig};
 use gateway::entry::status::{EntryStatus, UpstreamStatus};
 use insta::assert_snapshot;
+use pace::SpeedEstimate;
 use serde_json::json;
 
 const EXAMPLE: &str = include_str!("../../../examples/fleet.json");
@@ -73,6 +76,8 @@
         recent_sends: 9,
         leaving: draining,
         wait_ms: cold_ms,
+        speed: None,
+        share: None,
     };
     let status = EntryStatus {
         name: "front-1".into(),
@@ -85,7 +90,28 @@
         entries: vec!["front-1".into(), "front-2".into()],
         evacuated: vec!["south".into()],
         declared: vec![("daka".into(), 2)],
-        upstreams: vec![upstream("i-1", Some((12, 3)), 0, false), upstream("i-2", None, 900, true)],
+        upstreams: vec![
+            upstream("i-1", Some((12, 3)), 0, false),
+            upstream("i-2", None, 900, true),
+            UpstreamStatus {
+                service: "rank".into(),
+                version: None,
+                rate_limit: None,
+                speed: Some(SpeedEstimate {
+                    work: Some(Duration::from_millis(83)),
+                    relative: 2.04,
+                    knee: 0.71,
+                    slowdown: 1.5,
+                    load_per_slot: 0.38,
+                    usual_load: 0.4,
+                    load: None,
+                    weight: 6.2,
+                    age: Some(Duration::from_millis(140)),
+                }),
+                share: Some(0.0172),
+                ..upstream("i-3", None, 0, false)
+            },
+        ],
     };
     assert_snapshot!(status::render_entry(&status));
 }
--- a/crates/gateway/src/agent/heartbeats.rs
+++ b/crates/gateway/src/agent/heartbeats.rs
@@ -125,7 +125,11 @@
             }
             (Notice::Chunk(notice), peer) => record_peer_chunks(&shared, &socket, &notice, peer),
             (
-                Notice::Agent(_) | Notice::Crash(_) | Notice::Limits(_) | Notice::PromptParts(_),
+                Notice::Agent(_)
+                | Notice::Crash(_)
+                | Notice::Limits(_)
+                | Notice::PromptParts(_)
+                | Notice::Speeds(_),
                 _,
             ) => {}
         }
--- a/crates/gateway/src/entry/control.rs
+++ b/crates/gateway/src/entry/control.rs
@@ -30,6 +30,7 @@
     dating::date_declarations,
     limits::{record_limits, report_limits},
     shared::EntryShared,
+    speeds::{record_speeds, report_speeds},
     status::entry_status,
     store::{apply_items, follow_store},
 };
@@ -108,6 +109,8 @@
     let (state, sender) = (shared.clone(), socket.clone());
     keep_running("limits", move || report_limits(state.clone(), sender.clone()));
     let (state, sender) = (shared.clone(), socket.clone());
+    keep_running("speeds", move || report_speeds(state.clone(), sender.clone()));
+    let (state, sender) = (shared.clone(), socket.clone());
     keep_running("crashes", move || report_crashes(state.clone(), sender.clone()));
     let (state, peers) = (shared.clone(), client.clone());
     keep_running("catch_up", move || catch_up(state.clone(), peers.clone()));
@@ -283,6 +286,7 @@
             Notice::Crash(notice) => record_crash(&shared, &notice),
             Notice::Limits(notice) => record_limits(&shared, &notice, peer),
             Notice::PromptParts(notice) => record_prompt_parts(&shared, &socket, &notice, peer),
+            Notice::Speeds(notice) => record_speeds(&shared, &notice, peer),
             Notice::Chunk(_) => {}
         }
     }
--- a/crates/gateway/src/entry/status.rs
+++ b/crates/gateway/src/entry/status.rs
@@ -4,6 +4,7 @@
 
 use base::{DataCentreId, HostId, ModelId, Revision, ServiceId, UpstreamId};
 use fleet::WeightsVersion;
+use pace::SpeedEstimate;
 use serde::{Deserialize, Serialize};
 
 use super::{assignment::millis, shared::EntryShared};
@@ -68,6 +69,13 @@
     /// Milliseconds for which the upstream wants no requests from this entry.
     #[serde(default)]
     pub wait_ms: u64,
+    /// What was learned of the upstream's speed; `None` if capacity is not learned at its service.
+    #[serde(default)]
+    pub speed: Option<SpeedEstimate>,
+    /// Share of the requests of its service that the upstream gets by its learned capacity; `None` if capacity is not
+    /// learned at its service, if it serves models, or if it gets no requests.
+    #[serde(default)]
+    pub share: Option<f64>,
 }
 
 /// Builds the status of the entry.
@@ -110,6 +118,8 @@
                 recent_sends: load.recent_sends,
                 leaving: load.leaving,
                 wait_ms: millis(load.wait_time),
+                speed: balancer.learned_speed(&record.upstream, now),
+                share: balancer.learned_share(&record.upstream, now),
             }
         })
         .collect();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -34,6 +34,7 @@
         Notice::Crash(_) => "crash",
         Notice::Limits(_) => "limits",
         Notice::PromptParts(_) => "prompt_parts",
+        Notice::Speeds(_) => "speeds",
     }
 }
 
--- a/crates/pace/src/lib.rs
+++ b/crates/pace/src/lib.rs
@@ -10,5 +10,5 @@
     occupancy::UpstreamOccupancy,
     probe::{PROBE_AFTER, ProbeCandidate, choose_probe},
     share::SpeedShare,
-    table::{ResponseSample, SpeedEstimate, SpeedTable, StatedLoad},
+    table::{MAX_SHARED_UPSTREAMS, ResponseSample, SpeedEstimate, SpeedTable, StatedLoad},
 };
--- a/crates/pace/src/table.rs
+++ b/crates/pace/src/table.rs
@@ -42,8 +42,9 @@
 const MIN_PEER_WEIGHT: f64 = 0.02;
 /// Maximum number of other entries whose measurements are kept for an upstream; there are up to 149 entries.
 const MAX_PEERS: usize = 160;
-/// Maximum number of upstreams that an entry tells the others of at once, so that a notice fits into a datagram.
-const MAX_SHARED_UPSTREAMS: usize = 16;
+/// Maximum number of upstreams of a service that an entry tells the others of at once, so that a notice fits into a
+/// datagram.
+pub const MAX_SHARED_UPSTREAMS: usize = 16;
 /// Minimum weight of the measurements of an upstream that counts for the usual work time.
 const MIN_USUAL_WEIGHT: f64 = 0.2;
 /// Interval between calculations of the usual work time.
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -4,6 +4,7 @@
 mod limit;
 mod load;
 mod prompt_part;
+mod speed;
 mod transfer;
 
 use std::time::Duration;
@@ -13,7 +14,7 @@
 use prost::{Message, Oneof};
 use route::CrashEvidence;
 
-pub use self::{fleet::*, limit::*, load::LoadReport, prompt_part::*, transfer::*};
+pub use self::{fleet::*, limit::*, load::LoadReport, prompt_part::*, speed::*, transfer::*};
 
 /// Content of a frame: exactly one message.
 #[derive(Clone, Message, PartialEq)]
--- a/crates/wire/src/message/fleet.rs
+++ b/crates/wire/src/message/fleet.rs
@@ -5,13 +5,13 @@
 use prost::{Message, Oneof};
 use snafu::{ResultExt, Snafu, ensure};
 
-use super::{CrashNotice, LimitNotice, PromptPartNotice};
+use super::{CrashNotice, LimitNotice, PromptPartNotice, SpeedNotice};
 
 /// Content of a datagram: exactly one notice.
 #[derive(Clone, Message, PartialEq)]
 pub struct Datagram {
     /// The notice; `None` if its type is unknown to this version.
-    #[prost(oneof = "Notice", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "Notice", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub notice: Option<Notice>,
 }
 
@@ -36,6 +36,9 @@
     /// Evidence about prompt parts that may crash upstreams.
     #[prost(message, tag = "6")]
     PromptParts(PromptPartNotice),
+    /// What an entry has measured of the speeds of upstreams.
+    #[prost(message, tag = "7")]
+    Speeds(SpeedNotice),
 }
 
 /// An entry, as known to the sender of a heartbeat.
