Bound and rotate what entries tell of speeds; test engines and lost notices

An entry with many upstreams told the others only of those that responded last, so that some were never mentioned; now each is told of in turn, once for each new response. An exaggerated stated load no longer explains more than a factor of six. Sums over the other entries are kept, because estimating 265 upstreams with 149 entries each would take about a millisecond for each request.

--- a/crates/balance/src/balancer/learned.rs
+++ b/crates/balance/src/balancer/learned.rs
@@ -159,9 +159,8 @@
     }
 
     /// What this entry has measured, for the other entries.
-    #[must_use]
-    pub fn speed_shares(&self, now: Instant) -> Vec<SpeedShare> {
-        self.speeds.values().flat_map(|table| table.share(now)).collect()
+    pub fn speed_shares(&mut self, now: Instant) -> Vec<SpeedShare> {
+        self.speeds.values_mut().flat_map(|table| table.share(now)).collect()
     }
 
     /// Applies what another entry has measured. Reports about upstreams that are not listed, about other processes of
--- a/crates/balance/tests/learned/fleet.rs
+++ b/crates/balance/tests/learned/fleet.rs
@@ -86,6 +86,8 @@
     pub rate: f64,
     /// True if entries tell one another what they measure.
     pub is_connected: bool,
+    /// Fraction of the notices that are lost.
+    pub loss: f64,
     start: Instant,
     now: Instant,
     rng: ChaCha8Rng,
@@ -148,6 +150,7 @@
             entries: Vec::new(),
             rate,
             is_connected: true,
+            loss: 0.0,
             start: now,
             now,
             rng: ChaCha8Rng::seed_from_u64(11),
@@ -239,11 +242,11 @@
 
     fn exchange(&mut self) {
         let shares: Vec<_> =
-            self.entries.iter().map(|balancer| balancer.speed_shares(self.now)).collect();
+            self.entries.iter_mut().map(|balancer| balancer.speed_shares(self.now)).collect();
         for (sender, shares) in shares.iter().enumerate() {
             let peer = SocketAddr::from(([10, 1, 0, sender as u8], 7_000));
             for (receiver, balancer) in self.entries.iter_mut().enumerate() {
-                if receiver != sender {
+                if receiver != sender && !self.rng.random_bool(self.loss) {
                     for share in shares {
                         balancer.apply_speed_share(peer, share, self.now);
                     }
--- a/crates/balance/tests/learned/main.rs
+++ b/crates/balance/tests/learned/main.rs
@@ -1,5 +1,6 @@
 //! Tests placement by learned capacity at plain services whose upstreams share their hosts.
 
+mod engines;
 mod fleet;
 
 use std::time::Duration;
@@ -181,3 +182,30 @@
     let idle = fleet.longest_idle(MEASURED * 3);
     assert!(idle <= Duration::from_secs(10), "{idle:?}");
 }
+
+/// Guards against a dependence on the exchange: entries that lose half of the notices, or all of them, still share the work
+/// in proportion to speed, from what each of them measures.
+#[test]
+fn lost_notices_do_not_distort_shares() {
+    for (is_connected, loss) in [(true, 0.5), (false, 0.0)] {
+        let mut fleet = SimulatedFleet::new(mixed_upstreams(), 10, 400.0);
+        fleet.is_connected = is_connected;
+        fleet.loss = loss;
+        fleet.run(SETTLING_TIME);
+        assert_proportional(&mut fleet, &MIXED_SPEEDS);
+        assert!(fleet.refused * 100 <= fleet.placed, "{} of {}", fleet.refused, fleet.placed);
+    }
+}
+
+/// Guards against a collapse under overload: at 1.3 times the capacity, requests are refused early enough that those that
+/// are placed are on time.
+#[test]
+fn overload_is_refused_by_predicted_time() {
+    let mut fleet = SimulatedFleet::new(mixed_upstreams(), 10, 1_365.0);
+    fleet.run(SETTLING_TIME);
+    (fleet.placed, fleet.late, fleet.refused) = (0, 0, 0);
+    fleet.run(MEASURED);
+    let capacity = 1_050.0 * MEASURED.as_secs_f64();
+    assert!(fleet.placed as f64 >= 0.9 * capacity, "{} placed", fleet.placed);
+    assert!(fleet.late * 4 <= fleet.placed, "{} late of {}", fleet.late, fleet.placed);
+}
--- a/crates/pace/src/evidence.rs
+++ b/crates/pace/src/evidence.rs
@@ -2,12 +2,12 @@
 
 use std::time::{Duration, Instant};
 
-/// Time after which a measurement has lost 63% of its weight. After a step of the speed, 8% of the old measurements'
+/// Time after which a measurement has lost 63% of its weight. After a step of the speed, 14% of the old measurements'
 /// weight is left after 5 s, while intervals of 600 ms of slow work are still averaged.
-pub(crate) const DECAY_TIME: Duration = Duration::from_secs(2);
+pub(crate) const DECAY_TIME: Duration = Duration::from_millis(2_500);
 /// Time after which a learned slowdown under load has lost 63% of its weight. It is longer than [`DECAY_TIME`] because
 /// an upstream has to be seen both under low and under high load to learn it.
-const KNEE_DECAY_TIME: Duration = Duration::from_secs(10);
+const KNEE_DECAY_TIME: Duration = Duration::from_secs(20);
 /// Upper bounds of the load bands, in requests per slot; the last band has none.
 const BAND_BOUNDS: [f64; 3] = [0.4, 0.7, 1.0];
 /// Minimum weight of a band for it to be compared with another one.
--- a/crates/pace/src/table.rs
+++ b/crates/pace/src/table.rs
@@ -1,7 +1,7 @@
 //! What one entry has learned of the upstreams of a service.
 
 use std::{
-    collections::HashMap,
+    collections::BTreeMap,
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    evidence::{DecayedMean, LoadCurve, MIN_KNEE},
+    evidence::{DECAY_TIME, DecayedMean, LoadCurve, MIN_KNEE, decay},
     occupancy::UpstreamOccupancy,
     share::SpeedShare,
 };
@@ -27,6 +27,9 @@
 const SAMPLE_RANGE: (f64, f64) = (0.1, 16.0);
 /// Largest stated slowdown that explains a longer work time. Hosts have been observed to be 2.5 times as slow.
 const MAX_STATED_SLOWDOWN: f64 = 4.0;
+/// Largest factor by which stated load and slowdown together explain a longer time of a request. An upstream that states
+/// an exaggerated load at times must not look fast at others.
+const MAX_EXPLAINED_FACTOR: f64 = 6.0;
 /// Time for which a stated slowdown is expected to last. It has been observed to change every 600 ms.
 const SLOWDOWN_TIME: Duration = Duration::from_millis(600);
 /// Maximum age of a stated load. Far more requests than are running are started and completed within it.
@@ -135,6 +138,22 @@
     knee: f64,
 }
 
+/// Means of what the other entries have measured. All measurements lose their weight at the same rate, so that the means
+/// stay valid until one of them is replaced.
+#[derive(Clone, Copy, Debug)]
+struct PeerSum {
+    weight: f64,
+    work: f64,
+    knee: f64,
+    at: Instant,
+}
+
+impl PeerSum {
+    fn weight(&self, now: Instant) -> f64 {
+        self.weight * decay(now.saturating_duration_since(self.at), DECAY_TIME)
+    }
+}
+
 #[derive(Debug)]
 struct UpstreamSpeed {
     started_ms: u64,
@@ -148,7 +167,10 @@
     /// Time of the last response to this entry, and to any entry.
     own_active: Option<Instant>,
     active: Option<Instant>,
-    peers: HashMap<SocketAddr, PeerEvidence>,
+    /// Time at which this entry last told the others of the upstream.
+    shared_at: Option<Instant>,
+    peers: BTreeMap<SocketAddr, PeerEvidence>,
+    others: PeerSum,
 }
 
 impl UpstreamSpeed {
@@ -161,34 +183,52 @@
             load: None,
             own_active: None,
             active: None,
-            peers: HashMap::new(),
+            shared_at: None,
+            peers: BTreeMap::new(),
+            others: PeerSum { weight: 0.0, work: 0.0, knee: 1.0, at: now },
         }
     }
 
     /// Weight and mean logarithm of the work times that all entries have measured.
     fn measured(&self, now: Instant) -> (f64, f64) {
-        let peers = self.peers.values().map(|peer| peer.work);
-        let (weight, sum) = std::iter::once(self.work)
-            .chain(peers)
-            .map(|work| (work.weight(now), work.mean()))
-            .fold((0.0, 0.0), |(weight, sum), (next, mean)| (weight + next, sum + next * mean));
+        let own = self.work.weight(now);
+        let others = self.others.weight(now);
+        let weight = own + others;
+        let sum = own * self.work.mean() + others * self.others.work;
         (weight, if weight > 0.0 { sum / weight } else { 0.0 })
     }
 
     fn knee(&self, now: Instant) -> f64 {
-        let own = (USUAL_WEIGHT + self.work.weight(now), self.curve.knee(now));
-        let peers = self.peers.values().map(|peer| (peer.work.weight(now), peer.knee));
-        let (weight, sum) = std::iter::once(own)
-            .chain(peers)
-            .fold((0.0, 0.0), |(weight, sum), (next, knee)| (weight + next, sum + next * knee));
-        sum / weight
+        let own = USUAL_WEIGHT + self.work.weight(now);
+        let others = self.others.weight(now);
+        (own * self.curve.knee(now) + others * self.others.knee) / (own + others)
+    }
+
+    /// Summarises what the other entries have told, and forgets those whose measurements are too old.
+    fn sum_peers(&mut self, now: Instant) {
+        let mut sum = PeerSum { weight: 0.0, work: 0.0, knee: 1.0, at: now };
+        let mut knees = 0.0;
+        self.peers.retain(|_, peer| {
+            let weight = peer.work.weight(now);
+            if weight >= MIN_PEER_WEIGHT {
+                sum.weight += weight;
+                sum.work += weight * peer.work.mean();
+                knees += weight * peer.knee;
+            }
+            weight >= MIN_PEER_WEIGHT
+        });
+        if sum.weight > 0.0 {
+            sum.work /= sum.weight;
+            sum.knee = knees / sum.weight;
+        }
+        self.others = sum;
     }
 }
 
 /// Speeds of the upstreams of one service, from the responses to this entry and from what other entries tell.
 #[derive(Debug, Default)]
 pub struct SpeedTable {
-    upstreams: HashMap<UpstreamId, UpstreamSpeed>,
+    upstreams: BTreeMap<UpstreamId, UpstreamSpeed>,
     /// Median work time of the upstreams in seconds, and the time of its calculation; `None` before the first
     /// measurement.
     usual: Option<(f64, Instant)>,
@@ -279,12 +319,13 @@
         let (load, slowdown) = stated.map_or((0.0, 1.0), |occupancy| {
             (load_per_slot(&occupancy), stated_slowdown(&occupancy))
         });
-        let mut time = sample.elapsed.as_secs_f64() / slowdown;
+        let elapsed = sample.elapsed.as_secs_f64();
+        let mut time = elapsed / slowdown;
         let (weight, mean) = speed.measured(now);
         if weight >= USUAL_WEIGHT && sample.occupancy.is_some() {
             speed.curve.add(time / mean.exp(), load, now);
         }
-        time /= speed.curve.crowding(load, now);
+        time = (time / speed.curve.crowding(load, now)).max(elapsed / MAX_EXPLAINED_FACTOR);
         if let Some(usual) = usual {
             time = time.clamp(usual * SAMPLE_RANGE.0, usual * SAMPLE_RANGE.1);
         }
@@ -361,29 +402,35 @@
         }
     }
 
-    /// What this entry has measured itself, for the other entries: the upstreams with the latest responses.
-    #[must_use]
-    pub fn share(&self, now: Instant) -> Vec<SpeedShare> {
-        let mut known: Vec<(Instant, &UpstreamId, &UpstreamSpeed)> = self
+    /// What this entry has measured itself, for the other entries: the upstreams that have responded since the others were
+    /// told of them, in the order in which they were told.
+    pub fn share(&mut self, now: Instant) -> Vec<SpeedShare> {
+        let age_of = |at: Instant| now.saturating_duration_since(at);
+        let mut due: Vec<(Option<Instant>, &UpstreamId, &mut UpstreamSpeed)> = self
             .upstreams
-            .iter()
-            .filter_map(|(upstream, speed)| Some((speed.own_active?, upstream, speed)))
-            .filter(|(at, ..)| now.saturating_duration_since(*at) <= MAX_SHARE_AGE)
+            .iter_mut()
+            .filter(|(_, speed)| {
+                speed.own_active.is_some_and(|active| {
+                    age_of(active) <= MAX_SHARE_AGE
+                        && speed.shared_at.is_none_or(|shared| shared < active)
+                })
+            })
+            .map(|(upstream, speed)| (speed.shared_at, upstream, speed))
             .collect();
-        known.sort_unstable_by_key(|(at, upstream, _)| (std::cmp::Reverse(*at), *upstream));
-        known.truncate(MAX_SHARED_UPSTREAMS);
-        known
-            .into_iter()
-            .map(|(at, upstream, speed)| SpeedShare {
-                upstream: upstream.clone(),
-                started_ms: speed.started_ms,
-                work: Duration::from_secs_f64(speed.work.mean().exp()),
-                weight: speed.work.weight(now),
-                knee: speed.curve.knee(now),
-                load: speed
-                    .own_load
-                    .map(|(load, stated)| (load, now.saturating_duration_since(stated))),
-                age: now.saturating_duration_since(at),
+        due.sort_unstable_by(|left, right| (left.0, left.1).cmp(&(right.0, right.1)));
+        due.truncate(MAX_SHARED_UPSTREAMS);
+        due.into_iter()
+            .map(|(_, upstream, speed)| {
+                speed.shared_at = Some(now);
+                SpeedShare {
+                    upstream: upstream.clone(),
+                    started_ms: speed.started_ms,
+                    work: Duration::from_secs_f64(speed.work.mean().exp()),
+                    weight: speed.work.weight(now),
+                    knee: speed.curve.knee(now),
+                    load: speed.own_load.map(|(load, stated)| (load, age_of(stated))),
+                    age: speed.own_active.map(age_of).unwrap_or_default(),
+                }
             })
             .collect()
     }
@@ -404,7 +451,6 @@
         {
             speed.load = Some((occupancy, stated));
         }
-        speed.peers.retain(|_, known| known.work.weight(now) >= MIN_PEER_WEIGHT);
         let is_valid = share.weight.is_finite() && share.knee.is_finite() && !share.work.is_zero();
         let has_room = speed.peers.len() < MAX_PEERS || speed.peers.contains_key(&peer);
         if is_valid && has_room && share.weight >= MIN_PEER_WEIGHT {
@@ -416,6 +462,7 @@
             let work = DecayedMean::with_weight(work.max(MIN_WORK_S).ln(), weight, now);
             speed.peers.insert(peer, PeerEvidence { work, knee: share.knee.clamp(MIN_KNEE, 1.0) });
         }
+        speed.sum_peers(now);
         self.update_usual(now);
     }
 }
