--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -23,7 +23,7 @@
 
 pub use crate::{
     attempt::{AttemptEnd, AttemptLog, FinalStatus},
-    balancer::{LoadBalancer, LoadBalancerOptions, ServiceCapacity},
+    balancer::{ForecastCheck, LoadBalancer, LoadBalancerOptions, ServiceCapacity},
     capacity::CapacityForecast,
     crash::{ConfirmedCrash, CrashDetector, CrashRefusal, LostRequest, fingerprint_of},
     duration::DurationTracker,
--- a/crates/balance/src/placement.rs
+++ b/crates/balance/src/placement.rs
@@ -34,6 +34,9 @@
     /// placed. It applies in addition to the rule for `time_to_target`; `None` if only that applies. Services without
     /// engines have no such prediction and ignore it.
     pub delay_limit: Option<Duration>,
+    /// Time left until the caller must have the complete response; `None` if it is not limited. Only the placement by
+    /// learned capacity uses it.
+    pub time_to_deadline: Option<Duration>,
     /// True for a request that was already accepted and is resumed at another upstream. It is never refused because of
     /// load.
     pub is_resumed: bool,
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -20,6 +20,7 @@
 mod rooms;
 mod shared;
 mod shedding;
+mod speeds;
 pub mod status;
 mod store;
 mod waiting;
--- a/crates/shed/tests/common/simulation.rs
+++ b/crates/shed/tests/common/simulation.rs
@@ -314,6 +314,7 @@
             weights: None,
             time_to_target: request.time_to_target,
             delay_limit: self.control.delay_limit(&request, now),
+            time_to_deadline: None,
             is_resumed: false,
         };
         match self.balancer.choose(&placement, now, rng) {
