--- a/crates/cli/src/commands/status.rs
+++ b/crates/cli/src/commands/status.rs
@@ -214,11 +214,8 @@
         if requests > 0.0 { (100.0 * placed / requests).min(100.0) } else { 100.0 }
     };
     let mut lines = vec![format!(
-        "shedding {:<16} level {:.1} of {}, a team's share {}",
-        usage.service,
-        usage.level,
-        usage.levels,
-        usage.fair_use.map_or("-".to_owned(), |fair_use| format!("{fair_use:.1}/s"))
+        "shedding {:<16} level {:.1} of {}",
+        usage.service, usage.level, usage.levels
     )];
     lines.extend(usage.ranks.iter().map(|rank| {
         let mut line = format!(
@@ -227,6 +224,9 @@
             rank.requests,
             share(rank.placed, rank.requests)
         );
+        if let Some(fair_use) = rank.fair_use {
+            line.push_str(&format!(", {fair_use:.1}/s for a team"));
+        }
         for (cause, count) in &rank.refused {
             line.push_str(&format!(", {count:.1} refused ({})", cause.as_str()));
         }
--- a/crates/cli/tests/output.rs
+++ b/crates/cli/tests/output.rs
@@ -58,7 +58,13 @@
 }
 
 fn shedding() -> ServiceUsage {
-    let rank = |rank, requests, placed, refused| RankUsage { rank, requests, placed, refused };
+    let rank = |rank, requests, placed, refused| RankUsage {
+        rank,
+        fair_use: (rank == 2).then_some(2.5),
+        requests,
+        placed,
+        refused,
+    };
     let team = |team: &str, offered, placed, is_beyond_share| TeamUsage {
         team: team.into(),
         offered,
@@ -69,7 +75,6 @@
         service: "llm".into(),
         level: 1.25,
         levels: 2,
-        fair_use: Some(2.5),
         ranks: vec![
             rank(0, 12.0, 12.0, Vec::new()),
             rank(2, 20.0, 8.0, vec![(ShedCause::Rank, 10.0), (ShedCause::Late, 2.0)]),
--- a/crates/shed/src/service.rs
+++ b/crates/shed/src/service.rs
@@ -36,12 +36,15 @@
 const FLOOR_TIME_CONSTANT: Duration = Duration::from_secs(4);
 
 /// Requests of a rank, and how many of them were placed.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct RankState {
     rank: RequestRank,
     /// Shortest target of this rank and the more urgent ones.
     bound: Duration,
     floor: AdmissionCredit,
+    /// Use of the rank by teams. A share is a share of what the rank gets: a team with urgent requests is not beyond its
+    /// share because less urgent requests of other teams are shed.
+    teams: TeamTable,
     requests: DecayingCount,
     placed: DecayingCount,
     /// Refused requests by cause, in the order of [`ShedCause::ALL`].
@@ -56,6 +59,7 @@
     level: LoadLevel,
     /// Credit of each position.
     credits: Vec<AdmissionCredit>,
+    /// Service of teams over all ranks.
     teams: TeamTable,
     requests: DecayingCount,
     placed: DecayingCount,
@@ -86,7 +90,16 @@
                 bound = bound.min(*target);
                 let floor = AdmissionCredit::new(0.0, now);
                 let refused = [count; ShedCause::ALL.len()];
-                RankState { rank: *rank, bound, floor, requests: count, placed: count, refused }
+                let teams = TeamTable::new(seed);
+                RankState {
+                    rank: *rank,
+                    bound,
+                    floor,
+                    teams,
+                    requests: count,
+                    placed: count,
+                    refused,
+                }
             })
             .collect();
         if !contention.is_ranked(service) {
@@ -145,7 +158,7 @@
 
     fn decide(&self, request: &ShedRequest, now: Instant) -> ShedDecision {
         let place = self.place_of(request.rank);
-        let is_beyond = self.teams.is_beyond_share(request.team.as_ref(), now);
+        let is_beyond = self.ranks[place].teams.is_beyond_share(request.team.as_ref(), now);
         let position = place + usize::from(is_beyond);
         let shed_share = self.level.shed_share(position);
         let decision = |limit| ShedDecision { limit, position, shed_share };
@@ -211,6 +224,7 @@
         let rank = &mut self.ranks[place];
         rank.requests.add(1.0, now);
         rank.floor.record(floor_share, is_placed, now);
+        rank.teams.record(request.team.as_ref(), is_on_time, is_placed, floor_share, now);
         if is_placed {
             self.placed.add(1.0, now);
             rank.placed.add(1.0, now);
@@ -262,19 +276,20 @@
 
     pub(crate) fn usage(&self, service: &ServiceId, now: Instant) -> ServiceUsage {
         let team = |(team, offered, placed): (Option<TeamId>, f64, f64)| {
-            let is_beyond_share = self.teams.is_beyond_share(team.as_ref(), now);
+            let is_beyond_share =
+                self.ranks.iter().any(|rank| rank.teams.is_beyond_share(team.as_ref(), now));
             TeamUsage { team: team.unwrap_or_default(), offered, placed, is_beyond_share }
         };
         ServiceUsage {
             service: service.clone(),
             level: self.level.value(),
             levels: self.ranks.len(),
-            fair_use: self.teams.fair_use(),
             ranks: self
                 .ranks
                 .iter()
                 .map(|state| RankUsage {
                     rank: state.rank,
+                    fair_use: state.teams.fair_use(),
                     requests: state.requests.value(now),
                     placed: state.placed.value(now),
                     refused: ShedCause::ALL
--- a/crates/shed/src/status.rs
+++ b/crates/shed/src/status.rs
@@ -14,8 +14,6 @@
     pub level: f64,
     /// Highest value of `level`: the number of ranks, or 1 if the service is not ranked.
     pub levels: usize,
-    /// Requests within about a second up to which a team is within its share; `None` if all demand is met.
-    pub fair_use: Option<f64>,
     /// Ranks, the most urgent first.
     pub ranks: Vec<RankUsage>,
     /// Teams with recent requests, sorted by id.
@@ -27,6 +25,8 @@
 pub struct RankUsage {
     /// The rank.
     pub rank: RequestRank,
+    /// Requests within about a second up to which a team is within its share; `None` if all demand is met.
+    pub fair_use: Option<f64>,
     /// All requests.
     pub requests: f64,
     /// Requests that an upstream took.
@@ -44,6 +44,6 @@
     pub offered: f64,
     /// Requests that an upstream took.
     pub placed: f64,
-    /// True if the team uses more than its fair share, so that its requests are shed one rank earlier.
+    /// True if the team uses more than its fair share of a rank, so that its requests are shed one rank earlier.
     pub is_beyond_share: bool,
 }
--- a/crates/shed/tests/common/simulation.rs
+++ b/crates/shed/tests/common/simulation.rs
@@ -45,6 +45,8 @@
     pub skew: f64,
     /// Share of the requests that team 0 sends in addition to its size.
     pub large_team: f64,
+    /// True if all requests of a team have the same rank, instead of the weights of `mix`.
+    pub ranks_by_team: bool,
     /// False for the behaviour without load shedding.
     pub is_shedding: bool,
     /// Share of the reports that do not reach an entry.
@@ -68,6 +70,7 @@
             skew: 1.0,
             large_team: 0.0,
             burst: None,
+            ranks_by_team: false,
             is_shedding: true,
             lost_reports: 0.0,
             blind_entries: 0,
@@ -395,9 +398,10 @@
         // Up to four arrivals in a step approximate a Poisson process.
         for _ in 0..4 {
             if rng.random_range(0.0..1.0) < rate * STEP.as_secs_f64() / 4.0 {
-                let rank = pick(&options.mix, &mut rng) as u8;
+                let drawn = pick(&options.mix, &mut rng);
                 let is_large = rng.random_range(0.0..1.0) < options.large_team;
                 let team = if is_large { 0 } else { pick(&sizes, &mut rng) };
+                let rank = if options.ranks_by_team { team % 3 } else { drawn } as u8;
                 let tally = result.tallies.entry((elapsed.as_secs(), rank, team)).or_default();
                 tally.requests += 1;
                 calls.push(Call { rank, team, begun: now, is_late: false });
--- a/crates/shed/tests/load.rs
+++ b/crates/shed/tests/load.rs
@@ -135,6 +135,7 @@
         lost_reports in 0.0..0.7_f64,
         blind in 0.0..0.4_f64,
         restarted in 0.0..0.6_f64,
+        ranks_by_team in any::<bool>(),
         seed in 0_u64..1_000_000,
     ) {
         let share_of = |share: f64| (entries as f64 * share) as usize;
@@ -146,6 +147,7 @@
             lost_reports,
             blind_entries: share_of(blind),
             restarted_entries: share_of(restarted),
+            ranks_by_team,
             seed,
             ..FleetOptions::default()
         };
