Keep the order of ranks while large teams are shed earlier

A generated case (48 entries, rank by team, one team with most of rank 1) served 0.46 of rank 1 and 0.51 of rank 2: the large team was shed together with rank 2, whose floor then lifted rank 2 above rank 1.

Teams beyond their share are shed one rank earlier only while their rank is served better than the next one, by at least 0.1.

--- a/crates/shed/src/service.rs
+++ b/crates/shed/src/service.rs
@@ -30,6 +30,9 @@
 const FLOOR_SHARE: f64 = 0.4;
 /// Served share of all requests above which none can starve, apart from single refusals.
 const FULL_SERVICE: f64 = 0.95;
+/// Difference of the served shares of two successive ranks below which teams beyond their share are not shed together
+/// with the next rank. It covers chance at an entry, which sees few requests of each rank.
+const ORDER_MARGIN: f64 = 0.1;
 /// Decayed count below which a cause is not shown to operators: a single refusal of 12 s ago.
 const MIN_SHOWN_COUNT: f64 = 0.05;
 /// Time constant of the served shares, which the requirement measures over 8 s.
@@ -138,6 +141,15 @@
         ((self.placed.value(now) + 1.0) / (self.requests.value(now) + 1.0)).min(1.0)
     }
 
+    /// True if a rank is served hardly better than the next one, which has recent requests. Shedding large teams of the
+    /// rank together with the next rank would then invert the order of the two.
+    fn is_served_like_next(&self, place: usize, now: Instant) -> bool {
+        let Some(next) = self.ranks.get(place + 1) else { return false };
+        let served =
+            |rank: &RankState| (rank.placed.value(now) + 1.0) / (rank.requests.value(now) + 1.0);
+        next.requests.value(now) >= 1.0 && served(&self.ranks[place]) < served(next) + ORDER_MARGIN
+    }
+
     /// Share of an admission that each request earns for its rank and team, so that neither starves.
     fn floor_share(&self, now: Instant) -> f64 {
         FLOOR_SHARE * self.served_share(now)
@@ -158,7 +170,8 @@
 
     fn decide(&self, request: &ShedRequest, now: Instant) -> ShedDecision {
         let place = self.place_of(request.rank);
-        let is_beyond = self.ranks[place].teams.is_beyond_share(request.team.as_ref(), now);
+        let is_beyond = self.ranks[place].teams.is_beyond_share(request.team.as_ref(), now)
+            && !self.is_served_like_next(place, now);
         let position = place + usize::from(is_beyond);
         let shed_share = self.level.shed_share(position);
         let decision = |limit| ShedDecision { limit, position, shed_share };
