--- a/crates/shed/src/service.rs
+++ b/crates/shed/src/service.rs
@@ -17,13 +17,11 @@
 /// that the most urgent rank is admitted as at services without load shedding.
 const TARGET_TOLERANCE: f64 = 1.3;
 /// Factor on its bound that the least urgent rank has even while nothing is shed. It protects the urgent ranks until
-/// the level has risen. With a target of 400 ms it gives 364 ms, twice the prediction at an idle engine (150 to 180 ms),
+/// the level has risen. With a target of 400 ms it gives 416 ms, more than twice the prediction at an idle engine (150 to 180 ms),
 /// so that engines with room are used.
-const LEAST_URGENT_FACTOR: f64 = 0.7;
+const LEAST_URGENT_FACTOR: f64 = 0.8;
 /// Factor on the bound of the most urgent rank that late requests have. It is below that of every rank.
 const LATE_FACTOR: f64 = 0.5;
-/// Level at which late requests are refused entirely: before any request on time is.
-const LATE_SHED_LEVEL: f64 = 0.5;
 /// Factor on the limit of a request of a position that is shed completely. With a target of 400 ms it gives less than
 /// the prediction at an idle engine.
 const SHED_FACTOR: f64 = 0.25;
@@ -32,18 +30,24 @@
 const FLOOR_SHARE: f64 = 0.4;
 /// Served share of all requests above which none can starve, apart from single refusals.
 const FULL_SERVICE: f64 = 0.95;
+/// Difference of the served shares of two successive ranks below which teams beyond their share are not shed together
+/// with the next rank. It covers chance at an entry, which sees few requests of each rank.
+const ORDER_MARGIN: f64 = 0.1;
 /// Decayed count below which a cause is not shown to operators: a single refusal of 12 s ago.
 const MIN_SHOWN_COUNT: f64 = 0.05;
 /// Time constant of the served shares, which the requirement measures over 8 s.
 const FLOOR_TIME_CONSTANT: Duration = Duration::from_secs(4);
 
 /// Requests of a rank, and how many of them were placed.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct RankState {
     rank: RequestRank,
     /// Shortest target of this rank and the more urgent ones.
     bound: Duration,
     floor: AdmissionCredit,
+    /// Use of the rank by teams. A share is a share of what the rank gets: a team with urgent requests is not beyond its
+    /// share because less urgent requests of other teams are shed.
+    teams: TeamTable,
     requests: DecayingCount,
     placed: DecayingCount,
     /// Refused requests by cause, in the order of [`ShedCause::ALL`].
@@ -58,6 +62,7 @@
     level: LoadLevel,
     /// Credit of each position.
     credits: Vec<AdmissionCredit>,
+    /// Service of teams over all ranks.
     teams: TeamTable,
     requests: DecayingCount,
     placed: DecayingCount,
@@ -88,7 +93,16 @@
                 bound = bound.min(*target);
                 let floor = AdmissionCredit::new(0.0, now);
                 let refused = [count; ShedCause::ALL.len()];
-                RankState { rank: *rank, bound, floor, requests: count, placed: count, refused }
+                let teams = TeamTable::new(seed);
+                RankState {
+                    rank: *rank,
+                    bound,
+                    floor,
+                    teams,
+                    requests: count,
+                    placed: count,
+                    refused,
+                }
             })
             .collect();
         if !contention.is_ranked(service) {
@@ -127,6 +141,15 @@
         ((self.placed.value(now) + 1.0) / (self.requests.value(now) + 1.0)).min(1.0)
     }
 
+    /// True if a rank is served hardly better than the next one, which has recent requests. Shedding large teams of the
+    /// rank together with the next rank would then invert the order of the two.
+    fn is_served_like_next(&self, place: usize, now: Instant) -> bool {
+        let Some(next) = self.ranks.get(place + 1) else { return false };
+        let served =
+            |rank: &RankState| (rank.placed.value(now) + 1.0) / (rank.requests.value(now) + 1.0);
+        next.requests.value(now) >= 1.0 && served(&self.ranks[place]) < served(next) + ORDER_MARGIN
+    }
+
     /// Share of an admission that each request earns for its rank and team, so that neither starves.
     fn floor_share(&self, now: Instant) -> f64 {
         FLOOR_SHARE * self.served_share(now)
@@ -139,7 +162,7 @@
         let factor = if is_starved {
             LEAST_URGENT_FACTOR
         } else {
-            LATE_FACTOR * (1.0 - self.level.value() / LATE_SHED_LEVEL).max(0.0)
+            LATE_FACTOR * (1.0 - self.level.late_shed_share(now))
         };
         let cause = if is_starved { ShedCause::Floor } else { ShedCause::Late };
         ShedLimit { delay: top.mul_f64(factor), cause }
@@ -147,7 +170,8 @@
 
     fn decide(&self, request: &ShedRequest, now: Instant) -> ShedDecision {
         let place = self.place_of(request.rank);
-        let is_beyond = self.teams.is_beyond_share(request.team.as_ref(), now);
+        let is_beyond = self.ranks[place].teams.is_beyond_share(request.team.as_ref(), now)
+            && !self.is_served_like_next(place, now);
         let position = place + usize::from(is_beyond);
         let shed_share = self.level.shed_share(position);
         let decision = |limit| ShedDecision { limit, position, shed_share };
@@ -213,6 +237,7 @@
         let rank = &mut self.ranks[place];
         rank.requests.add(1.0, now);
         rank.floor.record(floor_share, is_placed, now);
+        rank.teams.record(request.team.as_ref(), is_on_time, is_placed, floor_share, now);
         if is_placed {
             self.placed.add(1.0, now);
             rank.placed.add(1.0, now);
@@ -264,19 +289,20 @@
 
     pub(crate) fn usage(&self, service: &ServiceId, now: Instant) -> ServiceUsage {
         let team = |(team, offered, placed): (Option<TeamId>, f64, f64)| {
-            let is_beyond_share = self.teams.is_beyond_share(team.as_ref(), now);
+            let is_beyond_share =
+                self.ranks.iter().any(|rank| rank.teams.is_beyond_share(team.as_ref(), now));
             TeamUsage { team: team.unwrap_or_default(), offered, placed, is_beyond_share }
         };
         ServiceUsage {
             service: service.clone(),
             level: self.level.value(),
             levels: self.ranks.len(),
-            fair_use: self.teams.fair_use(),
             ranks: self
                 .ranks
                 .iter()
                 .map(|state| RankUsage {
                     rank: state.rank,
+                    fair_use: state.teams.fair_use(),
                     requests: state.requests.value(now),
                     placed: state.placed.value(now),
                     refused: ShedCause::ALL
