--- a/crates/wait/tests/load.rs
+++ b/crates/wait/tests/load.rs
@@ -14,7 +14,7 @@
 fn compare(name: &str, phases: &[LoadPhase]) -> (LoadReport, LoadReport) {
     let start = Instant::now();
     let run = |waits: bool| {
-        let run_entry = |seed| run_load(&LoadSetup { phases, start, waits, seed });
+        let run_entry = |seed| run_load(&LoadSetup { phases, start, waits, impatient: 0.0, seed });
         report(&mut (0..ENTRIES).flat_map(run_entry).collect::<Vec<_>>())
     };
     let (before, after) = (run(false), run(true));
@@ -58,3 +58,17 @@
     let (before, after) = compare("shortage", &[short, steady(6)]);
     check(&before, &after);
 }
+
+/// Guards against callers that are served better because they do not return at the time that they are told.
+#[test]
+fn impatient_callers_gain_nothing() {
+    let start = Instant::now();
+    let short = LoadPhase { length: Duration::from_secs(20), per_second: 22.0, speed: 1.0 };
+    let phases = &[short, steady(6)];
+    let run_entry =
+        |seed| run_load(&LoadSetup { phases, start, waits: true, impatient: 0.3, seed });
+    let report = report(&mut (0..ENTRIES).flat_map(run_entry).collect::<Vec<_>>());
+    let [patient, impatient] = report.patience_value_shares();
+    println!("patient: value={patient:.3} impatient: value={impatient:.3}");
+    assert!(impatient <= patient, "impatient callers earned {impatient}, patient ones {patient}");
+}
--- a/crates/wait/tests/support/mod.rs
+++ b/crates/wait/tests/support/mod.rs
@@ -25,6 +25,9 @@
 const LATE_VALUE: f64 = 0.25;
 const TEAMS: u32 = 24;
 const FLOOR_WINDOW: Duration = Duration::from_secs(8);
+/// Repeats of an impatient caller, and its pause before each.
+const IMPATIENT_REPEATS: u32 = 3;
+const IMPATIENT_PAUSE: Duration = Duration::from_millis(50);
 const MAX_FAILED_TURNS: usize = 16;
 
 /// Period of constant load.
@@ -42,6 +45,8 @@
     pub start: Instant,
     /// True if requests wait, false if they are refused at once.
     pub waits: bool,
+    /// Fraction of the callers that repeat at once, up to three times, instead of when they are told.
+    pub impatient: f64,
     pub seed: u64,
 }
 
@@ -52,6 +57,8 @@
     late: [u32; 3],
     pub starved_ranks: [u32; 3],
     pub starved_teams: u32,
+    /// Requests and value of patient and of impatient callers.
+    by_patience: [(u32, f64); 2],
 }
 
 impl LoadReport {
@@ -69,6 +76,11 @@
         self.value(rank) / f64::from(self.requests[rank])
     }
 
+    /// Share of the value that patient and impatient callers earned.
+    pub fn patience_value_shares(&self) -> [f64; 2] {
+        self.by_patience.map(|(requests, value)| value / f64::from(requests))
+    }
+
     fn value(&self, rank: usize) -> f64 {
         f64::from(self.on_time[rank]) + LATE_VALUE * f64::from(self.late[rank])
     }
@@ -95,6 +107,7 @@
     team: String,
     first: Instant,
     attempts: u32,
+    is_impatient: bool,
     /// Time of the first event, if the request was placed.
     first_event: Option<Instant>,
 }
@@ -141,7 +154,7 @@
         fits
     }
 
-    fn work(&self, id: WorkId, arrival: Instant) -> WaitingWork {
+    fn work(&mut self, id: WorkId, arrival: Instant) -> WaitingWork {
         let caller = &self.callers[&id];
         let is_late = !caller.is_on_time(arrival);
         let wait_until = if is_late {
@@ -149,7 +162,7 @@
         } else {
             caller.first + caller.target() - IDLE_DELAY
         };
-        let is_returned = caller.attempts > 1;
+        let is_returned = arrival - caller.first >= self.schedule.shortest_told(arrival);
         let team = caller.team.as_str().into();
         WaitingWork { id, rank: caller.rank, team, bytes: 1_000, is_late, is_returned, wait_until }
     }
@@ -176,6 +189,10 @@
 
     fn refuse(&mut self, id: WorkId, now: Instant) {
         let caller = &self.callers[&id];
+        if caller.is_impatient && caller.attempts <= IMPATIENT_REPEATS {
+            self.returns.insert((now + IMPATIENT_PAUSE, id), ());
+            return;
+        }
         if caller.attempts > 1 {
             return;
         }
@@ -264,7 +281,10 @@
                 let team = (f64::from(TEAMS) * demand.random::<f64>().powi(2)) as u32;
                 let rank = [0, 0, 1, 1, 2][demand.random_range(0..5)];
                 let team = team.to_string();
-                let caller = Caller { rank, team, first: now, attempts: 0, first_event: None };
+                // Not drawn without impatient callers, so that the demand is the same.
+                let is_impatient = setup.impatient > 0.0 && demand.random_bool(setup.impatient);
+                let caller =
+                    Caller { rank, team, first: now, attempts: 0, is_impatient, first_event: None };
                 model.callers.insert(id, caller);
                 arrivals.insert(id, now);
                 model.arrive(id, now);
@@ -281,11 +301,15 @@
     for caller in callers.iter() {
         let rank = usize::from(caller.rank);
         report.requests[rank] += 1;
+        let patience = &mut report.by_patience[usize::from(caller.is_impatient)];
+        patience.0 += 1;
         let Some(latency) = caller.first_event.map(|at| at - caller.first) else { continue };
         if latency <= caller.target() {
             report.on_time[rank] += 1;
+            patience.1 += 1.0;
         } else if latency + STREAM <= DEADLINE {
             report.late[rank] += 1;
+            patience.1 += LATE_VALUE;
         }
     }
     count_starved(callers, &mut report);
