Record a placement before the request leaves its room

Cause: the request's ticket was dropped, which removed the request, before the task that gives turns settled it. Placements from the queue were therefore counted neither for the rate nor for the shares of ranks and teams. Change: the request settles its turn itself when it has found an upstream. No test covers the counts in the gateway; those of the crate wait cover the room itself.

--- a/crates/gateway/src/entry/rooms.rs
+++ b/crates/gateway/src/entry/rooms.rs
@@ -271,6 +271,14 @@
     pub(super) signals: mpsc::UnboundedReceiver<WaitSignal>,
 }
 
+impl WaitTicket {
+    /// Records that the request has been placed. It must happen before the ticket is dropped, because a request that has
+    /// left the room no longer counts towards the rate and the shares.
+    pub(super) fn record_placed(&self, now: Instant) {
+        self.rooms.settle(&self.service, self.id, true, now);
+    }
+}
+
 impl Drop for WaitTicket {
     fn drop(&mut self) {
         self.rooms.remove(&self.service, self.id);
@@ -305,7 +313,8 @@
     while failed.len() < MAX_FAILED_TURNS {
         let Some((id, reply)) = rooms.give_turn(service, shared.clock.now()) else { break };
         match timeout(TURN_TIMEOUT, reply).await {
-            Ok(Ok(true)) => rooms.settle(service, id, true, shared.clock.now()),
+            // The request has settled its turn itself.
+            Ok(Ok(true)) => {}
             Ok(Ok(false)) => failed.push(id),
             // The caller has disconnected, or the request was refused.
             Ok(Err(_)) => rooms.remove(service, id),
--- a/crates/gateway/src/entry/waiting.rs
+++ b/crates/gateway/src/entry/waiting.rs
@@ -128,7 +128,10 @@
             // The attempt is recorded before this task yields, so the next turn takes it into account.
             let is_queued = reply.send(choice.is_ok()).is_ok();
             match choice {
-                Ok(chosen) => return Ok(chosen),
+                Ok(chosen) => {
+                    ticket.record_placed(now);
+                    return Ok(chosen);
+                }
                 Err(_) if is_queued => {}
                 Err(_) => return Err(WaitEnd::Left(LeaveCause::Expired)),
             }
