Refuse fewer harmless prompt parts after a loss of all engines

Cause: after a start of all entries no success has cleared the parts that most requests share. Change: a mass loss counts only once another crash follows it; of parts that explain the same crashes, only the largest sets that one request had each time are refused; no refusal is final while other parts explain as many crashes, and none of a set that most requests of the entry have, which is refused from five crashes on instead of three. Crashes of a mass loss count towards a final refusal by their causes. No test or bound changes.

--- a/crates/balance/src/attribution.rs
+++ b/crates/balance/src/attribution.rs
@@ -18,6 +18,10 @@
 /// It counts, but does not make one part more likely to blame than another.
 const MASS_LOSS: usize = 4;
 
+/// Maximum number of sets of parts that are compared for the same crashes; if there are more, each part is blamed on its
+/// own. It bounds the time that many different parts can take.
+const MAX_SETS: usize = 128;
+
 /// A crash, and the parts of each request in flight that have not been found harmless since.
 #[derive(Clone, Debug)]
 pub(crate) struct SuspectCrash {
@@ -31,8 +35,14 @@
     /// A request may not run if it has all of these parts. They are several if each crash happened with a request that
     /// had all of them, so that the one to blame is not known.
     pub(crate) parts: BTreeSet<PromptPartId>,
-    /// Indices of the crashes.
+    /// Indices of the crashes that tell the parts from others.
     pub(crate) crashes: Vec<usize>,
+    /// Indices of all crashes with a request that had all of the parts, and that no other parts explain better.
+    pub(crate) evidence: Vec<usize>,
+    /// Number of these crashes, where those of a mass loss count only if they have different causes.
+    pub(crate) weight: usize,
+    /// True if other parts explain as many crashes, so that these may be harmless.
+    pub(crate) is_ambiguous: bool,
 }
 
 /// Finds the parts that explain most crashes. A part that was in flight only at crashes which another part explains as
@@ -51,9 +61,15 @@
             indices.iter().copied().filter(|index| !is_mass_loss[*index]).collect();
         if single.is_empty() { indices.to_vec() } else { single }
     };
+    let last_loss = last_mass_loss(crashes, &is_mass_loss);
+    let without_last_loss = |indices: &[usize]| -> Vec<usize> {
+        indices.iter().copied().filter(|index| !last_loss.contains(index)).collect()
+    };
     let mut culprits = Vec::new();
+    let mut explained_before = BTreeSet::new();
     loop {
-        crashes_of.retain(|_, indices| count_causes(crashes, indices) >= MIN_CRASHES);
+        crashes_of
+            .retain(|_, indices| count_causes(crashes, &without_last_loss(indices)) >= MIN_CRASHES);
         let rank = |indices: &[usize]| {
             let single = without_losses(indices);
             (count_causes(crashes, &single), single.len())
@@ -69,9 +85,25 @@
         for indices in crashes_of.values_mut() {
             indices.retain(|index| !explained.contains(index));
         }
-        for (indices, parts) in groups {
-            culprits.extend(split_group(crashes, indices, parts));
+        let sets: Vec<_> = groups
+            .into_iter()
+            .flat_map(|(indices, parts)| {
+                let sets = largest_sets(crashes, &indices, parts);
+                sets.into_iter().map(move |parts| (indices.clone(), parts))
+            })
+            .collect();
+        let is_ambiguous = sets.len() > 1;
+        for (indices, parts) in sets {
+            let has_parts = |index: &usize| {
+                !explained_before.contains(index)
+                    && crashes[*index].requests.iter().any(|request| request.is_superset(&parts))
+            };
+            let evidence: Vec<_> = (0..crashes.len()).filter(has_parts).collect();
+            let single = evidence.iter().filter(|index| !is_mass_loss[**index]).count();
+            let weight = count_causes(crashes, &without_last_loss(&evidence)).max(single);
+            culprits.push(Culprit { parts, crashes: indices, evidence, weight, is_ambiguous });
         }
+        explained_before.extend(explained);
     }
     culprits
 }
@@ -84,6 +116,26 @@
     crashes.iter().filter(|crash| distance(crash.at) < SAME_CAUSE_WINDOW).count()
 }
 
+/// Crashes of the mass loss that ended the last upstreams, if no crash followed it. No request was left running that
+/// could clear its parts, so the loss counts only once another crash has happened after upstreams came back.
+fn last_mass_loss(crashes: &[SuspectCrash], is_mass_loss: &[bool]) -> BTreeSet<usize> {
+    let mut latest_first: Vec<usize> = (0..crashes.len()).collect();
+    latest_first.sort_by_key(|index| std::cmp::Reverse(crashes[*index].at));
+    let mut last_loss = BTreeSet::new();
+    let mut begin: Option<Instant> = None;
+    for index in latest_first {
+        let at = crashes[index].at;
+        let is_same_loss =
+            begin.is_none_or(|begin| begin.saturating_duration_since(at) < SAME_CAUSE_WINDOW);
+        if !is_mass_loss[index] || !is_same_loss {
+            break;
+        }
+        last_loss.insert(index);
+        begin = Some(at);
+    }
+    last_loss
+}
+
 /// Number of the crashes that happened at least [`SAME_CAUSE_WINDOW`] after the one counted before.
 fn count_causes(crashes: &[SuspectCrash], indices: &[usize]) -> usize {
     let mut times: Vec<_> = indices.iter().map(|index| crashes[*index].at).collect();
@@ -99,19 +151,32 @@
     causes
 }
 
-/// Makes one culprit of parts that explain the same crashes if one request had all of them each time; otherwise one of
-/// each part.
-fn split_group(
+/// Finds the largest sets of parts that one request had at each crash. Each may be to blame as a whole. Refusing its parts
+/// on their own would refuse more requests than the crashes give reason for, such as all that share the start of the
+/// prompt.
+fn largest_sets(
     crashes: &[SuspectCrash],
-    indices: Vec<usize>,
+    indices: &[usize],
     parts: BTreeSet<PromptPartId>,
-) -> Vec<Culprit> {
-    let is_shared = indices
-        .iter()
-        .all(|index| crashes[*index].requests.iter().any(|request| request.is_superset(&parts)));
-    if is_shared {
-        return vec![Culprit { parts, crashes: indices }];
+) -> BTreeSet<BTreeSet<PromptPartId>> {
+    let mut sets = BTreeSet::from([parts.clone()]);
+    for index in indices {
+        let requests = &crashes[*index].requests;
+        let common = |set: &BTreeSet<PromptPartId>, request: &BTreeSet<PromptPartId>| {
+            set.intersection(request).cloned().collect::<BTreeSet<_>>()
+        };
+        let remaining: BTreeSet<_> = sets
+            .iter()
+            .flat_map(|set| requests.iter().map(move |request| common(set, request)))
+            .filter(|set| !set.is_empty())
+            .collect();
+        if remaining.len() > MAX_SETS {
+            return parts.into_iter().map(|part| BTreeSet::from([part])).collect();
+        }
+        let is_largest = |set: &&BTreeSet<PromptPartId>| {
+            !remaining.iter().any(|other| other.len() > set.len() && other.is_superset(set))
+        };
+        sets = remaining.iter().filter(is_largest).cloned().collect();
     }
-    let single = |part| Culprit { parts: BTreeSet::from([part]), crashes: indices.clone() };
-    parts.into_iter().map(single).collect()
+    sets
 }
--- a/crates/balance/src/part_suspects.rs
+++ b/crates/balance/src/part_suspects.rs
@@ -5,7 +5,7 @@
 //! verdicts, which are the same given the same evidence.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     hash::{BuildHasher, RandomState},
     time::{Duration, Instant},
 };
@@ -24,6 +24,9 @@
 /// Time for which a success at this entry keeps a part out of the suspects of later crashes. It covers the parts that
 /// most requests have, of which there are always some in flight that have not begun.
 const SUCCESS_VALIDITY: Duration = Duration::from_secs(10);
+/// Number of the last requests of this entry that show which parts most requests have, and the minimum number for that.
+const RECENT_REQUESTS: usize = 32;
+const MIN_RECENT_REQUESTS: usize = 8;
 /// Minimum time between two reports of this entry that the same part is harmless.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum number of crashes that are kept. Those that no verdict is based on are evicted first, and older ones first.
@@ -131,6 +134,8 @@
     hasher: RandomState,
     crashes: Vec<KnownCrash>,
     successes: HashMap<PromptPartId, KnownSuccess>,
+    /// Parts of the last requests that callers sent, whether they were refused or not.
+    recent: VecDeque<Vec<PromptPartId>>,
     verdicts: Vec<PartVerdict>,
     outbox: Vec<QueuedEvidence>,
     changes: Vec<PartVerdictChange>,
@@ -151,6 +156,7 @@
             hasher: RandomState::new(),
             crashes: Vec::new(),
             successes: HashMap::new(),
+            recent: VecDeque::new(),
             verdicts: Vec::new(),
             outbox: Vec::new(),
             changes: Vec::new(),
@@ -177,6 +183,7 @@
     /// Like [`PartSuspects::refusal_time`] for a new request, but lets one through now and then while there are few
     /// crashes.
     pub fn admit(&mut self, now: Instant, parts: &[PromptPartId]) -> Option<Duration> {
+        self.record_request(parts);
         let refused_for = self.refusal_time(now, parts)?;
         let is_due = |verdict: &PartVerdict| verdict.next_trial.is_some_and(|at| at <= now);
         let mut applicable: Vec<_> =
@@ -316,6 +323,21 @@
         std::mem::take(&mut self.changes)
     }
 
+    fn record_request(&mut self, parts: &[PromptPartId]) {
+        if self.recent.len() >= RECENT_REQUESTS {
+            self.recent.pop_front();
+        }
+        self.recent.push_back(parts.iter().take(MAX_PARTS).cloned().collect());
+    }
+
+    /// True if most requests of this entry have all of the parts, so that some of them are in flight at any crash.
+    fn is_common(&self, parts: &BTreeSet<PromptPartId>) -> bool {
+        let has_parts =
+            |request: &&Vec<PromptPartId>| parts.iter().all(|part| request.contains(part));
+        self.recent.len() >= MIN_RECENT_REQUESTS
+            && self.recent.iter().filter(has_parts).count() * 2 > self.recent.len()
+    }
+
     /// True if no success of the part is known since `at`.
     fn is_open(&self, part: &PromptPartId, at: Instant) -> bool {
         self.successes.get(part).is_none_or(|success| success.at < at)
@@ -430,14 +452,21 @@
         }
         let mut verdicts = Vec::with_capacity(culprits.len());
         for culprit in culprits {
-            for index in &culprit.crashes {
+            // Some requests with a part that most requests have are in flight at any crash, and after a start of all
+            // entries none may have succeeded yet. Refusing them needs more crashes, and always lets some through.
+            let is_common = self.is_common(&culprit.parts);
+            if culprit.weight < FINAL_CRASHES && is_common {
+                continue;
+            }
+            let is_final = culprit.weight >= FINAL_CRASHES && !culprit.is_ambiguous && !is_common;
+            for index in &culprit.evidence {
                 self.crashes[*index].is_needed = true;
             }
             let last_crash = culprit.crashes.iter().map(|index| self.crashes[*index].at).max();
             let last_crash = last_crash.unwrap_or(now);
             let before = self.verdicts.iter().find(|before| before.parts == culprit.parts);
             let next_trial = match before {
-                _ if culprit.crashes.len() >= FINAL_CRASHES => None,
+                _ if is_final => None,
                 Some(before) if before.last_crash == last_crash => before.next_trial,
                 _ => Some(last_crash + self.first_trial(&culprit.parts, culprit.crashes.len())),
             };
