--- a/crates/shed/tests/common/simulation.rs
+++ b/crates/shed/tests/common/simulation.rs
@@ -377,6 +377,7 @@
                     version: 1,
                     switching: false,
                     change_in: None,
+                    weights_in: None,
                     slowdown_percent: 100,
                 };
                 for entry in entries.iter_mut().skip(options.blind_entries) {
