Rank requests by team and route, and shed and queue at ranked services only

Change: a rank is a position in the order of the team's and then the route's priority; engines get it as priority. A late request is shed with the rank after its own, and does not queue while requests on time are shed. Requests leave the queue while an engine in use can still serve them in time. Load shedding and queueing apply to ranked services only. Requests whose callers disconnect are logged.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -16,8 +16,8 @@
 use pace::SpeedTable;
 use rand::{Rng, RngExt, seq::SliceRandom};
 
-pub use self::{capacity::ServiceCapacity, learned::ForecastCheck};
 use self::subset_choice::subset_of;
+pub use self::{capacity::ServiceCapacity, learned::ForecastCheck};
 use crate::{
     availability::AvailabilityTable,
     forecast::{EngineForecast, EngineLoad},
--- a/crates/balance/tests/capacity.rs
+++ b/crates/balance/tests/capacity.rs
@@ -95,6 +95,7 @@
         version: 1,
         switching: false,
         change_in: None,
+        weights_in: None,
         slowdown_percent: 100,
     }
 }
--- a/crates/balance/tests/learned/engines.rs
+++ b/crates/balance/tests/learned/engines.rs
@@ -112,6 +112,7 @@
                 version: 1,
                 switching: false,
                 change_in,
+                weights_in: None,
                 slowdown_percent: if index == 0 { slowdown_percent } else { 100 },
             };
             self.balancer.record_report(address(index), report, self.now, &mut self.rng);
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -200,6 +200,9 @@
             () if resume_after.is_some() => 0,
             // A request that is already late must not delay others.
             () if !self.is_on_time() => MAX_PRIORITY,
+            () if self.shared.contention().is_ranked(&self.service) => {
+                self.rank().min(MAX_PRIORITY)
+            }
             () => team_priority.unwrap_or(self.route.priority).min(MAX_PRIORITY),
         };
         let attempt = AttemptMeta {
--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -93,6 +93,8 @@
     /// the upstream was chosen.
     version: Option<WeightsVersion>,
     version_time_left: Option<Duration>,
+    /// The end of the request has been logged.
+    is_logged: bool,
     /// Time for which the request was queued at this entry.
     pub(super) waited: Duration,
 }
@@ -156,6 +158,7 @@
             predicted: None,
             version: None,
             version_time_left: None,
+            is_logged: false,
             waited: Duration::ZERO,
         }),
         method: head.method,
@@ -469,7 +472,8 @@
 
     /// Logs how the request ended and updates the metrics.
     pub(crate) fn log_end(&self, result: &str, status: Option<u16>) {
-        let progress = self.progress();
+        let mut progress = self.progress();
+        progress.is_logged = true;
         let elapsed = self.elapsed();
         let view = self.shared.view.load();
         info!(
@@ -499,3 +503,26 @@
         self.shared.durations().record(&self.route.name, elapsed, now);
     }
 }
+
+impl Drop for RequestContext {
+    /// Logs a request whose caller disconnected before it ended.
+    fn drop(&mut self) {
+        let elapsed = self.elapsed();
+        let progress = self.progress();
+        if progress.is_logged {
+            return;
+        }
+        info!(
+            "event=caller_gone request={} route={} upstream={} sends={} ms={} first_ms={} predicted_ms={} waited_ms={}",
+            self.meta.id,
+            self.route.name,
+            progress.last.as_deref().unwrap_or("none"),
+            progress.attempts.attempts(),
+            elapsed.as_millis(),
+            progress.first_event.map_or(-1, |first| first.as_millis() as i64),
+            progress.predicted.map_or(-1, |predicted| predicted.as_millis() as i64),
+            progress.waited.as_millis()
+        );
+        self.shared.metrics.count("requests_total{result=\"caller_gone\"}");
+    }
+}
--- a/crates/gateway/src/entry/shedding.rs
+++ b/crates/gateway/src/entry/shedding.rs
@@ -30,10 +30,9 @@
 
 impl RequestContext {
     fn shed_request(&self, now: Instant) -> ShedRequest {
-        let priority = self.team.as_ref().and_then(|team| team.priority);
         ShedRequest {
             service: self.service.clone(),
-            rank: priority.unwrap_or(self.route.priority),
+            rank: self.rank(),
             team: self.team.as_ref().map(|team| team.team.clone()),
             time_to_target: self.time_to_target(now),
             target: self.route.target_latency,
@@ -104,11 +103,13 @@
         if outcome == ShedOutcome::Refused {
             info!(
                 "event=request_shed request={} service={} rank={rank} team={team} cause={cause} \
-                 limit_ms={} on_time={}",
+                 limit_ms={} on_time={} time_left_ms={} timeout_ms={}",
                 self.meta.id,
                 request.service,
                 record.limit.delay.as_millis(),
-                request.time_to_target.is_some()
+                request.time_to_target.is_some(),
+                self.meta.time_left.map_or(-1, |left| left.as_millis() as i64),
+                self.route.timeout.as_millis()
             );
         }
     }
--- a/crates/gateway/src/entry/waiting.rs
+++ b/crates/gateway/src/entry/waiting.rs
@@ -5,6 +5,7 @@
 use balance::{PlacementRefusal, RefusalCause};
 use hyper::StatusCode;
 use log::info;
+use shed::RequestRank;
 use tokio::time::timeout_at;
 use wait::{LeaveCause, RETRY_AFTER_RANGE, WaitingWork, time_since_first_attempt};
 
@@ -17,6 +18,9 @@
 
 /// Time after the end of its wait at which a request leaves by itself, should the task that gives turns have failed.
 const LEAVE_MARGIN: Duration = Duration::from_millis(100);
+/// Factor on the time to a first event at an idle engine that a request must still have to its target when it leaves the
+/// queue. With a factor of 1, only idle engines could serve it in time, and while requests queue there are none.
+const PLACEMENT_MARGIN: f64 = 2.0;
 /// Memory of a queued request in addition to its body: head, configuration references and the caller's connection.
 const REQUEST_OVERHEAD: usize = 8 << 10;
 /// Usual duration of a stream, which a late request needs before its deadline.
@@ -34,7 +38,7 @@
     ) -> Result<ChosenUpstream, ChoiceRefusal> {
         let shared = &self.shared;
         let may_wait =
-            !is_resumed && !shared.is_leaving() && shared.contention().is_contended(&self.service);
+            !is_resumed && !shared.is_leaving() && shared.contention().is_ranked(&self.service);
         if !may_wait {
             return self.choose_upstream(now, is_resumed).map_err(ChoiceRefusal::Placement);
         }
@@ -52,6 +56,9 @@
                 Err(_) => {}
             }
         }
+        if !self.may_queue(&work) {
+            return Err(self.refuse(RefusalCause::Overloaded, &work, now));
+        }
         let rank = work.rank;
         let result = match shared.waiting.offer(&self.service, work.clone(), now) {
             Ok(mut ticket) => self.wait_for_turn(&mut ticket, &work).await,
@@ -100,6 +107,11 @@
         ChoiceRefusal::Placement(PlacementRefusal { cause, retry_after })
     }
 
+    /// True if waiting may help the request: a late one is not likely to be placed while requests on time are shed.
+    fn may_queue(&self, work: &WaitingWork) -> bool {
+        !(work.is_late && self.shared.shedding().is_shedding(&self.service))
+    }
+
     /// Waits until the request has been placed in one of its turns, or has left the room.
     async fn wait_for_turn(
         &self,
@@ -163,7 +175,8 @@
         } else {
             let balancer = self.shared.balancer();
             let idle_delay = balancer.idle_delay(&self.service, self.meta.prompt_tokens);
-            (self.started + route.target_latency).checked_sub(since_first + idle_delay)
+            (self.started + route.target_latency)
+                .checked_sub(since_first + idle_delay.mul_f64(PLACEMENT_MARGIN))
         };
         WaitingWork {
             id: 0,
@@ -176,9 +189,10 @@
         }
     }
 
-    /// Urgency of the request: the priority of its team, or else of its route.
-    fn rank(&self) -> u8 {
-        self.team.as_ref().and_then(|team| team.priority).unwrap_or(self.route.priority)
+    /// Urgency of the request among those for its service.
+    pub(super) fn rank(&self) -> RequestRank {
+        let team = self.team.as_ref().and_then(|team| team.priority);
+        self.shared.contention().rank_of(&self.service, team, self.route.priority)
     }
 }
 
--- a/crates/shed/src/control.rs
+++ b/crates/shed/src/control.rs
@@ -40,7 +40,7 @@
     /// kept.
     pub fn set_contention(&mut self, contention: &ContentionTable, now: Instant) {
         let mut services = HashMap::new();
-        for service in contention.services().filter(|service| contention.is_contended(service)) {
+        for service in contention.services().filter(|service| contention.is_ranked(service)) {
             let Some(fresh) = ServiceState::new(contention, service, self.seed, now) else {
                 continue;
             };
@@ -94,6 +94,12 @@
         }
     }
 
+    /// True if requests on time are shed at the service.
+    #[must_use]
+    pub fn is_shedding(&self, service: &str) -> bool {
+        self.services.get(service).is_some_and(ServiceState::is_shedding)
+    }
+
     /// State of all contended services for operators, sorted by service.
     #[must_use]
     pub fn usage(&self, now: Instant) -> Vec<ServiceUsage> {
--- a/crates/shed/src/level.rs
+++ b/crates/shed/src/level.rs
@@ -10,9 +10,6 @@
 const RISE_ABOVE: f64 = 0.85;
 /// Pressure below which less is shed. The band between the two keeps the level still.
 const FALL_BELOW: f64 = 0.7;
-/// Pressures between which late requests are shed: from that of busy engines without queues up to the band in which the
-/// level is still.
-const LATE_PRESSURE: (f64, f64) = (0.55, 0.75);
 /// Pressure of a request that was refused although nothing of it was shed.
 const REFUSED_PRESSURE: f64 = 3.0;
 /// Pressure where nothing is known, that of an idle engine, and the number of requests that it weighs as much as.
@@ -84,16 +81,6 @@
         (self.value - spared as f64).clamp(0.0, 1.0)
     }
 
-    /// Share of the late requests that is shed: it grows from the pressure at which engines are busy to the one above which
-    /// requests on time are shed.
-    pub(crate) fn late_shed_share(&self, now: Instant) -> f64 {
-        if self.value > 0.0 {
-            return 1.0;
-        }
-        let (from, to) = LATE_PRESSURE;
-        ((self.pressure(self.samples.len(), now) - from) / (to - from)).clamp(0.0, 1.0)
-    }
-
     /// Records a request at `position` that was placed with this prediction, relative to its target, or refused although
     /// nothing of it was shed (`None`).
     pub(crate) fn record_request(&mut self, position: usize, delay: Option<f64>, now: Instant) {
--- a/crates/shed/src/service.rs
+++ b/crates/shed/src/service.rs
@@ -162,7 +162,8 @@
         let factor = if is_starved {
             LEAST_URGENT_FACTOR
         } else {
-            LATE_FACTOR * (1.0 - self.level.late_shed_share(now))
+            // Shed with the next rank, so that an urgent request is not refused for a patient one because it is late.
+            LATE_FACTOR * (1.0 - self.level.shed_share(place + 1))
         };
         let cause = if is_starved { ShedCause::Floor } else { ShedCause::Late };
         ShedLimit { delay: top.mul_f64(factor), cause }
@@ -271,6 +272,11 @@
         self.level.record_request(decision.position, pressure, now);
     }
 
+    /// True if requests on time are shed.
+    pub(crate) fn is_shedding(&self) -> bool {
+        self.level.value() > 0.0
+    }
+
     /// Limit of the most urgent rank.
     pub(crate) fn top_limit(&self) -> Duration {
         self.ranks[0].bound.mul_f64(TARGET_TOLERANCE)
