Do not log refused requests as abandoned, nor prepare load shedding where it does not apply

Cause: a request refused because of crashes was logged and counted as caller_gone as well, because its context was dropped without a record of its end. At services that are not ranked, each placement built the input of load shedding and took its locks, although the result is always that there is no limit. Change: the refusal marks the request as logged; both entry points of load shedding return first unless the service is ranked. Decisions stay the same. Two comments name ranked services.

--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -177,6 +177,7 @@
     let refusal =
         shared.crashes().admit(started, &request.meta.shared_parts, || request.fingerprint());
     if let Some(refusal) = refusal {
+        request.progress().is_logged = true;
         let cause = refusal.as_str();
         info!("event=refused request={id} cause={cause} status=503");
         shared.metrics.count(&format!("requests_total{{result=\"{cause}\"}}"));
--- a/crates/gateway/src/entry/shedding.rs
+++ b/crates/gateway/src/entry/shedding.rs
@@ -42,7 +42,7 @@
     /// Longest predicted time to the first event with which the request may be placed; `None` if only the rule of the
     /// load balancer applies.
     pub(super) fn delay_limit(&self, now: Instant, is_resumed: bool) -> Option<Duration> {
-        if is_resumed {
+        if is_resumed || !self.shared.contention().is_ranked(&self.service) {
             return None;
         }
         self.shared.update_forecast(&self.service, now);
@@ -51,6 +51,9 @@
 
     /// Tells load shedding how the request ended. Must be called once for each request.
     pub(super) fn record_shed(&self, end: &RequestResult) {
+        if !self.shared.contention().is_ranked(&self.service) {
+            return;
+        }
         let now = self.shared.clock.now();
         let has_run = {
             let progress = self.progress();
--- a/crates/gateway/src/entry/waiting.rs
+++ b/crates/gateway/src/entry/waiting.rs
@@ -1,4 +1,4 @@
-//! How a request waits at the entry until an upstream of a contended service can take it.
+//! How a request waits at the entry until an upstream of a ranked service can take it.
 
 use std::time::{Duration, Instant};
 
@@ -29,7 +29,7 @@
 const USUAL_RESPONSE_TIME: Duration = Duration::from_millis(100);
 
 impl RequestContext {
-    /// Chooses an upstream. At a contended service, a request that no upstream can take, or that others are queued
+    /// Chooses an upstream. At a ranked service, a request that no upstream can take, or that others are queued
     /// before, waits for its turn.
     pub(super) async fn choose_or_wait(
         &self,
