Log why a stream is not resumed, and what may hold up or cut a request

Change: stream_broken names events=true/false; resume_refused and repeat_refused name the cause (attempts, deadline, position, route, retry budget, crashes, placement); caller_connection_cut is logged for a connection that ends while a request is handled; items_applied from 20 ms, timer_late from 150 ms; load_ordered names the requests that run and wait at the engine. No decision changes.

--- a/crates/gateway/src/agent/engine.rs
+++ b/crates/gateway/src/agent/engine.rs
@@ -87,8 +87,8 @@
     match result {
         Ok(LoadOrderResult::Started | LoadOrderResult::AlreadyLoaded) => {
             info!(
-                "event=load_ordered model={} version={} orders={}",
-                weights.model, weights.version, report.load_orders
+                "event=load_ordered model={} version={} orders={} running={} queued={}",
+                weights.model, weights.version, report.load_orders, report.running, report.queued
             );
             true
         }
--- a/crates/gateway/src/entry/control.rs
+++ b/crates/gateway/src/entry/control.rs
@@ -44,6 +44,9 @@
 
 /// Interval between heartbeats to other entries; an entry is considered lost after six missed heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
+/// Lateness of a timer from which it is logged: a process that has used up its share of a core waits for the rest of a
+/// scheduling period of 0.1 s.
+const LATE_TICK: Duration = Duration::from_millis(150);
 /// Every n-th heartbeat is also sent to entries in other regions. It is not sent each time because cross-region traffic
 /// is billed; an entry in another region is considered lost after three missed heartbeats.
 const REMOTE_HEARTBEAT_PERIOD: u64 = 2;
@@ -155,7 +158,10 @@
     let mut count = 0_u64;
     loop {
         let is_urgent = tokio::select! {
-            _ = ticks.tick() => false,
+            tick = ticks.tick() => {
+                log_late_tick(tick.elapsed());
+                false
+            }
             () = shared.wake_control.notified() => true,
             () = shared.wake_neighbours.notified() => {
                 let (heartbeat, targets) = make_heartbeat(&shared, false);
@@ -189,6 +195,13 @@
     }
 }
 
+/// Logs that the control thread was held up.
+fn log_late_tick(lateness: Duration) {
+    if lateness >= LATE_TICK {
+        info!("event=timer_late ms={}", lateness.as_millis());
+    }
+}
+
 /// Sends a heartbeat once to each target other than this process.
 fn send_to(
     shared: &EntryShared,
--- a/crates/gateway/src/entry/head_timer.rs
+++ b/crates/gateway/src/entry/head_timer.rs
@@ -56,6 +56,11 @@
 }
 
 impl ConnectionState {
+    /// True while a request is being handled.
+    pub(super) fn is_busy(&self) -> bool {
+        self.is_busy.load(Ordering::Relaxed)
+    }
+
     /// True while a part of a head has been received.
     pub(super) fn is_receiving(&self) -> bool {
         self.is_receiving.load(Ordering::Relaxed)
--- a/crates/gateway/src/entry/http.rs
+++ b/crates/gateway/src/entry/http.rs
@@ -168,7 +168,12 @@
         }
     };
     if let Err(error) = served {
-        debug!("event=caller_connection_ended error=\"{error}\"");
+        // Both the body of a response that broke off and a handler that has not responded belong to a request.
+        if state.is_busy() || error.is_user() {
+            info!("event=caller_connection_cut busy={} error=\"{error}\"", state.is_busy());
+        } else {
+            debug!("event=caller_connection_ended error=\"{error}\"");
+        }
     }
 }
 
--- a/crates/gateway/src/entry/outcome.rs
+++ b/crates/gateway/src/entry/outcome.rs
@@ -24,6 +24,30 @@
     Expired(FinalStatus),
 }
 
+/// Why an interrupted stream may not be resumed at another upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum ResumeRefusal {
+    /// The last event has no id.
+    NoPosition,
+    /// The route does not allow it.
+    NotResumable,
+    /// The deadline of the request is too close.
+    Deadline,
+    /// The request has been sent to as many upstreams as its route allows.
+    Attempts,
+}
+
+impl ResumeRefusal {
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            Self::NoPosition => "no_position",
+            Self::NotResumable => "not_resumable",
+            Self::Deadline => "deadline",
+            Self::Attempts => "attempts",
+        }
+    }
+}
+
 /// Why no upstream was chosen for a request.
 pub(super) enum ChoiceRefusal {
     /// No upstream can take the request.
@@ -32,6 +56,16 @@
     Rejected(StatusCode, &'static str),
 }
 
+impl ChoiceRefusal {
+    /// Name of the reason in logs.
+    pub(super) fn as_str(&self) -> &'static str {
+        match self {
+            Self::Placement(refusal) => refusal.cause.as_str(),
+            Self::Rejected(_, cause) => cause,
+        }
+    }
+}
+
 impl From<ChoiceRefusal> for RequestResult {
     fn from(refusal: ChoiceRefusal) -> Self {
         match refusal {
--- a/crates/gateway/src/entry/relay.rs
+++ b/crates/gateway/src/entry/relay.rs
@@ -19,6 +19,7 @@
 
 use super::{
     guards::{AttemptGuard, InFlightGuard},
+    outcome::ResumeRefusal,
     pool::UpstreamConnection,
     request::{ALTERNATIVE_CHECK_INTERVAL, RequestContext},
 };
@@ -260,12 +261,14 @@
         self.without_event = 0;
         let after = self.splitter.last_id().cloned();
         info!(
-            "event=stream_broken request={} cause={cause} after={} framed={}",
+            "event=stream_broken request={} cause={cause} after={} events={} framed={}",
             self.request.meta.id,
             after.as_deref().unwrap_or("none"),
+            self.has_events,
             is_framed
         );
-        if !self.may_resume() {
+        if let Some(refusal) = self.resume_refusal() {
+            self.request.log_resume_refusal(refusal.as_str());
             self.request.log_end("broken", None);
             return Err(RelayError::Broken);
         }
@@ -274,10 +277,11 @@
         Ok(())
     }
 
-    /// True if the stream may be resumed. After an event without an id, another upstream would repeat events.
-    fn may_resume(&self) -> bool {
+    /// Reason why the stream may not be resumed; `None` if it may. After an event without an id, another upstream would
+    /// repeat events.
+    fn resume_refusal(&self) -> Option<ResumeRefusal> {
         let has_position = !self.has_events || self.splitter.last_id().is_some();
-        has_position && self.request.may_resume()
+        if has_position { self.request.resume_refusal() } else { Some(ResumeRefusal::NoPosition) }
     }
 
     fn take_stream(&mut self) -> Option<OpenStream> {
@@ -381,7 +385,10 @@
                         return Poll::Ready(None);
                     }
                     let is_stalled = self.last_event.elapsed() >= self.stall_timeout;
-                    if is_stalled && self.may_resume() && self.request.has_alternative() {
+                    if is_stalled
+                        && self.resume_refusal().is_none()
+                        && self.request.has_alternative()
+                    {
                         self.abandon_upstream("stalled")?;
                         return Poll::Ready(None);
                     }
--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -26,7 +26,7 @@
     admit::{admit, pick_service, read_body},
     guards::InFlightGuard,
     http::ResponseBody,
-    outcome::{AttemptResult, RequestResult},
+    outcome::{AttemptResult, RequestResult, ResumeRefusal},
     relay::{OpenStream, RelayBody},
     response::{CallerResponse, close_if_leaving, local_response},
     shared::EntryShared,
@@ -195,12 +195,20 @@
         self.progress.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// True if an interrupted stream may be resumed at another upstream.
-    pub(crate) fn may_resume(&self) -> bool {
+    /// Reason why an interrupted stream may not be resumed at another upstream; `None` if it may.
+    pub(super) fn resume_refusal(&self) -> Option<ResumeRefusal> {
         let left = self.deadline.saturating_duration_since(self.shared.clock.now());
-        self.route.repeat.is_retryable()
-            && left > MIN_ATTEMPT_TIME
-            && !self.progress().attempts.is_last_attempt()
+        match () {
+            () if !self.route.repeat.is_retryable() => Some(ResumeRefusal::NotResumable),
+            () if left <= MIN_ATTEMPT_TIME => Some(ResumeRefusal::Deadline),
+            () if self.progress().attempts.is_last_attempt() => Some(ResumeRefusal::Attempts),
+            () => None,
+        }
+    }
+
+    /// Logs why an interrupted stream is not resumed.
+    pub(super) fn log_resume_refusal(&self, cause: &str) {
+        info!("event=resume_refused request={} cause={cause}", self.meta.id);
     }
 
     /// Records events of a stream that became complete `pause` after the previous ones. Those that become complete
@@ -252,6 +260,9 @@
             let chosen = match self.choose_or_wait(now, resume_after.is_some()).await {
                 Ok(chosen) => chosen,
                 Err(refusal) => {
+                    if resume_after.is_some() {
+                        self.log_resume_refusal(refusal.as_str());
+                    }
                     if let Some((head, body)) = error_response {
                         return RequestResult::Complete(head, body);
                     }
@@ -303,9 +314,15 @@
             info!("event=repeat_refused request={} cause={}", self.meta.id, refusal.as_str());
             return false;
         }
-        is_allowed
-            && (end == AttemptEnd::NotSent
-                || self.shared.retry_budget().try_take(&self.service, now))
+        if !is_allowed {
+            return false;
+        }
+        let has_budget =
+            end == AttemptEnd::NotSent || self.shared.retry_budget().try_take(&self.service, now);
+        if !has_budget {
+            info!("event=repeat_refused request={} cause=retry_budget", self.meta.id);
+        }
+        has_budget
     }
 
     /// True if the current attempt may be given up for one at another upstream that can take the request now.
--- a/crates/gateway/src/entry/store.rs
+++ b/crates/gateway/src/entry/store.rs
@@ -32,6 +32,8 @@
 const CONFIRMATION_MARGIN: Duration = Duration::from_secs(1);
 /// Time for a response to arrive from which it is logged; usual responses arrive within milliseconds.
 const LONG_TRANSFER: Duration = Duration::from_millis(250);
+/// Time to decode and apply items from which it is logged. Timers of the same thread fire late by that time.
+const LONG_APPLICATION: Duration = Duration::from_millis(20);
 /// Minimum and maximum delay before the store is queried again after a failure.
 const BACKOFF_RANGE: (Duration, Duration) =
     (Duration::from_millis(150), Duration::from_millis(1_200));
@@ -248,6 +250,8 @@
     period: ReceivePeriod,
 ) -> bool {
     let decoder = &*shared.ports.decoder;
+    let started = shared.clock.now();
+    let bytes: usize = items.iter().filter_map(|item| item.value.as_ref().map(Bytes::len)).sum();
     let mut fleet_state = shared.fleet_state();
     let known_era = fleet_state.as_of().map(|as_of| era_and_number(as_of).0);
     let (era, number) = era_and_number(as_of);
@@ -264,7 +268,16 @@
         fleet_state.advance(as_of);
         changes
     };
+    drop(fleet_state);
     changes.iter().for_each(log_change);
+    let elapsed = shared.clock.now().saturating_duration_since(started);
+    if elapsed >= LONG_APPLICATION {
+        info!(
+            "event=items_applied items={} bytes={bytes} ms={}",
+            changes.len(),
+            elapsed.as_millis()
+        );
+    }
     !changes.is_empty()
 }
 
