Pass on the head of a stream only with its first event

Callers saw: a closed connection without an answer, at the instant at which the weights of all engines become outdated. Cause: the head of a response was passed on as soon as it had arrived. A stream that was given up after its head and before its first event (weights outdated, connection lost, stalled) could then only end by closing the connection. Change: an attempt at a stream ends with its first event. Until then it is retried or answered with a status like any other attempt; only a stream that has begun can end by closing. Reading of events moves to its own file.

--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -22,6 +22,7 @@
 
 use super::{
     crashes::check_upstream,
+    events::{EventReader, StreamPart, has_content},
     guards::AttemptGuard,
     limits::log_limit_change,
     outcome::AttemptResult,
@@ -47,6 +48,9 @@
 /// Priority of the least urgent requests at an engine.
 const MAX_PRIORITY: u8 = 9;
 
+/// Reason of a failed stream without a length that ended with its connection before any event.
+const NO_EVENTS: &str = "no_events";
+
 /// Why the wait for a part of a response ended.
 enum WaitError {
     /// The request has not begun, and the weights of its upstream are about to be outdated.
@@ -147,20 +151,29 @@
                 guard.fail();
                 return AttemptResult::Failed(AttemptEnd::Lost, None);
             }
-            Err(WaitError::WeightsOutdated) => {
+            Err(error) => return self.give_up(chosen, error, guard),
+        };
+        self.read_response(chosen, resume_after, response, connection, guard, now).await
+    }
+
+    /// Ends an attempt that is given up. Its connection is closed, so most upstreams stop working on it.
+    fn give_up(
+        &self,
+        chosen: &ChosenUpstream,
+        error: WaitError,
+        guard: AttemptGuard,
+    ) -> AttemptResult {
+        match error {
+            WaitError::WeightsOutdated => {
                 info!(
                     "event=attempt_cancelled request={} upstream={} cause=weights_outdated",
-                    self.meta.id, upstream.upstream
+                    self.meta.id, chosen.record.upstream
                 );
                 guard.finish(AttemptOutcome::Abandoned);
-                return AttemptResult::Failed(AttemptEnd::Lost, None);
-            }
-            Err(WaitError::TimedOut) => {
-                guard.fail();
-                return AttemptResult::Failed(AttemptEnd::Lost, None);
             }
-        };
-        self.read_response(chosen, response, connection, guard, now).await
+            WaitError::TimedOut => guard.fail(),
+        }
+        AttemptResult::Failed(AttemptEnd::Lost, None)
     }
 
     /// Waits for a part of the response to a request that was sent at `sent_at`. An upstream that takes long is only
@@ -238,6 +251,7 @@
     async fn read_response(
         &self,
         chosen: &ChosenUpstream,
+        resume_after: Option<&str>,
         response: Response<Incoming>,
         connection: UpstreamConnection,
         guard: AttemptGuard,
@@ -275,15 +289,41 @@
             || head.headers.contains_key(CONTENT_LENGTH)
             || head.headers.contains_key(TRANSFER_ENCODING);
         if self.route.repeat.is_stream() && head.status.is_success() {
+            // A caller that resumes a stream may have received all of its events.
+            let resume_after = resume_after.or(self.meta.resume_after.as_deref());
+            let mut reader = Box::new(EventReader::new(body, resume_after));
+            let first = match self.wait_for(reader.read_first(), chosen.cancel_at, sent_at).await {
+                Ok(first) => first,
+                Err(error) => return self.give_up(chosen, error, guard),
+            };
+            let fault = match &first {
+                StreamPart::Fault(fault) => Some((*fault).into()),
+                // An upstream without a length that crashes before the first event ends its body as well.
+                StreamPart::End(rest)
+                    if !is_framed && resume_after.is_none() && !has_content(rest) =>
+                {
+                    Some(NO_EVENTS)
+                }
+                _ => None,
+            };
+            if let Some(cause) = fault {
+                info!(
+                    "event=stream_failed request={} upstream={} cause={cause} framed={is_framed}",
+                    self.meta.id, upstream.upstream
+                );
+                self.record_connection_lost(&upstream.upstream, upstream.address, false);
+                guard.fail();
+                return AttemptResult::Failed(AttemptEnd::Lost, None);
+            }
             let stream = OpenStream {
-                body,
+                reader,
+                first: Some(first),
                 address: upstream.address,
                 connection,
                 guard,
                 keep_alive: meta.keep_alive,
                 closes: meta.closes,
                 is_framed,
-                cancel_at: chosen.cancel_at.map(Into::into),
                 forecast: self.begin_forecast_check(chosen, sent_at).map(Box::new),
             };
             return AttemptResult::Stream(head, stream);
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod control;
 mod crashes;
 mod dating;
+mod events;
 mod guards;
 mod head_timer;
 mod http;
--- a/crates/gateway/src/entry/relay.rs
+++ b/crates/gateway/src/entry/relay.rs
@@ -8,26 +8,23 @@
     time::Duration,
 };
 
-use balance::{AttemptOutcome, ForecastCheck, WritingProof};
-use bytes::{Bytes, BytesMut};
+use balance::{ForecastCheck, WritingProof};
+use bytes::Bytes;
 use compact_str::CompactString;
 use futures_util::future::BoxFuture;
-use hyper::body::{Body, Frame, Incoming};
+use hyper::body::{Body, Frame};
 use log::info;
 use snafu::Snafu;
 use tokio::time::{Instant, Sleep, sleep_until};
 
 use super::{
+    events::{EventReader, MAX_STREAM_BYTES, StreamFault, StreamPart, has_content},
     guards::{AttemptGuard, InFlightGuard},
     outcome::ResumeRefusal,
     pool::UpstreamConnection,
     request::{ALTERNATIVE_CHECK_INTERVAL, RequestContext},
 };
 
-/// Maximum size of an event, which is buffered until it is complete, with the comments before it.
-const MAX_EVENT_BYTES: usize = 256 << 10;
-/// Maximum size of a stream; one of 4,096 tokens has about 400 KB.
-const MAX_STREAM_BYTES: usize = 16 << 20;
 /// Factor on the target gap between events after which a silent upstream is abandoned and the stream is resumed at
 /// another one.
 const STALL_GAP_FACTOR: u32 = 4;
@@ -40,15 +37,9 @@
 /// Reason of an abandoned stream that ended within an event, however it was framed. Its upstream may also have crashed.
 const EVENT_INCOMPLETE: &str = "event_incomplete";
 
-/// Reason of an abandoned stream without a length that ended with its connection before any event.
-const NO_EVENTS: &str = "no_events";
-
 /// Reason of an abandoned stream without a length whose upstream could not be reached right after the stream ended.
 const UPSTREAM_GONE: &str = "upstream_gone";
 
-/// Reason of an abandoned stream that would begin on outdated weights.
-const WEIGHTS_OUTDATED: &str = "weights_outdated";
-
 /// Reasons why a stream ends before its last event. The connection to the caller is then closed, so that the response
 /// does not look complete.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
@@ -61,126 +52,22 @@
     Expired,
 }
 
-/// Splits a byte stream into complete events.
-#[derive(Debug, Default)]
-pub(crate) struct EventSplitter {
-    partial: BytesMut,
-    last_id: Option<CompactString>,
-}
-
-impl EventSplitter {
-    /// Adds bytes and returns the events that they complete.
-    pub(crate) fn push(&mut self, bytes: Bytes) -> Option<Bytes> {
-        let complete = if self.partial.is_empty() {
-            let Some(end) = end_of_events(&bytes, false) else {
-                self.partial.extend_from_slice(&bytes);
-                return None;
-            };
-            self.partial.extend_from_slice(&bytes[end..]);
-            bytes.slice(..end)
-        } else {
-            self.partial.extend_from_slice(&bytes);
-            let end = end_of_events(&self.partial, false)?;
-            self.partial.split_to(end).freeze()
-        };
-        if has_content(&complete) {
-            self.last_id = last_event_id(&complete);
-        }
-        Some(complete)
-    }
-
-    /// Number of buffered bytes of the incomplete event.
-    pub(crate) fn partial_len(&self) -> usize {
-        self.partial.len()
-    }
-
-    /// Discards the incomplete event, after its upstream has failed.
-    pub(crate) fn discard_partial(&mut self) {
-        self.partial.clear();
-    }
-
-    /// Takes the remaining bytes at the end of the stream; `None` if they are a part of an event.
-    pub(crate) fn take_rest(&mut self) -> Option<Bytes> {
-        if has_content(&self.partial) {
-            if end_of_events(&self.partial, true) != Some(self.partial.len()) {
-                return None;
-            }
-            self.last_id = last_event_id(&self.partial);
-        }
-        Some(self.partial.split().freeze())
-    }
-
-    /// Id of the last complete event; `None` if there is no event or that one has no id.
-    pub(crate) fn last_id(&self) -> Option<&CompactString> {
-        self.last_id.as_ref()
-    }
-}
-
-/// Position after the last blank line, which ends an event; `None` if there is none. Lines end with a line feed, a
-/// carriage return or both. Unless the bytes are `last`, a carriage return at their end may be the first half of both.
-fn end_of_events(bytes: &[u8], last: bool) -> Option<usize> {
-    let mut end = bytes.len();
-    if !last && bytes.last() == Some(&b'\r') {
-        end -= 1;
-    }
-    // Position before the line end that ends at `end`.
-    let line_end_before = |end: usize| match bytes[..end] {
-        [.., b'\r', b'\n'] => Some(end - 2),
-        [.., b'\n' | b'\r'] => Some(end - 1),
-        _ => None,
-    };
-    while end > 0 {
-        let blank_line = line_end_before(end);
-        if blank_line.and_then(line_end_before).is_some() {
-            return Some(end);
-        }
-        end -= 1;
-    }
-    None
-}
-
-/// False if the events consist of comments only. A stalled upstream may still send those, or parts of an event.
-fn has_content(events: &[u8]) -> bool {
-    let lines = events.split(|byte| matches!(byte, b'\n' | b'\r'));
-    lines.into_iter().any(|line| !line.is_empty() && !line.starts_with(b":"))
-}
-
-/// Id of the last event; `None` if that has none. Comments are skipped.
-fn last_event_id(events: &[u8]) -> Option<CompactString> {
-    let lines = events
-        .rsplit(|byte| *byte == b'\n')
-        .flat_map(|line| line.strip_suffix(b"\r").unwrap_or(line).rsplit(|byte| *byte == b'\r'));
-    let mut has_fields = false;
-    for line in lines {
-        match line {
-            [] if has_fields => return None,
-            [] | [b':', ..] => {}
-            [b'i', b'd', b':', id @ ..] => {
-                return Some(std::str::from_utf8(id).ok()?.trim().into());
-            }
-            _ => has_fields = true,
-        }
-    }
-    None
-}
-
-/// Response that is still being received from an upstream.
+/// Response of an upstream that has sent its first event, or has ended without one.
 pub(crate) struct OpenStream {
-    pub(crate) body: Incoming,
+    pub(super) reader: Box<EventReader>,
+    /// What was read before the response was passed on; `None` once it has been relayed.
+    pub(super) first: Option<StreamPart>,
     /// Address of the upstream.
-    pub(crate) address: SocketAddr,
-    pub(crate) connection: UpstreamConnection,
-    pub(crate) guard: AttemptGuard,
-    pub(crate) keep_alive: Option<Duration>,
-    pub(crate) closes: bool,
+    pub(super) address: SocketAddr,
+    pub(super) connection: UpstreamConnection,
+    pub(super) guard: AttemptGuard,
+    pub(super) keep_alive: Option<Duration>,
+    pub(super) closes: bool,
     /// True if the body has a length or is chunked. Otherwise its end cannot be told from a connection that closed early.
-    pub(crate) is_framed: bool,
-    /// Time at which the stream is abandoned if no event has arrived, because the weights of the upstream are then
-    /// outdated; `None` if they are not, or once an event has arrived.
-    pub(crate) cancel_at: Option<Instant>,
+    pub(super) is_framed: bool,
     /// Prediction that the first event is compared with; `None` if the speed of the upstream is not learned, or once an
-    /// event has arrived.
-    pub(crate) forecast: Option<Box<ForecastCheck>>,
+    /// event has been relayed.
+    pub(super) forecast: Option<Box<ForecastCheck>>,
 }
 
 enum RelayState {
@@ -195,7 +82,8 @@
 pub(crate) struct RelayBody {
     request: Arc<RequestContext>,
     state: RelayState,
-    splitter: EventSplitter,
+    /// Id of the last event that the caller has received; `None` if there is no event or that one has no id.
+    last_id: Option<CompactString>,
     stall_timeout: Duration,
     timer: Pin<Box<Sleep>>,
     deadline: Instant,
@@ -204,10 +92,8 @@
     proof: WritingProof,
     /// True once the caller has received an event with content.
     has_events: bool,
-    /// Number of bytes received from all upstreams.
-    received: usize,
-    /// Number of bytes received since the last event with content: comments, and a part of an event.
-    without_event: usize,
+    /// Number of bytes passed on from all upstreams.
+    relayed: usize,
     _in_flight: InFlightGuard,
 }
 
@@ -221,22 +107,20 @@
         let now = Instant::now();
         let deadline = Instant::from_std(request.deadline);
         let stall_timeout = (gap * STALL_GAP_FACTOR).max(MIN_STALL_TIMEOUT);
-        let first_check = stream.cancel_at.unwrap_or(deadline).min(now + stall_timeout);
         // A caller that resumes a stream may have received all of its events.
         let last_id = request.meta.resume_after.clone();
         let has_events = last_id.is_some();
         Self {
             request,
             state: RelayState::Reading(stream),
-            splitter: EventSplitter { last_id, ..EventSplitter::default() },
+            last_id,
             stall_timeout,
-            timer: Box::pin(sleep_until(deadline.min(first_check))),
+            timer: Box::pin(sleep_until(deadline.min(now + stall_timeout))),
             deadline,
             last_event: now,
             proof: WritingProof::default(),
             has_events,
-            received: 0,
-            without_event: 0,
+            relayed: 0,
             _in_flight: in_flight,
         }
     }
@@ -246,20 +130,14 @@
         let mut is_framed = false;
         if let Some(stream) = self.take_stream() {
             is_framed = stream.is_framed;
-            if [CONNECTION_LOST, EVENT_INCOMPLETE, NO_EVENTS, UPSTREAM_GONE].contains(&cause) {
+            if [CONNECTION_LOST, EVENT_INCOMPLETE, UPSTREAM_GONE].contains(&cause) {
                 let is_proven = self.proof.is_proven();
                 let (upstream, address) = (stream.guard.upstream(), stream.address);
                 self.request.record_connection_lost(upstream, address, is_proven);
             }
-            if cause == WEIGHTS_OUTDATED {
-                stream.guard.finish(AttemptOutcome::Abandoned);
-            } else {
-                stream.guard.fail();
-            }
+            stream.guard.fail();
         }
-        self.splitter.discard_partial();
-        self.without_event = 0;
-        let after = self.splitter.last_id().cloned();
+        let after = self.last_id.clone();
         info!(
             "event=stream_broken request={} cause={cause} after={} events={} framed={}",
             self.request.meta.id,
@@ -280,7 +158,7 @@
     /// Reason why the stream may not be resumed; `None` if it may. After an event without an id, another upstream would
     /// repeat events.
     fn resume_refusal(&self) -> Option<ResumeRefusal> {
-        let has_position = !self.has_events || self.splitter.last_id().is_some();
+        let has_position = !self.has_events || self.last_id.is_some();
         if has_position { self.request.resume_refusal() } else { Some(ResumeRefusal::NoPosition) }
     }
 
@@ -292,21 +170,13 @@
     }
 
     /// Handles the end of the upstream's body. Returns the bytes that remain to be passed on.
-    fn end_body(&mut self) -> Result<Option<Bytes>, RelayError> {
-        let Some(rest) = self.splitter.take_rest() else {
-            self.abandon_upstream(EVENT_INCOMPLETE)?;
-            return Ok(None);
-        };
+    fn end_body(&mut self, rest: Bytes) -> Option<Bytes> {
         self.has_events |= has_content(&rest);
         match self.take_stream() {
             Some(stream) if stream.is_framed => {
                 self.state = RelayState::Reading(stream);
                 self.finish();
             }
-            Some(stream) if !self.has_events => {
-                self.state = RelayState::Reading(stream);
-                self.abandon_upstream(NO_EVENTS)?;
-            }
             Some(stream) => {
                 // The connection of an upstream that crashed ends like that of one that sent a complete response.
                 let (request, address) = (self.request.clone(), stream.address);
@@ -315,7 +185,7 @@
             }
             None => {}
         }
-        Ok((!rest.is_empty()).then_some(rest))
+        (!rest.is_empty()).then_some(rest)
     }
 
     fn finish(&mut self) {
@@ -335,55 +205,31 @@
         self.request.log_end("answered", Some(200));
     }
 
+    /// Records events that are about to be passed on.
+    fn record_events(&mut self) {
+        let RelayState::Reading(stream) = &mut self.state else { return };
+        let now = Instant::now();
+        self.request.record_event(now - self.last_event);
+        self.last_event = now;
+        if self.proof.record_events(now.into_std()) {
+            self.request.record_parts_success();
+        }
+        self.has_events = true;
+        if let Some(check) = stream.forecast.take() {
+            self.request.record_first_event(stream.guard.upstream(), *check);
+        }
+    }
+
     fn poll_reading(
         &mut self,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, RelayError>>> {
-        loop {
-            let RelayState::Reading(stream) = &mut self.state else { return Poll::Ready(None) };
-            match Pin::new(&mut stream.body).poll_frame(context) {
-                Poll::Ready(Some(Ok(frame))) => {
-                    let Ok(bytes) = frame.into_data() else { continue };
-                    self.received += bytes.len();
-                    if self.received > MAX_STREAM_BYTES {
-                        self.abandon_upstream("stream_too_long")?;
-                        return Poll::Ready(None);
-                    }
-                    self.without_event += bytes.len();
-                    if let Some(events) = self.splitter.push(bytes) {
-                        if has_content(&events) {
-                            let now = Instant::now();
-                            self.request.record_event(now - self.last_event);
-                            self.last_event = now;
-                            if self.proof.record_events(now.into_std()) {
-                                self.request.record_parts_success();
-                            }
-                            self.has_events = true;
-                            self.without_event = self.splitter.partial_len();
-                            stream.cancel_at = None;
-                            if let Some(check) = stream.forecast.take() {
-                                self.request.record_first_event(stream.guard.upstream(), *check);
-                            }
-                        }
-                        if self.without_event <= MAX_EVENT_BYTES {
-                            return Poll::Ready(Some(Ok(events)));
-                        }
-                    }
-                    if self.without_event > MAX_EVENT_BYTES {
-                        self.abandon_upstream("event_too_long")?;
-                        return Poll::Ready(None);
-                    }
-                }
-                Poll::Ready(Some(Err(_))) => {
-                    self.abandon_upstream(CONNECTION_LOST)?;
-                    return Poll::Ready(None);
-                }
-                Poll::Ready(None) => return Poll::Ready(self.end_body().transpose()),
+        let RelayState::Reading(stream) = &mut self.state else { return Poll::Ready(None) };
+        let part = match stream.first.take() {
+            Some(part) => part,
+            None => match stream.reader.poll_part(context) {
+                Poll::Ready(part) => part,
                 Poll::Pending => {
-                    if stream.cancel_at.is_some_and(|at| at <= Instant::now()) {
-                        self.abandon_upstream(WEIGHTS_OUTDATED)?;
-                        return Poll::Ready(None);
-                    }
                     let is_stalled = self.last_event.elapsed() >= self.stall_timeout;
                     if is_stalled
                         && self.resume_refusal().is_none()
@@ -394,7 +240,29 @@
                     }
                     return Poll::Pending;
                 }
+            },
+        };
+        let (StreamPart::Events(bytes) | StreamPart::Comments(bytes) | StreamPart::End(bytes)) =
+            &part
+        else {
+            let StreamPart::Fault(fault) = part else { return Poll::Ready(None) };
+            self.abandon_upstream(fault.into())?;
+            return Poll::Ready(None);
+        };
+        self.relayed += bytes.len();
+        if self.relayed > MAX_STREAM_BYTES {
+            self.abandon_upstream(StreamFault::StreamTooLong.into())?;
+            return Poll::Ready(None);
+        }
+        self.last_id = stream.reader.last_id().cloned();
+        match part {
+            StreamPart::Events(events) => {
+                self.record_events();
+                Poll::Ready(Some(Ok(events)))
             }
+            StreamPart::End(rest) => Poll::Ready(self.end_body(rest).map(Ok)),
+            StreamPart::Comments(bytes) => Poll::Ready(Some(Ok(bytes))),
+            StreamPart::Fault(_) => Poll::Ready(None),
         }
     }
 }
@@ -436,9 +304,6 @@
                     Poll::Ready(Some(stream)) => {
                         this.last_event = Instant::now();
                         this.proof = WritingProof::default();
-                        if let Some(at) = stream.cancel_at {
-                            this.timer.as_mut().reset(at.min(this.deadline));
-                        }
                         this.state = RelayState::Reading(stream);
                         continue;
                     }
@@ -459,11 +324,7 @@
             }
             let stalled_at = this.last_event + this.stall_timeout;
             let next = if stalled_at > now { stalled_at } else { now + ALTERNATIVE_CHECK_INTERVAL };
-            let cancel_at = match &this.state {
-                RelayState::Reading(stream) => stream.cancel_at,
-                RelayState::Confirming(..) | RelayState::Resuming(_) | RelayState::Ended => None,
-            };
-            this.timer.as_mut().reset(next.min(cancel_at.unwrap_or(next)).min(this.deadline));
+            this.timer.as_mut().reset(next.min(this.deadline));
         }
     }
 }
