Give up a silent upstream only once another one has responded

Callers saw: a closed connection, or status 502, for a request whose upstream was silent for a second and then went on, because the upstream that was asked instead refused. Cause: after the stall timeout (streams) or the response timeout (requests without a response) the connection to the silent upstream was closed first and another one was sought afterwards. Its refusal used up the last attempt. A second of silence is no fault of an upstream. Change: the second attempt runs beside the first one. The first response wins and the other attempt is cancelled; if the second one fails, the first goes on. A backup only goes to an upstream with a free slot, not past queued requests, and is charged to the retry budget and counted as an attempt as before. The losing upstream counts as failed, as before.

--- a/crates/balance/src/attempt.rs
+++ b/crates/balance/src/attempt.rs
@@ -67,26 +67,27 @@
     /// been sent, the retry must also fit into the retry budget, which the caller of this method checks.
     pub fn record(&mut self, end: AttemptEnd) -> bool {
         match end {
-            AttemptEnd::NotSent => {
-                self.connect_failures += 1;
-                return self.connect_failures < MAX_CONNECT_FAILURES
-                    && self.attempts < self.max_attempts;
-            }
+            AttemptEnd::NotSent => self.connect_failures += 1,
             AttemptEnd::NotRun => self.attempts += 1,
-            AttemptEnd::Lost => {
-                self.attempts += 1;
-                self.may_have_run = true;
-            }
-            AttemptEnd::Failed => {
+            AttemptEnd::Lost | AttemptEnd::Failed => {
                 self.attempts += 1;
                 self.may_have_run = true;
-                if self.retry_policy != RetryPolicy::Idempotent {
-                    return false;
-                }
             }
         }
-        let may_retry = !self.may_have_run || self.retry_policy.is_retryable();
-        may_retry && self.attempts < self.max_attempts
+        self.may_retry(end)
+    }
+
+    /// True if the request may be sent to another upstream after an attempt that ended this way and is already recorded.
+    #[must_use]
+    pub fn may_retry(&self, end: AttemptEnd) -> bool {
+        let is_allowed = match end {
+            AttemptEnd::NotSent => self.connect_failures < MAX_CONNECT_FAILURES,
+            AttemptEnd::NotRun | AttemptEnd::Lost => {
+                !self.may_have_run || self.retry_policy.is_retryable()
+            }
+            AttemptEnd::Failed => self.retry_policy == RetryPolicy::Idempotent,
+        };
+        is_allowed && self.attempts < self.max_attempts
     }
 
     /// Final status if there is no response: `Unknown` as soon as one attempt may have run, even if later upstreams
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -1,8 +1,8 @@
 //! A single attempt of a request at an upstream.
 
 use std::{
-    net::SocketAddr,
     pin::pin,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -23,7 +23,7 @@
 use super::{
     crashes::check_upstream,
     events::{EventReader, StreamPart, has_content},
-    guards::AttemptGuard,
+    guards::{AttemptGuard, AttemptMonitor},
     limits::log_limit_change,
     outcome::AttemptResult,
     pool::UpstreamConnection,
@@ -55,10 +55,18 @@
 enum WaitError {
     /// The request has not begun, and the weights of its upstream are about to be outdated.
     WeightsOutdated,
-    /// The deadline passed, or the upstream takes long and another one can take the request.
+    /// The deadline passed.
     TimedOut,
 }
 
+/// How long the response of an attempt is waited for.
+struct ResponseWait<'a> {
+    /// Time at which the attempt is cancelled; see [`ChosenUpstream::cancel_at`].
+    cancel_at: Option<Instant>,
+    sent_at: Instant,
+    monitor: &'a AttemptMonitor,
+}
+
 impl RequestContext {
     pub(super) fn fingerprint(&self) -> Fingerprint {
         let key = self.meta.key.as_deref().unwrap_or_default();
@@ -67,19 +75,15 @@
 
     /// Records that the connection to an upstream was lost while the upstream ran this request. If the upstream had
     /// shown that the request does not crash it (`is_proven`), the parts of the prompt are not suspect.
-    pub(crate) fn record_connection_lost(
-        &self,
-        upstream: &UpstreamId,
-        address: SocketAddr,
-        is_proven: bool,
-    ) {
+    pub(crate) fn record_connection_lost(&self, record: &UpstreamRecord, is_proven: bool) {
+        let upstream = &record.upstream;
         let view = self.shared.view.load();
         // An upstream that is about to stop ends its requests on its own.
         let is_draining = view.upstream(upstream).is_some_and(|record| record.draining);
         let lost = LostRequest {
             fingerprint: self.fingerprint(),
             upstream: upstream.clone(),
-            started_ms: self.progress().last_started_ms,
+            started_ms: record.started_ms,
             suspect_parts: if is_proven || is_draining {
                 Vec::new()
             } else {
@@ -87,7 +91,7 @@
             },
         };
         self.shared.crashes().record_connection_lost(self.shared.clock.now(), lost);
-        check_upstream(&self.shared, upstream, address);
+        check_upstream(&self.shared, upstream, record.address);
     }
 
     async fn open_connection(&self, upstream: &UpstreamRecord) -> Option<UpstreamConnection> {
@@ -114,17 +118,14 @@
         &self,
         chosen: &ChosenUpstream,
         resume_after: Option<&str>,
+        monitor: &Arc<AttemptMonitor>,
     ) -> AttemptResult {
         let upstream = &chosen.record;
         // Other responses arrive when they are complete, so a missing one does not show that the request has not begun.
         let cancel_at = chosen.cancel_at.filter(|_| self.route.repeat.is_stream());
         let shared = &self.shared;
-        {
-            let mut progress = self.progress();
-            progress.last = Some(upstream.upstream.clone());
-            progress.last_started_ms = upstream.started_ms;
-        }
-        let guard = AttemptGuard::new(shared.clone(), upstream.upstream.clone());
+        self.progress().last = Some(upstream.upstream.clone());
+        let guard = AttemptGuard::new(shared.clone(), upstream.clone(), monitor.clone());
         let Some(mut connection) = self.open_connection(upstream).await else {
             guard.finish(AttemptOutcome::Unreachable);
             return AttemptResult::Failed(AttemptEnd::NotSent, None);
@@ -137,7 +138,8 @@
         let request = self.upstream_request(chosen, resume_after, now);
         connection.head_gate.begin();
         let sent = connection.sender.send_request(request);
-        let response = match self.wait_for(sent, cancel_at, now).await {
+        let wait = ResponseWait { cancel_at, sent_at: now, monitor };
+        let response = match self.wait_for(sent, &wait).await {
             Ok(Ok(response)) => response,
             Ok(Err(error)) if error.is_canceled() => {
                 guard.finish(AttemptOutcome::Unreachable);
@@ -147,13 +149,13 @@
                 if let Some(idle_for) = connection.idle_for {
                     shared.pool.record_reset(idle_for);
                 }
-                self.record_connection_lost(&upstream.upstream, upstream.address, false);
+                self.record_connection_lost(upstream, false);
                 guard.fail();
                 return AttemptResult::Failed(AttemptEnd::Lost, None);
             }
             Err(error) => return self.give_up(chosen, error, guard),
         };
-        self.read_response(chosen, resume_after, response, connection, guard, now).await
+        self.read_response(chosen, resume_after, response, connection, guard, wait).await
     }
 
     /// Ends an attempt that is given up. Its connection is closed, so most upstreams stop working on it.
@@ -176,28 +178,28 @@
         AttemptResult::Failed(AttemptEnd::Lost, None)
     }
 
-    /// Waits for a part of the response to a request that was sent at `sent_at`. An upstream that takes long is only
-    /// given up if another one can take the request.
+    /// Waits for a part of the response. An upstream that takes long is reported to the monitor, but waited for until the
+    /// deadline.
     async fn wait_for<T>(
         &self,
         part: impl Future<Output = T>,
-        cancel_at: Option<Instant>,
-        sent_at: Instant,
+        wait: &ResponseWait<'_>,
     ) -> Result<T, WaitError> {
         let mut part = pin!(part);
-        let mut give_up_at = self.response_deadline(sent_at);
+        let mut slow_at = self.response_deadline(wait.sent_at);
         loop {
-            let wait_until = cancel_at.map_or(give_up_at, |at| at.min(give_up_at));
+            let wait_until = wait.cancel_at.map_or(slow_at, |at| at.min(slow_at));
             if let Ok(result) = timeout_at(wait_until.into(), part.as_mut()).await {
                 return Ok(result);
             }
-            if wait_until < give_up_at {
+            if wait_until < slow_at {
                 return Err(WaitError::WeightsOutdated);
             }
-            if give_up_at >= self.deadline || self.has_alternative() {
+            if slow_at >= self.deadline {
                 return Err(WaitError::TimedOut);
             }
-            give_up_at = self.deadline.min(give_up_at + ALTERNATIVE_CHECK_INTERVAL);
+            wait.monitor.slow.notify_one();
+            slow_at = self.deadline.min(slow_at + ALTERNATIVE_CHECK_INTERVAL);
         }
     }
 
@@ -255,8 +257,9 @@
         response: Response<Incoming>,
         connection: UpstreamConnection,
         guard: AttemptGuard,
-        sent_at: Instant,
+        wait: ResponseWait<'_>,
     ) -> AttemptResult {
+        let sent_at = wait.sent_at;
         connection.head_gate.end();
         let shared = &self.shared;
         let upstream = &chosen.record;
@@ -292,7 +295,7 @@
             // A caller that resumes a stream may have received all of its events.
             let resume_after = resume_after.or(self.meta.resume_after.as_deref());
             let mut reader = Box::new(EventReader::new(body, resume_after));
-            let first = match self.wait_for(reader.read_first(), chosen.cancel_at, sent_at).await {
+            let first = match self.wait_for(reader.read_first(), &wait).await {
                 Ok(first) => first,
                 Err(error) => return self.give_up(chosen, error, guard),
             };
@@ -311,14 +314,13 @@
                     "event=stream_failed request={} upstream={} cause={cause} framed={is_framed}",
                     self.meta.id, upstream.upstream
                 );
-                self.record_connection_lost(&upstream.upstream, upstream.address, false);
+                self.record_connection_lost(upstream, false);
                 guard.fail();
                 return AttemptResult::Failed(AttemptEnd::Lost, None);
             }
             let stream = OpenStream {
                 reader,
                 first: Some(first),
-                address: upstream.address,
                 connection,
                 guard,
                 keep_alive: meta.keep_alive,
@@ -328,7 +330,7 @@
             };
             return AttemptResult::Stream(head, stream);
         }
-        let body = match self.collect_body(head.status, body, sent_at).await {
+        let body = match self.collect_body(head.status, body, &wait).await {
             // The connection of an upstream that crashed ends like that of one that sent a complete response.
             Some(_) if !is_framed && !shared.pool.accepts_connections(upstream.address).await => {
                 None
@@ -368,7 +370,7 @@
         &self,
         status: StatusCode,
         body: Incoming,
-        sent_at: Instant,
+        wait: &ResponseWait<'_>,
     ) -> Option<Bytes> {
         if !status.is_success() {
             let body = Limited::new(body, MAX_ERROR_BYTES).collect();
@@ -376,7 +378,7 @@
             return Some(collected.await.ok()?.ok()?.to_bytes());
         }
         let body = Limited::new(body, MAX_RESPONSE_BYTES).collect();
-        let collected = self.wait_for(body, None, sent_at).await;
+        let collected = self.wait_for(body, wait).await;
         Some(collected.ok()?.ok()?.to_bytes())
     }
 
--- a/crates/gateway/src/entry/guards.rs
+++ b/crates/gateway/src/entry/guards.rs
@@ -1,9 +1,14 @@
 //! Guards that record the end of a request or an attempt, even if the caller disconnects before it is complete.
 
-use std::sync::{Arc, atomic::Ordering};
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
+};
 
 use balance::AttemptOutcome;
 use base::UpstreamId;
+use fleet::UpstreamRecord;
+use tokio::sync::Notify;
 
 use super::{crashes::log_crashes, shared::EntryShared};
 
@@ -40,18 +45,42 @@
 /// Records the outcome of an attempt; it counts as abandoned if the caller disconnects first.
 pub(crate) struct AttemptGuard {
     shared: Arc<EntryShared>,
-    upstream: UpstreamId,
+    record: Arc<UpstreamRecord>,
     outcome: AttemptOutcome,
+    monitor: Arc<AttemptMonitor>,
+}
+
+/// Connects an attempt with the request, which may make another one beside it.
+#[derive(Debug, Default)]
+pub(super) struct AttemptMonitor {
+    /// Notified while the response takes long.
+    pub(super) slow: Notify,
+    is_replaced: AtomicBool,
+}
+
+impl AttemptMonitor {
+    /// Records that another upstream was faster, which counts as a failure of the attempt when it is cancelled.
+    pub(super) fn set_replaced(&self) {
+        self.is_replaced.store(true, Ordering::Relaxed);
+    }
 }
 
 impl AttemptGuard {
-    pub(super) fn new(shared: Arc<EntryShared>, upstream: UpstreamId) -> Self {
-        shared.balancer().record_sent(&upstream, shared.clock.now());
-        Self { shared, upstream, outcome: AttemptOutcome::Abandoned }
+    pub(super) fn new(
+        shared: Arc<EntryShared>,
+        record: Arc<UpstreamRecord>,
+        monitor: Arc<AttemptMonitor>,
+    ) -> Self {
+        shared.balancer().record_sent(&record.upstream, shared.clock.now());
+        Self { shared, record, outcome: AttemptOutcome::Abandoned, monitor }
     }
 
     pub(crate) fn upstream(&self) -> &UpstreamId {
-        &self.upstream
+        &self.record.upstream
+    }
+
+    pub(super) fn record(&self) -> &Arc<UpstreamRecord> {
+        &self.record
     }
 
     pub(crate) fn finish(mut self, outcome: AttemptOutcome) {
@@ -70,9 +99,14 @@
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
         let now = self.shared.clock.now();
-        self.shared.balancer().record_outcome(&self.upstream, self.outcome, now);
+        let upstream = &self.record.upstream;
+        let is_replaced = self.monitor.is_replaced.load(Ordering::Relaxed);
+        if is_replaced && self.outcome == AttemptOutcome::Abandoned {
+            self.outcome = AttemptOutcome::Failed;
+        }
+        self.shared.balancer().record_outcome(upstream, self.outcome, now);
         if self.outcome == AttemptOutcome::Unreachable {
-            let confirmed = self.shared.crashes().record_unreachable(now, &self.upstream);
+            let confirmed = self.shared.crashes().record_unreachable(now, upstream);
             log_crashes(&self.shared, confirmed);
         }
         self.shared.waiting.wake();
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -3,6 +3,7 @@
 mod admit;
 mod assignment;
 mod attempt;
+mod backup;
 mod control;
 mod crashes;
 mod dating;
--- a/crates/gateway/src/entry/outcome.rs
+++ b/crates/gateway/src/entry/outcome.rs
@@ -13,6 +13,16 @@
     Failed(AttemptEnd, Option<(response::Parts, Bytes)>),
 }
 
+impl AttemptResult {
+    /// Adds the error response of another attempt to a failed one without a response of its own.
+    pub(super) fn or_response(self, other: Option<(response::Parts, Bytes)>) -> Self {
+        match self {
+            Self::Failed(end, response) => Self::Failed(end, response.or(other)),
+            result => result,
+        }
+    }
+}
+
 /// Result of a request after its last attempt.
 pub(super) enum RequestResult {
     Stream(response::Parts, OpenStream),
--- a/crates/gateway/src/entry/relay.rs
+++ b/crates/gateway/src/entry/relay.rs
@@ -1,7 +1,6 @@
 //! Relays an event stream to the caller, and resumes it at another upstream if the first one fails.
 
 use std::{
-    net::SocketAddr,
     pin::Pin,
     sync::Arc,
     task::{Context, Poll, ready},
@@ -22,7 +21,7 @@
     guards::{AttemptGuard, InFlightGuard},
     outcome::ResumeRefusal,
     pool::UpstreamConnection,
-    request::{ALTERNATIVE_CHECK_INTERVAL, RequestContext},
+    request::{ALTERNATIVE_CHECK_INTERVAL, AttemptPurpose, RequestContext},
 };
 
 /// Factor on the target gap between events after which a silent upstream is abandoned and the stream is resumed at
@@ -57,8 +56,6 @@
     pub(super) reader: Box<EventReader>,
     /// What was read before the response was passed on; `None` once it has been relayed.
     pub(super) first: Option<StreamPart>,
-    /// Address of the upstream.
-    pub(super) address: SocketAddr,
     pub(super) connection: UpstreamConnection,
     pub(super) guard: AttemptGuard,
     pub(super) keep_alive: Option<Duration>,
@@ -90,6 +87,8 @@
     last_event: Instant,
     /// Tells whether the current upstream has shown that the request does not crash it.
     proof: WritingProof,
+    /// Attempt to resume the stream at another upstream while the current one is silent.
+    backup: Option<BoxFuture<'static, Option<OpenStream>>>,
     /// True once the caller has received an event with content.
     has_events: bool,
     /// Number of bytes passed on from all upstreams.
@@ -119,6 +118,7 @@
             deadline,
             last_event: now,
             proof: WritingProof::default(),
+            backup: None,
             has_events,
             relayed: 0,
             _in_flight: in_flight,
@@ -132,8 +132,7 @@
             is_framed = stream.is_framed;
             if [CONNECTION_LOST, EVENT_INCOMPLETE, UPSTREAM_GONE].contains(&cause) {
                 let is_proven = self.proof.is_proven();
-                let (upstream, address) = (stream.guard.upstream(), stream.address);
-                self.request.record_connection_lost(upstream, address, is_proven);
+                self.request.record_connection_lost(stream.guard.record(), is_proven);
             }
             stream.guard.fail();
         }
@@ -145,16 +144,61 @@
             self.has_events,
             is_framed
         );
+        if let Some(backup) = self.backup.take() {
+            self.state = RelayState::Resuming(backup);
+            return Ok(());
+        }
         if let Some(refusal) = self.resume_refusal() {
             self.request.log_resume_refusal(refusal.as_str());
             self.request.log_end("broken", None);
             return Err(RelayError::Broken);
         }
         let request = self.request.clone();
-        self.state = RelayState::Resuming(Box::pin(async move { request.resume(after).await }));
+        let resume = async move { request.resume(after, AttemptPurpose::Resume).await };
+        self.state = RelayState::Resuming(Box::pin(resume));
         Ok(())
     }
 
+    /// Tries to resume a stalled stream at another upstream. The current upstream may go on until that has an event.
+    fn begin_backup(&mut self) {
+        let is_stalled = self.last_event.elapsed() >= self.stall_timeout;
+        let may_begin = is_stalled
+            && self.backup.is_none()
+            && matches!(self.state, RelayState::Reading(_))
+            && self.resume_refusal().is_none()
+            && self.request.has_alternative();
+        if !may_begin {
+            return;
+        }
+        let (request, after) = (self.request.clone(), self.last_id.clone());
+        info!(
+            "event=stream_stalled request={} after={}",
+            request.meta.id,
+            after.as_deref().unwrap_or("none")
+        );
+        let resume = async move { request.resume(after, AttemptPurpose::Backup).await };
+        self.backup = Some(Box::pin(resume));
+    }
+
+    /// Polls the backup; true if it has taken over from the current upstream.
+    fn poll_backup(&mut self, context: &mut Context<'_>) -> bool {
+        let Some(backup) = &mut self.backup else { return false };
+        let Poll::Ready(resumed) = backup.as_mut().poll(context) else { return false };
+        self.backup = None;
+        let Some(resumed) = resumed else { return false };
+        if let Some(stalled) = self.take_stream() {
+            stalled.guard.fail();
+        }
+        self.continue_with(resumed);
+        true
+    }
+
+    fn continue_with(&mut self, resumed: OpenStream) {
+        self.last_event = Instant::now();
+        self.proof = WritingProof::default();
+        self.state = RelayState::Reading(resumed);
+    }
+
     /// Reason why the stream may not be resumed; `None` if it may. After an event without an id, another upstream would
     /// repeat events.
     fn resume_refusal(&self) -> Option<ResumeRefusal> {
@@ -179,7 +223,7 @@
             }
             Some(stream) => {
                 // The connection of an upstream that crashed ends like that of one that sent a complete response.
-                let (request, address) = (self.request.clone(), stream.address);
+                let (request, address) = (self.request.clone(), stream.guard.record().address);
                 let confirm = async move { request.shared.pool.accepts_connections(address).await };
                 self.state = RelayState::Confirming(stream, Box::pin(confirm));
             }
@@ -229,17 +273,7 @@
             Some(part) => part,
             None => match stream.reader.poll_part(context) {
                 Poll::Ready(part) => part,
-                Poll::Pending => {
-                    let is_stalled = self.last_event.elapsed() >= self.stall_timeout;
-                    if is_stalled
-                        && self.resume_refusal().is_none()
-                        && self.request.has_alternative()
-                    {
-                        self.abandon_upstream("stalled")?;
-                        return Poll::Ready(None);
-                    }
-                    return Poll::Pending;
-                }
+                Poll::Pending => return Poll::Pending,
             },
         };
         let (StreamPart::Events(bytes) | StreamPart::Comments(bytes) | StreamPart::End(bytes)) =
@@ -255,6 +289,9 @@
             return Poll::Ready(None);
         }
         self.last_id = stream.reader.last_id().cloned();
+        if !matches!(part, StreamPart::Comments(_)) && self.backup.take().is_some() {
+            info!("event=stream_recovered request={}", self.request.meta.id);
+        }
         match part {
             StreamPart::Events(events) => {
                 self.record_events();
@@ -285,7 +322,12 @@
                     }
                     Poll::Ready(Some(Err(error))) => return Poll::Ready(Some(Err(error))),
                     Poll::Ready(None) => continue,
-                    Poll::Pending => {}
+                    Poll::Pending => {
+                        this.begin_backup();
+                        if this.poll_backup(context) {
+                            continue;
+                        }
+                    }
                 },
                 RelayState::Confirming(_, confirm) => match confirm.as_mut().poll(context) {
                     Poll::Ready(true) => {
@@ -302,9 +344,7 @@
                 },
                 RelayState::Resuming(resume) => match resume.as_mut().poll(context) {
                     Poll::Ready(Some(stream)) => {
-                        this.last_event = Instant::now();
-                        this.proof = WritingProof::default();
-                        this.state = RelayState::Reading(stream);
+                        this.continue_with(stream);
                         continue;
                     }
                     Poll::Ready(None) => {
--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -62,6 +62,17 @@
     progress: Mutex<RequestProgress>,
 }
 
+/// What an attempt is made for, which determines the upstreams that may take it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum AttemptPurpose {
+    /// The request has no response yet.
+    Initial,
+    /// The stream has broken off. An attempt at a busy upstream is better than none.
+    Resume,
+    /// Another attempt is still open and may go on. Only an upstream with a free slot can help.
+    Backup,
+}
+
 /// Upstream that was chosen for an attempt.
 pub(super) struct ChosenUpstream {
     pub(super) record: Arc<UpstreamRecord>,
@@ -75,15 +86,13 @@
 
 pub(super) struct RequestProgress {
     pub(super) attempts: AttemptLog,
-    tried: Vec<UpstreamId>,
+    pub(super) tried: Vec<UpstreamId>,
     /// Regions that may serve the request, according to each configuration since it was admitted.
     regions: RegionPolicy,
     /// Configuration that was last applied to `regions`.
     regions_config: Weak<RoutingConfig>,
     /// Upstream of the last attempt.
     pub(super) last: Option<UpstreamId>,
-    /// Start of the process of the last upstream in Unix milliseconds.
-    pub(super) last_started_ms: u64,
     /// Time until the first event of a stream, and the longest pause between two events.
     first_event: Option<Duration>,
     longest_pause: Duration,
@@ -152,7 +161,6 @@
             regions: RegionPolicy::new(Some(&route), team.as_deref()),
             regions_config: downgrade_config(&view),
             last: None,
-            last_started_ms: 0,
             first_event: None,
             longest_pause: Duration::ZERO,
             predicted: None,
@@ -185,7 +193,7 @@
         return local_response(shared, &id, StatusCode::SERVICE_UNAVAILABLE, retry_after);
     }
     shared.retry_budget().record_request(&request.service, started);
-    let end = request.run(None).await;
+    let end = request.run(None, AttemptPurpose::Initial).await;
     request.record_shed(&end);
     request.finish(end, in_flight)
 }
@@ -223,10 +231,12 @@
         }
     }
 
-    /// Resumes a stream after the event `after`; `None` if no upstream can resume it.
-    pub(crate) async fn resume(
+    /// Resumes a stream after the event `after`; `None` if no upstream can resume it. With [`AttemptPurpose::Backup`], the
+    /// stream is still open at the upstream of the last attempt.
+    pub(super) async fn resume(
         self: Arc<Self>,
         after: Option<CompactString>,
+        purpose: AttemptPurpose,
     ) -> Option<OpenStream> {
         if !self.may_retry(AttemptEnd::Lost) {
             return None;
@@ -236,7 +246,7 @@
             let last = progress.last.clone();
             progress.tried.extend(last);
         }
-        match self.run(after).await {
+        match self.run(after, purpose).await {
             RequestResult::Stream(_, stream) => {
                 info!(
                     "event=stream_resumed request={} upstream={}",
@@ -250,14 +260,18 @@
     }
 
     /// Makes attempts until an upstream responds or no further attempt is allowed.
-    async fn run(&self, resume_after: Option<CompactString>) -> RequestResult {
+    async fn run(
+        &self,
+        resume_after: Option<CompactString>,
+        purpose: AttemptPurpose,
+    ) -> RequestResult {
         let mut error_response: Option<(response::Parts, Bytes)> = None;
         loop {
             let now = self.shared.clock.now();
             if self.deadline.saturating_duration_since(now) < MIN_ATTEMPT_TIME {
                 return RequestResult::Expired(self.progress().attempts.final_status());
             }
-            let chosen = match self.choose_or_wait(now, resume_after.is_some()).await {
+            let chosen = match self.choose_or_wait(now, purpose).await {
                 Ok(chosen) => chosen,
                 Err(refusal) => {
                     if resume_after.is_some() {
@@ -272,19 +286,20 @@
                     };
                 }
             };
-            match self.attempt(&chosen, resume_after.as_deref()).await {
+            let end = self.attempt_with_backup(chosen, resume_after.as_deref(), purpose).await;
+            match end.result {
                 AttemptResult::Stream(head, stream) => return RequestResult::Stream(head, stream),
                 AttemptResult::Complete(head, body) => return RequestResult::Complete(head, body),
-                AttemptResult::Failed(end, response) => {
-                    let upstream = &chosen.record.upstream;
+                AttemptResult::Failed(failure, response) => {
                     error_response = response.or(error_response);
-                    info!(
-                        "event=attempt_ended request={} upstream={upstream} end={end:?} waited_ms={}",
-                        self.meta.id,
-                        self.elapsed().as_millis()
-                    );
-                    self.progress().tried.push(upstream.clone());
-                    if !self.may_retry(end) {
+                    let may_retry = if end.is_recorded {
+                        self.may_retry_recorded(failure)
+                    } else {
+                        self.log_attempt_end(&end.upstream, failure);
+                        self.progress().tried.push(end.upstream);
+                        self.may_retry(failure)
+                    };
+                    if !may_retry {
                         if let Some((head, body)) = error_response {
                             return RequestResult::Complete(head, body);
                         }
@@ -301,20 +316,36 @@
         }
     }
 
+    /// Logs how an attempt ended that produced no response for the caller.
+    pub(super) fn log_attempt_end(&self, upstream: &UpstreamId, end: AttemptEnd) {
+        info!(
+            "event=attempt_ended request={} upstream={upstream} end={end:?} waited_ms={}",
+            self.meta.id,
+            self.elapsed().as_millis()
+        );
+    }
+
     /// Reason why the request may not run at another upstream because of crashes; `None` if it may.
     pub(super) fn crash_refusal(&self, now: Instant) -> Option<CrashRefusal> {
         let crashes = self.shared.crashes();
         crashes.refusal(now, &self.meta.shared_parts, || self.fingerprint())
     }
 
-    fn may_retry(&self, end: AttemptEnd) -> bool {
-        let is_allowed = self.progress().attempts.record(end);
+    /// Records the end of an attempt; true if the request is to be sent to another upstream, for which the retry budget is
+    /// then charged.
+    pub(super) fn may_retry(&self, end: AttemptEnd) -> bool {
+        self.progress().attempts.record(end);
+        self.may_retry_recorded(end)
+    }
+
+    /// The same for an attempt whose end has been recorded.
+    fn may_retry_recorded(&self, end: AttemptEnd) -> bool {
         let now = self.shared.clock.now();
         if let Some(refusal) = self.crash_refusal(now) {
             info!("event=repeat_refused request={} cause={}", self.meta.id, refusal.as_str());
             return false;
         }
-        if !is_allowed {
+        if !self.progress().attempts.may_retry(end) {
             return false;
         }
         let has_budget =
@@ -325,20 +356,20 @@
         has_budget
     }
 
-    /// True if the current attempt may be given up for one at another upstream that can take the request now.
+    /// True if another upstream can take the request now, beside the current attempt.
     pub(super) fn has_alternative(&self) -> bool {
         let now = self.shared.clock.now();
-        let (mut attempts, mut tried, last, is_resumed) = {
+        let (mut attempts, mut tried, last) = {
             let progress = self.progress();
-            let is_resumed = progress.first_event.is_some();
-            (progress.attempts, progress.tried.clone(), progress.last.clone(), is_resumed)
+            (progress.attempts, progress.tried.clone(), progress.last.clone())
         };
         tried.extend(last);
         attempts.record(AttemptEnd::Lost)
             && self.crash_refusal(now).is_none()
             && self.shared.retry_budget().has_room(&self.service, now)
+            && !self.is_behind_queue(now)
             && matches!(
-                self.place(&self.shared.view.load(), &tried, now, is_resumed),
+                self.place(&self.shared.view.load(), &tried, now, AttemptPurpose::Backup),
                 Placement::Upstream { .. }
             )
     }
@@ -372,15 +403,19 @@
         view: &FleetView,
         tried: &[UpstreamId],
         now: Instant,
-        is_resumed: bool,
+        purpose: AttemptPurpose,
     ) -> Placement {
+        let is_resumed = purpose == AttemptPurpose::Resume;
         let placement_request = PlacementRequest {
             service: &self.service,
             prompt_tokens: self.meta.prompt_tokens,
             regions: &self.narrow_regions(view),
             tried,
             weights: self.weights_limits(view),
-            time_to_target: self.time_to_target(now),
+            time_to_target: match purpose {
+                AttemptPurpose::Initial | AttemptPurpose::Resume => self.time_to_target(now),
+                AttemptPurpose::Backup => None,
+            },
             delay_limit: self.delay_limit(now, is_resumed),
             time_to_deadline: Some(self.deadline.saturating_duration_since(now)),
             is_resumed,
@@ -391,11 +426,11 @@
     pub(super) fn choose_upstream(
         &self,
         now: Instant,
-        is_resumed: bool,
+        purpose: AttemptPurpose,
     ) -> Result<ChosenUpstream, PlacementRefusal> {
         let view = self.shared.view.load();
         let tried = self.progress().tried.clone();
-        match self.place(&view, &tried, now, is_resumed) {
+        match self.place(&view, &tried, now, purpose) {
             Placement::Upstream { record, delay, version, cancel_at, expected_version } => {
                 let mut progress = self.progress();
                 progress.predicted.get_or_insert(delay);
--- a/crates/gateway/src/entry/waiting.rs
+++ b/crates/gateway/src/entry/waiting.rs
@@ -12,7 +12,7 @@
 use super::{
     admit::admit,
     outcome::ChoiceRefusal,
-    request::{ChosenUpstream, RequestContext},
+    request::{AttemptPurpose, ChosenUpstream, RequestContext},
     rooms::{WaitSignal, WaitTicket},
 };
 
@@ -34,17 +34,18 @@
     pub(super) async fn choose_or_wait(
         &self,
         now: Instant,
-        is_resumed: bool,
+        purpose: AttemptPurpose,
     ) -> Result<ChosenUpstream, ChoiceRefusal> {
         let shared = &self.shared;
-        let may_wait =
-            !is_resumed && !shared.is_leaving() && shared.contention().is_ranked(&self.service);
+        let may_wait = purpose == AttemptPurpose::Initial
+            && !shared.is_leaving()
+            && shared.contention().is_ranked(&self.service);
         if !may_wait {
-            return self.choose_upstream(now, is_resumed).map_err(ChoiceRefusal::Placement);
+            return self.choose_upstream(now, purpose).map_err(ChoiceRefusal::Placement);
         }
         let work = self.waiting_work(now);
         if !shared.waiting.blocks(&self.service, work.lane()) {
-            match self.choose_upstream(now, is_resumed) {
+            match self.choose_upstream(now, purpose) {
                 Ok(chosen) => {
                     shared.waiting.record_passed(&self.service, &work, now);
                     return Ok(chosen);
@@ -128,7 +129,7 @@
             };
             let now = self.shared.clock.now();
             self.check_again(now)?;
-            let choice = self.choose_upstream(now, false);
+            let choice = self.choose_upstream(now, AttemptPurpose::Initial);
             // An on-time request without a usable upstream would keep others waiting. A late one stays: its caller does
             // not return, and engines that load are back within its deadline.
             if let Err(refusal) = &choice
@@ -164,6 +165,12 @@
         })
     }
 
+    /// True if requests are queued that get the next free capacity before this one.
+    pub(super) fn is_behind_queue(&self, now: Instant) -> bool {
+        self.shared.contention().is_ranked(&self.service)
+            && self.shared.waiting.blocks(&self.service, self.waiting_work(now).lane())
+    }
+
     fn waiting_work(&self, now: Instant) -> WaitingWork {
         let route = &self.route;
         let since_first = time_since_first_attempt(route.timeout, self.meta.time_left);
