Answer requests that still wait at the end of the grace period

Callers saw: a closed connection without an answer, when an entry that was told to stop ended while their upstream had not responded yet. Cause: the entry closes its listeners and connections 0.4 s before the end of the grace period, but a request whose deadline is later waits on for its upstream until the process exits. Change: from that time on, requests without a response get status 504. Requests refused earlier (those that cannot end in time) are not affected, and a stream that has begun is still relayed until the process exits.

--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -286,7 +286,16 @@
                     };
                 }
             };
-            let end = self.attempt_with_backup(chosen, resume_after.as_deref(), purpose).await;
+            let attempt = self.attempt_with_backup(chosen, resume_after.as_deref(), purpose);
+            let end = tokio::select! {
+                biased;
+                end = attempt => end,
+                // The process ends before the deadline, and with it the caller's connection.
+                () = self.shared.end_of_grace_period() => {
+                    self.progress().attempts.record(AttemptEnd::Lost);
+                    return RequestResult::Expired(FinalStatus::Unknown);
+                }
+            };
             match end.result {
                 AttemptResult::Stream(head, stream) => return RequestResult::Stream(head, stream),
                 AttemptResult::Complete(head, body) => return RequestResult::Complete(head, body),
--- a/crates/gateway/src/entry/shared.rs
+++ b/crates/gateway/src/entry/shared.rs
@@ -19,7 +19,7 @@
 use log::{info, warn};
 use member::{EntryMember, EntryMembership};
 use shed::{ContentionTable, ShedControl};
-use tokio::sync::Notify;
+use tokio::{sync::Notify, time::sleep_until};
 use tokio_util::sync::CancellationToken;
 use wire::FleetKey;
 
@@ -323,6 +323,14 @@
         self.leaving.load(Ordering::Relaxed)
     }
 
+    /// Returns when the requests in flight must end because the process is about to.
+    pub(crate) async fn end_of_grace_period(&self) {
+        self.closing.cancelled().await;
+        if let Some(stop_at) = self.stop_at.get() {
+            sleep_until((*stop_at).into()).await;
+        }
+    }
+
     /// True if callers may be directed to this entry.
     pub(crate) fn is_ready(&self) -> bool {
         let view = self.view.load();
