Let running streams end before an engine changes its weights

The bound on outdated weights concerns only the begin of requests, so there is no reason to cut a stream that has begun. An order is no longer given up after 12 s while the engine is busy with it, because the time in which its requests end has no limit; an engine that stopped being busy without the weights is still noticed after 1 s. The expected time of the weights and the least gain of loading an older version include 0.8 s in which running requests end (2.0 s out of service on average, as measured earlier, less 1.2 s for the load).

--- a/crates/balance/src/upstream.rs
+++ b/crates/balance/src/upstream.rs
@@ -40,8 +40,8 @@
     pub version: WeightsVersion,
     /// True while the engine does not accept requests because it was ordered to switch weights.
     pub switching: bool,
-    /// Time from the report until the engine aborts its running requests to switch weights; `None` if no switch is
-    /// scheduled.
+    /// Time from the report until the engine stops accepting requests to switch weights; `None` if no switch is scheduled.
+    /// Running requests end before the switch; those that still wait are refused.
     pub change_in: Option<Duration>,
     /// Time of a step in percent of the configured one; 0 if unknown.
     #[serde(rename = "pace_percent")]
@@ -205,7 +205,7 @@
         }
     }
 
-    /// Time until the engine aborts its running requests to switch weights.
+    /// Time until the engine stops accepting requests to switch weights.
     pub(crate) fn time_to_switch(&self, now: Instant) -> Option<Duration> {
         let (report, taken) = self.report?;
         Some(report.change_in?.saturating_sub(now.saturating_duration_since(taken)))
--- a/crates/chunks/src/lib.rs
+++ b/crates/chunks/src/lib.rs
@@ -18,7 +18,7 @@
     manifest::{ChunkDigest, ChunkIndex, ChunkManifest, ChunkSet, WeightsId, verify_chunk},
     neighbours::choose_neighbours,
     origin::{OriginGate, OriginRole},
-    schedule::{LOAD_TIME, LoadPosition, LoadSchedule},
+    schedule::{DRAIN_TIME, LOAD_TIME, LoadPosition, LoadSchedule},
     search::{ManifestSearch, ManifestSource},
     swarm::ChunkSwarm,
     transfers::{TransferSet, WeightsTransfer},
--- a/crates/chunks/src/schedule.rs
+++ b/crates/chunks/src/schedule.rs
@@ -1,6 +1,7 @@
 //! Decides when an engine loads staged weights.
 //!
-//! An engine accepts no requests while it loads, so the loads of a fleet are spread over the allowed time. All agents
+//! An engine accepts no requests from the order to load until it has loaded, and its running requests end in between, so
+//! the loads of a fleet are spread over the allowed time. All agents
 //! derive the same order from the same list of agents, and each computes its own start time from its position. This
 //! needs no coordinator, and no agent waits for another one that may be down.
 
@@ -9,8 +10,11 @@
 use fleet::WeightsVersion;
 use serde::{Deserialize, Serialize};
 
-/// Time from the order to load until the engine serves requests again, including a margin for repeating the order.
+/// Time in which an idle engine loads weights, including a margin for repeating the order.
 pub const LOAD_TIME: Duration = Duration::from_millis(1_200);
+/// Expected time in which the running requests of an engine end once it accepts no more: engines that let them end were
+/// out of service for 2.0 s on average, 0.8 to 3.0 s.
+pub const DRAIN_TIME: Duration = Duration::from_millis(800);
 
 /// Inputs that determine when an engine loads.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/crates/chunks/src/transfers.rs
+++ b/crates/chunks/src/transfers.rs
@@ -15,7 +15,7 @@
     fetch::FetchId,
     manifest::{ChunkIndex, ChunkSet, WeightsId},
     origin::OriginGate,
-    schedule::LOAD_TIME,
+    schedule::{DRAIN_TIME, LOAD_TIME},
     swarm::ChunkSwarm,
 };
 
@@ -258,9 +258,9 @@
     }
 
     /// Drops the oldest version, which is staged, if loading it would not keep the engine in service, because each switch
-    /// of weights interrupts the running requests. That is the case if the newer version will arrive before `deadline`,
+    /// of weights takes the engine out of service until its requests have ended and the weights are loaded. That is the case if the newer version will arrive before `deadline`,
     /// the latest time to order the load of the older one, or if the older version would be served for less time than
-    /// its load takes. An engine that serves nothing (`is_serving` is false) gains from any time. `chunk_time` is the
+    /// its switch takes. An engine that serves nothing (`is_serving` is false) gains from any time. `chunk_time` is the
     /// transfer time of a chunk on an idle link. Returns whether a version was dropped.
     pub fn skip_oldest(
         &mut self,
@@ -274,7 +274,7 @@
             return false;
         }
         let remaining = chunk_time.mul_f64(f64::from(newer.missing()) * REMAINING_TIME_FACTOR);
-        let min_gain = if is_serving { LOAD_TIME * 2 } else { LOAD_TIME };
+        let min_gain = if is_serving { (DRAIN_TIME + LOAD_TIME) * 2 } else { LOAD_TIME };
         if remaining > min_gain && now + remaining > deadline {
             return false;
         }
--- a/crates/gateway/src/agent/transfer/loading.rs
+++ b/crates/gateway/src/agent/transfer/loading.rs
@@ -7,7 +7,7 @@
 };
 
 use base::rendezvous_weight;
-use chunks::{LOAD_TIME, LoadPosition, LoadSchedule, WeightsId};
+use chunks::{DRAIN_TIME, LOAD_TIME, LoadPosition, LoadSchedule, WeightsId};
 use log::info;
 use rand::RngExt;
 use tokio::time::sleep;
@@ -20,8 +20,8 @@
     TransferTask,
 };
 
-/// Timeout for loading the weights after a load order; the order is repeated when it expires.
-const LOAD_TIMEOUT: Duration = Duration::from_secs(12);
+/// Time after a load order within which the engine reports that it carries the order out.
+const ORDER_REPORT_TIME: Duration = Duration::from_secs(1);
 /// Factor between the transfer time of the weights on an idle link and the time until all hosts have them: chunks pass
 /// through several hosts, and transfers leave part of each link to requests.
 const TRANSFER_FACTOR: f64 = 1.6;
@@ -36,16 +36,20 @@
             return None;
         }
         let now = self.shared.clock.now();
+        let switch_time = if loaded == 0 { LOAD_TIME } else { DRAIN_TIME + LOAD_TIME };
         if let Some((weights, ordered)) = &self.pending_load
             && *weights == assignment.weights
         {
-            return Some((*ordered + LOAD_TIME).max(now));
+            // Loading begins when the last running request has ended.
+            let is_draining = self.shared.report().is_some_and(|report| report.running > 0);
+            let earliest = if is_draining { now + LOAD_TIME } else { now };
+            return Some((*ordered + switch_time).max(earliest));
         }
         let transfers = self.shared.transfers();
         transfers.get(&assignment.weights)?;
         let remaining = transfers.newest_remaining(self.shared.chunk_time(assignment), now)?;
         let load_at = self.shared.next_load_at().unwrap_or(now);
-        Some((now + remaining).max(load_at) + LOAD_TIME)
+        Some((now + remaining).max(load_at) + switch_time)
     }
 
     /// Position of this agent in the order in which the engines load a version.
@@ -155,15 +159,16 @@
         }
     }
 
-    /// Stops waiting for a load order once the engine has loaded the weights, or has failed or timed out.
+    /// Stops waiting for a load order once the engine has loaded the weights, or no longer carries the order out. There is
+    /// no timeout: the engine is busy until its last running request has ended, and accepts no other order before.
     pub(super) fn settle_load(&mut self, assignment: &AgentAssignment, loaded: u64) {
         let Some((weights, at)) = &self.pending_load else { return };
         let now = self.shared.clock.now();
         let elapsed = now.saturating_duration_since(*at);
         let is_loaded = loaded >= weights.version;
         let is_idle = self.shared.report().is_none_or(|report| !report.busy);
-        let has_failed = is_idle && elapsed > Duration::from_secs(1) && !is_loaded;
-        if is_loaded || has_failed || elapsed > LOAD_TIMEOUT {
+        let has_failed = is_idle && elapsed > ORDER_REPORT_TIME && !is_loaded;
+        if is_loaded || has_failed {
             info!(
                 "event=load_settled model={} version={} loaded={is_loaded} ms={} wanted={}",
                 weights.model,
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -228,7 +228,7 @@
     /// Number of load orders that the engine has accepted since its start.
     #[serde(rename = "orders")]
     pub load_orders: u64,
-    /// True while a load order is being carried out.
+    /// True while a load order is being carried out, which includes the time in which the running requests end.
     pub busy: bool,
     /// Number of running requests.
     pub running: u32,
@@ -280,8 +280,9 @@
         model: &'a ModelId,
     ) -> BoxFuture<'a, Result<Vec<ChunkIndex>, PlatformError>>;
 
-    /// Orders the engine to load the staged weights. The order is only accepted if the engine has accepted exactly
-    /// `load_orders` orders since its start.
+    /// Orders the engine to load the staged weights. From then on the engine accepts no requests; it loads once its running
+    /// requests have ended. The order is only accepted if the engine has accepted exactly `load_orders` orders since its
+    /// start.
     fn load<'a>(
         &'a self,
         weights: &'a WeightsId,
--- a/crates/wire/src/message/fleet.rs
+++ b/crates/wire/src/message/fleet.rs
@@ -130,8 +130,8 @@
     /// Entries that the sender has recently seen; only included in some heartbeats.
     #[prost(message, repeated, tag = "8")]
     pub contacts: Vec<EntryContact>,
-    /// Time until the engine aborts its running requests to switch to other weights, in milliseconds; absent if no
-    /// switch is due.
+    /// Time until the engine stops accepting requests to switch to other weights, in milliseconds; absent if no switch is
+    /// due or its time is unknown.
     #[prost(uint32, optional, tag = "9")]
     pub change_in_ms: Option<u32>,
     /// Duration of a generation step in percent of its usual duration; 0 if unknown.
