Spread the loads of weights that are staged late, and announce their exact times

Callers would see: refusals as overloaded and late first events when the weights arrive late, as after an outage of the origin, because all engines stop accepting requests within a second, although they may begin requests on the older weights until the bound. Cause: an engine whose turn had passed when its weights were staged was ordered to load at once. An engine that loads the later of two declared versions waited for a turn that was counted from the later declaration, while its loaded weights were outdated from the bound of the earlier one. The announced time of a load did not include the transfer: "0 ms" was announced for as long as the transfer was late, also while the origin was down. Change: the start times are spread over what is left between the end of the transfer and the latest start, which counts from the first declaration that made the loaded version outdated. The agent announces start times that include the expected rest of the transfer, none while the origin does not respond, and the exact time at least 0.3 s before the order. Heartbeats are sent with every tick in the last 0.5 s, and at once when the weights are staged, twice before the order and once after it, because datagrams may be lost. Why it works: each agent computes its time from its own position, as before. After the bound nothing is gained by waiting, so all engines still load at once then. The order of heartbeats and orders between processes is not covered by a test.

--- a/crates/chunks/src/schedule.rs
+++ b/crates/chunks/src/schedule.rs
@@ -35,6 +35,7 @@
 pub struct LoadSchedule {
     bound: Duration,
     transfer_time: Duration,
+    first_declared: Option<Instant>,
 }
 
 impl LoadSchedule {
@@ -42,28 +43,43 @@
     /// is the minimum time in which a host receives the weights.
     #[must_use]
     pub fn new(bound: Duration, transfer_time: Duration) -> Self {
-        Self { bound, transfer_time }
+        Self { bound, transfer_time, first_declared: None }
     }
 
-    /// Earliest time at which the engine may be ordered to load staged weights. An engine that serves no version loads
-    /// at once. So does every engine if the time of the declaration is unknown, because the bound may already have
-    /// passed.
+    /// Sets the time of the declaration that made the loaded version outdated, if it is not the one of the version to
+    /// load. Requests may begin on the loaded version until the bound after it.
+    #[must_use]
+    pub fn with_first_declared(self, first_declared: Option<Instant>) -> Self {
+        Self { first_declared, ..self }
+    }
+
+    /// Earliest time at which the engine may be ordered to load weights that are staged at `staged_at`. If they are staged
+    /// late, the loads are spread over the time that is left, so that not all engines are out of service at once. An
+    /// engine that serves no version loads at once. So does every engine if the time of the declaration is unknown,
+    /// because the bound may already have passed.
     #[must_use]
     pub fn start(
         &self,
         engine: &LoadPosition,
         declared_at: Option<Instant>,
-        now: Instant,
+        staged_at: Instant,
     ) -> Instant {
-        let Some(declared_at) = declared_at.filter(|_| engine.loaded != 0) else { return now };
-        let window = self.bound.saturating_sub(self.transfer_time).saturating_sub(LOAD_TIME);
+        let Some(declared_at) = declared_at.filter(|_| engine.loaded != 0) else {
+            return staged_at;
+        };
+        let latest = self.latest_start(declared_at);
+        let earliest = staged_at.max(latest.min(declared_at + self.transfer_time));
+        let window = latest.saturating_duration_since(earliest);
         let fraction = f64::from(engine.position) / f64::from(engine.agents.max(1));
-        declared_at + self.transfer_time + window.mul_f64(fraction.min(1.0))
+        earliest + window.mul_f64(fraction.min(1.0))
     }
 
-    /// Latest time at which an engine may be ordered to load and still serve the version within the bound.
+    /// Latest time at which an engine is ordered to load a version declared at `declared_at`: an idle engine serves it
+    /// within the bound. The time in which running requests end is not subtracted, because they may end after the bound,
+    /// and because a shorter window has more engines out of service at once.
     #[must_use]
     pub fn latest_start(&self, declared_at: Instant) -> Instant {
-        declared_at + self.bound.saturating_sub(LOAD_TIME)
+        let first = self.first_declared.map_or(declared_at, |first| first.min(declared_at));
+        first + self.bound.saturating_sub(LOAD_TIME)
     }
 }
--- a/crates/gateway/src/agent/heartbeats.rs
+++ b/crates/gateway/src/agent/heartbeats.rs
@@ -23,6 +23,9 @@
 const MANY_REMOTE: usize = 12;
 /// Number of ticks after which a heartbeat is sent although nothing has changed.
 const IDLE_TICKS: u64 = 4;
+/// Time before a load in which a heartbeat is sent with every tick, because datagrams may be lost and entries must place
+/// no request that would still be waiting then.
+const LOAD_NOTICE_MS: u32 = 500;
 /// Number of ticks between two heartbeats that carry contacts.
 const CONTACT_TICKS: u64 = 20;
 /// Maximum slowdown that is reported; an engine that is this slow gets no requests anyway.
@@ -48,6 +51,7 @@
         let heartbeat = make_heartbeat(&shared, sequence, now);
         let has_changed = last.as_ref().is_none_or(|(sent, at)| {
             sequence - at >= IDLE_TICKS
+                || heartbeat.change_in_ms.is_some_and(|change_in| change_in < LOAD_NOTICE_MS)
                 || (sent.running, sent.queued, sent.version, sent.switching, sent.slowdown_percent)
                     != (
                         heartbeat.running,
--- a/crates/gateway/src/agent/transfer.rs
+++ b/crates/gateway/src/agent/transfer.rs
@@ -49,8 +49,10 @@
     /// Weights of which chunks have arrived since the last notice.
     unannounced: HashSet<WeightsId>,
     pending_load: Option<(WeightsId, Instant)>,
-    /// Last version that was logged as completely staged.
-    logged_staged: u64,
+    /// Weights that are completely staged, and the time since which they are.
+    staged: Option<(WeightsId, Instant)>,
+    /// Times of the declarations of versions that are newer than the loaded one.
+    declarations: Vec<(WeightsId, Instant)>,
     has_seen_engine: bool,
     /// Assignment whose agents all transfers know.
     applied: Option<Arc<AgentAssignment>>,
@@ -70,7 +72,8 @@
         last_query: None,
         unannounced: HashSet::new(),
         pending_load: None,
-        logged_staged: 0,
+        staged: None,
+        declarations: Vec::new(),
         has_seen_engine: false,
         applied: None,
         load_position: None,
--- a/crates/gateway/src/agent/transfer/loading.rs
+++ b/crates/gateway/src/agent/transfer/loading.rs
@@ -27,6 +27,9 @@
 const TRANSFER_FACTOR: f64 = 1.6;
 /// Delay between the announcement of a load and the load order, so that requests already in transit arrive first.
 const ANNOUNCE_DELAY: Duration = Duration::from_millis(40);
+/// Minimum time between the announcement of the time of a load and the load order while requests may begin on the loaded
+/// version, so that requests that are queued at the engine can begin.
+const NOTICE_TIME: Duration = Duration::from_millis(300);
 
 impl TransferTask {
     /// Expected time at which the engine serves the wanted weights; `None` if it serves them already or the time is
@@ -75,7 +78,20 @@
         position
     }
 
+    /// Time of the declaration that made the loaded version outdated; `None` if this process has not learned of one.
+    fn first_declared(&mut self, assignment: &AgentAssignment, loaded: u64) -> Option<Instant> {
+        let weights = &assignment.weights;
+        if let Some(at) = assignment.declared_at {
+            self.declarations.retain(|(known, _)| known != weights);
+            self.declarations.push((weights.clone(), at));
+        }
+        self.declarations
+            .retain(|(known, _)| known.model == weights.model && known.version > loaded);
+        self.declarations.iter().map(|(_, at)| *at).min()
+    }
+
     pub(super) async fn load_when_due(&mut self, assignment: &Arc<AgentAssignment>, loaded: u64) {
+        let first_declared = self.first_declared(assignment, loaded);
         if self.pending_load.is_some() || self.shared.report().is_none() || self.shared.is_stale() {
             return;
         }
@@ -85,11 +101,15 @@
         let schedule = LoadSchedule::new(
             common.rollout_timeout,
             chunk_time.mul_f64(f64::from(assignment.chunk_count) * TRANSFER_FACTOR),
-        );
-        let Some((weights, declared_at, is_staged, elapsed)) =
+        )
+        .with_first_declared(first_declared);
+        let Some((weights, declared_at, is_staged, elapsed, remaining)) =
             self.shared.transfers().staging().map(|transfer| {
                 let weights = transfer.swarm.name().clone();
-                (weights, transfer.declared_at, transfer.is_staged(), transfer.elapsed(now))
+                let origin_time = transfer.swarm.origin_chunk_time().unwrap_or(chunk_time);
+                let remaining = transfer.remaining(chunk_time, origin_time, now);
+                let is_staged = transfer.is_staged();
+                (weights, transfer.declared_at, is_staged, transfer.elapsed(now), remaining)
             })
         else {
             return;
@@ -98,31 +118,42 @@
             self.shared.set_next_load_at(None);
             return;
         }
-        let agents = u32::try_from(assignment.agents.len() + 1).unwrap_or(u32::MAX);
-        let position = self.load_position(assignment, &weights);
-        let load_position = LoadPosition { loaded, declared: weights.version, position, agents };
-        let start = schedule.start(&load_position, declared_at, now);
-        self.shared.set_next_load_at((loaded != 0).then_some(start));
-        if !is_staged {
-            return;
-        }
-        if self.logged_staged != weights.version {
-            self.logged_staged = weights.version;
+        if is_staged && self.staged.as_ref().is_none_or(|(known, _)| *known != weights) {
             info!(
                 "event=weights_staged model={} version={} ms={}",
                 weights.model,
                 weights.version,
                 elapsed.as_millis()
             );
+            self.staged = Some((weights.clone(), now));
+            // The time of the load is exact from now on.
+            self.shared.wake_heartbeats.notify_one();
+        }
+        let staged_at = match &self.staged {
+            Some((known, at)) if is_staged && *known == weights => Some(*at),
+            _ => remaining.map(|remaining| now + remaining),
+        };
+        let is_serving = loaded != 0;
+        let Some(staged_at) = staged_at else {
+            self.shared.set_next_load_at(None);
+            return;
+        };
+        let agents = u32::try_from(assignment.agents.len() + 1).unwrap_or(u32::MAX);
+        let position = self.load_position(assignment, &weights);
+        let load_position = LoadPosition { loaded, declared: weights.version, position, agents };
+        let mut start = schedule.start(&load_position, declared_at, staged_at);
+        if is_serving && declared_at.is_some_and(|at| staged_at < schedule.latest_start(at)) {
+            start = start.max(staged_at + NOTICE_TIME);
         }
-        if now < start {
+        self.shared.set_next_load_at(is_serving.then_some(start));
+        if !is_staged || now < start {
             return;
         }
         let due = declared_at.map_or(now, |at| schedule.latest_start(at));
-        let is_serving = loaded != 0;
         let wanted = &assignment.weights;
         let count = assignment.chunk_count;
         if is_serving && self.shared.transfers().awaits_newer(wanted, count, due, chunk_time, now) {
+            self.shared.set_next_load_at(None);
             return;
         }
         if self.shared.transfers().skip_oldest(is_serving, due, chunk_time, now) {
@@ -146,10 +177,15 @@
         self.shared.switching.store(true, Ordering::Relaxed);
         self.shared.wake_heartbeats.notify_one();
         if loaded != 0 {
-            sleep(ANNOUNCE_DELAY).await;
+            // Repeated because datagrams may be lost.
+            sleep(ANNOUNCE_DELAY / 2).await;
+            self.shared.wake_heartbeats.notify_one();
+            sleep(ANNOUNCE_DELAY / 2).await;
         }
         self.shared.set_next_load_at(None);
-        if order_load(&self.shared, weights).await {
+        let is_ordered = order_load(&self.shared, weights).await;
+        self.shared.wake_heartbeats.notify_one();
+        if is_ordered {
             self.pending_load = Some((weights.clone(), self.shared.clock.now()));
             self.shared.transfers().release_staging(weights);
         } else {
