End the load schedule when outdated engines get no more requests

Callers would see: late and refused requests at every change of weights, because more than half of the engines are out of service at once. Cause: the schedule ended 1.2 s before the bound, so that the last engine serves the new version by then. The bound concerns only the begin of requests, and an engine that has its order begins none. It can be ordered until entries send it nothing more, about 0.5 s before the bound; what the switch takes does not count. Evidence: timely_transfer_takes_most_engines_out_of_service_at_once failed before: 8 of 14 engines are out at once with switches of 2 s, a bound of 8 s and weights staged after 3.2 s. Change: the schedule ends 0.5 s before the bound. An end that is earlier by the time in which running requests end was weighed and rejected: the time out of service stays the same for each engine, and falls into a shorter period. Measured: the test passes.

--- a/crates/chunks/src/schedule.rs
+++ b/crates/chunks/src/schedule.rs
@@ -16,6 +16,10 @@
 /// out of service for 2.0 s on average, 0.8 to 3.0 s.
 pub const DRAIN_TIME: Duration = Duration::from_millis(800);
 
+/// Time before the bound from which an engine gets no requests on the older weights: entries leave 0.25 s and 1.5 times the
+/// predicted time to the first event, which is usually 0.1 to 0.2 s.
+const LAST_BEGIN_TIME: Duration = Duration::from_millis(500);
+
 /// Inputs that determine when an engine loads.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LoadPosition {
@@ -39,8 +43,8 @@
 }
 
 impl LoadSchedule {
-    /// Creates a schedule. Every engine must serve the new version within `bound` of its declaration; `transfer_time`
-    /// is the minimum time in which a host receives the weights.
+    /// Creates a schedule. No request may begin on the older version later than `bound` after the declaration of the
+    /// new one; `transfer_time` is the minimum time in which a host receives the weights.
     #[must_use]
     pub fn new(bound: Duration, transfer_time: Duration) -> Self {
         Self { bound, transfer_time, first_declared: None }
@@ -74,12 +78,12 @@
         earliest + window.mul_f64(fraction.min(1.0))
     }
 
-    /// Latest time at which an engine is ordered to load a version declared at `declared_at`: an idle engine serves it
-    /// within the bound. The time in which running requests end is not subtracted, because they may end after the bound,
-    /// and because a shorter window has more engines out of service at once.
+    /// Latest time at which an engine is ordered to load a version declared at `declared_at`: until then, requests can begin
+    /// on the older weights. The time of the switch is not subtracted, because running requests may end after the bound, and
+    /// because a shorter window has more engines out of service at once.
     #[must_use]
     pub fn latest_start(&self, declared_at: Instant) -> Instant {
         let first = self.first_declared.map_or(declared_at, |first| first.min(declared_at));
-        first + self.bound.saturating_sub(LOAD_TIME)
+        first + self.bound.saturating_sub(LAST_BEGIN_TIME)
     }
 }
--- a/crates/chunks/tests/load_schedule.rs
+++ b/crates/chunks/tests/load_schedule.rs
@@ -26,7 +26,7 @@
     }
 }
 
-/// Times of the load orders, and the latest one that lets engines serve the version within the bound.
+/// Times of the load orders, and the latest one before the bound.
 fn load_times(
     (agents, bound, staged, lead): (u32, Duration, Duration, Duration),
     first: Instant,
@@ -40,6 +40,21 @@
     ((0..agents).map(start).collect(), schedule.latest_start(declared))
 }
 
+/// Guards against more than half of the engines being out of service at once although the weights arrive in time. A switch
+/// takes 2 s on average, and the bound is 8 s.
+#[test]
+fn timely_transfer_takes_most_engines_out_of_service_at_once() {
+    let (bound, switch) = (Duration::from_secs(8), Duration::from_secs(2));
+    for agents in [14, 16, 40, 156] {
+        let fleet = (agents, bound, TRANSFER_TIME, Duration::ZERO);
+        let (orders, _) = load_times(fleet, Instant::now());
+        for now in &orders {
+            let out = orders.iter().filter(|at| **at <= *now && *now < **at + switch).count();
+            assert!(out <= orders.len() / 2, "{out} of {} are out", orders.len());
+        }
+    }
+}
+
 proptest! {
     /// Guards against a late transfer, as after an outage of the origin, that takes all engines out of service at once
     /// before the bound: if the time left is twice what a switch takes, half of them accept requests at any time.
