Place no request where it is cancelled before its predicted begin

Callers would see: 502, or a closed connection after the response head, in the last 0.5 s before the bound on outdated weights, for requests with large prompts; each costs an attempt and a place in the engine's queue. Cause: an engine with outdated weights got a request if 1.5 times its predicted time and 0.25 s were left, but the request is cancelled 0.15 s and the time of its prefill before the bound. If the prefill takes more than 0.2 s, the request is cancelled before the begin that was predicted when it was placed. Evidence: request_is_placed_where_it_is_cancelled_before_its_predicted_begin failed before: "begins after 313.43485ms, cancelled after 306.56515ms". Change: the margin of the placement is at least that of the cancellation; both come from one function.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -61,7 +61,8 @@
 /// Factor on the predicted time to the first event by which a request is expected to begin, if it must begin before the
 /// weights of its upstream are outdated. The queue of a busy engine can take longer than predicted.
 const BEGIN_TIME_FACTOR: f64 = 1.5;
-/// Minimum time between the expected begin of a request and the time at which the weights of its upstream are outdated.
+/// Minimum time between the expected begin of a request and the time at which the weights of its upstream are outdated. It
+/// is longer for a large prompt, because the request must begin before it would be cancelled.
 const BEGIN_MARGIN: Duration = Duration::from_millis(250);
 /// Time before the weights of an upstream are outdated at which a request that has not begun there is cancelled, in
 /// addition to the time to its first event at an idle engine. It covers the way to the upstream, and a process that is
@@ -480,11 +481,7 @@
                     delay,
                     version,
                     cancel_at: time_left.map(|left| {
-                        // An engine cannot drop a request whose prefill it has started before the first token is made.
-                        let idle =
-                            EngineLoad { slowdown: state.slowdown(now), ..EngineLoad::default() };
-                        let prefill = Self::begin_delay(service, request, idle);
-                        now + left.saturating_sub(CANCEL_MARGIN + prefill)
+                        now + left.saturating_sub(Self::cancel_margin(service, request, state, now))
                     }),
                     expected_version: version.filter(|_| is_newest),
                 }
@@ -594,7 +591,20 @@
         let occupancy = state.occupancy(now, self.users(service));
         let load = state.engine_load(occupancy, now);
         let delay = Self::begin_delay(service, request, load);
-        delay.mul_f64(BEGIN_TIME_FACTOR) + BEGIN_MARGIN <= left
+        let margin = Self::cancel_margin(service, request, state, now).max(BEGIN_MARGIN);
+        delay.mul_f64(BEGIN_TIME_FACTOR) + margin <= left
+    }
+
+    /// Time before the weights of the upstream are outdated at which the request is cancelled if it has not begun. An engine
+    /// cannot drop a request whose prefill it has started before the first token is made.
+    fn cancel_margin(
+        service: &ServiceState,
+        request: &PlacementRequest<'_>,
+        state: &UpstreamState,
+        now: Instant,
+    ) -> Duration {
+        let idle = EngineLoad { slowdown: state.slowdown(now), ..EngineLoad::default() };
+        CANCEL_MARGIN + Self::begin_delay(service, request, idle)
     }
 
     /// Predicted time until the request begins at an engine with this load; zero for services without engines.
--- a/crates/balance/tests/board.rs
+++ b/crates/balance/tests/board.rs
@@ -318,6 +318,30 @@
     assert!(wait > latest - Duration::from_millis(200), "cancelled after {wait:?}");
 }
 
+/// Guards against a request with a large prompt that is placed at an engine with outdated weights although it will be
+/// cancelled before its predicted begin.
+#[test]
+fn request_is_placed_where_it_is_cancelled_before_its_predicted_begin() {
+    for (prompt_tokens, running) in [(500, 0), (1_000, 12), (4_000, 2), (8_000, 0), (8_000, 12)] {
+        let mut fixture = PlacementFixture::new(1);
+        let declared = fixture.now;
+        let weights = declared_versions(&[(2, Some(declared))]);
+        for step in 0..800 {
+            fixture.now = declared + Duration::from_millis(10) * step;
+            fixture.report(0, running, 1);
+            let placement = fixture.choose(|request| {
+                request.prompt_tokens = prompt_tokens;
+                request.weights = Some(WeightsLimits::new(&weights, ROLLOUT_TIMEOUT));
+                request.is_resumed = true;
+            });
+            if let Placement::Upstream { delay, cancel_at, .. } = placement {
+                let wait = cancel_at.expect("the weights are outdated") - fixture.now;
+                assert!(delay <= wait, "begins after {delay:?}, cancelled after {wait:?}");
+            }
+        }
+    }
+}
+
 /// An engine that has just switched weights is idle, so all entries send to it at once. All its slots are free, but the
 /// prefills of a full batch would make first events late.
 #[test]
