Count attempts when they are sent, and keep looking for a backup

Callers would see: status 502 or 504 although another upstream had a free slot, or a stream that is not resumed after its upstream breaks off. Cause: attempts were counted by their ends, so a backup had to count the attempt beside it as lost. A backup that could not connect left the request at the silent upstream for good, and used up the only resume of a stream; a broken stream whose backup found no free slot was given up; an unframed end dropped the backup before it was confirmed. Found by a review. Change: an attempt counts when it is sent. The attempts of a request that are open run in one loop, which begins another backup after one that failed. A broken stream is resumed again if its backup found no upstream. A backup stays until an unframed end is confirmed. Backups leave half of the retry share to requests that have failed. Events that are too long are no evidence of a crash, and a stream beyond its limit is not resumed.

--- a/crates/balance/src/attempt.rs
+++ b/crates/balance/src/attempt.rs
@@ -33,7 +33,10 @@
 pub struct AttemptLog {
     retry_policy: RetryPolicy,
     max_attempts: u32,
+    /// Attempts that were sent, including those that are still open.
     attempts: u32,
+    /// Attempts that were sent and whose end is not recorded.
+    open: u32,
     connect_failures: u32,
     may_have_run: bool,
 }
@@ -46,6 +49,7 @@
             retry_policy,
             max_attempts: max_attempts.max(1),
             attempts: 0,
+            open: 0,
             connect_failures: 0,
             may_have_run: false,
         }
@@ -57,23 +61,37 @@
         self.attempts
     }
 
-    /// True if the next attempt is the last one that is allowed.
+    /// True if another attempt is allowed while the current one, which may have run, is open or after it was lost.
     #[must_use]
-    pub fn is_last_attempt(&self) -> bool {
-        self.attempts + 1 >= self.max_attempts || !self.retry_policy.is_retryable()
+    pub fn allows_another(&self) -> bool {
+        self.attempts < self.max_attempts && self.retry_policy.is_retryable()
+    }
+
+    /// Records that an attempt is being sent. Several may be open at the same time.
+    pub fn record_sent(&mut self) {
+        self.attempts += 1;
+        self.open += 1;
+    }
+
+    /// Records that nothing of an attempt was sent, although [`AttemptLog::record_sent`] was called for it.
+    pub fn record_unsent(&mut self) {
+        self.attempts = self.attempts.saturating_sub(1);
+        self.open = self.open.saturating_sub(1);
     }
 
     /// Records the end of an attempt and returns whether the request may be sent to another upstream. If it has already
     /// been sent, the retry must also fit into the retry budget, which the caller of this method checks.
     pub fn record(&mut self, end: AttemptEnd) -> bool {
-        match end {
-            AttemptEnd::NotSent => self.connect_failures += 1,
-            AttemptEnd::NotRun => self.attempts += 1,
-            AttemptEnd::Lost | AttemptEnd::Failed => {
-                self.attempts += 1;
-                self.may_have_run = true;
-            }
+        if end == AttemptEnd::NotSent {
+            self.connect_failures += 1;
+            return self.may_retry(end);
+        }
+        if self.open > 0 {
+            self.open -= 1;
+        } else {
+            self.attempts += 1;
         }
+        self.may_have_run |= end != AttemptEnd::NotRun;
         self.may_retry(end)
     }
 
--- a/crates/balance/src/share.rs
+++ b/crates/balance/src/share.rs
@@ -16,6 +16,9 @@
 /// Fraction of the retry share that is used. The margin is small because an entry's own counts are exact and the window
 /// is rounded up.
 const RETRY_SHARE_USED: f64 = 0.95;
+/// Fraction of the share that backups of slow attempts leave to retries of failed ones. Silence of one upstream makes many
+/// backups at once.
+const BACKUP_RESERVE: f64 = 0.5;
 /// Fraction of the share of a cold upstream that is used. The margin is needed because requests sent within a second
 /// may arrive within less than a second.
 const COLD_SHARE_USED: f64 = 0.8;
@@ -100,6 +103,19 @@
 
     /// True if the share allows another retry.
     pub fn has_room(&mut self, service: &ServiceId, now: Instant) -> bool {
+        let (retries, allowed) = self.usage(service, now);
+        retries + 1.0 <= allowed
+    }
+
+    /// True if the share allows another retry and leaves [`BACKUP_RESERVE`] of itself to requests that have failed.
+    pub fn has_room_for_backup(&mut self, service: &ServiceId, now: Instant) -> bool {
+        let (retries, allowed) = self.usage(service, now);
+        // One is possible as long as nothing has been used.
+        retries + 1.0 <= (allowed * (1.0 - BACKUP_RESERVE)).max(allowed.min(1.0))
+    }
+
+    /// Number of retries in the window, and the number that the share allows.
+    fn usage(&mut self, service: &ServiceId, now: Instant) -> (f64, f64) {
         self.bucket(service, now);
         let (requests, retries) = self.services[service]
             .iter()
@@ -110,7 +126,7 @@
         let proportional = self.limits.retry_ratio * f64::from(requests);
         // A process that ran here before may have used the share in the same window. One retry is always possible.
         let allowed = RETRY_SHARE_USED * (proportional + share * uptime);
-        f64::from(retries) + 1.0 <= allowed.max(share.min(1.0))
+        (f64::from(retries), allowed.max(share.min(1.0)))
     }
 
     fn bucket(&mut self, service: &ServiceId, now: Instant) -> &mut WindowBucket {
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -22,7 +22,7 @@
 
 use super::{
     crashes::check_upstream,
-    events::{EventReader, StreamPart, has_content},
+    events::{EventReader, StreamFault, StreamPart, has_content},
     guards::{AttemptGuard, AttemptMonitor},
     limits::log_limit_change,
     outcome::AttemptResult,
@@ -137,11 +137,13 @@
         }
         let request = self.upstream_request(chosen, resume_after, now);
         connection.head_gate.begin();
+        self.progress().attempts.record_sent();
         let sent = connection.sender.send_request(request);
         let wait = ResponseWait { cancel_at, sent_at: now, monitor };
         let response = match self.wait_for(sent, &wait).await {
             Ok(Ok(response)) => response,
             Ok(Err(error)) if error.is_canceled() => {
+                self.progress().attempts.record_unsent();
                 guard.finish(AttemptOutcome::Unreachable);
                 return AttemptResult::Failed(AttemptEnd::NotSent, None);
             }
@@ -198,7 +200,7 @@
             if slow_at >= self.deadline {
                 return Err(WaitError::TimedOut);
             }
-            wait.monitor.slow.notify_one();
+            wait.monitor.notify_slow();
             slow_at = self.deadline.min(slow_at + ALTERNATIVE_CHECK_INTERVAL);
         }
     }
@@ -243,7 +245,7 @@
     fn response_deadline(&self, now: Instant) -> Instant {
         let target = self.route.target_latency;
         let wait = match () {
-            () if self.progress().attempts.is_last_attempt() => return self.deadline,
+            () if !self.progress().attempts.allows_another() => return self.deadline,
             () if self.route.repeat.is_stream() => target + FIRST_EVENT_SLACK,
             () => (target * RESPONSE_TIMEOUT_FACTOR).max(MIN_RESPONSE_TIMEOUT),
         };
@@ -314,7 +316,12 @@
                     "event=stream_failed request={} upstream={} cause={cause} framed={is_framed}",
                     self.meta.id, upstream.upstream
                 );
-                self.record_connection_lost(upstream, false);
+                if !matches!(
+                    first,
+                    StreamPart::Fault(StreamFault::StreamTooLong | StreamFault::EventTooLong)
+                ) {
+                    self.record_connection_lost(upstream, false);
+                }
                 guard.fail();
                 return AttemptResult::Failed(AttemptEnd::Lost, None);
             }
--- a/crates/gateway/src/entry/backup.rs
+++ b/crates/gateway/src/entry/backup.rs
@@ -2,11 +2,13 @@
 //!
 //! An upstream that is silent for a second may be sound. It is given up only once another one has responded.
 
-use std::{pin::pin, sync::Arc};
+use std::sync::Arc;
 
 use balance::AttemptEnd;
 use base::UpstreamId;
+use futures_util::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
 use log::info;
+use tokio::sync::Notify;
 
 use super::{
     guards::AttemptMonitor,
@@ -14,79 +16,113 @@
     request::{AttemptPurpose, ChosenUpstream, RequestContext},
 };
 
-/// End of an attempt, or of the last of two that ran at the same time.
-pub(super) struct SettledAttempt {
-    pub(super) upstream: UpstreamId,
-    pub(super) result: AttemptResult,
-    /// True if the attempt was already counted when the backup began.
-    pub(super) is_recorded: bool,
+/// Maximum number of attempts of a request that are open at the same time.
+const MAX_OPEN_ATTEMPTS: usize = 2;
+
+/// Attempts of a request that are open at the same time.
+struct OpenAttempts<'a> {
+    request: &'a RequestContext,
+    resume_after: Option<&'a str>,
+    slow: Arc<Notify>,
+    monitors: Vec<(UpstreamId, Arc<AttemptMonitor>)>,
+    running: FuturesUnordered<BoxFuture<'a, (UpstreamId, AttemptResult)>>,
+}
+
+impl<'a> OpenAttempts<'a> {
+    fn new(request: &'a RequestContext, resume_after: Option<&'a str>) -> Self {
+        Self {
+            request,
+            resume_after,
+            slow: Arc::default(),
+            monitors: Vec::new(),
+            running: FuturesUnordered::new(),
+        }
+    }
+
+    fn begin(&mut self, chosen: ChosenUpstream) {
+        let upstream = chosen.record.upstream.clone();
+        let monitor = Arc::new(AttemptMonitor::new(self.slow.clone()));
+        self.monitors.push((upstream.clone(), monitor.clone()));
+        let (request, resume_after) = (self.request, self.resume_after);
+        self.running.push(Box::pin(async move {
+            let result = request.attempt(&chosen, resume_after, &monitor).await;
+            (upstream, result)
+        }));
+    }
+
+    /// Removes an attempt that has ended.
+    fn remove(&mut self, upstream: &UpstreamId) {
+        self.monitors.retain(|(open, _)| open != upstream);
+    }
 }
 
 impl RequestContext {
-    /// Makes an attempt. If its response takes long and another upstream can take the request, a backup runs at the same
-    /// time; the first response wins and the other attempt is cancelled.
+    /// Makes an attempt. While its response takes long and another upstream can take the request, a backup runs at the same
+    /// time; the first response wins and the other attempt is cancelled. Returns the last result with its upstream; a
+    /// failure of an attempt before it is recorded here.
     pub(super) async fn attempt_with_backup(
         &self,
         chosen: ChosenUpstream,
         resume_after: Option<&str>,
-        purpose: AttemptPurpose,
-    ) -> SettledAttempt {
-        let upstream = chosen.record.upstream.clone();
-        let settled =
-            |upstream, result, is_recorded| SettledAttempt { upstream, result, is_recorded };
-        let monitor = Arc::new(AttemptMonitor::default());
-        let mut first = pin!(self.attempt(&chosen, resume_after, &monitor));
-        let backup = loop {
-            tokio::select! {
+    ) -> (UpstreamId, AttemptResult) {
+        let mut attempts = OpenAttempts::new(self, resume_after);
+        attempts.begin(chosen);
+        let slow = attempts.slow.clone();
+        let mut error_response = None;
+        let mut has_charged = false;
+        loop {
+            let ended = tokio::select! {
                 biased;
-                result = &mut first => return settled(upstream, result, false),
-                () = monitor.slow.notified() => {}
-            }
-            if let Some(backup) = self.begin_backup(&upstream, purpose) {
-                break backup;
-            }
-        };
-        let backup_upstream = backup.record.upstream.clone();
-        let backup_monitor = Arc::new(AttemptMonitor::default());
-        let mut second = pin!(self.attempt(&backup, resume_after, &backup_monitor));
-        tokio::select! {
-            biased;
-            result = &mut first => {
-                let AttemptResult::Failed(end, response) = result else {
-                    self.progress().last = Some(upstream.clone());
-                    return settled(upstream, result, true);
-                };
-                self.log_attempt_end(&upstream, end);
-                settled(backup_upstream, second.await.or_response(response), false)
-            }
-            result = &mut second => {
-                let AttemptResult::Failed(end, response) = result else {
-                    monitor.set_replaced();
-                    return settled(backup_upstream, result, false);
-                };
-                self.log_attempt_end(&backup_upstream, end);
-                {
+                ended = attempts.running.next() => ended,
+                () = slow.notified() => {
+                    if attempts.monitors.len() < MAX_OPEN_ATTEMPTS
+                        && let Some(backup) = self.choose_backup(has_charged)
+                    {
+                        has_charged = true;
+                        attempts.begin(backup);
+                    }
+                    continue;
+                }
+            };
+            // Ends only after the last attempt, which is returned below.
+            let Some((upstream, result)) = ended else { continue };
+            attempts.remove(&upstream);
+            match result {
+                AttemptResult::Failed(end, response) if !attempts.monitors.is_empty() => {
+                    self.log_attempt_end(&upstream, end);
+                    error_response = response.or(error_response);
+                    // A backup that was not sent leaves its charge to the next one.
+                    has_charged = end == AttemptEnd::NotSent;
                     let mut progress = self.progress();
                     progress.attempts.record(end);
-                    progress.tried.push(backup_upstream);
-                    progress.last = Some(upstream.clone());
+                    progress.tried.push(upstream);
+                    progress.last = attempts.monitors.first().map(|(open, _)| open.clone());
+                }
+                AttemptResult::Failed(end, response) => {
+                    return (upstream, AttemptResult::Failed(end, response.or(error_response)));
+                }
+                result => {
+                    attempts.monitors.iter().for_each(|(_, monitor)| monitor.set_replaced());
+                    self.progress().last = Some(upstream.clone());
+                    return (upstream, result);
                 }
-                settled(upstream, first.await.or_response(response), true)
             }
         }
     }
 
-    /// Chooses the upstream of a backup, counts the attempt at `slow`, and charges the retry budget; `None` if there is no
+    /// Chooses the upstream of a backup and charges the retry budget unless that `has_charged` before; `None` if there is no
     /// upstream or a retry is not allowed.
-    fn begin_backup(&self, slow: &UpstreamId, purpose: AttemptPurpose) -> Option<ChosenUpstream> {
-        // A backup has none of its own, and a resumed stream has used a retry already.
-        if purpose != AttemptPurpose::Initial || !self.has_alternative() {
+    fn choose_backup(&self, has_charged: bool) -> Option<ChosenUpstream> {
+        if !self.has_alternative() {
             return None;
         }
         let now = self.shared.clock.now();
-        self.progress().tried.push(slow.clone());
-        let backup = self.choose_upstream(now, AttemptPurpose::Backup).ok()?;
-        if !self.may_retry(AttemptEnd::Lost) {
+        let slow = self.progress().last.clone()?;
+        let backup = {
+            self.progress().tried.push(slow.clone());
+            self.choose_upstream(now, AttemptPurpose::Backup).ok()?
+        };
+        if !has_charged && !self.charge_retry() {
             return None;
         }
         info!(
--- a/crates/gateway/src/entry/guards.rs
+++ b/crates/gateway/src/entry/guards.rs
@@ -51,14 +51,23 @@
 }
 
 /// Connects an attempt with the request, which may make another one beside it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct AttemptMonitor {
-    /// Notified while the response takes long.
-    pub(super) slow: Notify,
+    /// Notified while the response takes long; shared by the attempts of a request that are open at the same time.
+    slow: Arc<Notify>,
     is_replaced: AtomicBool,
 }
 
 impl AttemptMonitor {
+    pub(super) fn new(slow: Arc<Notify>) -> Self {
+        Self { slow, is_replaced: AtomicBool::new(false) }
+    }
+
+    /// Reports that the response takes long.
+    pub(super) fn notify_slow(&self) {
+        self.slow.notify_one();
+    }
+
     /// Records that another upstream was faster, which counts as a failure of the attempt when it is cancelled.
     pub(super) fn set_replaced(&self) {
         self.is_replaced.store(true, Ordering::Relaxed);
--- a/crates/gateway/src/entry/outcome.rs
+++ b/crates/gateway/src/entry/outcome.rs
@@ -13,16 +13,6 @@
     Failed(AttemptEnd, Option<(response::Parts, Bytes)>),
 }
 
-impl AttemptResult {
-    /// Adds the error response of another attempt to a failed one without a response of its own.
-    pub(super) fn or_response(self, other: Option<(response::Parts, Bytes)>) -> Self {
-        match self {
-            Self::Failed(end, response) => Self::Failed(end, response.or(other)),
-            result => result,
-        }
-    }
-}
-
 /// Result of a request after its last attempt.
 pub(super) enum RequestResult {
     Stream(response::Parts, OpenStream),
@@ -45,6 +35,8 @@
     Deadline,
     /// The request has been sent to as many upstreams as its route allows.
     Attempts,
+    /// As much has been passed on as a stream may have.
+    TooLong,
 }
 
 impl ResumeRefusal {
@@ -54,6 +46,7 @@
             Self::NotResumable => "not_resumable",
             Self::Deadline => "deadline",
             Self::Attempts => "attempts",
+            Self::TooLong => "too_long",
         }
     }
 }
--- a/crates/gateway/src/entry/relay.rs
+++ b/crates/gateway/src/entry/relay.rs
@@ -71,7 +71,11 @@
     Reading(OpenStream),
     /// The stream has ended with its connection. The future tells whether the upstream still accepts connections.
     Confirming(OpenStream, BoxFuture<'static, bool>),
-    Resuming(BoxFuture<'static, Option<OpenStream>>),
+    /// The stream has broken off and is being resumed at another upstream. With `is_backup`, that had begun before.
+    Resuming {
+        resumed: BoxFuture<'static, Option<OpenStream>>,
+        is_backup: bool,
+    },
     Ended,
 }
 
@@ -144,18 +148,29 @@
             self.has_events,
             is_framed
         );
-        if let Some(backup) = self.backup.take() {
-            self.state = RelayState::Resuming(backup);
+        self.request.record_lost();
+        if let Some(resumed) = self.backup.take() {
+            self.state = RelayState::Resuming { resumed, is_backup: true };
             return Ok(());
         }
-        if let Some(refusal) = self.resume_refusal() {
+        self.resume()
+    }
+
+    /// Resumes a broken stream at another upstream if that is allowed.
+    fn resume(&mut self) -> Result<(), RelayError> {
+        let refusal = match self.relayed > MAX_STREAM_BYTES {
+            true => Some(ResumeRefusal::TooLong),
+            false => self.resume_refusal(),
+        };
+        if let Some(refusal) = refusal {
+            self.state = RelayState::Ended;
             self.request.log_resume_refusal(refusal.as_str());
             self.request.log_end("broken", None);
             return Err(RelayError::Broken);
         }
-        let request = self.request.clone();
-        let resume = async move { request.resume(after, AttemptPurpose::Resume).await };
-        self.state = RelayState::Resuming(Box::pin(resume));
+        let (request, after) = (self.request.clone(), self.last_id.clone());
+        let resumed = Box::pin(async move { request.resume(after, AttemptPurpose::Resume).await });
+        self.state = RelayState::Resuming { resumed, is_backup: false };
         Ok(())
     }
 
@@ -209,7 +224,7 @@
     fn take_stream(&mut self) -> Option<OpenStream> {
         match std::mem::replace(&mut self.state, RelayState::Ended) {
             RelayState::Reading(stream) | RelayState::Confirming(stream, _) => Some(stream),
-            RelayState::Resuming(_) | RelayState::Ended => None,
+            RelayState::Resuming { .. } | RelayState::Ended => None,
         }
     }
 
@@ -233,6 +248,7 @@
     }
 
     fn finish(&mut self) {
+        self.backup = None;
         if let Some(stream) = self.take_stream() {
             let OpenStream { connection, guard, keep_alive, closes, is_framed, .. } = stream;
             let upstream = guard.upstream().clone();
@@ -289,8 +305,14 @@
             return Poll::Ready(None);
         }
         self.last_id = stream.reader.last_id().cloned();
-        if !matches!(part, StreamPart::Comments(_)) && self.backup.take().is_some() {
+        let has_progress = match &part {
+            StreamPart::Events(_) => true,
+            StreamPart::End(rest) => stream.is_framed || has_content(rest),
+            StreamPart::Comments(_) | StreamPart::Fault(_) => false,
+        };
+        if has_progress && self.backup.take().is_some() {
             info!("event=stream_recovered request={}", self.request.meta.id);
+            self.request.record_upstream(stream.guard.upstream());
         }
         match part {
             StreamPart::Events(events) => {
@@ -342,11 +364,17 @@
                     }
                     Poll::Pending => {}
                 },
-                RelayState::Resuming(resume) => match resume.as_mut().poll(context) {
+                RelayState::Resuming { resumed, is_backup } => match resumed.as_mut().poll(context)
+                {
                     Poll::Ready(Some(stream)) => {
                         this.continue_with(stream);
                         continue;
                     }
+                    // A backup only goes to an upstream with a free slot. Now a busy one is better than none.
+                    Poll::Ready(None) if *is_backup => match this.resume() {
+                        Ok(()) => continue,
+                        Err(error) => return Poll::Ready(Some(Err(error))),
+                    },
                     Poll::Ready(None) => {
                         this.state = RelayState::Ended;
                         this.request.log_end("broken", None);
--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -209,7 +209,7 @@
         match () {
             () if !self.route.repeat.is_retryable() => Some(ResumeRefusal::NotResumable),
             () if left <= MIN_ATTEMPT_TIME => Some(ResumeRefusal::Deadline),
-            () if self.progress().attempts.is_last_attempt() => Some(ResumeRefusal::Attempts),
+            () if !self.progress().attempts.allows_another() => Some(ResumeRefusal::Attempts),
             () => None,
         }
     }
@@ -238,7 +238,7 @@
         after: Option<CompactString>,
         purpose: AttemptPurpose,
     ) -> Option<OpenStream> {
-        if !self.may_retry(AttemptEnd::Lost) {
+        if !self.may_retry_recorded(AttemptEnd::Lost) {
             return None;
         }
         {
@@ -286,8 +286,8 @@
                     };
                 }
             };
-            let attempt = self.attempt_with_backup(chosen, resume_after.as_deref(), purpose);
-            let end = tokio::select! {
+            let attempt = self.attempt_with_backup(chosen, resume_after.as_deref());
+            let (upstream, result) = tokio::select! {
                 biased;
                 end = attempt => end,
                 // The process ends before the deadline, and with it the caller's connection.
@@ -296,19 +296,14 @@
                     return RequestResult::Expired(FinalStatus::Unknown);
                 }
             };
-            match end.result {
+            match result {
                 AttemptResult::Stream(head, stream) => return RequestResult::Stream(head, stream),
                 AttemptResult::Complete(head, body) => return RequestResult::Complete(head, body),
                 AttemptResult::Failed(failure, response) => {
                     error_response = response.or(error_response);
-                    let may_retry = if end.is_recorded {
-                        self.may_retry_recorded(failure)
-                    } else {
-                        self.log_attempt_end(&end.upstream, failure);
-                        self.progress().tried.push(end.upstream);
-                        self.may_retry(failure)
-                    };
-                    if !may_retry {
+                    self.log_attempt_end(&upstream, failure);
+                    self.progress().tried.push(upstream);
+                    if !self.may_retry(failure) {
                         if let Some((head, body)) = error_response {
                             return RequestResult::Complete(head, body);
                         }
@@ -357,25 +352,40 @@
         if !self.progress().attempts.may_retry(end) {
             return false;
         }
+        end == AttemptEnd::NotSent || self.charge_retry()
+    }
+
+    /// Charges the retry budget for another attempt; false if it is used up.
+    pub(super) fn charge_retry(&self) -> bool {
         let has_budget =
-            end == AttemptEnd::NotSent || self.shared.retry_budget().try_take(&self.service, now);
+            self.shared.retry_budget().try_take(&self.service, self.shared.clock.now());
         if !has_budget {
             info!("event=repeat_refused request={} cause=retry_budget", self.meta.id);
         }
         has_budget
     }
 
+    /// Records the upstream whose response the caller receives.
+    pub(super) fn record_upstream(&self, upstream: &UpstreamId) {
+        self.progress().last = Some(upstream.clone());
+    }
+
+    /// Records that the current attempt was lost after its response had begun.
+    pub(super) fn record_lost(&self) {
+        self.progress().attempts.record(AttemptEnd::Lost);
+    }
+
     /// True if another upstream can take the request now, beside the current attempt.
     pub(super) fn has_alternative(&self) -> bool {
         let now = self.shared.clock.now();
-        let (mut attempts, mut tried, last) = {
+        let (allows_another, mut tried, last) = {
             let progress = self.progress();
-            (progress.attempts, progress.tried.clone(), progress.last.clone())
+            (progress.attempts.allows_another(), progress.tried.clone(), progress.last.clone())
         };
         tried.extend(last);
-        attempts.record(AttemptEnd::Lost)
+        allows_another
             && self.crash_refusal(now).is_none()
-            && self.shared.retry_budget().has_room(&self.service, now)
+            && self.shared.retry_budget().has_room_for_backup(&self.service, now)
             && !self.is_behind_queue(now)
             && matches!(
                 self.place(&self.shared.view.load(), &tried, now, AttemptPurpose::Backup),
