Leave no engine with outdated weights unused longer than its cancellation needs

Callers would see: refusals of requests with large prompts up to a second earlier before the bound than necessary. Cause: required 1.5 times the predicted time before the time of the cancellation. The request has to begin before it is cancelled, without that factor; the factor is for the bound itself. Change: two conditions: 1.5 times the predicted time and 0.25 s before the bound, and the predicted time before the cancellation.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -61,8 +61,7 @@
 /// Factor on the predicted time to the first event by which a request is expected to begin, if it must begin before the
 /// weights of its upstream are outdated. The queue of a busy engine can take longer than predicted.
 const BEGIN_TIME_FACTOR: f64 = 1.5;
-/// Minimum time between the expected begin of a request and the time at which the weights of its upstream are outdated. It
-/// is longer for a large prompt, because the request must begin before it would be cancelled.
+/// Minimum time between the expected begin of a request and the time at which the weights of its upstream are outdated.
 const BEGIN_MARGIN: Duration = Duration::from_millis(250);
 /// Time before the weights of an upstream are outdated at which a request that has not begun there is cancelled, in
 /// addition to the time to its first event at an idle engine. It covers the way to the upstream, and a process that is
@@ -591,8 +590,8 @@
         let occupancy = state.occupancy(now, self.users(service));
         let load = state.engine_load(occupancy, now);
         let delay = Self::begin_delay(service, request, load);
-        let margin = Self::cancel_margin(service, request, state, now).max(BEGIN_MARGIN);
-        delay.mul_f64(BEGIN_TIME_FACTOR) + margin <= left
+        let cancel_margin = Self::cancel_margin(service, request, state, now);
+        delay.mul_f64(BEGIN_TIME_FACTOR) + BEGIN_MARGIN <= left && delay + cancel_margin <= left
     }
 
     /// Time before the weights of the upstream are outdated at which the request is cancelled if it has not begun. An engine
