--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -3,9 +3,11 @@
 mod admit;
 mod assignment;
 mod attempt;
+mod backup;
 mod control;
 mod crashes;
 mod dating;
+mod events;
 mod guards;
 mod head_timer;
 mod http;
