Spend no attempt on an engine that is about to refuse it

Callers would see: a resumed stream or a last attempt that meets an engine shortly before its load order ends without a response, although another engine could take it: max_attempts counts the upstreams to which a request is sent, refused or not. Cause: placement only added up to 60 ms to the cost of an engine that had announced a load, for the stream that eviction would cut; it did not ask whether the request begins before the order. A resumed stream was placed by its predicted time alone, also at a full engine while another one had a free slot. An attempt was given up for any upstream, also for one that was about to refuse it. Evidence: with the new check disabled, last_attempt_is_spent_on_an_engine_that_is_about_to_load failed with "begins after 95.749671ms, load in Some(0ns)", and engine_stays_unused_after_its_agent_ended failed. Change: engines whose announced load comes before 1.5 times the predicted time and 0.1 s are used only if there is no other one and the request is predicted to begin before; for the last attempt, not at all. Resumed streams go to an engine with a free slot, or else to any. `Placement::Upstream::is_certain` states which of these applies, and an attempt has an alternative only if that is certain. The penalty for interrupted streams is removed. An announcement holds as long as the report, 1.5 s, because an agent that has ended orders nothing. Why it works: since the announced times include the transfer, an announcement of 0 ms means an order within a step of the agent.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -42,12 +42,6 @@
 const FAILURE_PENALTY: Duration = Duration::from_millis(250);
 /// Cost of each request at an upstream, even while slots are free: a request holds its slot for about a second.
 const OCCUPANCY_PENALTY: Duration = Duration::from_millis(6);
-/// Duration of a typical stream. A stream that starts less than this before its engine switches weights is interrupted,
-/// and its prompt needs another prefill at a different engine.
-const TYPICAL_STREAM_TIME: Duration = Duration::from_millis(1_500);
-/// Cost of a stream that is certain to be interrupted by a switch of weights: the second prefill and the risk of a late
-/// event.
-const SWITCH_PENALTY: Duration = Duration::from_millis(60);
 /// Factor on the time left to the target within which the first event must be predicted. It is above 1 because the
 /// prediction is pessimistic (it includes requests that other entries are expected to send), and because a refused
 /// request counts for only a fraction of one that is served in time, even if its retry succeeds.
@@ -58,11 +52,15 @@
 /// Number of slots that must stay free after a request that has already missed its target is placed. A late response
 /// counts for only a fraction of a timely one, so such requests use only spare capacity.
 const LATE_RESERVED_SLOTS: f64 = 1.0;
-/// Factor on the predicted time to the first event by which a request is expected to begin, if it must begin before the
-/// weights of its upstream are outdated. The queue of a busy engine can take longer than predicted.
+/// Factor on the predicted time to the first event by which a request is expected to begin, if it must begin before its
+/// upstream loads other weights, or before the weights of its upstream are outdated. The queue of a busy engine can take
+/// longer than predicted.
 const BEGIN_TIME_FACTOR: f64 = 1.5;
 /// Minimum time between the expected begin of a request and the time at which the weights of its upstream are outdated.
 const BEGIN_MARGIN: Duration = Duration::from_millis(250);
+/// Minimum time between the expected begin of a request and the time at which its upstream accepts no more requests because
+/// it loads other weights. It covers the way of the report and of the request.
+const LOAD_MARGIN: Duration = Duration::from_millis(100);
 /// Time before the weights of an upstream are outdated at which a request that has not begun there is cancelled, in
 /// addition to the time to its first event at an idle engine. It covers the way to the upstream, and a process that is
 /// not scheduled for most of a scheduling period of 100 ms.
@@ -363,12 +361,16 @@
         let mut cause = RefusalCause::NoUpstream;
         let mut candidates: Vec<&UpstreamId> = Vec::with_capacity(service.upstreams.len());
         let mut ejected: Vec<&UpstreamId> = Vec::new();
+        // Upstreams that may refuse the request, because they are full or about to load other weights.
+        let mut full: Vec<&UpstreamId> = Vec::new();
+        let mut loading: Vec<&UpstreamId> = Vec::new();
         let mut limited: Vec<&UpstreamId> = Vec::new();
         let mut shortest_wait: Option<Duration> = None;
         let in_subset = |id: &&UpstreamId| service.subset.upstreams.binary_search(id).is_ok();
         let others = service.upstreams.iter().filter(|id| !in_subset(id));
         for (index, id) in service.subset.upstreams.iter().chain(others).enumerate() {
-            let is_found = !candidates.is_empty() || !ejected.is_empty() || !limited.is_empty();
+            let is_found =
+                [&candidates, &ejected, &full, &limited].iter().any(|ids| !ids.is_empty());
             if index >= service.subset.upstreams.len() && is_found {
                 break;
             }
@@ -390,13 +392,26 @@
                 limited.push(id);
             } else if state.ejected_until.is_some_and(|until| now < until) {
                 ejected.push(id);
+            } else if !self.begins_before_load(service, request, state, now) {
+                loading.push(id);
+            } else if request.is_resumed && !self.has_free_slot(service, state, now) {
+                full.push(id);
             } else {
                 candidates.push(id);
             }
         }
-        if candidates.is_empty() {
-            // All usable upstreams are ejected: trying one of them is better than refusing the request.
-            candidates = ejected;
+        if !request.is_resumed {
+            // A refusal costs an attempt, so an engine that is about to load is used only if the request is predicted to begin
+            // before, and never for the last attempt.
+            loading.retain(|id| {
+                !request.is_last_attempt && self.may_begin_before_load(service, request, id, now)
+            });
+        }
+        // Trying an upstream that may fail or refuse is better than refusing the request.
+        for less_certain in [full, ejected, loading] {
+            if candidates.is_empty() {
+                candidates = less_certain;
+            }
         }
         if candidates.is_empty() && limited.is_empty() {
             return match shortest_wait {
@@ -483,6 +498,7 @@
                         now + left.saturating_sub(Self::cancel_margin(service, request, state, now))
                     }),
                     expected_version: version.filter(|_| is_newest),
+                    is_certain: self.is_certain(service, request, state, now),
                 }
             }
             None => Placement::refuse(refusal_cause, rng),
@@ -504,7 +520,7 @@
             return self.plain_delay_and_cost(request, state, occupancy, now);
         };
         let delay = self.expected_delay(service, forecast, request, state, occupancy, now)?;
-        Some((delay, delay + self.penalties(state, occupancy, now)))
+        Some((delay, delay + self.penalties(state, occupancy)))
     }
 
     /// Predicted time until the first event at an engine; `None` if the engine has no capacity left for the request.
@@ -538,15 +554,10 @@
     }
 
     /// Penalties of an upstream that are added to the predicted delay, expressed as a duration.
-    fn penalties(&self, state: &UpstreamState, occupancy: f64, now: Instant) -> Duration {
+    fn penalties(&self, state: &UpstreamState, occupancy: f64) -> Duration {
         let remote = if self.is_remote(&state.record) { REMOTE_PENALTY } else { Duration::ZERO };
-        let interruption_risk = state.time_to_switch(now).map_or(0.0, |remaining| {
-            1.0 - remaining.as_secs_f64().min(TYPICAL_STREAM_TIME.as_secs_f64())
-                / TYPICAL_STREAM_TIME.as_secs_f64()
-        });
         remote
             + OCCUPANCY_PENALTY.mul_f64(occupancy)
-            + SWITCH_PENALTY.mul_f64(interruption_risk)
             + FAILURE_PENALTY.mul_f64(state.failure_rate())
     }
 
@@ -587,13 +598,68 @@
         now: Instant,
     ) -> bool {
         let Some(left) = request.time_left(state, now) else { return true };
-        let occupancy = state.occupancy(now, self.users(service));
-        let load = state.engine_load(occupancy, now);
-        let delay = Self::begin_delay(service, request, load);
+        let delay = self.expected_begin(service, request, state, now);
         let cancel_margin = Self::cancel_margin(service, request, state, now);
         delay.mul_f64(BEGIN_TIME_FACTOR) + BEGIN_MARGIN <= left && delay + cancel_margin <= left
     }
 
+    /// False if the request is likely to wait at the upstream until the upstream loads other weights, which refuses it.
+    fn begins_before_load(
+        &self,
+        service: &ServiceState,
+        request: &PlacementRequest<'_>,
+        state: &UpstreamState,
+        now: Instant,
+    ) -> bool {
+        let Some(left) = state.time_to_switch(now) else { return true };
+        let delay = self.expected_begin(service, request, state, now);
+        delay.mul_f64(BEGIN_TIME_FACTOR) + LOAD_MARGIN <= left
+    }
+
+    /// True if the request is predicted to begin before its upstream loads other weights, without a margin.
+    fn may_begin_before_load(
+        &self,
+        service: &ServiceState,
+        request: &PlacementRequest<'_>,
+        upstream: &UpstreamId,
+        now: Instant,
+    ) -> bool {
+        let Some(state) = self.upstreams.get(upstream) else { return false };
+        let left = state.time_to_switch(now);
+        left.is_none_or(|left| self.expected_begin(service, request, state, now) <= left)
+    }
+
+    /// See [`Placement::Upstream`].
+    fn is_certain(
+        &self,
+        service: &ServiceState,
+        request: &PlacementRequest<'_>,
+        state: &UpstreamState,
+        now: Instant,
+    ) -> bool {
+        state.ejected_until.is_none_or(|until| until <= now)
+            && self.begins_before_load(service, request, state, now)
+            && (!request.is_resumed || self.has_free_slot(service, state, now))
+    }
+
+    /// False if the requests at an engine are expected to take all of its slots.
+    fn has_free_slot(&self, service: &ServiceState, state: &UpstreamState, now: Instant) -> bool {
+        let slots = f64::from(state.record.slots.max(1));
+        service.forecast.is_none() || state.occupancy(now, self.users(service)) + 1.0 <= slots
+    }
+
+    /// Predicted time until the request begins at an upstream; zero for services without engines.
+    fn expected_begin(
+        &self,
+        service: &ServiceState,
+        request: &PlacementRequest<'_>,
+        state: &UpstreamState,
+        now: Instant,
+    ) -> Duration {
+        let occupancy = state.occupancy(now, self.users(service));
+        Self::begin_delay(service, request, state.engine_load(occupancy, now))
+    }
+
     /// Time before the weights of the upstream are outdated at which the request is cancelled if it has not begun. An engine
     /// cannot drop a request whose prefill it has started before the first token is made.
     fn cancel_margin(
--- a/crates/balance/src/balancer/learned.rs
+++ b/crates/balance/src/balancer/learned.rs
@@ -269,7 +269,7 @@
                 return None;
             }
             let delay = SERVICE_REQUEST_TIME.mul_f64(occupancy);
-            return Some((delay, delay + self.penalties(state, occupancy, now)));
+            return Some((delay, delay + self.penalties(state, occupancy)));
         };
         let own = 1.0 / f64::from(Self::slots(state, &speed));
         let load = Self::load_per_slot(state, &speed, now) + own;
--- a/crates/balance/src/placement.rs
+++ b/crates/balance/src/placement.rs
@@ -40,6 +40,9 @@
     /// True for a request that was already accepted and is resumed at another upstream. It is never refused because of
     /// load.
     pub is_resumed: bool,
+    /// True if a refusal by the upstream would end the request, because it may be sent to no further one. It is then
+    /// placed only at upstreams that are expected to begin it, unless it is resumed and has nothing to lose.
+    pub is_last_attempt: bool,
 }
 
 impl PlacementRequest<'_> {
@@ -90,6 +93,10 @@
         /// Version that the upstream must still have when the request arrives; `None` if it may load a newer one until
         /// then, which may also serve the request.
         expected_version: Option<WeightsVersion>,
+        /// True if the upstream is expected to begin the request: it is not about to load other weights, and at an engine
+        /// that resumes a stream, a slot is free. Nothing that still works may be given up for an upstream for which this is
+        /// false.
+        is_certain: bool,
     },
     /// Refuse the request.
     Refused(PlacementRefusal),
--- a/crates/balance/src/upstream.rs
+++ b/crates/balance/src/upstream.rs
@@ -205,9 +205,11 @@
         }
     }
 
-    /// Time until the engine stops accepting requests to switch weights.
+    /// Time until the engine stops accepting requests to switch weights, according to a current report: an agent that no
+    /// longer reports orders nothing either.
     pub(crate) fn time_to_switch(&self, now: Instant) -> Option<Duration> {
         let (report, taken) = self.report?;
+        self.report(now)?;
         Some(report.change_in?.saturating_sub(now.saturating_duration_since(taken)))
     }
 
--- a/crates/balance/tests/board.rs
+++ b/crates/balance/tests/board.rs
@@ -17,6 +17,7 @@
     RetryPolicy, RouteRecord, RoutingConfig, RoutingIndex, ServiceRecord, TeamRecord,
     UpstreamRecord, WeightsLimits, WeightsState, WeightsVersion,
 };
+use proptest::prelude::*;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -115,15 +116,7 @@
     }
 
     fn report_pace(&mut self, index: u8, running: u32, version: u64, slowdown_percent: u32) {
-        let report = AgentReport {
-            running,
-            queued: 0,
-            version,
-            switching: false,
-            change_in: None,
-            weights_in: None,
-            slowdown_percent,
-        };
+        let report = AgentReport { running, ..report(version, slowdown_percent) };
         self.balancer.record_report(address(index), report, self.now, &mut self.rng);
     }
 
@@ -163,6 +156,7 @@
             delay_limit: None,
             time_to_deadline: None,
             is_resumed: false,
+            is_last_attempt: false,
         };
         change(&mut request);
         self.balancer.choose(&request, self.now, &mut self.rng)
@@ -177,6 +171,18 @@
     format!("u{index}").into()
 }
 
+fn report(version: WeightsVersion, slowdown_percent: u32) -> AgentReport {
+    AgentReport {
+        running: 0,
+        queued: 0,
+        version,
+        switching: false,
+        change_in: None,
+        weights_in: None,
+        slowdown_percent,
+    }
+}
+
 fn record(index: u8) -> UpstreamRecord {
     UpstreamRecord {
         upstream: name(index),
@@ -342,6 +348,65 @@
     }
 }
 
+proptest! {
+    /// Guards against an attempt, above all the last one, that is spent on an engine whose announced load comes before the
+    /// request begins there, and against a broken stream that is given up although an engine may still take it.
+    #[test]
+    fn last_attempt_is_spent_on_an_engine_that_is_about_to_load(
+        engines in prop::collection::vec((0_u32..20, prop::option::of(0_u64..1_000)), 1..6),
+        prompt_tokens in 100_u32..6_000,
+        report_age in 0_u64..400,
+        is_last_attempt in any::<bool>(),
+        is_resumed in any::<bool>(),
+    ) {
+        let mut fixture = PlacementFixture::new(engines.len() as u8);
+        fixture.balancer.set_live_entries(1);
+        for (index, (running, change_in_ms)) in (0..).zip(&engines) {
+            let change_in = change_in_ms.map(Duration::from_millis);
+            let report = AgentReport { running: *running, change_in, ..report(1, 100) };
+            fixture.balancer.record_report(address(index), report, fixture.now, &mut fixture.rng);
+        }
+        fixture.now += Duration::from_millis(report_age);
+        let placement = fixture.choose(|request| {
+            request.prompt_tokens = prompt_tokens;
+            request.time_to_target = Some(Duration::from_secs(3));
+            request.is_last_attempt = is_last_attempt;
+            request.is_resumed = is_resumed;
+        });
+        let steady = |running: u32| engines.contains(&(running, None));
+        match placement {
+            Placement::Upstream { record, delay, is_certain, .. } => {
+                let index = (0..6).position(|index| name(index) == record.upstream).unwrap_or(0);
+                let (running, change_in_ms) = engines[index];
+                let left = change_in_ms.map(|left| Duration::from_millis(left.saturating_sub(report_age)));
+                let begins = left.is_none_or(|left| delay <= left);
+                let begins_surely =
+                    left.is_none_or(|left| delay + Duration::from_millis(100) <= left);
+                prop_assert!(begins || is_resumed, "begins after {delay:?}, load in {left:?}");
+                prop_assert!(begins_surely || !is_certain);
+                prop_assert!(begins_surely || !is_last_attempt || is_resumed);
+                prop_assert!(begins_surely || !(0..10).any(steady), "another engine can take it");
+                prop_assert!(running < 16 || !is_resumed || !(0..10).any(steady));
+            }
+            Placement::Refused(refusal) => {
+                prop_assert!(!is_resumed, "a broken stream has nothing to lose");
+                prop_assert!(!(0..10).any(steady), "{refusal:?}");
+            }
+        }
+    }
+}
+
+/// Guards against an engine that is left unused because its agent ended after it had announced a load.
+#[test]
+fn engine_stays_unused_after_its_agent_ended() {
+    let mut fixture = PlacementFixture::new(1);
+    let report = AgentReport { change_in: Some(Duration::ZERO), ..report(1, 100) };
+    fixture.balancer.record_report(address(0), report, fixture.now, &mut fixture.rng);
+    assert_eq!(fixture.place(|_| {}), Err(RefusalCause::NoUpstream));
+    fixture.now += Duration::from_secs(2);
+    assert_eq!(fixture.place(|_| {}), Ok(name(0)));
+}
+
 /// An engine that has just switched weights is idle, so all entries send to it at once. All its slots are free, but the
 /// prefills of a full batch would make first events late.
 #[test]
--- a/crates/balance/tests/learned/engines.rs
+++ b/crates/balance/tests/learned/engines.rs
@@ -131,6 +131,7 @@
             delay_limit: None,
             time_to_deadline: None,
             is_resumed: false,
+            is_last_attempt: false,
         };
         match self.balancer.choose(&request, self.now, &mut self.rng) {
             Placement::Upstream { record, delay, .. } => (record.upstream.clone(), delay),
--- a/crates/balance/tests/learned/fleet.rs
+++ b/crates/balance/tests/learned/fleet.rs
@@ -267,6 +267,7 @@
             delay_limit: None,
             time_to_deadline: Some(TIMEOUT),
             is_resumed: false,
+            is_last_attempt: false,
         };
         let placement = self.entries[entry].choose(&request, self.now, &mut self.rng);
         let Placement::Upstream { record, .. } = placement else {
--- a/crates/balance/tests/limit_sharing.rs
+++ b/crates/balance/tests/limit_sharing.rs
@@ -136,6 +136,7 @@
             delay_limit: None,
             time_to_deadline: None,
             is_resumed: false,
+            is_last_attempt: false,
         };
         let now = self.now();
         let balancer = &mut self.entries[entry].balancer;
--- a/crates/balance/tests/regions/main.rs
+++ b/crates/balance/tests/regions/main.rs
@@ -333,6 +333,7 @@
             delay_limit: None,
             time_to_deadline: None,
             is_resumed,
+            is_last_attempt: false,
         };
         let placement = self.balancer.choose(&placement_request, self.now, &mut self.rng);
         request.binding.extend(self.in_force.map(|(index, _)| index));
--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -379,7 +379,7 @@
             && !self.is_behind_queue(now)
             && matches!(
                 self.place(&self.shared.view.load(), &tried, now, AttemptPurpose::Backup),
-                Placement::Upstream { .. }
+                Placement::Upstream { is_certain: true, .. }
             )
     }
 
@@ -415,6 +415,7 @@
         purpose: AttemptPurpose,
     ) -> Placement {
         let is_resumed = purpose == AttemptPurpose::Resume;
+        let is_last_attempt = self.progress().attempts.is_last_attempt();
         let placement_request = PlacementRequest {
             service: &self.service,
             prompt_tokens: self.meta.prompt_tokens,
@@ -428,6 +429,7 @@
             delay_limit: self.delay_limit(now, is_resumed),
             time_to_deadline: Some(self.deadline.saturating_duration_since(now)),
             is_resumed,
+            is_last_attempt,
         };
         self.shared.balancer().choose(&placement_request, now, &mut rand::rng())
     }
@@ -440,7 +442,7 @@
         let view = self.shared.view.load();
         let tried = self.progress().tried.clone();
         match self.place(&view, &tried, now, purpose) {
-            Placement::Upstream { record, delay, version, cancel_at, expected_version } => {
+            Placement::Upstream { record, delay, version, cancel_at, expected_version, .. } => {
                 let mut progress = self.progress();
                 progress.predicted.get_or_insert(delay);
                 progress.version = version;
--- a/crates/shed/tests/common/simulation.rs
+++ b/crates/shed/tests/common/simulation.rs
@@ -319,6 +319,7 @@
             delay_limit: self.control.delay_limit(&request, now),
             time_to_deadline: None,
             is_resumed: false,
+            is_last_attempt: false,
         };
         match self.balancer.choose(&placement, now, rng) {
             Placement::Upstream { record, delay, .. } => {
--- a/crates/standin/src/measure/load/policy.rs
+++ b/crates/standin/src/measure/load/policy.rs
@@ -146,6 +146,7 @@
             delay_limit: None,
             time_to_deadline: None,
             is_resumed: false,
+            is_last_attempt: false,
         };
         match self.balancer.choose(&placement_request, now, &mut self.random) {
             Placement::Upstream { record, delay, .. } => {
