Report an item that cannot be decoded once, and not with each listing

Operators saw the same warning again whenever the items were listed again or the store was restored, because each listing may give an unreadable item a new revision, and each new revision was reported as an error. The state now keeps the error of an item, and reports it only if it differs from the one before. The memory is bounded by the number of items, and an item that was readable or removed in between is reported again. A change without effect before and after is no longer logged.

known_error_is_reported_at_each_listing failed without the comparison (24 errors at the second listing of 24 items, 0 expected) and passes with it.

--- a/crates/fleet/src/item.rs
+++ b/crates/fleet/src/item.rs
@@ -46,7 +46,7 @@
 }
 
 /// Error of an item that cannot be decoded.
-#[derive(Debug, Snafu)]
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
 #[snafu(display("{reason}"))]
 pub struct ItemError {
     /// Description of the error in the value.
@@ -91,7 +91,7 @@
     pub before: Option<ItemValue>,
     /// New content; `None` if the item is removed or cannot be decoded.
     pub after: Option<ItemValue>,
-    /// Set if the item cannot be decoded.
+    /// Set if the item cannot be decoded, unless it could not be decoded before for the same reason.
     pub error: Option<ItemError>,
     /// Time since the change was made, as far as this process knows; `None` if it was only found in a listing.
     pub age: Option<Duration>,
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -14,7 +14,7 @@
 use crate::{
     declared::{DeclaredVersions, MissedChanges},
     era::{HeldValue, KnownItem, REGISTRATION_GRACE, StoreEra, era_and_number, held_after_restore},
-    item::{DecodeItem, FleetChange, ItemKey, ItemSource, ItemValue, RawItem},
+    item::{DecodeItem, FleetChange, ItemError, ItemKey, ItemSource, ItemValue, RawItem},
     lost_config::{ActiveConfig, ConfigStamp, ConfigTracker},
     period::ReceivePeriod,
     record::{RoutingConfig, UpstreamRecord, WeightsVersion},
@@ -31,6 +31,8 @@
     revision: Revision,
     value: Option<Bytes>,
     decoded: Option<ItemValue>,
+    /// Set if the value cannot be decoded.
+    error: Option<ItemError>,
     /// Time at which the change was observed; `None` if the item was only found in a listing.
     changed: Option<Instant>,
     /// Value in force instead of the stored one, because the store was unavailable or has been restored from a copy.
@@ -176,7 +178,8 @@
             (None, Some(before)) => before.removed_upstream(),
             _ => None,
         };
-        let before = before.and_then(|before| before.decoded);
+        let (before, known_error) =
+            before.map_or((None, None), |before| (before.decoded, before.error));
         match (&before, &decoded) {
             (_, Some(ItemValue::Routing(config))) => {
                 self.config.active = item.value.clone().map(|value| ActiveConfig {
@@ -201,13 +204,14 @@
             revision: item.revision,
             before,
             after: decoded.clone(),
-            error,
+            error: error.clone().filter(|error| known_error.as_ref() != Some(error)),
             age: changed.map(|changed| now.saturating_duration_since(changed)),
         };
         let state = ItemState {
             revision: item.revision,
             value: item.value,
             decoded,
+            error,
             changed,
             held,
             removed,
--- a/crates/fleet/tests/knowledge.rs
+++ b/crates/fleet/tests/knowledge.rs
@@ -456,3 +456,19 @@
     assert_eq!(apply(3, Some("c:8")), Some(8));
     assert_eq!(apply(4, None), None, "a removed configuration is no longer in force");
 }
+
+/// Items that cannot be decoded, listed at `as_of`; their values have `size` bytes.
+fn list_unreadable(state: &mut FleetState, as_of: u64, size: usize) -> usize {
+    let value = "x".repeat(size);
+    let listed = (1..=24).map(|number| item(&format!("i-{number}"), Some(&value), as_of));
+    let period = received_at(Instant::now());
+    let changes = state.apply_listing(listed.collect(), as_of, &TextDecoder, period);
+    changes.iter().filter(|change| change.error.is_some()).count()
+}
+
+#[test]
+fn known_error_is_reported_at_each_listing() {
+    let mut state = FleetState::new();
+    assert_eq!(list_unreadable(&mut state, 24, 8), 24);
+    assert_eq!(list_unreadable(&mut state, 48, 8), 0);
+}
--- a/crates/gateway/src/entry/store.rs
+++ b/crates/gateway/src/entry/store.rs
@@ -274,6 +274,10 @@
         warn!("event=item_unreadable key={key} revision={revision} error=\"{error}\"");
         return;
     }
+    // An item without effect that still has none, such as one whose error is known.
+    if before.is_none() && after.is_none() {
+        return;
+    }
     let describe = |value: &Option<fleet::ItemValue>| match value {
         None => "none".to_owned(),
         Some(fleet::ItemValue::Routing(config)) => format!("config:{}", config.version),
