Shorten errors of items, and escape what other writers chose in log lines

An error quotes the value that it rejects. An item with one long field therefore gave a log line as long as the item (26,033 bytes in the test; up to a megabyte in the store, which the log buffer of 256 KiB drops together with the lines beside it), and a key or a name with a line break began a new line of the log. Errors now have at most 200 characters and no control characters, and log lines escape keys and names.

error_quotes_a_whole_item failed before ("26033 bytes") and passes now.

--- a/crates/fleet/src/item.rs
+++ b/crates/fleet/src/item.rs
@@ -45,6 +45,10 @@
     Other,
 }
 
+/// Maximum length of the description of an error in characters. Parsers quote the values that they reject, which may be
+/// as long as an item.
+const MAX_REASON_CHARS: usize = 200;
+
 /// Error of an item that cannot be decoded.
 #[derive(Clone, Debug, Eq, PartialEq, Snafu)]
 #[snafu(display("{reason}"))]
@@ -54,9 +58,12 @@
 }
 
 impl ItemError {
-    /// Creates an error with the reason as its message.
-    pub fn new(reason: impl Into<String>) -> Self {
-        Self { reason: reason.into() }
+    /// Creates an error with the reason as its message, shortened to one short line.
+    pub fn new(reason: impl AsRef<str>) -> Self {
+        let reason = reason.as_ref().chars().take(MAX_REASON_CHARS);
+        Self {
+            reason: reason.map(|letter| if letter.is_control() { ' ' } else { letter }).collect(),
+        }
     }
 }
 
--- a/crates/gateway/src/entry/store.rs
+++ b/crates/gateway/src/entry/store.rs
@@ -270,6 +270,7 @@
 
 fn log_change(change: &FleetChange) {
     let FleetChange { key, revision, before, after, error, age } = change;
+    let key = key.escape_debug();
     if let Some(error) = error {
         warn!("event=item_unreadable key={key} revision={revision} error=\"{error}\"");
         return;
@@ -291,8 +292,8 @@
     };
     info!(
         "event=item_changed key={key} revision={revision} before={} after={} age_ms={}",
-        describe(before),
-        describe(after),
+        describe(before).escape_debug(),
+        describe(after).escape_debug(),
         age.map_or(-1, |age| age.as_millis() as i64)
     );
 }
