Do not keep large values that cannot be decoded

All items are passed on to other entries in one frame of at most 8 MiB. Values that no process uses, because they cannot be decoded or belong to unknown keys, were kept and passed on in full: 24 odd registrations of 1 MiB made 25,165,824 bytes, so an entry that relies on the others could not catch up any more, and each entry kept them in memory. A value of more than 1 KiB that is not used is now replaced by a short one.

unreadable_values_fill_transfers_to_other_entries failed before (25,165,824 bytes, below 1 MiB expected) and passes now.

--- a/crates/fleet/src/item.rs
+++ b/crates/fleet/src/item.rs
@@ -74,6 +74,12 @@
     /// # Errors
     /// Fails if the value does not have the format that the key requires.
     fn decode(&self, key: &str, value: &Bytes) -> Result<ItemValue, ItemError>;
+
+    /// Short value that is passed on to other processes instead of a large one that cannot be decoded. Decoding it fails
+    /// as well.
+    fn unreadable_value(&self, _error: &ItemError) -> Bytes {
+        Bytes::new()
+    }
 }
 
 /// How an item was received.
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -23,6 +23,9 @@
 
 /// Maximum number of tombstones. A peer that is further behind than the oldest one receives a snapshot.
 const MAX_TOMBSTONES: usize = 4_096;
+/// Maximum size in bytes of a value that is kept although this process does not use it. All values are passed on to other
+/// entries in one message.
+const MAX_UNUSED_VALUE_BYTES: usize = 1 << 10;
 /// Shortest suspension that is accounted for. Its duration is the difference of two clocks, which fluctuates slightly.
 const MIN_SUSPENSION: Duration = Duration::from_millis(5);
 
@@ -123,7 +126,7 @@
     /// Applies one item. Returns `None` if its revision is not newer than the known one.
     pub fn apply(
         &mut self,
-        item: RawItem,
+        mut item: RawItem,
         source: ItemSource,
         decoder: &dyn DecodeItem,
         period: ReceivePeriod,
@@ -139,6 +142,13 @@
                 Some(Err(error)) => (None, Some(error)),
                 None => (None, None),
             };
+        if item.value.as_ref().is_some_and(|value| value.len() > MAX_UNUSED_VALUE_BYTES) {
+            match (&decoded, &error) {
+                (_, Some(error)) => item.value = Some(decoder.unreadable_value(error)),
+                (Some(ItemValue::Other), _) => item.value = Some(Bytes::new()),
+                _ => {}
+            }
+        }
         // Time limits that start with a declaration must not end late, so a declaration is dated as early as it can have
         // been made. The cold period of an upstream must not end early.
         let received = match &decoded {
--- a/crates/fleet/tests/knowledge.rs
+++ b/crates/fleet/tests/knowledge.rs
@@ -472,3 +472,14 @@
     assert_eq!(list_unreadable(&mut state, 24, 8), 24);
     assert_eq!(list_unreadable(&mut state, 48, 8), 0);
 }
+
+/// Guards against a state that is too large to be passed on to other entries, because of values that no process uses.
+#[test]
+fn unreadable_values_fill_transfers_to_other_entries() {
+    let mut state = FleetState::new();
+    list_unreadable(&mut state, 24, 1 << 20);
+    let (items, _) = state.items_after(0, Instant::now());
+    assert_eq!(items.len(), 24);
+    let bytes: usize = items.iter().filter_map(|item| item.value.as_ref().map(Bytes::len)).sum();
+    assert!(bytes < 1 << 20, "{bytes} bytes");
+}
