Bound forecasts of engines with extreme costs in the configuration

Durations of the forecast were made with Duration::from_secs_f64, which panics if a number is too large.

forecast_of_extreme_costs_overflows failed before: with that panic, and, after shrinking, because a forecast exceeds its bound. It passes now.

--- a/crates/balance/src/forecast.rs
+++ b/crates/balance/src/forecast.rs
@@ -9,6 +9,8 @@
 /// Mean number of passes until the first event: half a pass until the engine admits new requests, and the pass that
 /// produces the event.
 const PASSES_TO_FIRST_EVENT: f64 = 1.5;
+/// Maximum predicted time. Far longer than any request may take, and short enough to be added to a clock reading.
+const MAX_FORECAST: Duration = Duration::from_secs(24 * 3_600);
 
 /// Load of an engine, as estimated by an entry.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -64,7 +66,7 @@
     /// Engine time that a request of mean size takes. Its inverse is the request rate that one engine sustains.
     #[must_use]
     pub fn mean_cost(&self) -> Duration {
-        Duration::from_secs_f64(self.mean_cost)
+        bounded(self.mean_cost)
     }
 
     /// Predicted time from sending a request with a prompt of mean size to its first event.
@@ -81,6 +83,11 @@
         let passes = PASSES_TO_FIRST_EVENT * self.step * self.stride;
         let tokens = load.pending_prefills * self.mean_prompt + f64::from(prompt_tokens);
         let engine_time = waiting + passes + tokens / self.prefill_rate;
-        NETWORK_DELAY + Duration::from_secs_f64(engine_time * load.slowdown.max(1.0))
+        NETWORK_DELAY + bounded(engine_time * load.slowdown.max(1.0))
     }
 }
+
+/// Duration of at most [`MAX_FORECAST`], also of numbers that overflow with extreme costs.
+fn bounded(seconds: f64) -> Duration {
+    Duration::try_from_secs_f64(seconds).unwrap_or(MAX_FORECAST).min(MAX_FORECAST)
+}
