Add up weights of backends without overflow

The weights of a route's backends were added as 32-bit numbers. With two backends of 4,294,967,295 each request of the route panicked in builds with overflow checks and got no response; in other builds the sum wraps, so requests are not divided by weight. The sum is made of 64-bit numbers now.

--- a/crates/gateway/src/entry/admit.rs
+++ b/crates/gateway/src/entry/admit.rs
@@ -117,13 +117,14 @@
 
 /// Picks a backend service of the route at random, by weight.
 pub(super) fn pick_service(route: &RouteRecord) -> ServiceId {
-    let total: u32 = route.backends.iter().map(|backend| backend.weight).sum();
+    let total: u64 = route.backends.iter().map(|backend| u64::from(backend.weight)).sum();
     let mut remaining = if total == 0 { 0 } else { rand::rng().random_range(0..total) };
     for backend in &route.backends {
-        if remaining < backend.weight {
+        let weight = u64::from(backend.weight);
+        if remaining < weight {
             return backend.service.clone();
         }
-        remaining -= backend.weight;
+        remaining -= weight;
     }
     route.backends.first().map(|backend| backend.service.clone()).unwrap_or_default()
 }
