List the items again if their changes exceed the size of a response

A watch returns all changes since the last one. If another writer leaves some large items at once, the response exceeds 8 MiB, and the entry repeated the same watch for good: "store_lost error=response exceeds 8388608 bytes" at all three entries of the test, which missed all later changes, among them a new configuration. The changes are given up now and the items are listed again, which the store does in pages.

--- a/crates/gateway/src/entry/store.rs
+++ b/crates/gateway/src/entry/store.rs
@@ -114,8 +114,9 @@
                     }
                 }
             }
-            Err(StoreError::Compacted) => {
-                info!("event=store_history_lost after={}", after.unwrap_or_default());
+            Err(error @ (StoreError::Compacted | StoreError::TooManyChanges)) => {
+                let after = after.unwrap_or_default();
+                info!("event=store_history_lost after={after} error=\"{error}\"");
                 if let Err(error) = list_again(&shared, &mut timer, &observer).await {
                     warn!("event=store_list_failed error=\"{error}\"");
                     sleep(jittered(backoff)).await;
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -187,6 +187,11 @@
     /// The store no longer has the changes after the requested revision; the items must be listed again.
     #[snafu(display("the store no longer has the changes after the requested revision"))]
     Compacted,
+    /// The changes after the requested revision exceed the maximum size of a response; the items must be listed again.
+    #[snafu(display(
+        "the changes after the requested revision exceed the maximum size of a response"
+    ))]
+    TooManyChanges,
     /// The request to the platform failed.
     #[snafu(display("{source}"))]
     Request {
