Send no requests to upstreams that are listed at the address of an entry

A registration of another writer may name the address on which an entry serves callers. The entry at that address gets the request without the caller's key, which is not passed on to upstreams, and refuses it, so callers with a valid key got status 401. The load balancer now knows the addresses of the live entries, from their heartbeats, and uses no upstream there. Addresses of entries that are no longer alive may be reused.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -114,6 +114,8 @@
     speeds: HashMap<ServiceId, SpeedTable>,
     evacuated: HashSet<DataCentreId>,
     by_address: HashMap<SocketAddr, UpstreamId>,
+    /// Addresses on which live entries serve callers.
+    entry_addresses: HashSet<SocketAddr>,
 }
 
 impl LoadBalancer {
@@ -134,6 +136,7 @@
             speeds: HashMap::new(),
             evacuated: HashSet::new(),
             by_address: HashMap::new(),
+            entry_addresses: HashSet::new(),
         }
     }
 
@@ -194,6 +197,11 @@
         self.local_entries = entries;
     }
 
+    /// Sets the addresses on which live entries serve callers, which are those of no upstream.
+    pub fn set_entry_addresses(&mut self, addresses: HashSet<SocketAddr>) {
+        self.entry_addresses = addresses;
+    }
+
     /// True if this entry uses the upstream while any upstream that it uses can take a request.
     #[must_use]
     pub fn is_in_subset(&self, record: &UpstreamRecord) -> bool {
@@ -563,6 +571,7 @@
     ) -> bool {
         let record = &state.record;
         if record.draining
+            || self.entry_addresses.contains(&record.address)
             || self.availability.is_leaving(&record.upstream, record.started_ms)
             || self.evacuated.contains(&record.data_centre)
             || request.tried.contains(&record.upstream)
--- a/crates/gateway/src/entry/control.rs
+++ b/crates/gateway/src/entry/control.rs
@@ -240,7 +240,10 @@
     let is_local_entry = |entry: &&EntryMember| common.is_local_region(&entry.data_centre);
     let local_entries = membership.alive(now).filter(is_local_entry).count() + 1;
     let possible_entries = membership.peak_known(now) + 1;
+    let callers = membership.alive(now).map(|entry| entry.caller_address);
+    let entry_addresses = callers.chain([own.caller_address]).collect();
     drop(membership);
+    shared.balancer().set_entry_addresses(entry_addresses);
     shared.balancer().set_live_entries(live_entries);
     shared.balancer().set_local_entries(local_entries);
     shared.balancer().set_possible_entries(possible_entries);
