--- a/crates/balance/src/attempt.rs
+++ b/crates/balance/src/attempt.rs
@@ -67,6 +67,12 @@
         self.attempts < self.max_attempts && self.retry_policy.is_retryable()
     }
 
+    /// True if the next attempt is the last one that may be sent.
+    #[must_use]
+    pub fn is_last_attempt(&self) -> bool {
+        self.attempts + 1 >= self.max_attempts
+    }
+
     /// Records that an attempt is being sent. Several may be open at the same time.
     pub fn record_sent(&mut self) {
         self.attempts += 1;
--- a/crates/gateway/src/entry/store.rs
+++ b/crates/gateway/src/entry/store.rs
@@ -116,8 +116,9 @@
                     }
                 }
             }
-            Err(StoreError::Compacted) => {
-                info!("event=store_history_lost after={}", after.unwrap_or_default());
+            Err(error @ (StoreError::Compacted | StoreError::TooManyChanges)) => {
+                let after = after.unwrap_or_default();
+                info!("event=store_history_lost after={after} error=\"{error}\"");
                 if let Err(error) = list_again(&shared, &mut timer, &observer).await {
                     warn!("event=store_list_failed error=\"{error}\"");
                     sleep(jittered(backoff)).await;
@@ -283,10 +284,15 @@
 
 fn log_change(change: &FleetChange) {
     let FleetChange { key, revision, before, after, error, age } = change;
+    let key = key.escape_debug();
     if let Some(error) = error {
         warn!("event=item_unreadable key={key} revision={revision} error=\"{error}\"");
         return;
     }
+    // An item without effect that still has none, such as one whose error is known.
+    if before.is_none() && after.is_none() {
+        return;
+    }
     let describe = |value: &Option<fleet::ItemValue>| match value {
         None => "none".to_owned(),
         Some(fleet::ItemValue::Routing(config)) => format!("config:{}", config.version),
@@ -300,8 +306,8 @@
     };
     info!(
         "event=item_changed key={key} revision={revision} before={} after={} age_ms={}",
-        describe(before),
-        describe(after),
+        describe(before).escape_debug(),
+        describe(after).escape_debug(),
         age.map_or(-1, |age| age.as_millis() as i64)
     );
 }
