Do not reuse a connection for a request id that it has carried

Operators of similar systems saw a faulty server write an earlier refusal once more on a kept connection, by which callers were told that a request had not run although it had. Here such a copy is told from the response by the id of its request. That fails if a caller uses an id twice: the copy then has the right id, and the caller gets status 503 for a request that was passed on.

A connection now remembers the ids of its last 64 requests (as hashes), and the pool gives it to no request with one of them. A copy that arrives on it then always has another id, and is refused as before. Connections on which an upstream refused a request were closed before, and still are; requests that must not run twice never use a kept connection.

--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -91,7 +91,7 @@
         // one, or a late response to another request may arrive on it. Without an id, such a response cannot be told
         // from the right one.
         let pooled = if self.route.repeat.is_retryable() && !self.meta.id.is_empty() {
-            self.shared.pool.take(&upstream.upstream)
+            self.shared.pool.take(&upstream.upstream, &self.meta.id)
         } else {
             None
         };
@@ -131,6 +131,7 @@
             return AttemptResult::Failed(AttemptEnd::NotSent, None);
         }
         let request = self.upstream_request(chosen, resume_after, now);
+        connection.carried_ids.record(&self.meta.id);
         connection.head_gate.begin();
         let sent = connection.sender.send_request(request);
         let response = match self.wait_for(sent, cancel_at, now).await {
--- a/crates/gateway/src/entry/pool.rs
+++ b/crates/gateway/src/entry/pool.rs
@@ -1,7 +1,8 @@
 //! Pool of connections to upstreams.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, VecDeque},
+    hash::{DefaultHasher, Hash, Hasher},
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
     time::{Duration, Instant},
@@ -26,6 +27,8 @@
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(500);
 /// Maximum number of idle connections per upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 16;
+/// Number of request ids that a connection remembers. A repeated response is one of the last few.
+const MAX_CARRIED_IDS: usize = 64;
 /// Factor between the idle time after which a kept connection was found closed and the new idle limit.
 const IDLE_LIMIT_FACTOR: f64 = 0.7;
 /// Minimum idle limit, so that connections are still reused under load.
@@ -41,9 +44,38 @@
     pub(crate) idle_for: Option<Duration>,
     /// Limits the head of each response.
     pub(super) head_gate: HeadGate,
+    pub(super) carried_ids: Box<CarriedIds>,
     task: JoinHandle<()>,
 }
 
+/// Ids of the last requests on a connection, as hashes.
+#[derive(Default)]
+pub(crate) struct CarriedIds {
+    hashes: VecDeque<u64>,
+}
+
+impl CarriedIds {
+    fn hash_of(id: &str) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        id.hash(&mut hasher);
+        hasher.finish()
+    }
+
+    /// Records the id of a request that is about to be sent.
+    pub(super) fn record(&mut self, id: &str) {
+        if self.hashes.len() >= MAX_CARRIED_IDS {
+            self.hashes.pop_front();
+        }
+        self.hashes.push_back(Self::hash_of(id));
+    }
+
+    /// True if a request with this id was sent on the connection. A repeated response to it could not be told from the
+    /// response to another request with the same id.
+    fn contains(&self, id: &str) -> bool {
+        self.hashes.contains(&Self::hash_of(id))
+    }
+}
+
 impl Drop for UpstreamConnection {
     fn drop(&mut self) {
         self.task.abort();
@@ -71,13 +103,16 @@
         Self { clock, idle: Mutex::default(), idle_limit: Mutex::default() }
     }
 
-    /// Takes an idle connection that can still be used.
-    pub(crate) fn take(&self, upstream: &UpstreamId) -> Option<UpstreamConnection> {
+    /// Takes an idle connection that can still be used for the request `id`.
+    pub(crate) fn take(&self, upstream: &UpstreamId, id: &str) -> Option<UpstreamConnection> {
         let now = self.clock.now();
         let limit = self.idle_limit(now);
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(upstream)?;
-        while let Some(IdleConnection { mut connection, since, until }) = connections.pop() {
+        while let Some(index) =
+            connections.iter().rposition(|idle| !idle.connection.carried_ids.contains(id))
+        {
+            let IdleConnection { mut connection, since, until } = connections.remove(index);
             let idle_for = now.saturating_duration_since(since);
             let is_usable = now < until && limit.is_none_or(|limit| idle_for < limit);
             if is_usable && connection.sender.is_ready() && !connection.sender.is_closed() {
@@ -168,7 +203,8 @@
                         );
                     }
                 });
-                Some(UpstreamConnection { sender, idle_for: None, head_gate, task })
+                let carried_ids = Box::default();
+                Some(UpstreamConnection { sender, idle_for: None, head_gate, carried_ids, task })
             }
             Err(error) => {
                 debug!("event=connect_failed address={address} error=\"{error}\"");
