Send no request on a connection with unread bytes

The HTTP library detects bytes and closed connections only when the runtime has processed the event of the socket, which may be after it has written the next request. What the upstream sent before then counts as the response to it, and a connection that the upstream had already reset counts as lost after sending, so that a request that must not run twice ends with status 502.

The stream now asks the socket itself right before the first byte of a request is written. If there is something to read, or the end of the connection, nothing is written and the attempt ends as not sent.

There is no test that fails each time before the change, because the outcome depends on the order of two events in different processes. Bytes that arrive after the request was written still cannot be told by their time.

--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -140,6 +140,17 @@
                 guard.finish(AttemptOutcome::Unreachable);
                 return AttemptResult::Failed(AttemptEnd::NotSent, None);
             }
+            Ok(Err(error)) if connection.head_gate.is_unsent() => {
+                if let Some(idle_for) = connection.idle_for {
+                    shared.pool.record_reset(idle_for);
+                }
+                info!(
+                    "event=connection_unusable request={} upstream={} error=\"{error:?}\"",
+                    self.meta.id, upstream.upstream
+                );
+                guard.fail();
+                return AttemptResult::Failed(AttemptEnd::NotSent, None);
+            }
             Ok(Err(_)) => {
                 if let Some(idle_for) = connection.idle_for {
                     shared.pool.record_reset(idle_for);
--- a/crates/gateway/src/entry/response_head.rs
+++ b/crates/gateway/src/entry/response_head.rs
@@ -1,10 +1,11 @@
-//! Limits of the head of an upstream's response.
+//! Limits of the head of an upstream's response, and a check that none arrives before its request is sent.
 //!
 //! The HTTP library waits for the end of a head as long as bytes arrive, and skips any number of informational
 //! responses. An upstream in trouble may send either without end.
 
 use std::{
     io,
+    mem::MaybeUninit,
     pin::Pin,
     sync::{
         Arc,
@@ -14,6 +15,7 @@
     time::Duration,
 };
 
+use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -31,21 +33,34 @@
 /// Tells a [`LimitedStream`] whether a response head is due; clones share it.
 #[derive(Clone, Debug, Default)]
 pub(super) struct HeadGate {
-    is_due: Arc<AtomicBool>,
+    state: Arc<GateState>,
+}
+
+#[derive(Debug, Default)]
+struct GateState {
+    is_due: AtomicBool,
     /// A head has become due since the last read.
-    is_new: Arc<AtomicBool>,
+    is_new: AtomicBool,
+    /// No part of the request has been written.
+    is_unsent: AtomicBool,
 }
 
 impl HeadGate {
     /// Applies the limits until [`HeadGate::end`].
     pub(super) fn begin(&self) {
-        self.is_new.store(true, Ordering::Relaxed);
-        self.is_due.store(true, Ordering::Relaxed);
+        self.state.is_unsent.store(true, Ordering::Relaxed);
+        self.state.is_new.store(true, Ordering::Relaxed);
+        self.state.is_due.store(true, Ordering::Relaxed);
     }
 
     /// Records that the head has been received.
     pub(super) fn end(&self) {
-        self.is_due.store(false, Ordering::Relaxed);
+        self.state.is_due.store(false, Ordering::Relaxed);
+    }
+
+    /// True if no part of the last request has been written, so that the upstream cannot run it.
+    pub(super) fn is_unsent(&self) -> bool {
+        self.state.is_unsent.load(Ordering::Relaxed)
     }
 }
 
@@ -67,6 +82,29 @@
         Self { stream, gate, received: 0, heads: 0, matched: 0, timer: None }
     }
 
+    /// Fails before the first byte of a request if something has arrived that the request cannot have caused. The
+    /// socket itself is asked, because the runtime may not have processed its last event yet.
+    fn check_unread(&self) -> io::Result<()> {
+        if !self.gate.is_unsent() {
+            return Ok(());
+        }
+        match SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(()),
+            Err(error) => Err(error),
+            Ok(0) => Err(io::ErrorKind::ConnectionAborted.into()),
+            Ok(_) => {
+                let message = "the upstream sent bytes before the request";
+                Err(io::Error::new(io::ErrorKind::InvalidData, message))
+            }
+        }
+    }
+
+    fn record_written(&self, result: &Poll<io::Result<usize>>) {
+        if matches!(result, Poll::Ready(Ok(written)) if *written > 0) {
+            self.gate.state.is_unsent.store(false, Ordering::Relaxed);
+        }
+    }
+
     fn reset(&mut self) {
         (self.received, self.heads, self.matched, self.timer) = (0, 0, 0, None);
     }
@@ -104,10 +142,10 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let this = &mut *self;
-        if this.gate.is_new.swap(false, Ordering::Relaxed) {
+        if this.gate.state.is_new.swap(false, Ordering::Relaxed) {
             this.reset();
         }
-        if !this.gate.is_due.load(Ordering::Relaxed) {
+        if !this.gate.state.is_due.load(Ordering::Relaxed) {
             return Pin::new(&mut this.stream).poll_read(context, buffer);
         }
         if this.exceeds_limit() {
@@ -136,7 +174,10 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        self.check_unread()?;
+        let result = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.record_written(&result);
+        result
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -152,7 +193,10 @@
         context: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, parts)
+        self.check_unread()?;
+        let result = Pin::new(&mut self.stream).poll_write_vectored(context, parts);
+        self.record_written(&result);
+        result
     }
 
     fn is_write_vectored(&self) -> bool {
