Pass on a promise that a request has not run only if its upstream states so

The statuses 408, 421, 429 and 503 promise callers that a request has not run and never will. An upstream makes that statement with a mark of its own. A response with such a status but without the mark reached the caller as it was, so that the caller of a request that must not run twice sent it again although it may have run. A response with status 200 and the mark counted as a refusal and was replaced by 503, a switch to another protocol was passed on as status 101, and a body with a content encoding that nobody asked for as status 200.

entry/response_check.rs now decides what the head of a response states about the request. A refusal without the mark counts as "may have run": the request is sent elsewhere if it may be, and ends with status 502 otherwise; its other statements (retry delay, limits) still count, because the response belongs to the request. The other three are not accepted, like a response with a wrong id.

Before, the six cases gave the caller of the request that must not run twice 503, 429, 408, 503 (for status 200 with the mark), 101 and 200.

--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -28,6 +28,7 @@
     pool::UpstreamConnection,
     relay::OpenStream,
     request::{ALTERNATIVE_CHECK_INTERVAL, ChosenUpstream, RequestContext},
+    response_check::ResponseVerdict,
 };
 use crate::port::{AttemptMeta, ResponseMeta};
 
@@ -260,15 +261,13 @@
         let upstream = &chosen.record;
         let (head, body) = response.into_parts();
         let meta = shared.ports.codec.read_response(&head);
-        let has_wrong_id = match &meta.id {
-            Some(id) => *id != self.meta.id,
-            // On a kept connection, this may be a second copy of an earlier response.
-            None => connection.idle_for.is_some(),
-        };
-        if has_wrong_id || (head.status.is_success() && !meta.signed) {
+        let verdict = self.check_response(&head, &meta, connection.idle_for.is_some());
+        if let ResponseVerdict::Rejected(cause) = verdict {
             info!(
-                "event=answer_refused request={} upstream={} foreign={has_wrong_id} signed={}",
-                self.meta.id, upstream.upstream, meta.signed
+                "event=answer_refused request={} upstream={} cause={cause} status={}",
+                self.meta.id,
+                upstream.upstream,
+                head.status.as_u16()
             );
             guard.fail();
             return AttemptResult::Failed(AttemptEnd::Lost, None);
@@ -276,13 +275,23 @@
         if !meta.wrong_upstream {
             self.record_statements(&upstream.upstream, &meta, sent_at);
         }
-        if meta.not_run || meta.wrong_upstream {
+        if verdict == ResponseVerdict::NotRun {
             if !meta.wrong_upstream {
                 self.record_speed(upstream, &meta, sent_at, false);
             }
             guard.finish(AttemptOutcome::NotRun);
             return AttemptResult::Failed(AttemptEnd::NotRun, None);
         }
+        if verdict == ResponseVerdict::UnstatedRefusal {
+            info!(
+                "event=refusal_unstated request={} upstream={} status={}",
+                self.meta.id,
+                upstream.upstream,
+                head.status.as_u16()
+            );
+            guard.fail();
+            return AttemptResult::Failed(AttemptEnd::Lost, None);
+        }
         let is_framed = body.is_end_stream()
             || head.headers.contains_key(CONTENT_LENGTH)
             || head.headers.contains_key(TRANSFER_ENCODING);
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -16,6 +16,7 @@
 mod relay;
 mod request;
 mod response;
+mod response_check;
 mod response_head;
 mod rooms;
 mod shared;
