--- a/crates/chunks/src/schedule.rs
+++ b/crates/chunks/src/schedule.rs
@@ -1,9 +1,9 @@
 //! Decides when an engine loads staged weights.
 //!
 //! An engine accepts no requests from the order to load until it has loaded, and its running requests end in between, so
-//! the loads of a fleet are spread over the allowed time. All agents
-//! derive the same order from the same list of agents, and each computes its own start time from its position. This
-//! needs no coordinator, and no agent waits for another one that may be down.
+//! the loads of a fleet are spread over the allowed time. All agents derive the same order from the same list of agents,
+//! and each computes its own start time from its position. This needs no coordinator, and no agent waits for another one
+//! that may be down.
 
 use std::time::{Duration, Instant};
 
--- a/crates/chunks/src/transfers.rs
+++ b/crates/chunks/src/transfers.rs
@@ -258,9 +258,9 @@
     }
 
     /// Drops the oldest version, which is staged, if loading it would not keep the engine in service, because each switch
-    /// of weights takes the engine out of service until its requests have ended and the weights are loaded. That is the case if the newer version will arrive before `deadline`,
-    /// the latest time to order the load of the older one, or if the older version would be served for less time than
-    /// its switch takes. An engine that serves nothing (`is_serving` is false) gains from any time. `chunk_time` is the
+    /// of weights takes the engine out of service until its requests have ended and the weights are loaded. That is the
+    /// case if the newer version will arrive before `deadline`, the latest time to order the load of the older one, or if
+    /// the older version would be served for less time than its switch takes. An engine that serves nothing (`is_serving` is false) gains from any time. `chunk_time` is the
     /// transfer time of a chunk on an idle link. Returns whether a version was dropped.
     pub fn skip_oldest(
         &mut self,
