--- a/crates/fleet/src/item.rs
+++ b/crates/fleet/src/item.rs
@@ -45,8 +45,12 @@
     Other,
 }
 
+/// Maximum length of the description of an error in characters. Parsers quote the values that they reject, which may be
+/// as long as an item.
+const MAX_REASON_CHARS: usize = 200;
+
 /// Error of an item that cannot be decoded.
-#[derive(Debug, Snafu)]
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
 #[snafu(display("{reason}"))]
 pub struct ItemError {
     /// Description of the error in the value.
@@ -54,9 +58,12 @@
 }
 
 impl ItemError {
-    /// Creates an error with the reason as its message.
-    pub fn new(reason: impl Into<String>) -> Self {
-        Self { reason: reason.into() }
+    /// Creates an error with the reason as its message, shortened to one short line.
+    pub fn new(reason: impl AsRef<str>) -> Self {
+        let reason = reason.as_ref().chars().take(MAX_REASON_CHARS);
+        Self {
+            reason: reason.map(|letter| if letter.is_control() { ' ' } else { letter }).collect(),
+        }
     }
 }
 
@@ -67,6 +74,12 @@
     /// # Errors
     /// Fails if the value does not have the format that the key requires.
     fn decode(&self, key: &str, value: &Bytes) -> Result<ItemValue, ItemError>;
+
+    /// Short value that is passed on to other processes instead of a large one that cannot be decoded. Decoding it fails
+    /// as well.
+    fn unreadable_value(&self, _error: &ItemError) -> Bytes {
+        Bytes::new()
+    }
 }
 
 /// How an item was received.
@@ -91,7 +104,7 @@
     pub before: Option<ItemValue>,
     /// New content; `None` if the item is removed or cannot be decoded.
     pub after: Option<ItemValue>,
-    /// Set if the item cannot be decoded.
+    /// Set if the item cannot be decoded, unless it could not be decoded before for the same reason.
     pub error: Option<ItemError>,
     /// Time since the change was made, as far as this process knows; `None` if it was only found in a listing.
     pub age: Option<Duration>,
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -14,7 +14,7 @@
 use crate::{
     declared::{DeclaredVersions, MissedChanges},
     era::{HeldValue, KnownItem, REGISTRATION_GRACE, StoreEra, era_and_number, held_after_restore},
-    item::{DecodeItem, FleetChange, ItemKey, ItemSource, ItemValue, RawItem},
+    item::{DecodeItem, FleetChange, ItemError, ItemKey, ItemSource, ItemValue, RawItem},
     lost_config::{ActiveConfig, ConfigStamp, ConfigTracker},
     period::ReceivePeriod,
     record::{RoutingConfig, UpstreamRecord, WeightsVersion},
@@ -23,6 +23,9 @@
 
 /// Maximum number of tombstones. A peer that is further behind than the oldest one receives a snapshot.
 const MAX_TOMBSTONES: usize = 4_096;
+/// Maximum size in bytes of a value that is kept although this process does not use it. All values are passed on to other
+/// entries in one message.
+const MAX_UNUSED_VALUE_BYTES: usize = 1 << 10;
 /// Shortest suspension that is accounted for. Its duration is the difference of two clocks, which fluctuates slightly.
 const MIN_SUSPENSION: Duration = Duration::from_millis(5);
 
@@ -31,6 +34,8 @@
     revision: Revision,
     value: Option<Bytes>,
     decoded: Option<ItemValue>,
+    /// Set if the value cannot be decoded.
+    error: Option<ItemError>,
     /// Time at which the change was observed; `None` if the item was only found in a listing.
     changed: Option<Instant>,
     /// Value in force instead of the stored one, because the store was unavailable or has been restored from a copy.
@@ -121,7 +126,7 @@
     /// Applies one item. Returns `None` if its revision is not newer than the known one.
     pub fn apply(
         &mut self,
-        item: RawItem,
+        mut item: RawItem,
         source: ItemSource,
         decoder: &dyn DecodeItem,
         period: ReceivePeriod,
@@ -137,6 +142,13 @@
                 Some(Err(error)) => (None, Some(error)),
                 None => (None, None),
             };
+        if item.value.as_ref().is_some_and(|value| value.len() > MAX_UNUSED_VALUE_BYTES) {
+            match (&decoded, &error) {
+                (_, Some(error)) => item.value = Some(decoder.unreadable_value(error)),
+                (Some(ItemValue::Other), _) => item.value = Some(Bytes::new()),
+                _ => {}
+            }
+        }
         // Time limits that start with a declaration must not end late, so a declaration is dated as early as it can have
         // been made. The cold period of an upstream must not end early.
         let received = match &decoded {
@@ -176,7 +188,8 @@
             (None, Some(before)) => before.removed_upstream(),
             _ => None,
         };
-        let before = before.and_then(|before| before.decoded);
+        let (before, known_error) =
+            before.map_or((None, None), |before| (before.decoded, before.error));
         match (&before, &decoded) {
             (_, Some(ItemValue::Routing(config))) => {
                 self.config.active = item.value.clone().map(|value| ActiveConfig {
@@ -201,13 +214,14 @@
             revision: item.revision,
             before,
             after: decoded.clone(),
-            error,
+            error: error.clone().filter(|error| known_error.as_ref() != Some(error)),
             age: changed.map(|changed| now.saturating_duration_since(changed)),
         };
         let state = ItemState {
             revision: item.revision,
             value: item.value,
             decoded,
+            error,
             changed,
             held,
             removed,
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -22,6 +22,7 @@
 
 use super::{
     crashes::check_upstream,
+    event_order::EventOrder,
     events::{EventReader, StreamPart, has_content},
     guards::{AttemptGuard, AttemptMonitor},
     limits::log_limit_change,
@@ -29,6 +30,7 @@
     pool::UpstreamConnection,
     relay::OpenStream,
     request::{ALTERNATIVE_CHECK_INTERVAL, ChosenUpstream, RequestContext},
+    response_check::ResponseVerdict,
 };
 use crate::port::{AttemptMeta, ResponseMeta};
 
@@ -99,7 +101,7 @@
         // one, or a late response to another request may arrive on it. Without an id, such a response cannot be told
         // from the right one.
         let pooled = if self.route.repeat.is_retryable() && !self.meta.id.is_empty() {
-            self.shared.pool.take(&upstream.upstream)
+            self.shared.pool.take(&upstream.upstream, &self.meta.id)
         } else {
             None
         };
@@ -136,15 +138,29 @@
             return AttemptResult::Failed(AttemptEnd::NotSent, None);
         }
         let request = self.upstream_request(chosen, resume_after, now);
+        connection.carried_ids.record(&self.meta.id);
         connection.head_gate.begin();
+        self.progress().attempts.record_sent();
         let sent = connection.sender.send_request(request);
         let wait = ResponseWait { cancel_at, sent_at: now, monitor };
         let response = match self.wait_for(sent, &wait).await {
             Ok(Ok(response)) => response,
             Ok(Err(error)) if error.is_canceled() => {
+                self.progress().attempts.record_unsent();
                 guard.finish(AttemptOutcome::Unreachable);
                 return AttemptResult::Failed(AttemptEnd::NotSent, None);
             }
+            Ok(Err(error)) if connection.head_gate.is_unsent() => {
+                if let Some(idle_for) = connection.idle_for {
+                    shared.pool.record_reset(idle_for);
+                }
+                info!(
+                    "event=connection_unusable request={} upstream={} error=\"{error:?}\"",
+                    self.meta.id, upstream.upstream
+                );
+                guard.fail();
+                return AttemptResult::Failed(AttemptEnd::NotSent, None);
+            }
             Ok(Err(_)) => {
                 if let Some(idle_for) = connection.idle_for {
                     shared.pool.record_reset(idle_for);
@@ -198,7 +214,7 @@
             if slow_at >= self.deadline {
                 return Err(WaitError::TimedOut);
             }
-            wait.monitor.slow.notify_one();
+            wait.monitor.notify_slow();
             slow_at = self.deadline.min(slow_at + ALTERNATIVE_CHECK_INTERVAL);
         }
     }
@@ -243,7 +259,7 @@
     fn response_deadline(&self, now: Instant) -> Instant {
         let target = self.route.target_latency;
         let wait = match () {
-            () if self.progress().attempts.is_last_attempt() => return self.deadline,
+            () if !self.progress().attempts.allows_another() => return self.deadline,
             () if self.route.repeat.is_stream() => target + FIRST_EVENT_SLACK,
             () => (target * RESPONSE_TIMEOUT_FACTOR).max(MIN_RESPONSE_TIMEOUT),
         };
@@ -265,15 +281,13 @@
         let upstream = &chosen.record;
         let (head, body) = response.into_parts();
         let meta = shared.ports.codec.read_response(&head);
-        let has_wrong_id = match &meta.id {
-            Some(id) => *id != self.meta.id,
-            // On a kept connection, this may be a second copy of an earlier response.
-            None => connection.idle_for.is_some(),
-        };
-        if has_wrong_id || (head.status.is_success() && !meta.signed) {
+        let verdict = self.check_response(&head, &meta, connection.idle_for.is_some());
+        if let ResponseVerdict::Rejected(cause) = verdict {
             info!(
-                "event=answer_refused request={} upstream={} foreign={has_wrong_id} signed={}",
-                self.meta.id, upstream.upstream, meta.signed
+                "event=answer_refused request={} upstream={} cause={cause} status={}",
+                self.meta.id,
+                upstream.upstream,
+                head.status.as_u16()
             );
             guard.fail();
             return AttemptResult::Failed(AttemptEnd::Lost, None);
@@ -281,29 +295,46 @@
         if !meta.wrong_upstream {
             self.record_statements(&upstream.upstream, &meta, sent_at);
         }
-        if meta.not_run || meta.wrong_upstream {
+        if verdict == ResponseVerdict::NotRun {
             if !meta.wrong_upstream {
                 self.record_speed(upstream, &meta, sent_at, false);
             }
             guard.finish(AttemptOutcome::NotRun);
             return AttemptResult::Failed(AttemptEnd::NotRun, None);
         }
+        if verdict == ResponseVerdict::UnstatedRefusal {
+            info!(
+                "event=refusal_unstated request={} upstream={} status={}",
+                self.meta.id,
+                upstream.upstream,
+                head.status.as_u16()
+            );
+            guard.fail();
+            return AttemptResult::Failed(AttemptEnd::Lost, None);
+        }
         let is_framed = body.is_end_stream()
             || head.headers.contains_key(CONTENT_LENGTH)
             || head.headers.contains_key(TRANSFER_ENCODING);
         if self.route.repeat.is_stream() && head.status.is_success() {
-            // A caller that resumes a stream may have received all of its events.
-            let resume_after = resume_after.or(self.meta.resume_after.as_deref());
-            let mut reader = Box::new(EventReader::new(body, resume_after));
+            let position = resume_after.or(self.meta.resume_after.as_deref());
+            let mut order =
+                EventOrder::new(position.map(Into::into), self.route.repeat.is_retryable());
+            if resume_after.is_some() {
+                order.begin_run();
+            }
+            let mut reader = Box::new(EventReader::new(body, order));
             let first = match self.wait_for(reader.read_first(), &wait).await {
                 Ok(first) => first,
                 Err(error) => return self.give_up(chosen, error, guard),
             };
             let fault = match &first {
                 StreamPart::Fault(fault) => Some((*fault).into()),
-                // An upstream without a length that crashes before the first event ends its body as well.
+                // An upstream without a length that crashes before the first event ends its body as well. A caller that
+                // resumes a stream may have received all of its events.
                 StreamPart::End(rest)
-                    if !is_framed && resume_after.is_none() && !has_content(rest) =>
+                    if !is_framed
+                        && (resume_after.is_some() || position.is_none())
+                        && !has_content(rest) =>
                 {
                     Some(NO_EVENTS)
                 }
@@ -314,7 +345,13 @@
                     "event=stream_failed request={} upstream={} cause={cause} framed={is_framed}",
                     self.meta.id, upstream.upstream
                 );
-                self.record_connection_lost(upstream, false);
+                let may_have_crashed = match first {
+                    StreamPart::Fault(fault) => fault.may_be_crash(),
+                    _ => true,
+                };
+                if may_have_crashed {
+                    self.record_connection_lost(upstream, false);
+                }
                 guard.fail();
                 return AttemptResult::Failed(AttemptEnd::Lost, None);
             }
--- a/crates/gateway/src/entry/events.rs
+++ b/crates/gateway/src/entry/events.rs
@@ -10,6 +10,8 @@
 use compact_str::CompactString;
 use hyper::body::{Body, Incoming};
 
+use super::event_order::EventOrder;
+
 /// Maximum size of an event, which is buffered until it is complete, with the comments before it.
 const MAX_EVENT_BYTES: usize = 256 << 10;
 /// Maximum size of a stream; one of 4,096 tokens has about 400 KB.
@@ -19,11 +21,11 @@
 #[derive(Debug, Default)]
 struct EventSplitter {
     partial: BytesMut,
-    last_id: Option<CompactString>,
+    order: EventOrder,
 }
 
 impl EventSplitter {
-    /// Adds bytes and returns the events that they complete.
+    /// Adds bytes and returns the events that they complete, up to the first one that may not be passed on.
     fn push(&mut self, bytes: Bytes) -> Option<Bytes> {
         let complete = if self.partial.is_empty() {
             let Some(end) = end_of_events(&bytes, false) else {
@@ -37,10 +39,8 @@
             let end = end_of_events(&self.partial, false)?;
             self.partial.split_to(end).freeze()
         };
-        if has_content(&complete) {
-            self.last_id = last_event_id(&complete);
-        }
-        Some(complete)
+        let accepted = self.order.accept(&complete);
+        (accepted > 0).then(|| complete.slice(..accepted))
     }
 
     /// Number of buffered bytes of the incomplete event.
@@ -54,14 +54,16 @@
             if end_of_events(&self.partial, true) != Some(self.partial.len()) {
                 return None;
             }
-            self.last_id = last_event_id(&self.partial);
+            if self.order.accept(&self.partial) < self.partial.len() {
+                return None;
+            }
         }
         Some(self.partial.split().freeze())
     }
 
     /// Id of the last complete event; `None` if there is no event or that one has no id.
     fn last_id(&self) -> Option<&CompactString> {
-        self.last_id.as_ref()
+        self.order.last_id()
     }
 }
 
@@ -94,25 +96,6 @@
     lines.into_iter().any(|line| !line.is_empty() && !line.starts_with(b":"))
 }
 
-/// Id of the last event; `None` if that has none. Comments are skipped.
-fn last_event_id(events: &[u8]) -> Option<CompactString> {
-    let lines = events
-        .rsplit(|byte| *byte == b'\n')
-        .flat_map(|line| line.strip_suffix(b"\r").unwrap_or(line).rsplit(|byte| *byte == b'\r'));
-    let mut has_fields = false;
-    for line in lines {
-        match line {
-            [] if has_fields => return None,
-            [] | [b':', ..] => {}
-            [b'i', b'd', b':', id @ ..] => {
-                return Some(std::str::from_utf8(id).ok()?.trim().into());
-            }
-            _ => has_fields = true,
-        }
-    }
-    None
-}
-
 /// Why the events of a stream cannot be read any further.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum StreamFault {
@@ -124,6 +107,15 @@
     StreamTooLong,
     /// An event, with the comments before it, exceeds [`MAX_EVENT_BYTES`].
     EventTooLong,
+    /// What was sent is no event, or does not continue the stream. The cause is given as it is logged.
+    NotTheStream(&'static str),
+}
+
+impl StreamFault {
+    /// True if the upstream may have crashed.
+    pub(super) fn may_be_crash(self) -> bool {
+        matches!(self, Self::ConnectionLost | Self::EventIncomplete)
+    }
 }
 
 impl From<StreamFault> for &'static str {
@@ -134,6 +126,7 @@
             StreamFault::EventIncomplete => "event_incomplete",
             StreamFault::StreamTooLong => "stream_too_long",
             StreamFault::EventTooLong => "event_too_long",
+            StreamFault::NotTheStream(cause) => cause,
         }
     }
 }
@@ -162,10 +155,9 @@
 }
 
 impl EventReader {
-    /// Creates a reader of a response that continues after the event `resume_after`.
-    pub(super) fn new(body: Incoming, resume_after: Option<&str>) -> Self {
-        let splitter =
-            EventSplitter { last_id: resume_after.map(Into::into), ..EventSplitter::default() };
+    /// Creates a reader of a response whose events must continue `order`.
+    pub(super) fn new(body: Incoming, order: EventOrder) -> Self {
+        let splitter = EventSplitter { order, ..EventSplitter::default() };
         Self { body, splitter, received: 0, without_event: 0 }
     }
 
@@ -178,6 +170,9 @@
     /// Reads the next part of the stream.
     pub(super) fn poll_part(&mut self, context: &mut Context<'_>) -> Poll<StreamPart> {
         loop {
+            if let Some(cause) = self.splitter.order.fault() {
+                return Poll::Ready(StreamPart::Fault(StreamFault::NotTheStream(cause)));
+            }
             let frame = match ready!(Pin::new(&mut self.body).poll_frame(context)) {
                 Some(Ok(frame)) => frame,
                 Some(Err(_)) => return Poll::Ready(StreamPart::Fault(StreamFault::ConnectionLost)),
--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -1,7 +1,7 @@
 //! Handling of a caller's request: checks, choice of an upstream, attempts and response.
 
 use std::{
-    sync::{Arc, Mutex, PoisonError, Weak},
+    sync::{Arc, Mutex, OnceLock, PoisonError, Weak},
     time::{Duration, Instant},
 };
 
@@ -59,6 +59,8 @@
     pub(super) started: Instant,
     /// Deadline stated by the caller.
     pub(super) caller_deadline: Option<Instant>,
+    /// Media type of the stream that the caller receives; empty until the response has begun.
+    pub(super) stream_type: OnceLock<Vec<u8>>,
     progress: Mutex<RequestProgress>,
 }
 
@@ -169,6 +171,7 @@
             is_logged: false,
             waited: Duration::ZERO,
         }),
+        stream_type: OnceLock::new(),
         method: head.method,
         uri: head.uri,
         headers: head.headers,
@@ -209,7 +212,7 @@
         match () {
             () if !self.route.repeat.is_retryable() => Some(ResumeRefusal::NotResumable),
             () if left <= MIN_ATTEMPT_TIME => Some(ResumeRefusal::Deadline),
-            () if self.progress().attempts.is_last_attempt() => Some(ResumeRefusal::Attempts),
+            () if !self.progress().attempts.allows_another() => Some(ResumeRefusal::Attempts),
             () => None,
         }
     }
@@ -238,7 +241,7 @@
         after: Option<CompactString>,
         purpose: AttemptPurpose,
     ) -> Option<OpenStream> {
-        if !self.may_retry(AttemptEnd::Lost) {
+        if !self.may_retry_recorded(AttemptEnd::Lost) {
             return None;
         }
         {
@@ -286,8 +289,8 @@
                     };
                 }
             };
-            let attempt = self.attempt_with_backup(chosen, resume_after.as_deref(), purpose);
-            let end = tokio::select! {
+            let attempt = self.attempt_with_backup(chosen, resume_after.as_deref());
+            let (upstream, result) = tokio::select! {
                 biased;
                 end = attempt => end,
                 // The process ends before the deadline, and with it the caller's connection.
@@ -296,19 +299,14 @@
                     return RequestResult::Expired(FinalStatus::Unknown);
                 }
             };
-            match end.result {
+            match result {
                 AttemptResult::Stream(head, stream) => return RequestResult::Stream(head, stream),
                 AttemptResult::Complete(head, body) => return RequestResult::Complete(head, body),
                 AttemptResult::Failed(failure, response) => {
                     error_response = response.or(error_response);
-                    let may_retry = if end.is_recorded {
-                        self.may_retry_recorded(failure)
-                    } else {
-                        self.log_attempt_end(&end.upstream, failure);
-                        self.progress().tried.push(end.upstream);
-                        self.may_retry(failure)
-                    };
-                    if !may_retry {
+                    self.log_attempt_end(&upstream, failure);
+                    self.progress().tried.push(upstream);
+                    if !self.may_retry(failure) {
                         if let Some((head, body)) = error_response {
                             return RequestResult::Complete(head, body);
                         }
@@ -357,29 +355,44 @@
         if !self.progress().attempts.may_retry(end) {
             return false;
         }
+        end == AttemptEnd::NotSent || self.charge_retry()
+    }
+
+    /// Charges the retry budget for another attempt; false if it is used up.
+    pub(super) fn charge_retry(&self) -> bool {
         let has_budget =
-            end == AttemptEnd::NotSent || self.shared.retry_budget().try_take(&self.service, now);
+            self.shared.retry_budget().try_take(&self.service, self.shared.clock.now());
         if !has_budget {
             info!("event=repeat_refused request={} cause=retry_budget", self.meta.id);
         }
         has_budget
     }
 
+    /// Records the upstream whose response the caller receives.
+    pub(super) fn record_upstream(&self, upstream: &UpstreamId) {
+        self.progress().last = Some(upstream.clone());
+    }
+
+    /// Records that the current attempt was lost after its response had begun.
+    pub(super) fn record_lost(&self) {
+        self.progress().attempts.record(AttemptEnd::Lost);
+    }
+
     /// True if another upstream can take the request now, beside the current attempt.
     pub(super) fn has_alternative(&self) -> bool {
         let now = self.shared.clock.now();
-        let (mut attempts, mut tried, last) = {
+        let (allows_another, mut tried, last) = {
             let progress = self.progress();
-            (progress.attempts, progress.tried.clone(), progress.last.clone())
+            (progress.attempts.allows_another(), progress.tried.clone(), progress.last.clone())
         };
         tried.extend(last);
-        attempts.record(AttemptEnd::Lost)
+        allows_another
             && self.crash_refusal(now).is_none()
-            && self.shared.retry_budget().has_room(&self.service, now)
+            && self.shared.retry_budget().has_room_for_backup(&self.service, now)
             && !self.is_behind_queue(now)
             && matches!(
                 self.place(&self.shared.view.load(), &tried, now, AttemptPurpose::Backup),
-                Placement::Upstream { .. }
+                Placement::Upstream { is_certain: true, .. }
             )
     }
 
@@ -415,6 +428,7 @@
         purpose: AttemptPurpose,
     ) -> Placement {
         let is_resumed = purpose == AttemptPurpose::Resume;
+        let is_last_attempt = self.progress().attempts.is_last_attempt();
         let placement_request = PlacementRequest {
             service: &self.service,
             prompt_tokens: self.meta.prompt_tokens,
@@ -428,6 +442,7 @@
             delay_limit: self.delay_limit(now, is_resumed),
             time_to_deadline: Some(self.deadline.saturating_duration_since(now)),
             is_resumed,
+            is_last_attempt,
         };
         self.shared.balancer().choose(&placement_request, now, &mut rand::rng())
     }
@@ -440,7 +455,7 @@
         let view = self.shared.view.load();
         let tried = self.progress().tried.clone();
         match self.place(&view, &tried, now, purpose) {
-            Placement::Upstream { record, delay, version, cancel_at, expected_version } => {
+            Placement::Upstream { record, delay, version, cancel_at, expected_version, .. } => {
                 let mut progress = self.progress();
                 progress.predicted.get_or_insert(delay);
                 progress.version = version;
@@ -481,6 +496,7 @@
         match end {
             RequestResult::Stream(head, stream) => {
                 self.shared.metrics.observe("first_event_seconds", self.elapsed());
+                self.record_stream_head(&head);
                 let body = RelayBody::new(self.clone(), stream, in_flight);
                 self.relayed_response(head, ResponseBody::Right(Box::new(body)))
             }
