Do not count an attempt of which nothing was sent

Callers would see: 502 or 503 instead of a retry, if an upstream had closed or written to a connection before the request was sent on it and the request had one attempt left. Attempts count when they are sent; the check for unread bytes, right before the first byte, reports that nothing was sent, but did not take the count back as the other such path does. Change: it does. Found by reading the whole change.

--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -151,6 +151,7 @@
                 return AttemptResult::Failed(AttemptEnd::NotSent, None);
             }
             Ok(Err(error)) if connection.head_gate.is_unsent() => {
+                self.progress().attempts.record_unsent();
                 if let Some(idle_for) = connection.idle_for {
                     shared.pool.record_reset(idle_for);
                 }
