Begin to use engines that have loaded weights one after the other

Since load orders let running streams end, engines are out of service for longer, and more of these requests come together.

Cause: all entries see the engine idle at the same moment and prefer it; in the first 0.2 s each engine got ten times the requests of a usual time, before a report could show them. The prefills take longer than the target.

Change: when reports show that an engine serves again, an entry uses it from a random time within 1 s on, so the requests grow with the reports. If no other engine can take a request, it is used at once.

Evidence: engine_that_has_just_loaded_gets_more_prefills_than_it_can_do_in_time fails without the change (6 requests in 0.2 s, 0.47 s for the next one of 0.4 s allowed) and passes with it.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -372,6 +372,7 @@
         // Upstreams that may refuse the request, because they are full or about to load other weights.
         let mut full: Vec<&UpstreamId> = Vec::new();
         let mut loading: Vec<&UpstreamId> = Vec::new();
+        let mut starting: Vec<&UpstreamId> = Vec::new();
         let mut limited: Vec<&UpstreamId> = Vec::new();
         let mut shortest_wait: Option<Duration> = None;
         let in_subset = |id: &&UpstreamId| service.subset.upstreams.binary_search(id).is_ok();
@@ -404,6 +405,8 @@
                 loading.push(id);
             } else if request.is_resumed && !self.has_free_slot(service, state, now) {
                 full.push(id);
+            } else if state.is_starting(now) {
+                starting.push(id);
             } else {
                 candidates.push(id);
             }
@@ -416,9 +419,9 @@
             });
         }
         // Trying an upstream that may fail or refuse is better than refusing the request.
-        for less_certain in [full, ejected, loading] {
+        for less_certain in [&mut starting, &mut full, &mut ejected, &mut loading] {
             if candidates.is_empty() {
-                candidates = less_certain;
+                candidates = std::mem::take(less_certain);
             }
         }
         if candidates.is_empty() && limited.is_empty() {
@@ -430,7 +433,11 @@
                 _ => Placement::refuse(cause, rng),
             };
         }
-        let (placement, withheld) = self.pick(request, service, candidates, limited, now, rng);
+        let mut picked = self.pick(request, service, candidates, limited, now, rng);
+        if matches!(picked.0, Placement::Refused(_)) && !starting.is_empty() {
+            picked.0 = self.pick(request, service, starting, Vec::new(), now, rng).0;
+        }
+        let (placement, withheld) = picked;
         if let Some(table) = self.speeds.get_mut(request.service) {
             table.record_choice(now);
         }
--- a/crates/balance/src/upstream.rs
+++ b/crates/balance/src/upstream.rs
@@ -18,6 +18,9 @@
 const REPORT_DELAY: Duration = Duration::from_millis(12);
 /// Window in which an increase of the occupancy counts as pending prefills: a few passes of an engine.
 const PREFILL_WINDOW: Duration = Duration::from_millis(300);
+/// Period after an engine has loaded weights in which the entries begin to use it one after the other: a few intervals
+/// between two reports.
+const SLOW_START: Duration = Duration::from_secs(1);
 /// Weight of the latest outcome in the moving average of failures.
 const FAILURE_RATE_SMOOTHING: f64 = 0.15;
 /// Number of consecutive connection failures after which an upstream is ejected.
@@ -56,6 +59,11 @@
     pub(crate) fn occupancy(&self) -> u32 {
         self.running.saturating_add(self.queued)
     }
+
+    /// True if the engine accepts requests.
+    fn is_serving(&self) -> bool {
+        self.version > 0 && !self.switching
+    }
 }
 
 /// How an attempt ended, as evidence of the upstream's health.
@@ -87,6 +95,8 @@
     unreported: VecDeque<Instant>,
     /// Random number between 0 and 1, regenerated with each report; see [`UpstreamState::projected_occupancy`].
     dither: f64,
+    /// Time from which this entry uses an engine that has just loaded weights.
+    used_from: Option<Instant>,
     pub(crate) in_flight: u32,
     failure_rate: f64,
     outcomes: u32,
@@ -104,6 +114,7 @@
             occupancy_history: VecDeque::new(),
             unreported: VecDeque::new(),
             dither: 0.0,
+            used_from: None,
             in_flight: 0,
             failure_rate: 0.0,
             outcomes: 0,
@@ -151,6 +162,10 @@
         {
             self.unreported.pop_front();
         }
+        let has_loaded = self.report.is_some_and(|(known, _)| !known.is_serving());
+        if has_loaded && report.is_serving() {
+            self.used_from = Some(now + SLOW_START.mul_f64(dither));
+        }
         self.report = Some((report, now));
         self.occupancy_history.push_back((now, report.occupancy()));
         while self
@@ -190,6 +205,12 @@
         }
     }
 
+    /// True if the engine has just loaded weights, and other entries are to use it before this one. All entries see it idle
+    /// at the same time, and would fill it with more prefills than it can do in time before the next report.
+    pub(crate) fn is_starting(&self, now: Instant) -> bool {
+        self.used_from.is_some_and(|from| now < from)
+    }
+
     /// Factor on the configured time of a step according to the last report; at least 1.
     pub(crate) fn slowdown(&self, now: Instant) -> f64 {
         let percent = self.report(now).map_or(100, |report| report.slowdown_percent.max(100));
--- a/crates/balance/tests/board.rs
+++ b/crates/balance/tests/board.rs
@@ -444,6 +444,44 @@
     assert!(wait < Duration::from_millis(900), "{total} requests would wait {wait:?}");
 }
 
+/// All entries see that an engine which has loaded weights is idle, and send to it before its next report.
+#[test]
+fn engine_that_has_just_loaded_gets_more_prefills_than_it_can_do_in_time() {
+    const ENTRIES: u32 = 40;
+    const ENGINES: u8 = 20;
+    let mut fixtures: Vec<PlacementFixture> = (0..ENTRIES)
+        .map(|entry| {
+            let mut fixture = PlacementFixture::new(ENGINES);
+            fixture.rng = ChaCha8Rng::seed_from_u64(entry.into());
+            fixture.balancer.set_live_entries(ENTRIES as usize);
+            fixture.balancer.set_local_entries(ENTRIES as usize);
+            (1..ENGINES).for_each(|index| fixture.report(index, 8, 2));
+            let switching = AgentReport { switching: true, ..report(1, 100) };
+            let (now, rng) = (fixture.now, &mut fixture.rng);
+            fixture.balancer.record_report(address(0), switching, now, rng);
+            fixture
+        })
+        .collect();
+    let mut placed = 0_u32;
+    // Five requests a second for each entry; the other engines stay half full.
+    for step in 0..10 {
+        for (entry, fixture) in fixtures.iter_mut().enumerate() {
+            fixture.now += Duration::from_millis(20);
+            if step % 5 == 0 {
+                fixture.report(0, placed, 2);
+                (1..ENGINES).for_each(|index| fixture.report(index, 8, 2));
+            }
+            if (step + entry) % 10 == 0 && fixture.place(|_| {}) == Ok(name(0)) {
+                fixture.balancer.record_sent(&name(0), fixture.now);
+                placed += 1;
+            }
+        }
+    }
+    let load = EngineLoad { pending_prefills: placed.into(), ..EngineLoad::default() };
+    let delay = EngineForecast::new(&engine()).delay(load, 1_000);
+    assert!(delay < Duration::from_millis(400), "{placed} requests in 0.2 s, a delay of {delay:?}");
+}
+
 #[test]
 fn unreachable_upstream_is_ejected_temporarily() {
     let mut fixture = PlacementFixture::new(2);
