Take the answer of another listener for no response

Callers saw: 404 for proper requests, again and again, because an item in the store named a port where something else speaks HTTP, such as the ready or the directory port of an entry. Cause: on a new connection a response may name no request, and only a success needs a signature. An error below 500 with neither was passed on, and its upstream counted as healthy. Change: a response below 500 with neither the request's id nor a signature nor the mark of a refusal counts as no response, and its upstream as failed. Refusals that are marked, 421 and requests without an id are treated as before.

--- a/crates/gateway/src/entry/response_check.rs
+++ b/crates/gateway/src/entry/response_check.rs
@@ -36,6 +36,7 @@
         let rejected = match &meta.id {
             Some(id) if *id != self.meta.id => Some("wrong_id"),
             None if is_reused => Some("no_id"),
+            None if self.is_foreign(head, meta) => Some("foreign"),
             _ if head.status.is_informational() => Some("protocol_switch"),
             _ if is_success && meta.not_run => Some("contradictory"),
             _ if is_success && !meta.signed => Some("unsigned"),
@@ -51,6 +52,13 @@
         }
     }
 
+    /// True if the response shows no sign of an upstream, as when the address of an upstream is that of another service. An
+    /// error may come from a part of the upstream that does not know the request.
+    fn is_foreign(&self, head: &response::Parts, meta: &ResponseMeta) -> bool {
+        let is_marked = meta.signed || meta.not_run || meta.wrong_upstream;
+        !self.meta.id.is_empty() && !is_marked && !head.status.is_server_error()
+    }
+
     /// True if the body is encoded although the caller did not ask for it. Events are never encoded, because they are
     /// passed on one by one.
     fn has_unwanted_encoding(&self, headers: &HeaderMap) -> bool {
