Count attempts that are still connecting when another one is considered

Callers saw nothing; an upstream beyond max_attempts could get the request. Cause: attempts count when they are sent. While a backup connects, for up to 0.25 s, the first attempt may fail, and a second backup could begin beside the first one. Change: an attempt counts from its begin on for allows_another and is_last_attempt; a guard ends that when the attempt is sent, ends or is cancelled. Measured: attempt_that_is_still_connecting_is_not_counted (balance, attempt) fails if allows_another counts sent attempts only, and passes with the change, with the 5 other tests of the file. There is no test with processes.

--- a/crates/balance/src/attempt.rs
+++ b/crates/balance/src/attempt.rs
@@ -37,6 +37,8 @@
     attempts: u32,
     /// Attempts that were sent and whose end is not recorded.
     open: u32,
+    /// Attempts that have begun and of which nothing was sent yet.
+    connecting: u32,
     connect_failures: u32,
     may_have_run: bool,
 }
@@ -50,6 +52,7 @@
             max_attempts: max_attempts.max(1),
             attempts: 0,
             open: 0,
+            connecting: 0,
             connect_failures: 0,
             may_have_run: false,
         }
@@ -61,16 +64,32 @@
         self.attempts
     }
 
+    /// Number of attempts that were sent or may still be sent.
+    #[must_use]
+    pub fn begun(&self) -> u32 {
+        self.attempts + self.connecting
+    }
+
     /// True if another attempt is allowed while the current one, which may have run, is open or after it was lost.
     #[must_use]
     pub fn allows_another(&self) -> bool {
-        self.attempts < self.max_attempts && self.retry_policy.is_retryable()
+        self.begun() < self.max_attempts && self.retry_policy.is_retryable()
     }
 
     /// True if the next attempt is the last one that may be sent.
     #[must_use]
     pub fn is_last_attempt(&self) -> bool {
-        self.attempts + 1 >= self.max_attempts
+        self.begun() + 1 >= self.max_attempts
+    }
+
+    /// Records that an attempt begins. Until [`AttemptLog::end_connecting`] it counts as one that may still be sent.
+    pub fn begin_connecting(&mut self) {
+        self.connecting += 1;
+    }
+
+    /// Records that an attempt is about to be sent, or that it has ended before that.
+    pub fn end_connecting(&mut self) {
+        self.connecting = self.connecting.saturating_sub(1);
     }
 
     /// Records that an attempt is being sent. Several may be open at the same time.
--- a/crates/balance/tests/attempt.rs
+++ b/crates/balance/tests/attempt.rs
@@ -43,6 +43,18 @@
     assert!(!log.record(AttemptEnd::Failed));
 }
 
+/// Guards against a second backup beside one that is still connecting, which exceeds the limit once both are sent.
+#[test]
+fn attempt_that_is_still_connecting_is_not_counted() {
+    let mut log = AttemptLog::new(RetryPolicy::Stream { resumable: true }, 2);
+    log.record_sent();
+    log.begin_connecting();
+    log.record(AttemptEnd::Lost);
+    assert!(!log.allows_another());
+    log.end_connecting();
+    assert!(log.allows_another(), "it was not sent");
+}
+
 proptest! {
     #[test]
     fn guarantees_hold_for_any_sequence_of_attempts(
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -24,7 +24,7 @@
     crashes::check_upstream,
     event_order::EventOrder,
     events::{EventReader, StreamPart, has_content},
-    guards::{AttemptGuard, AttemptMonitor},
+    guards::{AttemptGuard, AttemptMonitor, ConnectingGuard},
     limits::log_limit_change,
     outcome::AttemptResult,
     pool::UpstreamConnection,
@@ -128,6 +128,7 @@
         let shared = &self.shared;
         self.progress().last = Some(upstream.upstream.clone());
         let guard = AttemptGuard::new(shared.clone(), upstream.clone(), monitor.clone());
+        let connecting = ConnectingGuard::new(self);
         let Some(mut connection) = self.open_connection(upstream).await else {
             guard.finish(AttemptOutcome::Unreachable);
             return AttemptResult::Failed(AttemptEnd::NotSent, None);
@@ -140,6 +141,7 @@
         let request = self.upstream_request(chosen, resume_after, now);
         connection.carried_ids.record(&self.meta.id);
         connection.head_gate.begin();
+        drop(connecting);
         self.progress().attempts.record_sent();
         let sent = connection.sender.send_request(request);
         let wait = ResponseWait { cancel_at, sent_at: now, monitor };
--- a/crates/gateway/src/entry/guards.rs
+++ b/crates/gateway/src/entry/guards.rs
@@ -10,7 +10,7 @@
 use fleet::UpstreamRecord;
 use tokio::sync::Notify;
 
-use super::{crashes::log_crashes, shared::EntryShared};
+use super::{crashes::log_crashes, request::RequestContext, shared::EntryShared};
 
 /// Maximum total size of buffered request bodies, well below the memory of an entry's host.
 const MAX_HELD_BODIES: usize = 48 << 20;
@@ -42,6 +42,24 @@
     }
 }
 
+/// Counts an attempt that may still be sent until it is sent or ends, even if it is cancelled.
+pub(super) struct ConnectingGuard<'a> {
+    request: &'a RequestContext,
+}
+
+impl<'a> ConnectingGuard<'a> {
+    pub(super) fn new(request: &'a RequestContext) -> Self {
+        request.progress().attempts.begin_connecting();
+        Self { request }
+    }
+}
+
+impl Drop for ConnectingGuard<'_> {
+    fn drop(&mut self) {
+        self.request.progress().attempts.end_connecting();
+    }
+}
+
 /// Records the outcome of an attempt; it counts as abandoned if the caller disconnects first.
 pub(crate) struct AttemptGuard {
     shared: Arc<EntryShared>,
