Charge the retry budget only for attempts that begin

Callers saw: 502 (repeat_refused cause=retry_budget), streams that were not resumed, and no backups, although few retries had been sent. Cause: the budget was charged before it was known that another attempt follows: at the deadline, before an upstream was chosen, and again after a backup that was not sent. Change: the deadline is checked first, and the charge is taken once the upstream is chosen. A request compares its charges with its attempts that were sent or are connecting, so the charge of an attempt that is not sent serves the next one; there is never an arrival beyond the first one of a request without a charge. The budget is still asked before a request waits for an upstream. A charge that is left when a request ends is not given back. The charge that is carried after a backup that was not sent has no test of its own.

--- a/crates/gateway/src/entry/backup.rs
+++ b/crates/gateway/src/entry/backup.rs
@@ -4,7 +4,6 @@
 
 use std::sync::Arc;
 
-use balance::AttemptEnd;
 use base::UpstreamId;
 use futures_util::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
 use log::info;
@@ -69,16 +68,14 @@
         attempts.begin(chosen);
         let slow = attempts.slow.clone();
         let mut error_response = None;
-        let mut has_charged = false;
         loop {
             let ended = tokio::select! {
                 biased;
                 ended = attempts.running.next() => ended,
                 () = slow.notified() => {
                     if attempts.monitors.len() < MAX_OPEN_ATTEMPTS
-                        && let Some(backup) = self.choose_backup(has_charged)
+                        && let Some(backup) = self.choose_backup()
                     {
-                        has_charged = true;
                         attempts.begin(backup);
                     }
                     continue;
@@ -91,8 +88,6 @@
                 AttemptResult::Failed(end, response) if !attempts.monitors.is_empty() => {
                     self.log_attempt_end(&upstream, end);
                     error_response = response.or(error_response);
-                    // A backup that was not sent leaves its charge to the next one.
-                    has_charged = end == AttemptEnd::NotSent;
                     let mut progress = self.progress();
                     progress.attempts.record(end);
                     progress.tried.push(upstream);
@@ -110,9 +105,9 @@
         }
     }
 
-    /// Chooses the upstream of a backup and charges the retry budget unless that `has_charged` before; `None` if there is no
-    /// upstream or a retry is not allowed.
-    fn choose_backup(&self, has_charged: bool) -> Option<ChosenUpstream> {
+    /// Chooses the upstream of a backup and charges the retry budget; `None` if there is no upstream or a retry is not
+    /// allowed.
+    fn choose_backup(&self) -> Option<ChosenUpstream> {
         if !self.has_alternative() {
             return None;
         }
@@ -122,7 +117,7 @@
             self.progress().tried.push(slow.clone());
             self.choose_upstream(now, AttemptPurpose::Backup).ok()?
         };
-        if !has_charged && !self.charge_retry() {
+        if !self.charge_attempt() {
             return None;
         }
         info!(
--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -88,6 +88,8 @@
 
 pub(super) struct RequestProgress {
     pub(super) attempts: AttemptLog,
+    /// Attempts that the retry budget was charged for.
+    charged: u32,
     pub(super) tried: Vec<UpstreamId>,
     /// Regions that may serve the request, according to each configuration since it was admitted.
     regions: RegionPolicy,
@@ -159,6 +161,7 @@
         deadline: caller_deadline.map_or(route_deadline, |by| by.min(route_deadline)),
         progress: Mutex::new(RequestProgress {
             attempts: AttemptLog::new(route.repeat, route.max_attempts),
+            charged: 0,
             tried: Vec::new(),
             regions: RegionPolicy::new(Some(&route), team.as_deref()),
             regions_config: downgrade_config(&view),
@@ -271,7 +274,7 @@
         let mut error_response: Option<(response::Parts, Bytes)> = None;
         loop {
             let now = self.shared.clock.now();
-            if self.deadline.saturating_duration_since(now) < MIN_ATTEMPT_TIME {
+            if self.has_expired(now) {
                 return RequestResult::Expired(self.progress().attempts.final_status());
             }
             let chosen = match self.choose_or_wait(now, purpose).await {
@@ -289,6 +292,9 @@
                     };
                 }
             };
+            if !self.charge_attempt() {
+                return self.end_without_attempt(error_response);
+            }
             let attempt = self.attempt_with_backup(chosen, resume_after.as_deref());
             let (upstream, result) = tokio::select! {
                 biased;
@@ -307,22 +313,34 @@
                     self.log_attempt_end(&upstream, failure);
                     self.progress().tried.push(upstream);
                     if !self.may_retry(failure) {
-                        if let Some((head, body)) = error_response {
-                            return RequestResult::Complete(head, body);
-                        }
-                        let status = self.progress().attempts.final_status();
-                        let has_expired = self.shared.clock.now() >= self.deadline;
-                        return if has_expired {
-                            RequestResult::Expired(status)
-                        } else {
-                            RequestResult::Failed(status)
-                        };
+                        return self.end_without_attempt(error_response);
                     }
                 }
             }
         }
     }
 
+    /// Result of a request for which no further attempt is made.
+    fn end_without_attempt(
+        &self,
+        error_response: Option<(response::Parts, Bytes)>,
+    ) -> RequestResult {
+        if let Some((head, body)) = error_response {
+            return RequestResult::Complete(head, body);
+        }
+        let status = self.progress().attempts.final_status();
+        if self.has_expired(self.shared.clock.now()) {
+            RequestResult::Expired(status)
+        } else {
+            RequestResult::Failed(status)
+        }
+    }
+
+    /// True if too little time is left for another attempt.
+    fn has_expired(&self, now: Instant) -> bool {
+        self.deadline.saturating_duration_since(now) < MIN_ATTEMPT_TIME
+    }
+
     /// Logs how an attempt ended that produced no response for the caller.
     pub(super) fn log_attempt_end(&self, upstream: &UpstreamId, end: AttemptEnd) {
         info!(
@@ -338,8 +356,7 @@
         crashes.refusal(now, &self.meta.shared_parts, || self.fingerprint())
     }
 
-    /// Records the end of an attempt; true if the request is to be sent to another upstream, for which the retry budget is
-    /// then charged.
+    /// Records the end of an attempt; true if the request is to be sent to another upstream.
     pub(super) fn may_retry(&self, end: AttemptEnd) -> bool {
         self.progress().attempts.record(end);
         self.may_retry_recorded(end)
@@ -348,6 +365,9 @@
     /// The same for an attempt whose end has been recorded.
     fn may_retry_recorded(&self, end: AttemptEnd) -> bool {
         let now = self.shared.clock.now();
+        if self.has_expired(now) {
+            return false;
+        }
         if let Some(refusal) = self.crash_refusal(now) {
             info!("event=repeat_refused request={} cause={}", self.meta.id, refusal.as_str());
             return false;
@@ -355,13 +375,30 @@
         if !self.progress().attempts.may_retry(end) {
             return false;
         }
-        end == AttemptEnd::NotSent || self.charge_retry()
+        let has_budget =
+            self.is_next_charged() || self.shared.retry_budget().has_room(&self.service, now);
+        self.check_budget(has_budget)
     }
 
-    /// Charges the retry budget for another attempt; false if it is used up.
-    pub(super) fn charge_retry(&self) -> bool {
-        let has_budget =
-            self.shared.retry_budget().try_take(&self.service, self.shared.clock.now());
+    /// True if the next attempt needs no charge: it is the first one, or an earlier charge was for one that was not sent.
+    fn is_next_charged(&self) -> bool {
+        let progress = self.progress();
+        progress.charged >= progress.attempts.begun()
+    }
+
+    /// Charges the retry budget for an attempt that begins right afterwards; false if it is used up.
+    pub(super) fn charge_attempt(&self) -> bool {
+        if self.is_next_charged() {
+            return true;
+        }
+        let now = self.shared.clock.now();
+        let is_charged = self.shared.retry_budget().try_take(&self.service, now);
+        self.progress().charged += u32::from(is_charged);
+        self.check_budget(is_charged)
+    }
+
+    /// Logs that another attempt is not made if there is no budget for it.
+    fn check_budget(&self, has_budget: bool) -> bool {
         if !has_budget {
             info!("event=repeat_refused request={} cause=retry_budget", self.meta.id);
         }
@@ -388,7 +425,8 @@
         tried.extend(last);
         allows_another
             && self.crash_refusal(now).is_none()
-            && self.shared.retry_budget().has_room_for_backup(&self.service, now)
+            && (self.is_next_charged()
+                || self.shared.retry_budget().has_room_for_backup(&self.service, now))
             && !self.is_behind_queue(now)
             && matches!(
                 self.place(&self.shared.view.load(), &tried, now, AttemptPurpose::Backup),
