Give a backup only to upstreams that are certain to take it

Callers saw: a stream that broke off (resume_refused cause=attempts) after its silent upstream had been backed up in vain. Cause: only the check before a backup asked for a certain upstream. If the first try was not sent, the next one took any upstream, also an ejected one or one about to load other weights, and used up the last attempt. Change: the choice of an upstream for a backup is refused unless the upstream is certain.

--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -493,6 +493,11 @@
         let view = self.shared.view.load();
         let tried = self.progress().tried.clone();
         match self.place(&view, &tried, now, purpose) {
+            // An attempt that is still open is worth more than one that is likely to fail.
+            Placement::Upstream { is_certain: false, .. } if purpose == AttemptPurpose::Backup => {
+                let cause = RefusalCause::Overloaded;
+                Err(PlacementRefusal { cause, retry_after: DEFAULT_RETRY_AFTER })
+            }
             Placement::Upstream { record, delay, version, cancel_at, expected_version, .. } => {
                 let mut progress = self.progress();
                 progress.predicted.get_or_insert(delay);
