Do not take a closed idle connection for an unreachable upstream

Callers saw: 503 for a repeatable request at a sound upstream, and an upstream that got no requests for a while; another request in flight there could count as a crash. Cause: a kept connection that had been closed when the request was to be written ended the attempt as unreachable or failed, and the request tried the upstream no more. Change: if a connection had been idle and nothing was written, the attempt opens a new connection to the same upstream. Nothing is recorded about the upstream; the attempt keeps its place in flight and counts as sent once.

--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -96,11 +96,16 @@
         check_upstream(&self.shared, upstream, record.address);
     }
 
-    async fn open_connection(&self, upstream: &UpstreamRecord) -> Option<UpstreamConnection> {
+    async fn open_connection(
+        &self,
+        upstream: &UpstreamRecord,
+        may_reuse: bool,
+    ) -> Option<UpstreamConnection> {
         // A request that must not run twice always gets a new connection: the upstream may be about to close a pooled
         // one, or a late response to another request may arrive on it. Without an id, such a response cannot be told
         // from the right one.
-        let pooled = if self.route.repeat.is_retryable() && !self.meta.id.is_empty() {
+        let is_reusable = may_reuse && self.route.repeat.is_retryable() && !self.meta.id.is_empty();
+        let pooled = if is_reusable {
             self.shared.pool.take(&upstream.upstream, &self.meta.id)
         } else {
             None
@@ -128,55 +133,78 @@
         let shared = &self.shared;
         self.progress().last = Some(upstream.upstream.clone());
         let guard = AttemptGuard::new(shared.clone(), upstream.clone(), monitor.clone());
-        let connecting = ConnectingGuard::new(self);
-        let Some(mut connection) = self.open_connection(upstream).await else {
-            guard.finish(AttemptOutcome::Unreachable);
-            return AttemptResult::Failed(AttemptEnd::NotSent, None);
-        };
-        let now = shared.clock.now();
-        if cancel_at.is_some_and(|at| at <= now) {
-            guard.finish(AttemptOutcome::Abandoned);
-            return AttemptResult::Failed(AttemptEnd::NotSent, None);
-        }
-        let request = self.upstream_request(chosen, resume_after, now);
-        connection.carried_ids.record(&self.meta.id);
-        connection.head_gate.begin();
-        drop(connecting);
-        self.progress().attempts.record_sent();
-        let sent = connection.sender.send_request(request);
-        let wait = ResponseWait { cancel_at, sent_at: now, monitor };
-        let response = match self.wait_for(sent, &wait).await {
-            Ok(Ok(response)) => response,
-            Ok(Err(error)) if error.is_canceled() => {
-                self.progress().attempts.record_unsent();
+        let mut may_reuse = true;
+        let (response, connection, wait) = loop {
+            let connecting = ConnectingGuard::new(self);
+            let Some(mut connection) = self.open_connection(upstream, may_reuse).await else {
                 guard.finish(AttemptOutcome::Unreachable);
                 return AttemptResult::Failed(AttemptEnd::NotSent, None);
-            }
-            Ok(Err(error)) if connection.head_gate.is_unsent() => {
-                self.progress().attempts.record_unsent();
-                if let Some(idle_for) = connection.idle_for {
-                    shared.pool.record_reset(idle_for);
-                }
-                info!(
-                    "event=connection_unusable request={} upstream={} error=\"{error:?}\"",
-                    self.meta.id, upstream.upstream
-                );
-                guard.fail();
+            };
+            let now = shared.clock.now();
+            if cancel_at.is_some_and(|at| at <= now) {
+                guard.finish(AttemptOutcome::Abandoned);
                 return AttemptResult::Failed(AttemptEnd::NotSent, None);
             }
-            Ok(Err(_)) => {
-                if let Some(idle_for) = connection.idle_for {
-                    shared.pool.record_reset(idle_for);
+            let request = self.upstream_request(chosen, resume_after, now);
+            connection.carried_ids.record(&self.meta.id);
+            connection.head_gate.begin();
+            drop(connecting);
+            self.progress().attempts.record_sent();
+            let sent = connection.sender.send_request(request);
+            let wait = ResponseWait { cancel_at, sent_at: now, monitor };
+            let was_idle = connection.idle_for.is_some();
+            match self.wait_for(sent, &wait).await {
+                Ok(Ok(response)) => break (response, connection, wait),
+                // Upstreams may close idle connections at any time, so this says nothing about the upstream.
+                Ok(Err(error))
+                    if was_idle && (error.is_canceled() || connection.head_gate.is_unsent()) =>
+                {
+                    self.progress().attempts.record_unsent();
+                    self.log_unusable(upstream, &connection, &error);
+                    may_reuse = false;
                 }
-                self.record_connection_lost(upstream, false);
-                guard.fail();
-                return AttemptResult::Failed(AttemptEnd::Lost, None);
+                Ok(Err(error)) if error.is_canceled() => {
+                    self.progress().attempts.record_unsent();
+                    guard.finish(AttemptOutcome::Unreachable);
+                    return AttemptResult::Failed(AttemptEnd::NotSent, None);
+                }
+                Ok(Err(error)) if connection.head_gate.is_unsent() => {
+                    self.progress().attempts.record_unsent();
+                    self.log_unusable(upstream, &connection, &error);
+                    guard.fail();
+                    return AttemptResult::Failed(AttemptEnd::NotSent, None);
+                }
+                Ok(Err(_)) => {
+                    if let Some(idle_for) = connection.idle_for {
+                        shared.pool.record_reset(idle_for);
+                    }
+                    self.record_connection_lost(upstream, false);
+                    guard.fail();
+                    return AttemptResult::Failed(AttemptEnd::Lost, None);
+                }
+                Err(error) => return self.give_up(chosen, error, guard),
             }
-            Err(error) => return self.give_up(chosen, error, guard),
         };
         self.read_response(chosen, resume_after, response, connection, guard, wait).await
     }
 
+    /// Logs a connection on which nothing of the request could be sent. If it was idle and its end had not been noticed,
+    /// connections are kept for a shorter time.
+    fn log_unusable(
+        &self,
+        upstream: &UpstreamRecord,
+        connection: &UpstreamConnection,
+        error: &hyper::Error,
+    ) {
+        if let Some(idle_for) = connection.idle_for.filter(|_| !error.is_canceled()) {
+            self.shared.pool.record_reset(idle_for);
+        }
+        info!(
+            "event=connection_unusable request={} upstream={} error=\"{error:?}\"",
+            self.meta.id, upstream.upstream
+        );
+    }
+
     /// Ends an attempt that is given up. Its connection is closed, so most upstreams stop working on it.
     fn give_up(
         &self,
