Return the error of an upstream rather than 504

Callers saw: 504 although an upstream had answered with 500, if a later attempt got no response by the deadline or the end of the grace period. Cause: these two exits did not look at the error response of an earlier attempt, as the others do. Change: they return it. Since the deadline is checked before the retry budget is charged, that path returns the error by itself; the head of the loop and the end of the grace period have no test of their own.

--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -275,7 +275,7 @@
         loop {
             let now = self.shared.clock.now();
             if self.has_expired(now) {
-                return RequestResult::Expired(self.progress().attempts.final_status());
+                return self.end_without_attempt(error_response);
             }
             let chosen = match self.choose_or_wait(now, purpose).await {
                 Ok(chosen) => chosen,
@@ -302,7 +302,10 @@
                 // The process ends before the deadline, and with it the caller's connection.
                 () = self.shared.end_of_grace_period() => {
                     self.progress().attempts.record(AttemptEnd::Lost);
-                    return RequestResult::Expired(FinalStatus::Unknown);
+                    return match error_response {
+                        Some((head, body)) => RequestResult::Complete(head, body),
+                        None => RequestResult::Expired(FinalStatus::Unknown),
+                    };
                 }
             };
             match result {
