Refuse requests that may outlast the stop of an entry

Callers saw: a stream that was accepted late in a planned stop broke off when the process ended, although another entry could have served it. Cause: a stopping entry accepted a request if the longest recent duration of its route ended before the process, up to 0.55 of the grace period (4.4 s of 8 s). A stream may take longer than any recent one. After that it refused every request, however short its deadline. Change: from 2.5 s after SIGTERM, when address responses have expired, only the deadline of a request counts: the caller's, or the timeout of the route if that is earlier. It has to be 0.2 s before the entry closes its connections. Before that, recent durations count as well, because callers still hold the address and most streams end in time. The fixed time of refusal is gone.

--- a/crates/gateway/src/entry/admit.rs
+++ b/crates/gateway/src/entry/admit.rs
@@ -1,7 +1,7 @@
 //! Checks that precede the choice of an upstream: body, route and key.
 
 use std::{
-    sync::{Arc, atomic::Ordering},
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -22,8 +22,8 @@
 const DEFAULT_MAX_BODY_BYTES: usize = 4 << 20;
 /// Timeout for receiving a body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// Minimum time between the expected end of a request and the end of a stopping process, for which it is accepted.
-const STOP_MARGIN: Duration = Duration::from_millis(200);
+/// Maximum timeout of a request, whatever the configuration states.
+const MAX_REQUEST_TIMEOUT: Duration = Duration::from_secs(3_600);
 /// Maximum age of the fleet state at which an unknown route or key is rejected permanently, or an unknown key ignored.
 /// It covers the longest time between two confirmations by the store; beyond it the configuration may have changed, so
 /// the caller is told to retry.
@@ -60,16 +60,14 @@
 /// Route of a request, and the team that owns its key.
 pub(super) type Admitted = (Arc<RouteRecord>, Option<Arc<TeamRecord>>);
 
-/// Finds route and team. While the fleet state may be out of date, nothing is rejected permanently.
+/// Finds route and team of a request that arrived at `started`. While the fleet state may be out of date, nothing is rejected permanently.
 pub(super) fn admit(
     shared: &EntryShared,
     view: &FleetView,
     meta: &RequestMeta,
     path: &str,
+    started: Instant,
 ) -> Result<Admitted, (StatusCode, &'static str)> {
-    if shared.refusing.load(Ordering::Relaxed) {
-        return Err((StatusCode::SERVICE_UNAVAILABLE, "stopping"));
-    }
     if view.is_config_behind() {
         return Err((StatusCode::SERVICE_UNAVAILABLE, "config_behind"));
     }
@@ -84,7 +82,9 @@
         RouteMatch::Unknown => return Err(unless_stale(StatusCode::NOT_FOUND, "no_route")),
         RouteMatch::NoConfig => return Err((StatusCode::SERVICE_UNAVAILABLE, "no_config")),
     };
-    if shared.stop_at.get().is_some_and(|stop_at| !ends_before(shared, &route, *stop_at)) {
+    if shared.is_leaving()
+        && !ends_before_stop(shared, &route, request_deadline(meta, &route, started))
+    {
         return Err((StatusCode::SERVICE_UNAVAILABLE, "stopping"));
     }
     if !route.repeat.is_retryable() && shared.is_stale_after_pause() {
@@ -106,13 +106,25 @@
     Ok((route, team))
 }
 
-/// True if a request of the route is expected to end before the process does. Without recent requests of the route, it
-/// may take as long as its timeout.
-fn ends_before(shared: &EntryShared, route: &RouteRecord, stop_at: Instant) -> bool {
+/// Time by which a request that arrived at `started` ends: the caller's deadline, or the timeout of the route if that is
+/// earlier. A deadline too far in the future for the clock is treated as no deadline.
+pub(super) fn request_deadline(
+    meta: &RequestMeta,
+    route: &RouteRecord,
+    started: Instant,
+) -> Instant {
+    let route_deadline = started + route.timeout.min(MAX_REQUEST_TIMEOUT);
+    let caller_deadline = meta.time_left.and_then(|left| started.checked_add(left));
+    caller_deadline.map_or(route_deadline, |by| by.min(route_deadline))
+}
+
+/// True if a request of the route ends before the process does, which has been told to stop. Without recent requests of
+/// the route, it may take until its deadline.
+fn ends_before_stop(shared: &EntryShared, route: &RouteRecord, deadline: Instant) -> bool {
+    let Some(stop_times) = shared.stop_times.get() else { return true };
     let now = shared.clock.now();
     let longest = shared.durations().longest(&route.name, now);
-    let expected = longest.map_or(route.timeout, |longest| longest.min(route.timeout));
-    now + expected + STOP_MARGIN <= stop_at
+    stop_times.accepts(now, longest.unwrap_or(MAX_REQUEST_TIMEOUT), deadline)
 }
 
 /// Picks a backend service of the route at random, by weight.
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -46,7 +46,10 @@
     time::{sleep, timeout_at},
 };
 
-use self::{rooms::run_rooms, shared::EntryShared};
+use self::{
+    rooms::run_rooms,
+    shared::{EntryShared, StopTimes},
+};
 use crate::{
     frames::{NodeError, ThreadSnafu},
     lifecycle::{ProcessSignals, reload_seeds},
@@ -61,9 +64,6 @@
 /// Minimum time for which a stopping entry keeps serving, because callers cache the response to an address query for
 /// its time to live.
 const MIN_DRAIN_TIME: Duration = Duration::from_millis(2_500);
-/// Fraction of the grace period after which a stopping entry rejects new requests, so that none is cut off when the
-/// process ends.
-const REFUSE_AFTER_FRACTION: f64 = 0.55;
 /// Margin before the end of the grace period at which the entry closes its listeners and connections, even if requests
 /// are still in flight.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
@@ -176,19 +176,16 @@
     shared.leaving.store(true, Ordering::Relaxed);
     shared.wake_control.notify_one();
     let grace_period = shared.settings.common.grace_period;
+    let drained_at = stop_started + MIN_DRAIN_TIME;
     let close_at = stop_started + grace_period.saturating_sub(GRACE_MARGIN);
     // Set only once, because this function is called once.
-    let _ = shared.stop_at.set(close_at);
+    let _ = shared.stop_times.set(StopTimes { drained_at, close_at });
     loop {
         sleep(STOP_POLL_INTERVAL).await;
         let now = shared.clock.now();
-        let elapsed = now.saturating_duration_since(stop_started);
         let is_idle = shared.in_flight.load(Ordering::Relaxed) == 0;
-        if (elapsed >= MIN_DRAIN_TIME && is_idle) || now >= close_at {
+        if (now >= drained_at && is_idle) || now >= close_at {
             return stop_started + grace_period.saturating_sub(END_MARGIN);
         }
-        if elapsed >= grace_period.mul_f64(REFUSE_AFTER_FRACTION) {
-            shared.refusing.store(true, Ordering::Relaxed);
-        }
     }
 }
--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -23,7 +23,7 @@
 use log::info;
 
 use super::{
-    admit::{admit, pick_service, read_body},
+    admit::{admit, pick_service, read_body, request_deadline},
     guards::InFlightGuard,
     http::ResponseBody,
     outcome::{AttemptResult, RequestResult, ResumeRefusal},
@@ -40,8 +40,6 @@
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(10);
 /// Interval between checks whether another upstream can take a request whose upstream takes long.
 pub(super) const ALTERNATIVE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// Maximum timeout of a request, whatever the configuration states.
-const MAX_REQUEST_TIMEOUT: Duration = Duration::from_secs(3_600);
 
 /// Request that has been read and admitted.
 pub(crate) struct RequestContext {
@@ -136,7 +134,7 @@
         }
     };
     let view = shared.view.load_full();
-    let (route, team) = match admit(&shared, &view, &meta, head.uri.path()) {
+    let (route, team) = match admit(&shared, &view, &meta, head.uri.path(), started) {
         Ok(admitted) => admitted,
         Err((status, cause)) => {
             let retry_after =
@@ -154,9 +152,8 @@
     let service = pick_service(&route);
     // A deadline too far in the future for the clock is treated as no deadline.
     let caller_deadline = meta.time_left.and_then(|left| started.checked_add(left));
-    let route_deadline = started + route.timeout.min(MAX_REQUEST_TIMEOUT);
     let request = Arc::new(RequestContext {
-        deadline: caller_deadline.map_or(route_deadline, |by| by.min(route_deadline)),
+        deadline: request_deadline(&meta, &route, started),
         progress: Mutex::new(RequestProgress {
             attempts: AttemptLog::new(route.repeat, route.max_attempts),
             tried: Vec::new(),
--- a/crates/gateway/src/entry/shared.rs
+++ b/crates/gateway/src/entry/shared.rs
@@ -26,6 +26,8 @@
 use super::{EntryPorts, pool::ConnectionPool, rooms::WaitingRooms};
 use crate::{lifecycle::PauseTracker, metrics::MetricSet, settings::EntrySettings};
 
+/// Minimum time between the end of a request and the end of a stopping process, for which it is accepted.
+const STOP_MARGIN: Duration = Duration::from_millis(200);
 /// Stands for a point in time that does not exist.
 const NEVER: i64 = i64::MIN;
 
@@ -44,6 +46,26 @@
     }
 }
 
+/// Times of a stop, which decide whether a request is still accepted.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct StopTimes {
+    /// Time from which on no caller has a reason to use this entry, because responses to address queries have expired.
+    pub(crate) drained_at: Instant,
+    /// Time by which all requests must have ended.
+    pub(crate) close_at: Instant,
+}
+
+impl StopTimes {
+    /// True if a request may be accepted at `now` that is expected to take `expected` and ends by `deadline` at the latest.
+    ///
+    /// The expectation is not certain, so it only counts until `drained_at`. A request that is refused after that is
+    /// served by another entry, but one that is cut off when the process ends is lost.
+    pub(crate) fn accepts(&self, now: Instant, expected: Duration, deadline: Instant) -> bool {
+        let expected_end = if now < self.drained_at { now + expected } else { deadline };
+        expected_end.min(deadline) + STOP_MARGIN <= self.close_at
+    }
+}
+
 /// State shared by the tasks of an entry.
 pub(crate) struct EntryShared {
     pub(crate) settings: EntrySettings,
@@ -62,10 +84,8 @@
     pub(crate) body_bytes: AtomicUsize,
     /// A stop has been requested.
     pub(crate) leaving: AtomicBool,
-    /// The entry has been stopping for long, so new requests are rejected.
-    pub(crate) refusing: AtomicBool,
-    /// Time by which all requests must have ended; set when a stop has been requested.
-    pub(crate) stop_at: OnceLock<Instant>,
+    /// Set when a stop has been requested.
+    pub(crate) stop_times: OnceLock<StopTimes>,
     /// Cancelled when the listeners are closed, and each connection after the response that it waits for.
     pub(crate) closing: CancellationToken,
     /// Number of open connections of callers.
@@ -143,8 +163,7 @@
             in_flight: AtomicUsize::new(0),
             body_bytes: AtomicUsize::new(0),
             leaving: AtomicBool::new(false),
-            refusing: AtomicBool::new(false),
-            stop_at: OnceLock::new(),
+            stop_times: OnceLock::new(),
             closing: CancellationToken::new(),
             connections: AtomicUsize::new(0),
             listening: AtomicBool::new(false),
@@ -326,8 +345,8 @@
     /// Returns when the requests in flight must end because the process is about to.
     pub(crate) async fn end_of_grace_period(&self) {
         self.closing.cancelled().await;
-        if let Some(stop_at) = self.stop_at.get() {
-            sleep_until((*stop_at).into()).await;
+        if let Some(stop_times) = self.stop_times.get() {
+            sleep_until(stop_times.close_at.into()).await;
         }
     }
 
--- a/crates/gateway/src/entry/waiting.rs
+++ b/crates/gateway/src/entry/waiting.rs
@@ -155,7 +155,7 @@
     /// The region restrictions are checked with each choice of an upstream.
     fn check_again(&self, now: Instant) -> Result<(), WaitEnd> {
         let view = self.shared.view.load();
-        let (route, _) = admit(&self.shared, &view, &self.meta, self.uri.path())
+        let (route, _) = admit(&self.shared, &view, &self.meta, self.uri.path(), self.started)
             .map_err(|(status, cause)| WaitEnd::Rejected(status, cause))?;
         if !route.backends.iter().any(|backend| backend.service == self.service) {
             return Err(WaitEnd::Rejected(StatusCode::SERVICE_UNAVAILABLE, "route_changed"));
