Read what has arrived before a connection is closed as idle

Callers saw: a connection that closed without an answer to a request that they had sent in time, if the entry had been held up meanwhile (paused, or short of processor time). Cause: the idle timeout of the HTTP library and the timeout of the head end as soon as their timers do. After a pause, the runtime handles the timers before it knows what the sockets hold, so the connection ends with an unread request. Change: the stream of the connection has both timers, and looks into the socket before it lets one end. If there are bytes, it waits for the runtime to report them. The timeout of the library is off.

--- a/crates/gateway/src/entry/head_timer.rs
+++ b/crates/gateway/src/entry/head_timer.rs
@@ -1,11 +1,13 @@
-//! Timeout for receiving the head of a request.
+//! Timeouts for idle connections and for receiving the head of a request.
 //!
-//! The timer of the HTTP library starts at the end of the previous request, so it covers idle time and the head
-//! together. This one starts with the first byte of a head. The head is also checked for conflicting body lengths,
-//! because the library silently picks one of them, which allows request smuggling.
+//! The timer of the HTTP library covers idle time and the head together, and closes a connection although its caller's
+//! request has arrived, if the process was held up and the runtime does not know of it yet. These timers look into the
+//! socket first. The head is also checked for conflicting body lengths, because the library silently picks one of them,
+//! which allows request smuggling.
 
 use std::{
     io,
+    mem::MaybeUninit,
     pin::Pin,
     sync::{
         Arc,
@@ -23,6 +25,8 @@
     time::{Instant, Sleep, sleep},
 };
 
+/// Time in which the runtime learns of bytes that are in the socket already.
+const READ_DELAY: Duration = Duration::from_millis(20);
 /// Maximum size of a head that is checked; configurations set far lower limits.
 const MAX_CHECKED_HEAD_BYTES: usize = 256 << 10;
 
@@ -88,20 +92,49 @@
     }
 }
 
-/// Connection of a caller; reads fail with `TimedOut` if a head takes too long.
+/// Time limits of a connection.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ConnectionLimits {
+    /// Time without a request.
+    pub(super) idle: Duration,
+    /// Time from the first byte of a head to its end.
+    pub(super) head: Duration,
+}
+
+/// Connection of a caller; reads fail with `TimedOut` if it is idle for too long or a head takes too long.
 pub(super) struct TimedStream {
     stream: TcpStream,
     state: ConnectionState,
-    limit: Duration,
-    /// Runs while a head is being received.
+    limits: ConnectionLimits,
+    /// Runs while the connection is idle or a head is being received.
     timer: Pin<Box<Sleep>>,
+    /// True while the timer measures idle time.
+    is_idle: bool,
     /// Bytes of the head received so far.
     head: Vec<u8>,
 }
 
 impl TimedStream {
-    pub(super) fn new(stream: TcpStream, state: ConnectionState, limit: Duration) -> Self {
-        Self { stream, state, limit, timer: Box::pin(sleep(limit)), head: Vec::new() }
+    pub(super) fn new(stream: TcpStream, state: ConnectionState, limits: ConnectionLimits) -> Self {
+        let timer = Box::pin(sleep(limits.idle));
+        Self { stream, state, limits, timer, is_idle: true, head: Vec::new() }
+    }
+
+    /// True if the socket holds bytes that have not been read.
+    fn has_unread_bytes(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        SockRef::from(&self.stream).peek(&mut byte).is_ok_and(|count| count > 0)
+    }
+
+    /// Polls the timer; it does not end while there are unread bytes, which the runtime is about to report.
+    fn poll_timer(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        while self.timer.as_mut().poll(context).is_ready() {
+            if !self.has_unread_bytes() {
+                return Poll::Ready(());
+            }
+            self.timer.as_mut().reset(Instant::now() + READ_DELAY);
+        }
+        Poll::Pending
     }
 
     /// Collects the head and checks it once it is complete.
@@ -143,23 +176,27 @@
         let result = Pin::new(&mut self.stream).poll_read(context, buffer);
         if self.state.is_busy.load(Ordering::Relaxed) {
             self.state.is_receiving.store(false, Ordering::Relaxed);
+            self.is_idle = false;
             self.head.clear();
             return result;
         }
         if result.is_ready() {
             if buffer.filled().len() > before {
                 if !self.state.is_receiving.swap(true, Ordering::Relaxed) {
-                    let deadline = Instant::now() + self.limit;
+                    self.is_idle = false;
+                    let deadline = Instant::now() + self.limits.head;
                     self.timer.as_mut().reset(deadline);
                 }
                 self.check_head(&buffer.filled()[before..]);
             }
             return result;
         }
-        if self.state.is_receiving() && self.timer.as_mut().poll(context).is_ready() {
-            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+        if !self.state.is_receiving() && !self.is_idle {
+            self.is_idle = true;
+            let deadline = Instant::now() + self.limits.idle;
+            self.timer.as_mut().reset(deadline);
         }
-        Poll::Pending
+        self.poll_timer(context).map(|()| Err(io::ErrorKind::TimedOut.into()))
     }
 }
 
--- a/crates/gateway/src/entry/http.rs
+++ b/crates/gateway/src/entry/http.rs
@@ -28,7 +28,7 @@
 };
 
 use super::{
-    head_timer::{BusyGuard, ConnectionState, TimedStream},
+    head_timer::{BusyGuard, ConnectionLimits, ConnectionState, TimedStream},
     relay::RelayBody,
     request,
     response::reject_ambiguous_length,
@@ -131,12 +131,12 @@
 async fn serve_requests(shared: Arc<EntryShared>, stream: TcpStream) {
     let limits = shared.view.load().limits();
     let header_bytes = limits.map_or(DEFAULT_MAX_HEADER_BYTES, |limits| limits.max_header_bytes);
-    let (idle, head_limit) = limits
-        .map_or((DEFAULT_IDLE_TIMEOUT, DEFAULT_HEADER_TIMEOUT), |limits| {
-            (limits.idle_timeout, limits.header_timeout)
-        });
+    let (idle, head) = limits.map_or((DEFAULT_IDLE_TIMEOUT, DEFAULT_HEADER_TIMEOUT), |limits| {
+        (limits.idle_timeout, limits.header_timeout)
+    });
+    let limits = ConnectionLimits { idle: idle.max(head), head };
     let state = ConnectionState::default();
-    let stream = TimedStream::new(stream, state.clone(), head_limit);
+    let stream = TimedStream::new(stream, state.clone(), limits);
     let service = service_fn(|request: Request<Incoming>| {
         let (shared, busy) = (shared.clone(), state.mark_busy());
         // A body of unknown length is sent in chunks, which HTTP/1.0 does not have.
@@ -152,9 +152,8 @@
         }
     });
     let connection = Builder::new()
-        .timer(TokioTimer::new())
-        // This timeout also covers the idle time of a connection.
-        .header_read_timeout(idle.max(head_limit))
+        // The stream has timeouts of its own.
+        .header_read_timeout(None)
         .max_buf_size(header_bytes.max(MIN_BUFFER))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
