Keep a silent upstream until another one has a token

Callers saw (processes with the project's own interfaces): a stream whose upstream was silent for 2 s ended in an error line if no other upstream could take it, although the first one would have gone on. Cause: the entry closed the exchange after 2 s without a token (10 s before the first one), and sought another upstream afterwards. Change: the silence starts a backup attempt beside the first one, which takes over once it has a token; a token of the first one ends it. Without an upstream, the entry looks for one every 0.25 s, and the stream waits until the deadline. A backup is charged to the retry budget and counts as an attempt, unless it is refused before it runs. If the first one breaks, its backup goes on. Measured: entry of node, before: stream_of_a_silent_upstream_is_lost_to_one_that_refuses_it, ..._to_one_that_hangs, silent_upstream_is_backed_up_more_often_than_attempts_are_allowed and refused_backups_use_up_the_attempts_of_a_stream ended in an error line after the first token; stream_of_a_silent_upstream_is_not_taken_over passed.

--- a/crates/node/src/entry/forward.rs
+++ b/crates/node/src/entry/forward.rs
@@ -11,6 +11,7 @@
 
 use base::{Outcome, RefusalReason, UpstreamId};
 use bytes::Bytes;
+use futures_util::future::BoxFuture;
 use log::debug;
 use rand::RngExt;
 use route::{AttemptRequirements, CrashVerdict, RequestTarget, UpstreamChoice};
@@ -26,6 +27,7 @@
     notices::CrashNotifier,
     request::{CallerRequest, CallerWork},
     state::{SharedState, to_upstream_load},
+    stream::StartedStream,
 };
 use crate::{
     context::NodeContext,
@@ -225,12 +227,34 @@
     }
 }
 
-/// The attempt that is in progress.
+/// An attempt that is in progress.
 struct CurrentAttempt {
     choice: UpstreamChoice,
     isolated: bool,
 }
 
+/// An attempt beside the one in progress, from its start until it has its first token.
+pub struct BackupAttempt {
+    attempt: CurrentAttempt,
+    started: BoxFuture<'static, Result<StartedStream, AttemptFailure>>,
+}
+
+impl BackupAttempt {
+    /// Waits for the first token or the end of the attempt. This method is cancel safe.
+    pub async fn started(&mut self) -> Result<StartedStream, AttemptFailure> {
+        self.started.as_mut().await
+    }
+}
+
+/// Reason why there is no backup.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BackupRefusal {
+    /// No upstream can take the request now.
+    NoUpstream,
+    /// The retry budget or the number of attempts is used up.
+    RetryBudget,
+}
+
 /// The attempts of one idempotent request.
 pub struct RequestRun {
     /// The caller's request.
@@ -273,15 +297,13 @@
             if self.request.remaining(now).is_zero() {
                 return Err(self.refuse(RefusalReason::DeadlineExceeded, RETRY_AFTER));
             }
-            let (choice, isolated, peer) = self.choose(now, target)?;
-            self.attempts += 1;
-            let mut forward = self.forwarder.forward_message(&self.request, isolated);
-            self.set_target(&mut forward, &choice, offset);
-            let upstream = choice.upstream.clone();
-            self.tried.push(upstream.clone());
-            self.forwarder.state.lock().upstreams.record_sent(now, &upstream, choice.incarnation);
-            let expected = choice.manifest;
-            self.current_attempt = Some(CurrentAttempt { choice, isolated });
+            let (attempt, peer) = self.choose(now, target)?;
+            if self.attempts > 0 && !self.take_retry() {
+                return Err(self.refuse_with_last_reason(RefusalReason::RetryBudget));
+            }
+            let forward = self.begin_attempt(now, &attempt, offset);
+            let (upstream, expected) = (attempt.choice.upstream.clone(), attempt.choice.manifest);
+            self.current_attempt = Some(attempt);
             let started = self.forwarder.exchange(&upstream, peer, forward).await;
             let failure = match started {
                 Ok(response) => {
@@ -296,11 +318,82 @@
         }
     }
 
+    /// Counts an attempt and returns its message.
+    fn begin_attempt(&mut self, now: Instant, attempt: &CurrentAttempt, offset: u64) -> Forward {
+        self.attempts += 1;
+        let CurrentAttempt { choice, isolated } = attempt;
+        let mut forward = self.forwarder.forward_message(&self.request, *isolated);
+        self.set_target(&mut forward, choice, offset);
+        self.tried.push(choice.upstream.clone());
+        let upstreams = &mut self.forwarder.state.lock().upstreams;
+        upstreams.record_sent(now, &choice.upstream, choice.incarnation);
+        forward
+    }
+
+    /// Starts an attempt at another upstream, from token `offset` on, beside the one in progress. It is a retry.
+    ///
+    /// # Errors
+    /// Fails if no upstream can take the request, or it may not be retried.
+    pub fn start_backup(
+        &mut self,
+        target: &RequestTarget,
+        offset: u64,
+    ) -> Result<BackupAttempt, BackupRefusal> {
+        let now = self.forwarder.context.clock.now();
+        let (attempt, peer) = self.choose(now, target).map_err(|_| BackupRefusal::NoUpstream)?;
+        if !self.take_retry() {
+            return Err(BackupRefusal::RetryBudget);
+        }
+        let forward = self.begin_attempt(now, &attempt, offset);
+        let (upstream, expected) = (attempt.choice.upstream.clone(), attempt.choice.manifest);
+        let forwarder = self.forwarder.clone();
+        let started = Box::pin(async move {
+            let response = forwarder.exchange(&upstream, peer, forward).await?;
+            let failure = check_head(&response, expected.as_ref().map(|m| &m.as_bytes()[..]));
+            if let Some(failure) = failure {
+                return Err(failure);
+            }
+            tokio::select! {
+                started = StartedStream::read(response, offset) => started,
+                () = forwarder.agents.wait_until_lost(&upstream) => {
+                    Err(AttemptFailure::CONNECTION_LOST)
+                }
+            }
+        });
+        Ok(BackupAttempt { attempt, started })
+    }
+
+    /// Records that a backup failed. One that did not run leaves its attempt to the next one.
+    pub async fn fail_backup(&mut self, backup: BackupAttempt, failure: AttemptFailure) {
+        if failure.outcome == Outcome::NotRun {
+            self.attempts -= 1;
+        }
+        self.record_failure(backup.attempt, failure).await;
+    }
+
+    /// Records that a backup has replaced the attempt in progress, which has been silent for too long or has failed.
+    pub async fn replace_attempt(&mut self, backup: BackupAttempt) {
+        if let Some(silent) = self.current_attempt.replace(backup.attempt) {
+            self.record_failure(silent, AttemptFailure::TIMED_OUT).await;
+        }
+    }
+
     /// Records that the attempt in progress failed.
     pub async fn fail_attempt(&mut self, failure: AttemptFailure) {
+        match self.current_attempt.take() {
+            Some(attempt) => self.record_failure(attempt, failure).await,
+            None => self.note_failure(failure),
+        }
+    }
+
+    fn note_failure(&mut self, failure: AttemptFailure) {
         self.may_have_run |= failure.outcome != Outcome::NotRun;
         self.last_failure = Some(failure);
-        let Some(CurrentAttempt { choice, isolated }) = self.current_attempt.take() else { return };
+    }
+
+    async fn record_failure(&mut self, attempt: CurrentAttempt, failure: AttemptFailure) {
+        self.note_failure(failure);
+        let CurrentAttempt { choice, isolated } = attempt;
         debug!(
             "event=attempt_failed upstream={} attempt={} outcome={} reason={} crashed={}",
             choice.upstream, self.attempts, failure.outcome, failure.reason, failure.crashed,
@@ -378,7 +471,7 @@
         &self,
         now: Instant,
         target: &RequestTarget,
-    ) -> Result<(UpstreamChoice, bool, SocketAddr), ForwardRefusal> {
+    ) -> Result<(CurrentAttempt, SocketAddr), ForwardRefusal> {
         if self.forwarder.fresh_view().is_none() {
             return Err(self.refuse(RefusalReason::Refreshing, RETRY_AFTER));
         }
@@ -398,11 +491,17 @@
             choice.ok_or_else(|| self.refuse_with_last_reason(RefusalReason::NoUpstream))?;
         let peer = self.forwarder.agents.peer_address(&choice.upstream);
         let peer = peer.ok_or_else(|| self.refuse_with_last_reason(RefusalReason::NoUpstream))?;
-        if self.attempts > 0 && !state.budget.take_retry(&self.request.team, self.attempts) {
+        Ok((CurrentAttempt { choice, isolated: isolated.is_some() }, peer))
+    }
+
+    /// Charges a retry to the budget; false if the request may not be retried.
+    fn take_retry(&self) -> bool {
+        let budget = &mut self.forwarder.state.lock().budget;
+        let may_retry = budget.take_retry(&self.request.team, self.attempts);
+        if !may_retry {
             self.forwarder.metrics.retry_denied();
-            return Err(self.refuse_with_last_reason(RefusalReason::RetryBudget));
         }
-        Ok((choice, isolated.is_some(), peer))
+        may_retry
     }
 
     fn set_target(&self, forward: &mut Forward, choice: &UpstreamChoice, offset: u64) {
--- a/crates/node/src/entry/stream.rs
+++ b/crates/node/src/entry/stream.rs
@@ -1,6 +1,9 @@
 //! Streams model responses line by line, and resumes a broken response at the exact token on another attempt.
 
-use std::{io, time::Duration};
+use std::{
+    io,
+    time::{Duration, Instant},
+};
 
 use base::{ContentDigest, Outcome, RefusalReason};
 use bytes::{Bytes, BytesMut};
@@ -9,21 +12,23 @@
 use serde_json::json;
 use tokio::{
     sync::mpsc::{self, error::SendTimeoutError},
-    time::timeout,
+    time::{sleep, timeout},
 };
 
 use super::{
     exchange::{AttemptFailure, IncomingResponse},
-    forward::{ForwardRefusal, ProgressGuard, RequestRun},
+    forward::{BackupAttempt, BackupRefusal, ForwardRefusal, ProgressGuard, RequestRun},
     service::collect_body,
 };
 
 /// Maximum length of a line in bytes; a token line is far shorter than 1 KiB.
 const MAX_LINE_BYTES: usize = 64 << 10;
-/// Timeout for the first token; a prefill under load takes a few seconds.
-const FIRST_TOKEN_TIMEOUT: Duration = Duration::from_secs(10);
-/// Timeout for each later token. The target is 56 ms between tokens, and the stream can be resumed on another upstream.
-const NEXT_TOKEN_TIMEOUT: Duration = Duration::from_secs(2);
+/// Silence before the first token after which a backup is sought; a prefill under load takes a few seconds.
+const FIRST_TOKEN_DELAY: Duration = Duration::from_secs(10);
+/// The same for each later token. The target is 56 ms between tokens, but a sound upstream may be silent for a second.
+const NEXT_TOKEN_DELAY: Duration = Duration::from_secs(2);
+/// Interval between checks whether another upstream can take the stream of a silent one.
+const BACKUP_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Timeout for the end of the exchange after the last line. If it does not arrive, the channel is not reused.
 const END_TIMEOUT: Duration = Duration::from_millis(500);
 /// Timeout after which a caller that reads no line is disconnected, so that it does not occupy a slot of an upstream.
@@ -60,12 +65,57 @@
     Done(Bytes),
 }
 
+/// Response of a backup that has its first token.
+pub struct StartedStream {
+    response: IncomingResponse,
+    buffer: BytesMut,
+}
+
+impl StartedStream {
+    /// Reads a response until it has token `offset`, or its end if there is no such token.
+    ///
+    /// # Errors
+    /// Fails if the response is not a stream, or is incomplete or invalid.
+    pub async fn read(mut response: IncomingResponse, offset: u64) -> Result<Self, AttemptFailure> {
+        if response.head.status != 200 {
+            return Err(AttemptFailure::INVALID_RESPONSE);
+        }
+        let (mut buffer, mut searched) = (BytesMut::new(), 0);
+        loop {
+            while let Some(length) = buffer[searched..].iter().position(|byte| *byte == b'\n') {
+                let line = &buffer[searched..=searched + length];
+                let parsed: ResponseLine =
+                    serde_json::from_slice(line).map_err(|_| AttemptFailure::INVALID_RESPONSE)?;
+                if parsed.done || parsed.index.is_none_or(|index| index >= offset) {
+                    return Ok(Self { response, buffer });
+                }
+                searched += length + 1;
+            }
+            if buffer.len() - searched > MAX_LINE_BYTES {
+                return Err(AttemptFailure::INVALID_RESPONSE);
+            }
+            let part = response.next().await?;
+            buffer.extend_from_slice(&part.ok_or(AttemptFailure::INVALID_RESPONSE)?);
+        }
+    }
+}
+
+/// When a silent upstream is backed up, and when its stream is given up.
+struct SilenceLimits {
+    /// Time of the next check for a backup; `None` if the request may not be retried.
+    backup_at: Option<Instant>,
+    /// Shortly after the deadline, so that the caller gets a final line.
+    give_up_at: Instant,
+}
+
 /// Response to one model request. Counts the delivered tokens, and resumes on another upstream when the response
-/// breaks.
+/// breaks, or when the upstream is silent and another one has a token.
 pub struct TokenStream {
     run: RequestRun,
     target: RequestTarget,
     response: Option<IncomingResponse>,
+    /// Attempt at another upstream while the current one is silent.
+    backup: Option<BackupAttempt>,
     buffer: BytesMut,
     delivered_tokens: u64,
     first_line: Option<StreamLine>,
@@ -85,6 +135,7 @@
             run,
             target,
             response: None,
+            backup: None,
             buffer: BytesMut::new(),
             delivered_tokens: 0,
             first_line: None,
@@ -161,6 +212,9 @@
             self.response = None;
             self.buffer.clear();
             self.run.fail_attempt(failure).await;
+            if self.continue_with_backup().await {
+                continue;
+            }
             let response = self.run.start(&self.target, self.delivered_tokens).await?;
             if response.head.status != 200 {
                 return Err(self.run.refuse(RefusalReason::InvalidAnswer, Duration::ZERO));
@@ -174,6 +228,7 @@
 
     /// Reads the next line that has not been delivered to the caller.
     async fn read_line(&mut self) -> Result<StreamLine, AttemptFailure> {
+        let mut limits = self.silence_limits();
         loop {
             while let Some(end) = self.buffer.iter().position(|byte| *byte == b'\n') {
                 let line = self.buffer.split_to(end + 1).freeze();
@@ -184,24 +239,90 @@
             if self.buffer.len() > MAX_LINE_BYTES {
                 return Err(AttemptFailure::INVALID_RESPONSE);
             }
-            let part = self.receive_part(self.stall_timeout()).await?;
-            self.buffer.extend_from_slice(&part.ok_or(AttemptFailure::INVALID_RESPONSE)?);
+            self.receive(&mut limits).await?;
         }
     }
 
-    /// Returns the timeout for the next part of the body. It ends shortly after the deadline at the latest, so that the
-    /// caller gets a final line.
-    fn stall_timeout(&self) -> Duration {
-        let limit =
-            if self.delivered_tokens == 0 { FIRST_TOKEN_TIMEOUT } else { NEXT_TOKEN_TIMEOUT };
-        limit.min(self.run.time_left())
+    fn now(&self) -> Instant {
+        self.run.forwarder.context.clock.now()
+    }
+
+    /// Returns the limits of a silence that begins now.
+    fn silence_limits(&self) -> SilenceLimits {
+        let now = self.now();
+        let delay = if self.delivered_tokens == 0 { FIRST_TOKEN_DELAY } else { NEXT_TOKEN_DELAY };
+        SilenceLimits { backup_at: Some(now + delay), give_up_at: now + self.run.time_left() }
     }
 
-    async fn receive_part(&mut self, limit: Duration) -> Result<Option<Bytes>, AttemptFailure> {
-        let response = self.response.as_mut().ok_or(AttemptFailure::INVALID_RESPONSE)?;
-        tokio::select! {
-            part = timeout(limit, response.next()) => part.unwrap_or(Err(AttemptFailure::TIMED_OUT)),
-            () = self.run.wait_until_agent_lost() => Err(AttemptFailure::CONNECTION_LOST),
+    /// Receives the next part of the body. While the upstream is silent, a backup runs beside it, which takes over once it
+    /// has a token. An upstream that no other one can replace may be silent until the deadline.
+    async fn receive(&mut self, limits: &mut SilenceLimits) -> Result<(), AttemptFailure> {
+        loop {
+            let now = self.now();
+            let wake_at =
+                limits.backup_at.map_or(limits.give_up_at, |at| at.min(limits.give_up_at));
+            let response = self.response.as_mut().ok_or(AttemptFailure::INVALID_RESPONSE)?;
+            let started = tokio::select! {
+                biased;
+                part = response.next() => {
+                    let part = part?.ok_or(AttemptFailure::INVALID_RESPONSE)?;
+                    self.buffer.extend_from_slice(&part);
+                    return Ok(());
+                }
+                () = self.run.wait_until_agent_lost() => {
+                    return Err(AttemptFailure::CONNECTION_LOST);
+                }
+                started = wait_for_backup(self.backup.as_mut()) => Some(started),
+                () = sleep(wake_at.saturating_duration_since(now)) => None,
+            };
+            match (started, self.backup.take()) {
+                (Some(Ok(started)), Some(backup)) => {
+                    self.take_over(backup, started).await;
+                    return Ok(());
+                }
+                (Some(Err(failure)), Some(backup)) => self.run.fail_backup(backup, failure).await,
+                (_, backup) => self.backup = backup,
+            }
+            let now = self.now();
+            if now >= limits.give_up_at {
+                return Err(AttemptFailure::TIMED_OUT);
+            }
+            if limits.backup_at.is_some_and(|at| now >= at) {
+                limits.backup_at = Some(now + BACKUP_CHECK_INTERVAL);
+                if self.backup.is_none() {
+                    match self.run.start_backup(&self.target, self.delivered_tokens) {
+                        Ok(backup) => self.backup = Some(backup),
+                        Err(BackupRefusal::NoUpstream) => {}
+                        Err(BackupRefusal::RetryBudget) => limits.backup_at = None,
+                    }
+                }
+            }
+        }
+    }
+
+    /// Continues with the response of a backup.
+    async fn take_over(&mut self, backup: BackupAttempt, started: StartedStream) {
+        self.response = Some(started.response);
+        self.buffer = started.buffer;
+        self.run.replace_attempt(backup).await;
+        if self.delivered_tokens > 0 {
+            self.run.forwarder.metrics.resumed();
+        }
+    }
+
+    /// Waits for the backup of a response that has broken; false if there is none or it fails as well.
+    async fn continue_with_backup(&mut self) -> bool {
+        let Some(mut backup) = self.backup.take() else { return false };
+        let started = timeout(self.run.time_left(), backup.started()).await;
+        match started.unwrap_or(Err(AttemptFailure::TIMED_OUT)) {
+            Ok(started) => {
+                self.take_over(backup, started).await;
+                true
+            }
+            Err(failure) => {
+                self.run.fail_backup(backup, failure).await;
+                false
+            }
         }
     }
 
@@ -216,6 +337,7 @@
             if parsed.count != Some(self.delivered_tokens) || !manifest_matches {
                 return Err(AttemptFailure::INVALID_RESPONSE);
             }
+            self.backup = None;
             self.finish_exchange().await;
             return Ok(Some(StreamLine::Done(line)));
         }
@@ -224,6 +346,7 @@
             Some(index) if index < self.delivered_tokens => Ok(None),
             Some(index) if index == self.delivered_tokens => {
                 self.delivered_tokens += 1;
+                self.backup = None;
                 self.pin_version();
                 Ok(Some(StreamLine::Token(line)))
             }
@@ -243,13 +366,25 @@
 
     /// Waits for the end of the exchange, so that the channel can be reused.
     async fn finish_exchange(&mut self) {
-        let _ = self.receive_part(END_TIMEOUT).await;
+        if let Some(response) = &mut self.response {
+            let _ = timeout(END_TIMEOUT, response.next()).await;
+        }
         if let Some(response) = self.response.take() {
             self.run.complete_attempt(&response);
         }
     }
 }
 
+/// Waits for the first token of a backup; never returns without one.
+async fn wait_for_backup(
+    backup: Option<&mut BackupAttempt>,
+) -> Result<StartedStream, AttemptFailure> {
+    match backup {
+        Some(backup) => backup.started().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Returns the last line of a stream that cannot be resumed.
 fn error_line(refusal: &ForwardRefusal) -> Bytes {
     let error = json!({
--- a/crates/node/tests/entry/stream.rs
+++ b/crates/node/tests/entry/stream.rs
@@ -2,14 +2,18 @@
 //! continue after the caller has disconnected, and a request that crashes one upstream after another.
 
 use std::{
-    sync::atomic::Ordering,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
     time::{Duration, Instant},
 };
 
 use crate::support::{
-    MODEL, TestFleet,
-    agent::{AgentAction, StreamBreak},
+    CallerResponse, MODEL, TestFleet,
+    agent::{AgentAction, FakeAgent, StreamBreak},
 };
+use base::{Outcome, RefusalReason};
 use http_body_util::BodyExt;
 
 #[tokio::test(flavor = "multi_thread")]
@@ -100,6 +104,95 @@
     assert!(started.elapsed() < Duration::from_secs(2), "{:?}", started.elapsed());
 }
 
+/// A stream of two tokens, each followed by a silence after which entries seek another upstream.
+fn slow_tokens() -> AgentAction {
+    let token_interval = Duration::from_millis(2_500);
+    AgentAction::Tokens { count: 2, overlap: 0, break_at: None, token_interval }
+}
+
+/// Sends a request to an entry whose first attempt gets `first` and all others `later`.
+async fn generate_with(
+    upstreams: &[&str],
+    first: AgentAction,
+    later: AgentAction,
+) -> (TestFleet, CallerResponse) {
+    let fleet = TestFleet::start(upstreams).await;
+    let has_begun = Arc::new(AtomicBool::new(false));
+    for agent in &fleet.agents {
+        let (has_begun, first, later) = (has_begun.clone(), first.clone(), later.clone());
+        agent.set_action(move |_| {
+            let is_first = !has_begun.swap(true, Ordering::Relaxed);
+            if is_first { first.clone() } else { later.clone() }
+        });
+    }
+    let path = format!("/v1/models/{MODEL}/generate");
+    let body = r#"{"prompt": "pauses", "max_tokens": 12}"#;
+    let response = fleet.send_request("POST", &path, &[("x-deadline-ms", "9000")], body).await;
+    (fleet, response)
+}
+
+/// Guards against a stream that is lost because its silent upstream is given up for one that refuses the stream.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_a_silent_upstream_is_lost_to_one_that_refuses_it() {
+    let refusal = AgentAction::Refuse(Outcome::NotRun, RefusalReason::Overloaded);
+    let (_, response) = generate_with(&["m0", "m1"], slow_tokens(), refusal).await;
+    assert!(response.has_all_tokens(2), "{response:?}");
+}
+
+/// Guards against a stream that is lost because its silent upstream is given up for one that has no token either.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_a_silent_upstream_is_lost_to_one_that_hangs() {
+    let (fleet, response) = generate_with(&["m0", "m1"], slow_tokens(), AgentAction::Hang).await;
+    assert!(response.has_all_tokens(2), "{response:?}");
+    let is_backup = |agent: &&Arc<FakeAgent>| agent.forwards.lock().unwrap()[0].resume_offset == 1;
+    let backup = fleet.agents.iter().find(is_backup).expect("there was a backup");
+    wait_for(|| backup.cancelled.load(Ordering::Relaxed) == 1).await;
+}
+
+/// Guards against a stream that stays with a silent upstream although another one has its next token.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_a_silent_upstream_is_not_taken_over() {
+    let token_interval = Duration::from_secs(60);
+    let first = AgentAction::Tokens { count: 12, overlap: 0, break_at: None, token_interval };
+    let started = Instant::now();
+    let (fleet, response) = generate_with(&["m0", "m1"], first, AgentAction::tokens(12)).await;
+    assert!(response.has_all_tokens(12), "{response:?}");
+    assert!(started.elapsed() < Duration::from_secs(6), "{:?}", started.elapsed());
+    assert_eq!(fleet.forward_total(), 2);
+}
+
+/// Guards against backups beyond the maximum number of attempts of a request, which is three.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_upstream_is_backed_up_more_often_than_attempts_are_allowed() {
+    let upstreams = ["m0", "m1", "m2", "m3", "m4"];
+    let lost = AgentAction::Refuse(Outcome::Unknown, RefusalReason::ConnectionLost);
+    let (fleet, response) = generate_with(&upstreams, slow_tokens(), lost).await;
+    assert!(response.has_all_tokens(2), "{response:?}");
+    assert_eq!(fleet.forward_total(), 3);
+}
+
+/// Guards against a backup that did not run and leaves no attempt for a stream that breaks afterwards.
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_backups_use_up_the_attempts_of_a_stream() {
+    let fleet = TestFleet::start(&["m0", "m1", "m2", "m3"]).await;
+    let forwards = Arc::new(AtomicU32::new(0));
+    for agent in &fleet.agents {
+        let forwards = forwards.clone();
+        agent.set_action(move |_| match forwards.fetch_add(1, Ordering::Relaxed) {
+            0 => AgentAction::Tokens {
+                count: 12,
+                overlap: 0,
+                break_at: Some((1, StreamBreak::Close)),
+                token_interval: Duration::from_millis(3_000),
+            },
+            1 | 2 => AgentAction::Refuse(Outcome::NotRun, RefusalReason::Overloaded),
+            _ => AgentAction::tokens(12),
+        });
+    }
+    let response = fleet.generate("breaks after a pause").await;
+    assert!(response.has_all_tokens(12), "{response:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn crashing_request_reaches_at_most_two_upstreams_and_others_are_served() {
     let fleet = TestFleet::start(&["m0", "m1", "m2"]).await;
