Settle load orders without a response by the engine's reports

Cause: an order that got no response counted as accepted, and so did an order while the engine was busy with any other one. The agent then released the staged version: the chunks of a newer version replaced it although the engine had not accepted the order, or accepted it only later.

Change: chunks::LoadOrder evaluates the engine's reports. Until they show that the order was accepted, the version stays in the staging area, and an order that was not accepted is repeated with the same number of earlier orders, of which the engine accepts at most one. A busy engine gets no order, and does not count as loading what was to be ordered. A lost report does not end the wait for an order any more.

An accepted order without a response was not repeated before or now.

--- a/crates/chunks/src/lib.rs
+++ b/crates/chunks/src/lib.rs
@@ -7,6 +7,7 @@
 mod fetch;
 mod manifest;
 mod neighbours;
+mod order;
 mod origin;
 mod schedule;
 mod search;
@@ -17,6 +18,7 @@
     fetch::{ChunkFetch, ChunkSource, FetchFailure, FetchId, SwarmOptions, SwarmPeer},
     manifest::{ChunkDigest, ChunkIndex, ChunkManifest, ChunkSet, WeightsId, verify_chunk},
     neighbours::choose_neighbours,
+    order::{LoadOrder, OrderProgress, OrderReport},
     origin::{OriginGate, OriginRole},
     schedule::{DRAIN_TIME, LOAD_TIME, LoadPosition, LoadSchedule},
     search::{ManifestSearch, ManifestSource},
--- a/crates/chunks/src/transfers.rs
+++ b/crates/chunks/src/transfers.rs
@@ -161,6 +161,8 @@
 #[derive(Debug, Default)]
 pub struct TransferSet {
     transfers: Vec<WeightsTransfer>,
+    /// Version that stays in the staging area because the engine may still accept the order to load it.
+    held: Option<WeightsId>,
 }
 
 impl TransferSet {
@@ -173,13 +175,18 @@
     /// Starts the transfer of a version that is newer than all others. An older transfer of the same model continues
     /// only if at least a quarter of its chunks have arrived. `loaded` is the version that the engine serves.
     pub fn begin(&mut self, transfer: WeightsTransfer, loaded: WeightsVersion) {
+        let held = self.held.as_ref();
         self.transfers.retain(|older| {
-            older.version() > loaded
-                && older.swarm.name().model == transfer.swarm.name().model
-                && older.should_continue()
+            held == Some(older.swarm.name())
+                || older.version() > loaded
+                    && older.swarm.name().model == transfer.swarm.name().model
+                    && older.should_continue()
         });
         // Of several older versions, the one that is nearest to completion can be loaded first.
-        let best = self.transfers.iter().min_by_key(|older| older.missing());
+        let best = self
+            .transfers
+            .iter()
+            .min_by_key(|older| (held != Some(older.swarm.name()), older.missing()));
         let kept = best.map(WeightsTransfer::version);
         self.transfers.retain(|older| Some(older.version()) == kept);
         self.transfers.push(transfer);
@@ -197,7 +204,7 @@
     /// `chunk_time` is the transfer time of a chunk on an idle host link. Returns the version that was dropped.
     pub fn drop_superseded(&mut self, chunk_time: Duration, now: Instant) -> Option<WeightsId> {
         let [older, newer] = self.transfers.as_slice() else { return None };
-        if older.swarm.is_complete() {
+        if older.swarm.is_complete() || self.held.as_ref() == Some(older.swarm.name()) {
             return None;
         }
         let origin_time = older.swarm.origin_chunk_time().unwrap_or(chunk_time);
@@ -246,12 +253,28 @@
         let Some(newest) = self.transfers.last() else { return };
         let version = newest.version();
         let is_replaced = newest.swarm.is_complete();
-        self.transfers
-            .retain(|item| item.version() == version || (item.version() > loaded && !is_replaced));
+        let held = self.held.as_ref();
+        self.transfers.retain(|item| {
+            held == Some(item.swarm.name())
+                || item.version() == version
+                || (item.version() > loaded && !is_replaced)
+        });
+    }
+
+    /// Keeps a version, and its chunks in the staging area, until [`release_staging`](Self::release_staging) or
+    /// [`end_hold`](Self::end_hold): the engine may still accept the order to load it, and takes what is staged then.
+    pub fn hold_staging(&mut self, weights: &WeightsId) {
+        self.held = Some(weights.clone());
+    }
+
+    /// Ends the effect of [`hold_staging`](Self::hold_staging). The version stays until another call drops it.
+    pub fn end_hold(&mut self) {
+        self.held = None;
     }
 
     /// Frees the staging area for a newer version once the engine has accepted the order to load the older version.
     pub fn release_staging(&mut self, weights: &WeightsId) {
+        self.held = None;
         if self.transfers.len() > 1 {
             self.remove(weights);
         }
@@ -269,8 +292,8 @@
         chunk_time: Duration,
         now: Instant,
     ) -> bool {
-        let [_, newer] = self.transfers.as_slice() else { return false };
-        if !newer.swarm.fleet_has_all() {
+        let [older, newer] = self.transfers.as_slice() else { return false };
+        if self.held.as_ref() == Some(older.swarm.name()) || !newer.swarm.fleet_has_all() {
             return false;
         }
         let remaining = chunk_time.mul_f64(f64::from(newer.missing()) * REMAINING_TIME_FACTOR);
--- a/crates/chunks/tests/swarm.rs
+++ b/crates/chunks/tests/swarm.rs
@@ -261,3 +261,22 @@
     let own = set.newest().expect("there is one").swarm.name().clone();
     assert!(!set.awaits_newer(&own, CHUNKS, deadline, chunk_time, now));
 }
+
+/// Staged chunks were given up although the engine could still accept the order to load them.
+#[test]
+fn weights_with_an_unsettled_order_are_given_up() {
+    let now = Instant::now();
+    let chunk_time = Duration::from_millis(42);
+    let mut set = TransferSet::new();
+    set.begin(transfer(2, CHUNKS, now), 1);
+    let ordered = set.newest().expect("there is one").swarm.name().clone();
+    set.hold_staging(&ordered);
+    set.begin(transfer(3, CHUNKS / 2, now), 1);
+    set.begin(transfer(4, CHUNKS, now), 1);
+    set.prune(1);
+    assert!(!set.skip_oldest(true, now, chunk_time, now));
+    assert_eq!(set.drop_superseded(chunk_time, now), None);
+    assert_eq!(set.staging().map(|transfer| transfer.version()), Some(2));
+    set.release_staging(&ordered);
+    assert_eq!(set.staging().map(|transfer| transfer.version()), Some(4));
+}
--- a/crates/gateway/src/agent/engine.rs
+++ b/crates/gateway/src/agent/engine.rs
@@ -2,11 +2,11 @@
 
 use std::sync::atomic::Ordering;
 
-use chunks::{ChunkIndex, WeightsId};
+use chunks::{ChunkIndex, LoadOrder, OrderReport, WeightsId};
 use log::{info, warn};
 
 use super::shared::AgentShared;
-use crate::port::LoadOrderResult;
+use crate::port::{EngineReport, LoadOrderResult};
 
 /// Reads the engine's state. `is_engine_lost` is true if the previous read failed, and is updated by this one.
 pub(super) async fn read_report(shared: &AgentShared, is_engine_lost: &mut bool) {
@@ -74,38 +74,62 @@
     corrupt
 }
 
-/// Orders the engine to load the staged weights; true if the load has started or may have started.
-pub(super) async fn order_load(shared: &AgentShared, weights: &WeightsId) -> bool {
+/// What `report` states about orders to load `weights`.
+pub(super) fn order_report(report: &EngineReport, weights: &WeightsId) -> OrderReport {
+    let versions = report.loaded.iter().filter(|(model, _)| *model == weights.model);
+    OrderReport {
+        started_at_ms: report.started_at_ms,
+        load_orders: report.load_orders,
+        busy: report.busy,
+        loaded: versions.map(|(_, version)| *version).max().unwrap_or(0),
+    }
+}
+
+/// Orders the engine to load the staged weights, unless it does so already or carries out another order. `previous` is
+/// an earlier order of these weights that the engine may have accepted. Returns the order that the engine has accepted or
+/// may accept; `None` if there is none.
+pub(super) async fn order_load(
+    shared: &AgentShared,
+    weights: &WeightsId,
+    previous: Option<LoadOrder>,
+) -> Option<LoadOrder> {
     // The number of orders is read immediately before the order, so that the engine rejects an order that was delayed
     // while another one was accepted.
-    let Ok(report) = shared.ports.engine.report().await else { return false };
-    if report.busy {
-        return true;
+    let Ok(report) = shared.ports.engine.report().await else { return previous };
+    let basis = order_report(&report, weights);
+    let may_order = match &previous {
+        Some(previous) => previous.is_unaccepted(&basis),
+        None => !basis.busy && basis.loaded < weights.version,
+    };
+    if !may_order {
+        return previous;
     }
     let result = shared.ports.engine.load(weights, report.load_orders).await;
     shared.metrics.count("load_orders_total");
+    let now = shared.clock.now();
+    let order = previous.clone().unwrap_or_else(|| LoadOrder::new(weights.clone(), basis, now));
     match result {
         Ok(LoadOrderResult::Started | LoadOrderResult::AlreadyLoaded) => {
             info!(
                 "event=load_ordered model={} version={} orders={} running={} queued={}",
                 weights.model, weights.version, report.load_orders, report.running, report.queued
             );
-            true
+            Some(order.with_acceptance(now))
         }
         Ok(LoadOrderResult::Conflict) => {
             info!(
                 "event=load_conflict model={} version={} orders={}",
                 weights.model, weights.version, report.load_orders
             );
-            false
+            previous
         }
         Err(error) => {
-            // The engine may have accepted the order; its next report shows whether it did.
+            // The engine may have accepted the order; its next reports show whether it did.
             warn!(
-                "event=load_unknown model={} version={} error=\"{error}\"",
-                weights.model, weights.version
+                "event=load_unknown model={} version={} orders={} error=\"{error}\"",
+                weights.model, weights.version, report.load_orders
             );
-            true
+            Some(order)
         }
     }
 }
--- a/crates/gateway/src/agent/transfer.rs
+++ b/crates/gateway/src/agent/transfer.rs
@@ -10,7 +10,8 @@
 };
 
 use chunks::{
-    ChunkManifest, ChunkSet, ChunkSwarm, OriginGate, SwarmOptions, WeightsId, WeightsTransfer,
+    ChunkManifest, ChunkSet, ChunkSwarm, LoadOrder, OriginGate, SwarmOptions, WeightsId,
+    WeightsTransfer,
 };
 use log::{info, warn};
 use rand::seq::IndexedRandom;
@@ -48,7 +49,8 @@
     last_query: Option<Instant>,
     /// Weights of which chunks have arrived since the last notice.
     unannounced: HashSet<WeightsId>,
-    pending_load: Option<(WeightsId, Instant)>,
+    /// Load order that the engine has accepted or may accept.
+    pending_load: Option<LoadOrder>,
     /// Weights that are completely staged, and the time since which they are.
     staged: Option<(WeightsId, Instant)>,
     /// Times of the declarations of versions that are newer than the loaded one.
@@ -101,7 +103,7 @@
         }
         self.has_seen_engine |= has_report;
         let loaded = self.shared.loaded_version();
-        self.settle_load(&assignment, loaded);
+        self.settle_load(&assignment);
         let now = self.shared.clock.now();
         // Older transfers continue while the manifest is being searched.
         if self.shared.transfers().get(&assignment.weights).is_none() {
--- a/crates/gateway/src/agent/transfer/loading.rs
+++ b/crates/gateway/src/agent/transfer/loading.rs
@@ -7,21 +7,19 @@
 };
 
 use base::rendezvous_weight;
-use chunks::{DRAIN_TIME, LOAD_TIME, LoadPosition, LoadSchedule, WeightsId};
+use chunks::{DRAIN_TIME, LOAD_TIME, LoadPosition, LoadSchedule, OrderProgress, WeightsId};
 use log::info;
 use rand::RngExt;
 use tokio::time::sleep;
 
 use super::{
     super::{
-        engine::{find_corrupt_staged, order_load},
+        engine::{find_corrupt_staged, order_load, order_report},
         shared::AgentAssignment,
     },
     TransferTask,
 };
 
-/// Time after a load order within which the engine reports that it carries the order out.
-const ORDER_REPORT_TIME: Duration = Duration::from_secs(1);
 /// Factor between the transfer time of the weights on an idle link and the time until all hosts have them: chunks pass
 /// through several hosts, and transfers leave part of each link to requests.
 const TRANSFER_FACTOR: f64 = 1.6;
@@ -40,13 +38,13 @@
         }
         let now = self.shared.clock.now();
         let switch_time = if loaded == 0 { LOAD_TIME } else { DRAIN_TIME + LOAD_TIME };
-        if let Some((weights, ordered)) = &self.pending_load
-            && *weights == assignment.weights
+        if let Some(order) = &self.pending_load
+            && *order.weights() == assignment.weights
         {
             // Loading begins when the last running request has ended.
             let is_draining = self.shared.report().is_some_and(|report| report.running > 0);
             let earliest = if is_draining { now + LOAD_TIME } else { now };
-            return Some((*ordered + switch_time).max(earliest));
+            return Some((order.ordered_at() + switch_time).max(earliest));
         }
         let transfers = self.shared.transfers();
         transfers.get(&assignment.weights)?;
@@ -92,7 +90,11 @@
 
     pub(super) async fn load_when_due(&mut self, assignment: &Arc<AgentAssignment>, loaded: u64) {
         let first_declared = self.first_declared(assignment, loaded);
-        if self.pending_load.is_some() || self.shared.report().is_none() || self.shared.is_stale() {
+        if self.pending_load.is_some() {
+            self.repeat_order(loaded).await;
+            return;
+        }
+        if self.shared.report().is_none() || self.shared.is_stale() {
             return;
         }
         let now = self.shared.clock.now();
@@ -146,7 +148,9 @@
             start = start.max(staged_at + NOTICE_TIME);
         }
         self.shared.set_next_load_at(is_serving.then_some(start));
-        if !is_staged || now < start {
+        // An engine that carries out an order, which may be one of this agent's previous process, accepts no other one.
+        let is_busy = self.shared.report().is_some_and(|report| report.busy);
+        if !is_staged || now < start || is_busy {
             return;
         }
         let due = declared_at.map_or(now, |at| schedule.latest_start(at));
@@ -183,38 +187,71 @@
             sleep(ANNOUNCE_DELAY / 2).await;
         }
         self.shared.set_next_load_at(None);
-        let is_ordered = order_load(&self.shared, weights).await;
+        let previous = self.pending_load.take();
+        self.pending_load = order_load(&self.shared, weights, previous).await;
         self.shared.wake_heartbeats.notify_one();
-        if is_ordered {
-            self.pending_load = Some((weights.clone(), self.shared.clock.now()));
-            self.shared.transfers().release_staging(weights);
-        } else {
-            self.shared.switching.store(false, Ordering::Relaxed);
-            let pause = Duration::from_millis(rand::rng().random_range(20..60));
-            sleep(pause).await;
+        match &self.pending_load {
+            Some(order) if order.is_accepted() => {
+                self.shared.transfers().release_staging(weights);
+                return;
+            }
+            Some(_) => self.shared.transfers().hold_staging(weights),
+            None => self.shared.switching.store(false, Ordering::Relaxed),
         }
+        let pause = Duration::from_millis(rand::rng().random_range(20..60));
+        sleep(pause).await;
     }
 
-    /// Stops waiting for a load order once the engine has loaded the weights, or no longer carries the order out. There is
-    /// no timeout: the engine is busy until its last running request has ended, and accepts no other order before.
-    pub(super) fn settle_load(&mut self, assignment: &AgentAssignment, loaded: u64) {
-        let Some((weights, at)) = &self.pending_load else { return };
+    /// Evaluates the engine's last report on the pending load order: whether the engine has accepted it, has loaded the
+    /// weights or no longer carries the order out.
+    pub(super) fn settle_load(&mut self, assignment: &AgentAssignment) {
         let now = self.shared.clock.now();
-        let elapsed = now.saturating_duration_since(*at);
-        let is_loaded = loaded >= weights.version;
-        let is_idle = self.shared.report().is_none_or(|report| !report.busy);
-        let has_failed = is_idle && elapsed > ORDER_REPORT_TIME && !is_loaded;
-        if is_loaded || has_failed {
-            info!(
-                "event=load_settled model={} version={} loaded={is_loaded} ms={} wanted={}",
-                weights.model,
-                weights.version,
-                elapsed.as_millis(),
-                assignment.weights.version
-            );
+        let report = self.shared.report();
+        let Some(order) = &mut self.pending_load else { return };
+        let weights = order.weights().clone();
+        let report = report.map(|report| order_report(&report, &weights));
+        let elapsed = now.saturating_duration_since(order.ordered_at());
+        let progress = order.progress(report.as_ref(), now);
+        match progress {
+            OrderProgress::Waiting | OrderProgress::Unaccepted => {}
+            OrderProgress::Accepted => {
+                info!(
+                    "event=load_accepted model={} version={} ms={}",
+                    weights.model,
+                    weights.version,
+                    elapsed.as_millis()
+                );
+                self.shared.transfers().release_staging(&weights);
+            }
+            OrderProgress::Loaded | OrderProgress::Failed => {
+                info!(
+                    "event=load_settled model={} version={} loaded={} ms={} wanted={}",
+                    weights.model,
+                    weights.version,
+                    progress == OrderProgress::Loaded,
+                    elapsed.as_millis(),
+                    assignment.weights.version
+                );
+                self.pending_load = None;
+                self.shared.transfers().end_hold();
+                self.shared.switching.store(false, Ordering::Relaxed);
+                self.shared.wake_heartbeats.notify_one();
+            }
+        }
+    }
+
+    /// Repeats the pending load order if the engine has not accepted it.
+    async fn repeat_order(&mut self, loaded: u64) {
+        let Some(order) = &self.pending_load else { return };
+        let weights = order.weights().clone();
+        let report = self.shared.report().map(|report| order_report(&report, &weights));
+        if self.shared.transfers().get(&weights).is_none() {
+            // Without the manifest, the staged chunks cannot be verified.
             self.pending_load = None;
+            self.shared.transfers().end_hold();
             self.shared.switching.store(false, Ordering::Relaxed);
-            self.shared.wake_heartbeats.notify_one();
+        } else if report.is_some_and(|report| order.is_unaccepted(&report)) {
+            self.load(&weights, loaded).await;
         }
     }
 }
