Count only chunks that known agents still hold

Cause: a chunk counted as held by the fleet from its first announcement on, also when the agents that had announced it had left, had restarted without it, or did not respond to fetches. An older version could be skipped or dropped for a newer one that could not be had, so that engines stayed on outdated weights.

Change: the chunks of the fleet are those that this agent holds and those that known agents listed in their last notices. Lost chunks restart the time after which the origin counts as down, because it has not had the time to send them again. TransferSet::skip_oldest also leaves out chunks of which the last fetch from their only holders failed. drop_superseded uses the same count through WeightsTransfer::remaining. awaits_newer does not depend on chunks of the fleet: it applies while the manifest is not known, and ends with the time left.

--- a/crates/chunks/src/swarm.rs
+++ b/crates/chunks/src/swarm.rs
@@ -58,7 +58,9 @@
 /// Chunks that another agent has announced.
 #[derive(Debug)]
 struct PeerChunks {
+    /// Chunks that may be fetched from the agent: those announced, without those of which a fetch has failed since.
     chunks: ChunkSet,
+    announced: ChunkSet,
     /// The agent is in this agent's region.
     is_local: bool,
 }
@@ -92,6 +94,7 @@
     /// Last time at which any chunk was first seen at another agent of the fleet, and of this region.
     fleet_progress: Instant,
     region_progress: Instant,
+    /// Chunks that this agent or, by its last notice, a known agent of the fleet or of this region holds.
     seen_in_fleet: ChunkSet,
     /// Times at which chunks were first seen at other agents.
     first_seen: HashMap<ChunkIndex, Instant>,
@@ -165,10 +168,36 @@
     }
 
     /// Updates the other agents and the data centre of the origin. Does nothing if they have not changed.
-    pub fn update_peers(&mut self, peers: &[SwarmPeer], origin: Option<DataCentreId>) {
+    pub fn update_peers(
+        &mut self,
+        peers: &[SwarmPeer],
+        origin: Option<DataCentreId>,
+        now: Instant,
+    ) {
         if self.peers != peers || self.origin_data_centre != origin {
             self.set_peers(peers.to_vec(), origin);
+            self.forget_lost_chunks(now);
+        }
+    }
+
+    /// Forgets chunks that no known agent holds any more, because the agents that announced them have left or lost them.
+    fn forget_lost_chunks(&mut self, now: Instant) {
+        let (mut in_fleet, mut in_region) = (self.held.clone(), self.held.clone());
+        for peer in self.peer_chunks.values() {
+            for index in (0..self.manifest.len()).filter(|index| peer.announced.contains(*index)) {
+                in_fleet.insert(index);
+                if peer.is_local {
+                    in_region.insert(index);
+                }
+            }
         }
+        if in_fleet.count() < self.seen_in_fleet.count() {
+            self.first_seen.retain(|index, _| in_fleet.contains(*index));
+            // The origin has not had the time to send them again.
+            self.fleet_progress = now;
+        }
+        self.seen_in_fleet = in_fleet;
+        self.seen_in_region = in_region;
     }
 
     fn set_peers(&mut self, peers: Vec<SwarmPeer>, origin: Option<DataCentreId>) {
@@ -262,13 +291,24 @@
             // Each fetcher receives one chunk while the origin sends one to each of them.
             self.origin_takeover_delay = TAKEOVER_DELAY.max(time * self.role.fetchers * 2);
         }
-        self.peer_chunks.insert(peer, PeerChunks { chunks, is_local });
+        let record = PeerChunks { announced: chunks.clone(), chunks, is_local };
+        let announced = self.peer_chunks.get(&peer).map(|previous| previous.announced.clone());
+        let has_lost = announced.is_some_and(|announced| {
+            (0..self.manifest.len())
+                .any(|index| announced.contains(index) && !record.announced.contains(index))
+        });
+        self.peer_chunks.insert(peer, record);
+        if has_lost {
+            self.forget_lost_chunks(now);
+        }
     }
 
-    /// True if every chunk is held by this or another agent, so that the origin is no longer needed.
+    /// True if every chunk is held by this agent or can be fetched from another one, so that the origin is no longer
+    /// needed.
     #[must_use]
     pub fn fleet_has_all(&self) -> bool {
-        self.seen_in_fleet.count() >= self.manifest.len()
+        let can_fetch = |index| self.peer_chunks.values().any(|peer| peer.chunks.contains(index));
+        (0..self.manifest.len()).all(|index| self.held.contains(index) || can_fetch(index))
     }
 
     /// True if the origin is needed but does not seem to respond: the last call failed, or no chunk has appeared in the
@@ -276,7 +316,7 @@
     #[must_use]
     pub fn lacks_origin(&self, now: Instant) -> bool {
         let progress = self.fleet_progress.max(self.started);
-        !self.fleet_has_all()
+        self.missing_in_fleet() > 0
             && (self.gate.is_closed() || now.saturating_duration_since(progress) >= ORIGIN_STALL)
     }
 
@@ -350,8 +390,9 @@
     }
 
     /// Records that a staged chunk is corrupt or missing, so that it is fetched again.
-    pub fn record_corrupt(&mut self, index: ChunkIndex) {
+    pub fn record_corrupt(&mut self, index: ChunkIndex, now: Instant) {
         self.held.remove(index);
+        self.forget_lost_chunks(now);
     }
 
     /// Returns the fetches to start now. Without priority over other transfers, only one fetch is in flight at a time.
--- a/crates/chunks/src/transfers.rs
+++ b/crates/chunks/src/transfers.rs
@@ -107,19 +107,19 @@
     }
 
     /// Records that a chunk in the staging area is missing or corrupt.
-    pub fn record_corrupt(&mut self, index: ChunkIndex) {
+    pub fn record_corrupt(&mut self, index: ChunkIndex, now: Instant) {
         self.staged.remove(index);
         if !self.buffered.contains_key(&index) {
-            self.swarm.record_corrupt(index);
+            self.swarm.record_corrupt(index, now);
         }
     }
 
     /// Updates the content of the staging area after a restart of the engine. Chunks that are neither in `staged` nor
     /// buffered are fetched again.
-    pub fn reset_staged(&mut self, staged: &ChunkSet) {
+    pub fn reset_staged(&mut self, staged: &ChunkSet, now: Instant) {
         for index in 0..self.swarm.manifest().len() {
             if !staged.contains(index) {
-                self.record_corrupt(index);
+                self.record_corrupt(index, now);
             }
         }
     }
--- a/crates/chunks/tests/fleet_sim/mod.rs
+++ b/crates/chunks/tests/fleet_sim/mod.rs
@@ -201,7 +201,7 @@
         let options = SwarmOptions::default();
         let mut swarm =
             ChunkSwarm::new(manifest, item.peer.clone(), ChunkSet::new(), options, self.now);
-        swarm.update_peers(&item.others, Some("r0".into()));
+        swarm.update_peers(&item.others, Some("r0".into()), self.now);
         let transfer = WeightsTransfer::new(swarm, ChunkSet::new(), Some(declared), self.now);
         let gate = item.transfers.gate();
         let mut transfer = transfer;
--- a/crates/chunks/tests/neighbours.rs
+++ b/crates/chunks/tests/neighbours.rs
@@ -65,7 +65,7 @@
                 let options = SwarmOptions::default();
                 let mut swarm =
                     ChunkSwarm::new(manifest.clone(), agent(index), ChunkSet::new(), options, now);
-                swarm.update_peers(&others(agents, index), Some("r0".into()));
+                swarm.update_peers(&others(agents, index), Some("r0".into()), now);
                 (agent(index).address, swarm)
             })
             .collect();
--- a/crates/chunks/tests/swarm.rs
+++ b/crates/chunks/tests/swarm.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use chunks::{
     ChunkManifest, ChunkSet, ChunkSource, ChunkSwarm, FetchFailure, LoadPosition, LoadSchedule,
-    SwarmOptions, SwarmPeer, TransferSet, WeightsId, WeightsTransfer,
+    OriginGate, OriginRole, SwarmOptions, SwarmPeer, TransferSet, WeightsId, WeightsTransfer,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -61,7 +61,7 @@
                     SwarmOptions::default(),
                     now,
                 );
-                swarm.update_peers(&others, Some("east".into()));
+                swarm.update_peers(&others, Some("east".into()), now);
                 (own.address, swarm)
             })
             .collect();
@@ -202,7 +202,7 @@
     let now = Instant::now();
     let mut transfer = transfer(2, CHUNKS, now);
     assert!(transfer.is_staged());
-    transfer.record_corrupt(5);
+    transfer.record_corrupt(5, now);
     assert!(!transfer.is_staged());
     assert!(!transfer.swarm.is_complete());
 }
@@ -232,7 +232,7 @@
         let mut set = TransferSet::new();
         set.begin(transfer(2, CHUNKS, now), 1);
         let mut newer = transfer(3, held, now);
-        newer.swarm.update_peers(&[agent(2)], None);
+        newer.swarm.update_peers(&[agent(2)], None, now);
         let mut all = ChunkSet::new();
         (0..CHUNKS).for_each(|index| {
             all.insert(index);
@@ -280,3 +280,68 @@
     set.release_staging(&ordered);
     assert_eq!(set.staging().map(|transfer| transfer.version()), Some(4));
 }
+
+/// A set with half of version 2, of which agent 3 holds the rest, and none of version 3, which agent 2 has announced
+/// completely. The origin does not respond.
+fn overlapping_transfers(now: Instant) -> TransferSet {
+    let mut gate = OriginGate::new();
+    gate.record_failed(&OriginRole::default(), now, &mut ChaCha8Rng::seed_from_u64(1));
+    let mut set = TransferSet::new();
+    for (version, held, holder) in [(2, CHUNKS / 2, 3), (3, 0, 2)] {
+        let mut transfer = transfer(version, held, now);
+        transfer.swarm.set_gate(gate);
+        transfer.swarm.update_peers(&[agent(2), agent(3)], None, now);
+        let mut all = ChunkSet::new();
+        (0..CHUNKS).for_each(|index| {
+            all.insert(index);
+        });
+        transfer.swarm.record_peer_chunks(agent(holder).address, all, now);
+        set.begin(transfer, 1);
+    }
+    set
+}
+
+/// Chunks counted as held by the fleet after their holders had left, so that the older version was given up although the
+/// newer one could not be had.
+#[test]
+fn older_version_is_given_up_for_chunks_of_agents_that_have_left() {
+    let now = Instant::now();
+    let (chunk_time, passed) = (Duration::from_millis(42), now - Duration::from_secs(1));
+    let mut set = overlapping_transfers(now);
+    assert!(set.skip_oldest(true, passed, chunk_time, now), "the fleet holds the newer version");
+
+    let mut set = overlapping_transfers(now);
+    for transfer in set.iter_mut() {
+        transfer.swarm.update_peers(&[agent(3)], None, now);
+    }
+    assert!(!set.skip_oldest(true, passed, chunk_time, now));
+    assert_eq!(set.newest_remaining(chunk_time, now), None);
+    assert_eq!(set.drop_superseded(chunk_time, now), None);
+}
+
+/// The same for agents that have restarted and lost their buffered chunks.
+#[test]
+fn older_version_is_given_up_for_chunks_that_their_holder_has_lost() {
+    let now = Instant::now();
+    let (chunk_time, passed) = (Duration::from_millis(42), now - Duration::from_secs(1));
+    let mut set = overlapping_transfers(now);
+    let newer = set.iter_mut().last().expect("there are two");
+    newer.swarm.record_peer_chunks(agent(2).address, ChunkSet::new(), now);
+    assert!(!set.skip_oldest(true, passed, chunk_time, now));
+    assert_eq!(set.drop_superseded(chunk_time, now), None);
+}
+
+/// The same for agents that do not respond but are still known: the last fetch of a chunk has failed.
+#[test]
+fn older_version_is_given_up_for_chunks_that_could_not_be_fetched() {
+    let now = Instant::now();
+    let (chunk_time, passed) = (Duration::from_millis(42), now - Duration::from_secs(1));
+    let mut set = overlapping_transfers(now);
+    let newer = set.iter_mut().last().expect("there are two");
+    let later = now + Duration::from_secs(2);
+    let rng = &mut ChaCha8Rng::seed_from_u64(1);
+    let fetch = newer.swarm.next_fetches(true, later, rng).pop().expect("there is a holder");
+    assert_eq!(fetch.source, ChunkSource::Peer(agent(2).address));
+    newer.swarm.record_failed(fetch.id, FetchFailure::Failed, later, rng);
+    assert!(!set.skip_oldest(true, passed, chunk_time, later));
+}
--- a/crates/gateway/src/agent/transfer.rs
+++ b/crates/gateway/src/agent/transfer.rs
@@ -141,7 +141,7 @@
                 if !is_applied {
                     let origin = assignment.origin.as_ref();
                     let data_centre = origin.map(|(_, data_centre)| data_centre.clone());
-                    transfer.swarm.update_peers(&assignment.agents, data_centre);
+                    transfer.swarm.update_peers(&assignment.agents, data_centre, now);
                 }
                 let weights = transfer.swarm.name().clone();
                 let next = transfer.swarm.next_fetches(has_priority, now, &mut rand::rng());
@@ -210,7 +210,7 @@
             staged.count()
         );
         if let Some(transfer) = self.shared.transfers().get_mut(&weights) {
-            transfer.reset_staged(&staged);
+            transfer.reset_staged(&staged, self.shared.clock.now());
         }
     }
 
--- a/crates/gateway/src/agent/transfer/loading.rs
+++ b/crates/gateway/src/agent/transfer/loading.rs
@@ -173,7 +173,8 @@
         if !corrupt.is_empty() {
             info!("event=pieces_spoilt model={} pieces={}", weights.model, corrupt.len());
             if let Some(transfer) = self.shared.transfers().get_mut(weights) {
-                corrupt.into_iter().for_each(|index| transfer.record_corrupt(index));
+                let now = self.shared.clock.now();
+                corrupt.into_iter().for_each(|index| transfer.record_corrupt(index, now));
             }
             self.shared.wake_transfer.notify_one();
             return;
--- a/crates/gateway/src/agent/uploads.rs
+++ b/crates/gateway/src/agent/uploads.rs
@@ -87,7 +87,7 @@
 
     fn mark_corrupt(&self, weights: &WeightsId, index: u32) {
         if let Some(transfer) = self.shared.transfers().get_mut(weights) {
-            transfer.record_corrupt(index);
+            transfer.record_corrupt(index, self.shared.clock.now());
             self.shared.wake_transfer.notify_one();
         }
     }
