Tell agents the dates of earlier declarations

Cause: an agent knew only those dates of declarations that it had received itself. One that restarted between two declarations scheduled its load by the later one, and entries did not use its engine from the bound of the first declaration until then.

Change: the assignment carries the ages of up to four declarations before the newest one, as far as the entry knows them (BriefReply, tag 11, absent from older processes, not part of the digest). The agent takes the first one after the version that its engine has loaded, as it does for declarations that it has received itself. A single date would be wrong for engines that have loaded different versions. A recent declaration takes up to 8 bytes.

--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -54,6 +54,14 @@
         self.versions.last().and_then(|(_, seen)| *seen)
     }
 
+    /// The last `limit` versions before the newest one, the oldest first, with the times of their declarations. Versions
+    /// whose declaration neither this process nor a peer observed are left out.
+    pub fn earlier(&self, limit: usize) -> impl Iterator<Item = (WeightsVersion, Instant)> {
+        let earlier = self.versions.split_last().map_or(&[][..], |(_, earlier)| earlier);
+        let last = &earlier[earlier.len().saturating_sub(limit)..];
+        last.iter().filter_map(|(version, seen)| Some((*version, (*seen)?)))
+    }
+
     /// Time for which requests may still begin to run on `version`, given that each newer version must be in use within
     /// `bound` of its declaration; `None` if no newer version is declared.
     #[must_use]
--- a/crates/fleet/tests/knowledge.rs
+++ b/crates/fleet/tests/knowledge.rs
@@ -193,6 +193,8 @@
         })
     };
     assert_eq!((allowed(6), allowed(8), allowed(9)), (Some(1), Some(2), Some(3)));
+    let earlier: Vec<_> = state.earlier(4).collect();
+    assert_eq!(earlier, [(2, start)], "version 1 was declared before it could be observed");
     let undated = WeightsState::new(vec![(4, None)]);
     assert_eq!(undated.time_left(3, start, bound), Some(Duration::ZERO));
 }
--- a/crates/gateway/src/agent/shared.rs
+++ b/crates/gateway/src/agent/shared.rs
@@ -11,6 +11,7 @@
 
 use base::{Clock, DataCentreId, Incarnation};
 use chunks::{SwarmPeer, TransferSet, WeightsId};
+use fleet::WeightsVersion;
 use member::EntryMembership;
 use tokio::sync::Notify;
 use wire::{BriefReply, FleetKey};
@@ -28,6 +29,8 @@
     pub(super) revision: u64,
     pub(super) weights: WeightsId,
     pub(super) declared_at: Option<Instant>,
+    /// Earlier versions with the times of their declarations, as far as the entry knows them.
+    pub(super) earlier: Vec<(WeightsVersion, Instant)>,
     pub(super) chunk_count: u32,
     pub(super) chunk_bytes: u32,
     pub(super) origin: Option<(SocketAddr, DataCentreId)>,
@@ -188,13 +191,17 @@
             .parse()
             .ok()
             .map(|address| (address, reply.origin_data_centre.as_str().into()));
+        let date_of = |age_ms| requested.checked_sub(Duration::from_millis(age_ms));
         let mut next = AgentAssignment {
             digest: reply.digest,
             revision: reply.revision,
             weights: WeightsId { model: reply.model.as_str().into(), version: reply.version },
-            declared_at: reply
-                .declared_ms
-                .and_then(|age| requested.checked_sub(Duration::from_millis(age))),
+            declared_at: reply.declared_ms.and_then(date_of),
+            earlier: reply
+                .earlier
+                .iter()
+                .filter_map(|earlier| Some((earlier.version, date_of(earlier.age_ms)?)))
+                .collect(),
             chunk_count: reply.pieces,
             chunk_bytes: reply.piece_bytes,
             origin,
@@ -208,6 +215,7 @@
         }) {
             next.weights = known.weights.clone();
             next.declared_at = known.declared_at;
+            next.earlier = known.earlier.clone();
             next.chunk_count = known.chunk_count;
             next.chunk_bytes = known.chunk_bytes;
         }
--- a/crates/gateway/src/agent/transfer/loading.rs
+++ b/crates/gateway/src/agent/transfer/loading.rs
@@ -76,12 +76,15 @@
         position
     }
 
-    /// Time of the declaration that made the loaded version outdated; `None` if this process has not learned of one.
+    /// Time of the declaration that made the loaded version outdated; `None` if neither this process nor the entry that
+    /// sent the assignment has learned of one.
     fn first_declared(&mut self, assignment: &AgentAssignment, loaded: u64) -> Option<Instant> {
         let weights = &assignment.weights;
-        if let Some(at) = assignment.declared_at {
-            self.declarations.retain(|(known, _)| known != weights);
-            self.declarations.push((weights.clone(), at));
+        let wanted = assignment.declared_at.map(|at| (weights.version, at));
+        for (version, at) in assignment.earlier.iter().copied().chain(wanted) {
+            let declared = WeightsId { model: weights.model.clone(), version };
+            self.declarations.retain(|(known, _)| *known != declared);
+            self.declarations.push((declared, at));
         }
         self.declarations
             .retain(|(known, _)| known.model == weights.model && known.version > loaded);
--- a/crates/gateway/src/entry/assignment.rs
+++ b/crates/gateway/src/entry/assignment.rs
@@ -3,11 +3,15 @@
 use std::time::{Duration, Instant};
 
 use fleet::FleetView;
-use wire::{AgentContact, BriefReply};
+use wire::{AgentContact, BriefReply, DatedVersion};
 
 /// Version assumed to be loaded if none was ever declared: the users number versions from 1.
 const FIRST_VERSION: u64 = 1;
 
+/// Maximum number of earlier declarations in an assignment. An engine that has missed more may be idle for longer than
+/// necessary after a restart of its agent.
+const MAX_EARLIER: usize = 4;
+
 /// Builds the assignment for the agents of a service; `None` if the service serves no model.
 pub(crate) fn make_assignment(view: &FleetView, service: &str, now: Instant) -> Option<BriefReply> {
     let record = view.service(service)?;
@@ -26,17 +30,20 @@
     agents.sort_unstable_by(|left, right| left.ip.cmp(&right.ip));
     agents.dedup_by(|left, right| left.ip == right.ip);
     let declared_at = state.and_then(fleet::WeightsState::declared_at);
+    let age = |at| millis(now.saturating_duration_since(at));
+    let earlier = state.into_iter().flat_map(|state| state.earlier(MAX_EARLIER));
     let mut assignment = BriefReply {
         digest: 0,
         revision: view.revision,
         model: model.to_string(),
         version: state.and_then(fleet::WeightsState::declared).unwrap_or(FIRST_VERSION),
-        declared_ms: declared_at.map(|at| millis(now.saturating_duration_since(at))),
+        declared_ms: declared_at.map(age),
         pieces: engine.chunks,
         piece_bytes: engine.chunk_bytes,
         origin: origin.map(|origin| origin.address.to_string()).unwrap_or_default(),
         origin_data_centre: origin.map(|origin| origin.data_centre.to_string()).unwrap_or_default(),
         agents,
+        earlier: earlier.map(|(version, at)| DatedVersion { version, age_ms: age(at) }).collect(),
     };
     assignment.digest = digest(&assignment);
     Some(assignment)
@@ -54,7 +61,13 @@
 
 /// Digest of an assignment without the fields that change while its content stays the same.
 fn digest(assignment: &BriefReply) -> u64 {
-    let content = BriefReply { digest: 0, revision: 0, declared_ms: None, ..assignment.clone() };
+    let content = BriefReply {
+        digest: 0,
+        revision: 0,
+        declared_ms: None,
+        earlier: Vec::new(),
+        ..assignment.clone()
+    };
     base::rendezvous_weight(b"brief", &format!("{content:?}"))
 }
 
--- a/crates/wire/src/message/fleet.rs
+++ b/crates/wire/src/message/fleet.rs
@@ -287,6 +287,17 @@
     pub data_centre: String,
 }
 
+/// Declaration of a version of the weights.
+#[derive(Clone, Copy, Message, PartialEq)]
+pub struct DatedVersion {
+    /// Version that was declared.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// Time since the declaration, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
+}
+
 /// Response to [`BriefRequest`]: the assignment of the agents of a service.
 #[derive(Clone, Message, PartialEq)]
 pub struct BriefReply {
@@ -320,6 +331,9 @@
     /// All agents of the service, including the receiver.
     #[prost(message, repeated, tag = "10")]
     pub agents: Vec<AgentContact>,
+    /// Last declarations before that of `version`, as far as their dates are known; absent from older processes.
+    #[prost(message, repeated, tag = "11")]
+    pub earlier: Vec<DatedVersion>,
 }
 
 /// Requests a chunk by model, version and index.
