Keep staged chunks that an engine did not return in time

Cause: a staged chunk counted as corrupt whenever it could not be read, also when the engine had not responded. It was then fetched again, and the load waited for it. A list of staged chunks without a response after a restart of the engine counted as an empty staging area.

Change: a chunk is given up only if the engine responded to the read. Without a response, the load order, the upload or the read of the staging area is tried again later. At the start of an agent nothing changes: chunks that cannot be read then are fetched.

--- a/crates/gateway/src/agent/engine.rs
+++ b/crates/gateway/src/agent/engine.rs
@@ -4,6 +4,7 @@
 
 use chunks::{ChunkIndex, LoadOrder, OrderReport, WeightsId};
 use log::{info, warn};
+use ports::PlatformError;
 
 use super::shared::AgentShared;
 use crate::port::{EngineReport, LoadOrderResult};
@@ -48,22 +49,33 @@
     }
 }
 
-/// Reads back every staged chunk; returns those that are missing or corrupt.
+/// True if `error` says nothing about a staged chunk, because the engine has not responded.
+pub(super) fn is_unanswered(error: &PlatformError) -> bool {
+    matches!(
+        error,
+        PlatformError::Broken { .. }
+            | PlatformError::Connect { .. }
+            | PlatformError::RateLimited { .. }
+            | PlatformError::Timeout { .. }
+    )
+}
+
+/// Reads back every staged chunk; returns those that are missing or corrupt. `None` if the engine does not respond or the
+/// manifest is not known.
 pub(super) async fn find_corrupt_staged(
     shared: &AgentShared,
     weights: &WeightsId,
-) -> Vec<ChunkIndex> {
-    let Some(manifest) =
-        shared.transfers().get(weights).map(|transfer| transfer.swarm.manifest().clone())
-    else {
-        return Vec::new();
-    };
+) -> Option<Vec<ChunkIndex>> {
+    let manifest = shared.transfers().get(weights)?.swarm.manifest().clone();
     let mut corrupt = Vec::new();
     for index in 0..manifest.len() {
         let is_valid = match shared.ports.engine.read_staged(&weights.model, index).await {
             Ok(bytes) => manifest.verify(index, &bytes),
             Err(error) => {
                 warn!("event=staged_unreadable piece={index} error=\"{error}\"");
+                if is_unanswered(&error) {
+                    return None;
+                }
                 false
             }
         };
@@ -71,7 +83,7 @@
             corrupt.push(index);
         }
     }
-    corrupt
+    Some(corrupt)
 }
 
 /// What `report` states about orders to load `weights`.
--- a/crates/gateway/src/agent/transfer.rs
+++ b/crates/gateway/src/agent/transfer.rs
@@ -23,6 +23,7 @@
 
 use super::{
     downloads::{DownloadResult, DownloadTasks},
+    engine::is_unanswered,
     heartbeats::chunk_notice,
     shared::{AgentAssignment, AgentShared},
 };
@@ -202,7 +203,10 @@
             self.shared.staging_unknown.store(true, Ordering::Relaxed);
             return;
         };
-        let staged = self.valid_staged(&weights, &manifest, loaded).await;
+        let Some(staged) = self.valid_staged(&weights, &manifest, loaded).await else {
+            self.shared.staging_unknown.store(true, Ordering::Relaxed);
+            return;
+        };
         info!(
             "event=staging_read model={} version={} staged={}",
             weights.model,
@@ -278,7 +282,7 @@
         let is_first = self.shared.transfers().newest().is_none();
         let staged = if is_first && self.shared.report().is_some() {
             self.shared.staging_unknown.store(false, Ordering::Relaxed);
-            self.valid_staged(&assignment.weights, &manifest, loaded).await
+            self.valid_staged(&assignment.weights, &manifest, loaded).await.unwrap_or_default()
         } else {
             ChunkSet::new()
         };
@@ -299,37 +303,41 @@
         self.last_query = None;
     }
 
-    /// Returns the staged chunks that are valid. If this version is loaded, the chunks are only listed, because each
+    /// Returns the staged chunks that are valid; `None` if the engine does not respond. If this version is loaded, the chunks are only listed, because each
     /// one is verified before it is sent to another agent.
     async fn valid_staged(
         &self,
         weights: &WeightsId,
         manifest: &ChunkManifest,
         loaded: u64,
-    ) -> ChunkSet {
+    ) -> Option<ChunkSet> {
         let engine = &self.shared.ports.engine;
         let mut valid = ChunkSet::new();
         let staged = match engine.list_staged(&weights.model).await {
             Ok(staged) => staged,
             Err(error) => {
                 warn!("event=staged_unreadable error=\"{error}\"");
-                return valid;
+                return (!is_unanswered(&error)).then_some(valid);
             }
         };
         if loaded != 0 && loaded != weights.version {
-            return valid;
+            return Some(valid);
         }
         for index in staged.into_iter().filter(|index| *index < manifest.len()) {
             let is_valid = loaded == weights.version
-                || engine
-                    .read_staged(&weights.model, index)
-                    .await
-                    .is_ok_and(|bytes| manifest.verify(index, &bytes));
+                || match engine.read_staged(&weights.model, index).await {
+                    Ok(bytes) => manifest.verify(index, &bytes),
+                    Err(error) if is_unanswered(&error) => {
+                        warn!("event=staged_unreadable piece={index} error=\"{error}\"");
+                        return None;
+                    }
+                    Err(_) => false,
+                };
             if is_valid {
                 valid.insert(index);
             }
         }
-        valid
+        Some(valid)
     }
 
     async fn handle_result(&mut self, result: DownloadResult) {
--- a/crates/gateway/src/agent/transfer/loading.rs
+++ b/crates/gateway/src/agent/transfer/loading.rs
@@ -172,7 +172,7 @@
 
     async fn load(&mut self, weights: &WeightsId, loaded: u64) {
         // Staged chunks may have become corrupt since they were verified, so they are verified again.
-        let corrupt = find_corrupt_staged(&self.shared, weights).await;
+        let Some(corrupt) = find_corrupt_staged(&self.shared, weights).await else { return };
         if !corrupt.is_empty() {
             info!("event=pieces_spoilt model={} pieces={}", weights.model, corrupt.len());
             if let Some(transfer) = self.shared.transfers().get_mut(weights) {
--- a/crates/gateway/src/agent/uploads.rs
+++ b/crates/gateway/src/agent/uploads.rs
@@ -12,7 +12,7 @@
 use tokio::time::sleep;
 use wire::{ChunkListResponse, IndexedChunkRequest, IndexedChunkResponse, Payload};
 
-use super::shared::AgentShared;
+use super::{engine::is_unanswered, shared::AgentShared};
 use crate::frames::FrameHandler;
 
 /// Maximum number of chunks queued for the link. If the queue is full, the peer is told to ask another agent.
@@ -79,7 +79,9 @@
             }
             Err(error) => {
                 warn!("event=staged_unreadable piece={} error=\"{error}\"", request.index);
-                self.mark_corrupt(&weights, request.index);
+                if !is_unanswered(&error) {
+                    self.mark_corrupt(&weights, request.index);
+                }
                 refused
             }
         }
