Do not refuse requests that succeeded shortly before unrelated crashes

Callers saw 503 (cause=crashes_upstreams) for up to a minute for requests that had been answered many times.

Cause: a success cleared only crashes that were known before it. Engines that different faults ended then counted as three crashes of whatever request was in flight, and a refused request cannot succeed any more.

A request that crashes each upstream that runs it is never completed. An entry now keeps its last successes for 10 s, as it does for prompt parts: crashes within that time do not count, and another entry's report of such a crash is answered with a clearance. What clears a request is now a complete response with a successful status, not any status below 500: a 429 would otherwise shield a crashing request.

--- a/crates/balance/src/crash.rs
+++ b/crates/balance/src/crash.rs
@@ -13,7 +13,10 @@
 use fleet::FleetView;
 use route::{CrashEvidence, CrashTable, CrashTableOptions, CrashVerdict, Fingerprint};
 
-use crate::part_suspects::{PartSuspects, UpstreamCrash};
+use crate::{
+    part_suspects::{PartSuspects, UpstreamCrash},
+    request_successes::RequestSuccesses,
+};
 
 /// Number of crashes after which a request is refused. With 2, a harmless request could be refused: the failure of a
 /// host or a data centre hits many requests at once, and one that is retried elsewhere may be hit twice.
@@ -96,6 +99,7 @@
 #[derive(Debug)]
 pub struct CrashDetector {
     table: CrashTable,
+    successes: RequestSuccesses,
     parts: PartSuspects,
     pending: VecDeque<(LostRequest, Instant)>,
     confirmed: Vec<ConfirmedCrash>,
@@ -116,6 +120,7 @@
             CrashTableOptions { shared_limit: CRASH_LIMIT, ..CrashTableOptions::default() };
         Self {
             table: CrashTable::new(options),
+            successes: RequestSuccesses::default(),
             parts: PartSuspects::new(),
             pending: VecDeque::new(),
             confirmed: Vec::new(),
@@ -181,14 +186,11 @@
         self.pending.push_back((lost, now));
     }
 
-    /// Records that a request succeeded, which clears the evidence against it.
-    pub fn record_success(&mut self, now: Instant, fingerprint: impl FnOnce() -> Fingerprint) {
-        if self.table.is_empty() {
-            return;
-        }
-        if let Some(evidence) = self.table.record_success(now, &fingerprint(), true) {
-            self.outbox.push((evidence, EVIDENCE_COPIES));
-        }
+    /// Records that a request succeeded. This clears the evidence against it, and crashes of the next 10 s do not count
+    /// against it.
+    pub fn record_success(&mut self, now: Instant, fingerprint: Fingerprint) {
+        self.successes.record(now, fingerprint);
+        self.clear(now, &fingerprint);
     }
 
     /// Records that no connection to an upstream can be made; returns the number of crashes that this confirms.
@@ -204,9 +206,15 @@
         })
     }
 
-    /// Merges evidence from another entry; true if it was not known yet.
+    /// Merges evidence from another entry; true if it was not known yet. Evidence that a success at this entry refutes is
+    /// answered with a clearance.
     pub fn apply_evidence(&mut self, now: Instant, evidence: &CrashEvidence) -> bool {
-        self.table.apply_evidence(now, evidence)
+        let is_new = self.table.apply_evidence(now, evidence);
+        let at = now.checked_sub(evidence.age).unwrap_or(now);
+        if is_new && !evidence.cleared && self.successes.excludes_crash(&evidence.fingerprint, at) {
+            self.clear(now, &evidence.fingerprint);
+        }
+        is_new
     }
 
     /// Evidence to send to the other entries now. The same evidence is returned by several calls in a row, because
@@ -225,6 +233,11 @@
         std::mem::take(&mut self.confirmed)
     }
 
+    fn clear(&mut self, now: Instant, fingerprint: &Fingerprint) {
+        let evidence = self.table.record_success(now, fingerprint, true);
+        self.outbox.extend(evidence.map(|evidence| (evidence, EVIDENCE_COPIES)));
+    }
+
     fn confirm_crashes(&mut self, now: Instant, is_down: impl Fn(&LostRequest) -> bool) -> usize {
         let recent = |at: Instant| now.saturating_duration_since(at) <= CONFIRM_TIMEOUT;
         let (down, pending): (VecDeque<_>, VecDeque<_>) = std::mem::take(&mut self.pending)
@@ -235,9 +248,12 @@
         let mut count = 0;
         let mut crashes: BTreeMap<(UpstreamId, u64), Vec<(LostRequest, Instant)>> = BTreeMap::new();
         for (lost, at) in down {
-            let evidence = self.table.record_crash(now, &lost.upstream, lost.fingerprint, false);
-            count += usize::from(evidence.is_some());
-            self.outbox.extend(evidence.map(|evidence| (evidence, EVIDENCE_COPIES)));
+            if !self.successes.excludes_crash(&lost.fingerprint, at) {
+                let evidence =
+                    self.table.record_crash(now, &lost.upstream, lost.fingerprint, false);
+                count += usize::from(evidence.is_some());
+                self.outbox.extend(evidence.map(|evidence| (evidence, EVIDENCE_COPIES)));
+            }
             crashes.entry((lost.upstream.clone(), lost.started_ms)).or_default().push((lost, at));
         }
         for ((upstream, started_ms), lost) in crashes {
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -15,6 +15,7 @@
 mod placement;
 mod rate_limit;
 mod refusal;
+mod request_successes;
 mod send_log;
 mod share;
 mod subset;
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -395,10 +395,9 @@
             return AttemptResult::Failed(AttemptEnd::Failed, Some((head, body)));
         }
         guard.succeed();
-        self.record_success();
         // The end of the connection does not show that the upstream has not crashed, and neither does a refusal.
         if is_framed && head.status.is_success() {
-            self.record_parts_success();
+            self.record_success();
         }
         AttemptResult::Complete(head, body)
     }
@@ -459,10 +458,12 @@
         }
     }
 
-    /// Records that an upstream has completed this request.
+    /// Records that an upstream has completed this request, which shows that neither the request nor the parts of its
+    /// prompt crash it.
     pub(crate) fn record_success(&self) {
-        let now = self.shared.clock.now();
-        self.shared.crashes().record_success(now, || self.fingerprint());
+        let (now, fingerprint) = (self.shared.clock.now(), self.fingerprint());
+        self.shared.crashes().record_success(now, fingerprint);
+        self.record_parts_success();
     }
 
     /// Records that an upstream has shown that the parts of the prompt do not crash it.
--- a/crates/gateway/src/entry/relay.rs
+++ b/crates/gateway/src/entry/relay.rs
@@ -253,10 +253,9 @@
             let OpenStream { connection, guard, keep_alive, closes, is_framed, .. } = stream;
             let upstream = guard.upstream().clone();
             guard.succeed();
-            self.request.record_success();
             // The connection of an upstream that crashed ends like that of one that sent a complete response.
             if is_framed {
-                self.request.record_parts_success();
+                self.request.record_success();
             }
             if !closes {
                 self.request.shared.pool.put(&upstream, connection, keep_alive);
