Unload a model only once its replacement has arrived

Callers would see (processes with the project's own interfaces): after a change of preset, a host refuses the requests of a model while it fetches the one that replaces it, and serves neither. Cause: an agent ordered the unload of a model that is no longer wanted as soon as no load order was due, also while the weights of the wanted models were still in transfer. Change: it waits until the weights of all wanted models are complete; load orders come before unload orders as before. The harness now keeps models apart; its checks are the same.

--- a/crates/weights/src/activation.rs
+++ b/crates/weights/src/activation.rs
@@ -266,6 +266,13 @@
             }
             return Some(self.send_order(now, OrderKind::Load, model, manifest));
         }
+        // Until the weights of a wanted model have arrived, an unload frees nothing for it.
+        let awaits_weights = self.wanted.iter().any(|(model, manifest)| {
+            !engine.serves(model, *manifest) && !self.complete.contains(manifest)
+        });
+        if awaits_weights {
+            return None;
+        }
         let surplus = engine.loaded.iter().find(|(model, _)| {
             !self.wanted.iter().any(|(name, _)| name == model) && !self.is_pending(model)
         });
--- a/crates/weights/tests/activation.rs
+++ b/crates/weights/tests/activation.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use base::ContentDigest;
+use base::{ContentDigest, ModelId};
 use config::FencingMode;
 use proptest::prelude::*;
 use weights::{
@@ -22,8 +22,8 @@
     complete: Vec<ContentDigest>,
     revision: u64,
     /// Orders in flight, which reach the engine only through [`Harness::deliver`].
-    orders: Vec<(OrderKind, ContentDigest, FencingNumber)>,
-    sent: Vec<(OrderKind, ContentDigest, FencingNumber)>,
+    orders: Vec<(OrderKind, ModelId, ContentDigest, FencingNumber)>,
+    sent: Vec<(OrderKind, ModelId, ContentDigest, FencingNumber)>,
     refreshes: usize,
 }
 
@@ -49,8 +49,12 @@
     }
 
     fn want(&mut self, revision: u64, version: &str) {
+        self.want_model(revision, "m", version);
+    }
+
+    fn want_model(&mut self, revision: u64, model: &str, version: &str) {
         self.revision = revision;
-        let models = vec![("m".into(), digest(version))];
+        let models = vec![(model.into(), digest(version))];
         self.control.handle(self.now, ActivationEvent::Wanted { revision, models });
     }
 
@@ -79,7 +83,7 @@
                     let done = ActivationEvent::PutFinished { manifest, complete: true };
                     self.control.handle(self.now, done);
                 }
-                ActivationAction::SendOrder { kind, manifest, fencing, .. } => {
+                ActivationAction::SendOrder { kind, model, manifest, fencing } => {
                     if kind == OrderKind::Load {
                         assert!(
                             self.uploaded.contains(&manifest),
@@ -90,8 +94,8 @@
                         self.mode == FencingMode::Checked || self.orders.is_empty(),
                         "two orders in flight to an engine that ignores fencing"
                     );
-                    self.orders.push((kind, manifest, fencing));
-                    self.sent.push((kind, manifest, fencing));
+                    self.orders.push((kind, model.clone(), manifest, fencing));
+                    self.sent.push((kind, model, manifest, fencing));
                 }
             }
         }
@@ -101,27 +105,37 @@
         if self.orders.is_empty() {
             return;
         }
-        let (kind, manifest, fencing) = self.orders.remove(0);
-        let outcome = self.receive_order(kind, manifest, fencing);
+        let (kind, model, manifest, fencing) = self.orders.remove(0);
+        let outcome = self.receive_order_for(kind, model, manifest, fencing);
         self.control.handle(self.now, ActivationEvent::OrderResponse(outcome));
     }
 
-    /// Handles an order that reaches the engine, from this process or from an earlier one.
+    /// Handles an order for the model `m` that reaches the engine, from this process or from an earlier one.
     fn receive_order(
         &mut self,
         kind: OrderKind,
         manifest: ContentDigest,
         fencing: FencingNumber,
+    ) -> OrderOutcome {
+        self.receive_order_for(kind, "m".into(), manifest, fencing)
+    }
+
+    fn receive_order_for(
+        &mut self,
+        kind: OrderKind,
+        model: ModelId,
+        manifest: ContentDigest,
+        fencing: FencingNumber,
     ) -> OrderOutcome {
         let is_old = self.engine.last_order.is_some_and(|last| fencing < last);
         if self.mode == FencingMode::Checked && is_old {
             return OrderOutcome::Refused;
         }
         self.engine.last_order = Some(fencing);
-        self.engine.loaded = match kind {
-            OrderKind::Load => vec![("m".into(), manifest)],
-            OrderKind::Unload => Vec::new(),
-        };
+        self.engine.loaded.retain(|(loaded, _)| *loaded != model);
+        if kind == OrderKind::Load {
+            self.engine.loaded.push((model, manifest));
+        }
         OrderOutcome::Accepted
     }
 
@@ -165,7 +179,22 @@
     harness.want(4, "v1");
     harness.run_until_settled();
     assert!(harness.serves("v1"));
-    assert!(harness.sent.iter().all(|(_, manifest, _)| *manifest != digest("v2")));
+    assert!(harness.sent.iter().all(|(_, _, manifest, _)| *manifest != digest("v2")));
+}
+
+/// Guards against a model that is unloaded before the weights of the one that replaces it have arrived.
+#[test]
+fn model_is_unloaded_before_its_replacement_is_complete() {
+    let mut harness = Harness::new(FencingMode::Ignored);
+    harness.want(1, "v1");
+    harness.set_complete(&["v1"]);
+    harness.run_until_settled();
+    harness.want_model(2, "other", "v2");
+    harness.run_until_settled();
+    assert!(harness.serves("v1"), "{:?}", harness.sent);
+    harness.set_complete(&["v1", "v2"]);
+    harness.run_until_settled();
+    assert_eq!(harness.engine.loaded, [("other".into(), digest("v2"))]);
 }
 
 /// Guards against an order that is based on a configuration or status from before a pause.
@@ -287,9 +316,9 @@
                 }
                 5 => {
                     // The response is lost; the order itself may have arrived.
-                    if let Some((kind, manifest, fencing)) = harness.orders.pop() {
+                    if let Some((kind, model, manifest, fencing)) = harness.orders.pop() {
                         if version > 0 {
-                            harness.receive_order(kind, manifest, fencing);
+                            harness.receive_order_for(kind, model, manifest, fencing);
                         }
                         let lost = ActivationEvent::OrderResponse(OrderOutcome::Unknown);
                         harness.control.handle(harness.now, lost);
