Do not give up a stream that has begun before its weights are outdated

Callers would see: 502 instead of a stream, if the weights of its engine become outdated between the head of its response and its first event, although the engine sends its head with the first token. Cause: an attempt was cancelled at a fixed time unless an event had arrived, because some engines send heads early. Change: `balance::HeadTrust` learns for each upstream whether heads come when requests begin. Proof is a request that waited 0.1 s longer for its head than the shortest wait at the upstream, and whose first event followed within 75 ms; eight proofs in a minute are needed, at least 0.25 s apart. One early head ends the trust for ten minutes, and so does a stream that has no event for 75 ms after its head. At a trusted upstream, the cancellation of an attempt whose head has arrived is deferred to 0.1 s after the head, so it is never later than 0.1 s after the former time, which is 0.15 s and the time of the prefill before the bound. An attempt whose head is older than 0.1 s at the former time is cancelled as before: its first event is overdue.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -11,6 +11,7 @@
 mod crash;
 mod duration;
 mod forecast;
+mod head_trust;
 mod part_suspects;
 mod placement;
 mod rate_limit;
@@ -28,6 +29,7 @@
     crash::{ConfirmedCrash, CrashDetector, CrashRefusal, LostRequest, fingerprint_of},
     duration::DurationTracker,
     forecast::{EngineForecast, EngineLoad},
+    head_trust::HeadTrust,
     part_suspects::{PartEvidence, PartSuccess, PartSuspects, PartVerdictChange, UpstreamCrash},
     placement::{Placement, PlacementRequest, UpstreamLoad},
     rate_limit::{LimitChange, LimitStatement, LimitUsage},
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -24,7 +24,7 @@
     crashes::check_upstream,
     event_order::EventOrder,
     events::{EventReader, StreamPart, has_content},
-    guards::{AttemptGuard, AttemptMonitor},
+    guards::{AttemptGuard, AttemptMonitor, HeadMonitor},
     limits::log_limit_change,
     outcome::AttemptResult,
     pool::UpstreamConnection,
@@ -170,7 +170,7 @@
                 guard.fail();
                 return AttemptResult::Failed(AttemptEnd::Lost, None);
             }
-            Err(error) => return self.give_up(chosen, error, guard),
+            Err(error) => return self.give_up(chosen, error, guard, false),
         };
         self.read_response(chosen, resume_after, response, connection, guard, wait).await
     }
@@ -181,11 +181,12 @@
         chosen: &ChosenUpstream,
         error: WaitError,
         guard: AttemptGuard,
+        has_head: bool,
     ) -> AttemptResult {
         match error {
             WaitError::WeightsOutdated => {
                 info!(
-                    "event=attempt_cancelled request={} upstream={} cause=weights_outdated",
+                    "event=attempt_cancelled request={} upstream={} cause=weights_outdated head={has_head}",
                     self.meta.id, chosen.record.upstream
                 );
                 guard.finish(AttemptOutcome::Abandoned);
@@ -324,10 +325,16 @@
                 order.begin_run();
             }
             let mut reader = Box::new(EventReader::new(body, order));
+            let monitor = HeadMonitor::new(shared, &upstream.upstream, sent_at);
+            let cancel_at = wait.cancel_at.map(|at| monitor.defer_cancellation(at));
+            let wait = ResponseWait { cancel_at, ..wait };
             let first = match self.wait_for(reader.read_first(), &wait).await {
                 Ok(first) => first,
-                Err(error) => return self.give_up(chosen, error, guard),
+                Err(error) => return self.give_up(chosen, error, guard, true),
             };
+            if matches!(first, StreamPart::Events(_)) {
+                monitor.record_event();
+            }
             let fault = match &first {
                 StreamPart::Fault(fault) => Some((*fault).into()),
                 // An upstream without a length that crashes before the first event ends its body as well. A caller that
--- a/crates/gateway/src/entry/control.rs
+++ b/crates/gateway/src/entry/control.rs
@@ -138,6 +138,7 @@
         shared.apply_contention();
     }
     shared.pool.retain(|upstream| view.upstream(upstream).is_some());
+    shared.head_trust().retain(|upstream| view.upstream(upstream).is_some());
     let confirmed = shared.crashes().record_view(now, &view);
     log_crashes(shared, confirmed);
     let digest = assignment_digest(&view, now);
--- a/crates/gateway/src/entry/guards.rs
+++ b/crates/gateway/src/entry/guards.rs
@@ -1,13 +1,17 @@
 //! Guards that record the end of a request or an attempt, even if the caller disconnects before it is complete.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, Ordering},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Instant,
 };
 
 use balance::AttemptOutcome;
 use base::UpstreamId;
 use fleet::UpstreamRecord;
+use log::info;
 use tokio::sync::Notify;
 
 use super::{crashes::log_crashes, shared::EntryShared};
@@ -42,6 +46,51 @@
     }
 }
 
+/// Records how long after the head of a stream its first event arrived, or that there was none until the attempt ended.
+pub(super) struct HeadMonitor<'a> {
+    shared: &'a EntryShared,
+    upstream: &'a UpstreamId,
+    sent_at: Instant,
+    head_at: Instant,
+    has_event: bool,
+}
+
+impl<'a> HeadMonitor<'a> {
+    /// Monitors a stream whose head has just arrived.
+    pub(super) fn new(shared: &'a EntryShared, upstream: &'a UpstreamId, sent_at: Instant) -> Self {
+        Self { shared, upstream, sent_at, head_at: shared.clock.now(), has_event: false }
+    }
+
+    /// Time at which the attempt is cancelled if it has no event and was to be cancelled at `cancel_at`.
+    pub(super) fn defer_cancellation(&self, cancel_at: Instant) -> Instant {
+        self.shared.head_trust().defer_cancellation(self.upstream, cancel_at, self.head_at)
+    }
+
+    /// Records the first event.
+    pub(super) fn record_event(mut self) {
+        self.has_event = true;
+    }
+}
+
+impl Drop for HeadMonitor<'_> {
+    fn drop(&mut self) {
+        let (upstream, now) = (self.upstream, self.shared.clock.now());
+        let mut trust = self.shared.head_trust();
+        let has_lost_trust = if self.has_event {
+            trust.record_first_event(upstream, self.sent_at, self.head_at, now)
+        } else {
+            trust.record_no_event(upstream, self.head_at, now)
+        };
+        if has_lost_trust {
+            info!(
+                "event=heads_not_trusted upstream={upstream} wait_ms={} gap_ms={}",
+                self.head_at.saturating_duration_since(self.sent_at).as_millis(),
+                now.saturating_duration_since(self.head_at).as_millis()
+            );
+        }
+    }
+}
+
 /// Records the outcome of an attempt; it counts as abandoned if the caller disconnects first.
 pub(crate) struct AttemptGuard {
     shared: Arc<EntryShared>,
--- a/crates/gateway/src/entry/shared.rs
+++ b/crates/gateway/src/entry/shared.rs
@@ -12,7 +12,7 @@
 
 use arc_swap::ArcSwap;
 use balance::{
-    CrashDetector, DurationTracker, LoadBalancer, LoadBalancerOptions, RetryBudgetShare,
+    CrashDetector, DurationTracker, HeadTrust, LoadBalancer, LoadBalancerOptions, RetryBudgetShare,
 };
 use base::{Clock, Incarnation, UpstreamId};
 use fleet::{ANNOUNCEMENT_WAIT, FleetState, FleetView, ReceivePeriod};
@@ -106,6 +106,7 @@
     crashes: Mutex<CrashDetector>,
     crash_checks: Mutex<HashSet<UpstreamId>>,
     durations: Mutex<DurationTracker>,
+    head_trust: Mutex<HeadTrust>,
     seeds: Mutex<Vec<SocketAddr>>,
 }
 
@@ -171,6 +172,7 @@
             crashes: Mutex::new(CrashDetector::new()),
             crash_checks: Mutex::default(),
             durations: Mutex::new(DurationTracker::new()),
+            head_trust: Mutex::new(HeadTrust::new()),
             seeds: Mutex::new(settings.common.seeds.clone()),
             settings,
             ports,
@@ -211,6 +213,10 @@
         self.crash_checks.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn head_trust(&self) -> MutexGuard<'_, HeadTrust> {
+        self.head_trust.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn durations(&self) -> MutexGuard<'_, DurationTracker> {
         self.durations.lock().unwrap_or_else(PoisonError::into_inner)
     }
