Probe an upstream again if the first probe times out

Callers would see: 502, or a stream that is started again elsewhere, instead of a complete response without a length. Cause: a single connection decided whether the upstream still accepts connections after the end of the body. If its first packet is lost, it times out after 0.25 s. Change: up to three connections are tried if they time out, until the deadline of the request. One that is refused shows that the upstream is gone. The check for crashes keeps its single probe. Measured: complete_response_is_discarded_after_one_lost_packet (unframed) fails before (502) and passes after.

--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -377,7 +377,10 @@
         }
         let body = match self.collect_body(head.status, body, &wait).await {
             // The connection of an upstream that crashed ends like that of one that sent a complete response.
-            Some(_) if !is_framed && !shared.pool.accepts_connections(upstream.address).await => {
+            Some(_)
+                if !is_framed
+                    && !shared.pool.accepts_connections(upstream.address, self.deadline).await =>
+            {
                 None
             }
             body => body,
--- a/crates/gateway/src/entry/crashes.rs
+++ b/crates/gateway/src/entry/crashes.rs
@@ -82,7 +82,9 @@
     tokio::spawn(async move {
         for delay in CHECK_DELAYS {
             sleep(delay).await;
-            if !shared.pool.accepts_connections(address).await {
+            // Each check is a single probe, because the report of a crash is urgent.
+            let deadline = shared.clock.now();
+            if !shared.pool.accepts_connections(address, deadline).await {
                 let now = shared.clock.now();
                 // A loss that is recorded from here on is checked anew.
                 shared.crash_checks().remove(&upstream);
--- a/crates/gateway/src/entry/pool.rs
+++ b/crates/gateway/src/entry/pool.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{HashMap, VecDeque},
     hash::{DefaultHasher, Hash, Hasher},
+    io::{self, ErrorKind},
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
     time::{Duration, Instant},
@@ -21,6 +22,9 @@
 
 /// Timeout for opening a connection; a live upstream accepts one within a few milliseconds, even from another region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Number of connections that are tried before an upstream counts as gone because they time out. A single one is lost with
+/// its first packet, which is sent again only after a second.
+const MAX_PROBES: u32 = 3;
 /// Idle time after which a connection is not reused if the upstream does not state a timeout.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(2);
 /// Margin subtracted from the idle timeout that an upstream states, because the next request takes time to reach it.
@@ -183,14 +187,23 @@
         });
     }
 
-    /// True if a process listens at `address`.
-    pub(crate) async fn accepts_connections(&self, address: SocketAddr) -> bool {
-        open_stream(address).await.is_some()
+    /// True if a process listens at `address`. A connection that times out is tried again until `deadline`; one that is
+    /// refused shows that no process listens.
+    pub(crate) async fn accepts_connections(&self, address: SocketAddr, deadline: Instant) -> bool {
+        for _ in 0..MAX_PROBES {
+            match open_stream(address).await {
+                Ok(_) => return true,
+                Err(error) if error.kind() != ErrorKind::TimedOut => return false,
+                Err(_) if self.clock.now() >= deadline => return false,
+                Err(_) => {}
+            }
+        }
+        false
     }
 
     /// Opens a connection; `None` if that fails, in which case nothing was sent.
     pub(crate) async fn connect(&self, address: SocketAddr) -> Option<UpstreamConnection> {
-        let stream = open_stream(address).await?;
+        let stream = open_stream(address).await.ok()?;
         set_socket_options(&stream);
         let head_gate = HeadGate::default();
         let stream = LimitedStream::new(stream, head_gate.clone());
@@ -214,16 +227,9 @@
     }
 }
 
-async fn open_stream(address: SocketAddr) -> Option<TcpStream> {
-    match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => Some(stream),
-        Ok(Err(error)) => {
-            debug!("event=connect_failed address={address} error=\"{error}\"");
-            None
-        }
-        Err(_) => {
-            debug!("event=connect_failed address={address} error=\"timeout\"");
-            None
-        }
-    }
+async fn open_stream(address: SocketAddr) -> io::Result<TcpStream> {
+    let connect = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+    let connected = connect.await.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()));
+    connected
+        .inspect_err(|error| debug!("event=connect_failed address={address} error=\"{error}\""))
 }
--- a/crates/gateway/src/entry/relay.rs
+++ b/crates/gateway/src/entry/relay.rs
@@ -239,7 +239,9 @@
             Some(stream) => {
                 // The connection of an upstream that crashed ends like that of one that sent a complete response.
                 let (request, address) = (self.request.clone(), stream.guard.record().address);
-                let confirm = async move { request.shared.pool.accepts_connections(address).await };
+                let confirm = async move {
+                    request.shared.pool.accepts_connections(address, request.deadline).await
+                };
                 self.state = RelayState::Confirming(stream, Box::pin(confirm));
             }
             None => {}
