Let the body of an error pause for a second

Callers would see: 502 instead of the error of their upstream, if that falls silent for a second within the body and goes on. Cause: the body had half a second from the head to its end. Change: it has 0.4 s, in which its longest silence, of at most 1.5 s, does not count. A body without an end is given up after 0.4 s as long as it sends, and after 1.9 s at most. The wait ends with the deadline of the request, and a backup may begin meanwhile as for other responses. Measured: error_whose_body_pauses_for_a_second_is_lost (responses) fails before (404 became 502) and passes after; endless 4 pass.

--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -18,10 +18,11 @@
 };
 use log::info;
 use route::Fingerprint;
-use tokio::time::{timeout, timeout_at};
+use tokio::time::timeout_at;
 
 use super::{
     crashes::check_upstream,
+    error_body::collect_error,
     event_order::EventOrder,
     events::{EventReader, StreamPart, has_content},
     guards::{AttemptGuard, AttemptMonitor, HeadMonitor},
@@ -36,10 +37,6 @@
 
 /// Maximum size of a response that is buffered before it is forwarded.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
-/// Maximum size of a response that reports an error, and the maximum time from its head to its end. Upstreams send a
-/// short text at once.
-const MAX_ERROR_BYTES: usize = 64 << 10;
-const ERROR_BODY_TIMEOUT: Duration = Duration::from_millis(500);
 /// Factor on the latency target that gives the time to wait for an upstream's response before an idempotent request is
 /// sent to another upstream.
 const RESPONSE_TIMEOUT_FACTOR: u32 = 3;
@@ -421,9 +418,9 @@
         wait: &ResponseWait<'_>,
     ) -> Option<Bytes> {
         if !status.is_success() {
-            let body = Limited::new(body, MAX_ERROR_BYTES).collect();
-            let collected = timeout(ERROR_BODY_TIMEOUT, body);
-            return Some(collected.await.ok()?.ok()?.to_bytes());
+            // The request has ended, so that it cannot begin on outdated weights.
+            let wait = ResponseWait { cancel_at: None, ..*wait };
+            return self.wait_for(collect_error(body), &wait).await.ok()?;
         }
         let body = Limited::new(body, MAX_RESPONSE_BYTES).collect();
         let collected = self.wait_for(body, wait).await;
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -7,6 +7,7 @@
 mod control;
 mod crashes;
 mod dating;
+mod error_body;
 mod event_order;
 mod events;
 mod guards;
