Choose a backup once, and match a part of a stream once

Cause: a backup was placed twice, first to see whether there is an upstream and then to use it; the slow upstream was added to the tried ones at each backup. The reader of a stream matched its part three times. Change: `alternative` returns the placement, which `choose_backup` accepts; the slow upstream is added once, so that `tried` in `request_ended` no longer counts it for each backup. Otherwise the behaviour stays.

--- a/crates/gateway/src/entry/backup.rs
+++ b/crates/gateway/src/entry/backup.rs
@@ -13,7 +13,7 @@
 use super::{
     guards::AttemptMonitor,
     outcome::AttemptResult,
-    request::{AttemptPurpose, ChosenUpstream, RequestContext},
+    request::{ChosenUpstream, RequestContext},
 };
 
 /// Maximum number of attempts of a request that are open at the same time.
@@ -113,14 +113,15 @@
     /// Chooses the upstream of a backup and charges the retry budget unless that `has_charged` before; `None` if there is no
     /// upstream or a retry is not allowed.
     fn choose_backup(&self, has_charged: bool) -> Option<ChosenUpstream> {
-        if !self.has_alternative() {
-            return None;
-        }
         let now = self.shared.clock.now();
-        let slow = self.progress().last.clone()?;
-        let backup = {
-            self.progress().tried.push(slow.clone());
-            self.choose_upstream(now, AttemptPurpose::Backup).ok()?
+        let backup = self.accept_placement(self.alternative(now)?, now).ok()?;
+        let slow = {
+            let mut progress = self.progress();
+            let slow = progress.last.clone()?;
+            if !progress.tried.contains(&slow) {
+                progress.tried.push(slow.clone());
+            }
+            slow
         };
         if !has_charged && !self.charge_retry() {
             return None;
--- a/crates/gateway/src/entry/relay.rs
+++ b/crates/gateway/src/entry/relay.rs
@@ -294,12 +294,17 @@
                 Poll::Pending => return Poll::Pending,
             },
         };
-        let (StreamPart::Events(bytes) | StreamPart::Comments(bytes) | StreamPart::End(bytes)) =
-            &part
-        else {
-            let StreamPart::Fault(fault) = part else { return Poll::Ready(None) };
-            self.abandon_upstream(fault.into())?;
-            return Poll::Ready(None);
+        let (bytes, has_progress, is_end) = match part {
+            StreamPart::Events(events) => (events, true, false),
+            StreamPart::Comments(comments) => (comments, false, false),
+            StreamPart::End(rest) => {
+                let has_progress = stream.is_framed || has_content(&rest);
+                (rest, has_progress, true)
+            }
+            StreamPart::Fault(fault) => {
+                self.abandon_upstream(fault.into())?;
+                return Poll::Ready(None);
+            }
         };
         self.relayed += bytes.len();
         if self.relayed > MAX_STREAM_BYTES {
@@ -307,24 +312,17 @@
             return Poll::Ready(None);
         }
         self.last_id = stream.reader.last_id().cloned();
-        let has_progress = match &part {
-            StreamPart::Events(_) => true,
-            StreamPart::End(rest) => stream.is_framed || has_content(rest),
-            StreamPart::Comments(_) | StreamPart::Fault(_) => false,
-        };
         if has_progress && self.backup.take().is_some() {
             info!("event=stream_recovered request={}", self.request.meta.id);
             self.request.record_upstream(stream.guard.upstream());
         }
-        match part {
-            StreamPart::Events(events) => {
-                self.record_events();
-                Poll::Ready(Some(Ok(events)))
-            }
-            StreamPart::End(rest) => Poll::Ready(self.end_body(rest).map(Ok)),
-            StreamPart::Comments(bytes) => Poll::Ready(Some(Ok(bytes))),
-            StreamPart::Fault(_) => Poll::Ready(None),
+        if is_end {
+            return Poll::Ready(self.end_body(bytes).map(Ok));
+        }
+        if has_progress {
+            self.record_events();
         }
+        Poll::Ready(Some(Ok(bytes)))
     }
 }
 
--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -380,20 +380,25 @@
 
     /// True if another upstream can take the request now, beside the current attempt.
     pub(super) fn has_alternative(&self) -> bool {
-        let now = self.shared.clock.now();
+        self.alternative(self.shared.clock.now()).is_some()
+    }
+
+    /// Another upstream that can take the request now, beside the current attempt.
+    pub(super) fn alternative(&self, now: Instant) -> Option<Placement> {
         let (allows_another, mut tried, last) = {
             let progress = self.progress();
             (progress.attempts.allows_another(), progress.tried.clone(), progress.last.clone())
         };
         tried.extend(last);
-        allows_another
+        let is_allowed = allows_another
             && self.crash_refusal(now).is_none()
             && self.shared.retry_budget().has_room_for_backup(&self.service, now)
-            && !self.is_behind_queue(now)
-            && matches!(
-                self.place(&self.shared.view.load(), &tried, now, AttemptPurpose::Backup),
-                Placement::Upstream { is_certain: true, .. }
-            )
+            && !self.is_behind_queue(now);
+        if !is_allowed {
+            return None;
+        }
+        let placement = self.place(&self.shared.view.load(), &tried, now, AttemptPurpose::Backup);
+        matches!(placement, Placement::Upstream { is_certain: true, .. }).then_some(placement)
     }
 
     fn weights_limits<'a>(&self, view: &'a FleetView) -> Option<WeightsLimits<'a>> {
@@ -452,9 +457,18 @@
         now: Instant,
         purpose: AttemptPurpose,
     ) -> Result<ChosenUpstream, PlacementRefusal> {
-        let view = self.shared.view.load();
         let tried = self.progress().tried.clone();
-        match self.place(&view, &tried, now, purpose) {
+        self.accept_placement(self.place(&self.shared.view.load(), &tried, now, purpose), now)
+    }
+
+    /// Records the upstream that was chosen for an attempt.
+    pub(super) fn accept_placement(
+        &self,
+        placement: Placement,
+        now: Instant,
+    ) -> Result<ChosenUpstream, PlacementRefusal> {
+        let view = self.shared.view.load();
+        match placement {
             Placement::Upstream { record, delay, version, cancel_at, expected_version, .. } => {
                 let mut progress = self.progress();
                 progress.predicted.get_or_insert(delay);
