Tell delayed events from early heads

Cause: any first event more than 75 ms after its head counted as an early head. On a busy machine, engines that sent heads with the begin of requests had such gaps now and then (84 to 198 ms after waits of 300 to 670 ms). Change: such a head counts as early if the gap is longer than half the wait for the head. Otherwise the event takes back two proofs, of up to 16 that are kept. The deferral stays within 0.1 s of the former time in any case. `heads_not_trusted` is logged for the first early head, also before any trust.

--- a/crates/balance/src/head_trust.rs
+++ b/crates/balance/src/head_trust.rs
@@ -10,9 +10,13 @@
 
 use base::UpstreamId;
 
-/// Maximum time from a head to the first event at an upstream that sends heads with the first token; a pass of an engine
-/// takes about 45 ms.
+/// Maximum time from a head to the first event of a proof; a pass of an engine takes about 45 ms.
 const MAX_EVENT_GAP: Duration = Duration::from_millis(75);
+/// Minimum ratio of the wait for a head to a longer gap. With a lower one, the head was early; otherwise the event may have
+/// been delayed by a process that was not scheduled or by a lost packet.
+const MIN_DELAYED_RATIO: u32 = 2;
+/// Number of proofs that a delayed event takes back.
+const DELAY_PENALTY: usize = 2;
 /// Time by which a cancellation is deferred after a head at most. It is shorter than the margin by which requests are
 /// cancelled before their weights are outdated.
 const MAX_DEFERRAL: Duration = Duration::from_millis(100);
@@ -21,8 +25,9 @@
 const MIN_QUEUE_TIME: Duration = Duration::from_millis(100);
 /// Minimum ratio of the wait for a head to the time from there to the first event.
 const MIN_WAIT_RATIO: u32 = 4;
-/// Number of proofs from which heads are trusted, and for how long each of them counts.
+/// Number of proofs from which heads are trusted, how many are kept, and for how long each of them counts.
 const MIN_PROOFS: usize = 8;
+const MAX_PROOFS: usize = 16;
 const PROOF_TTL: Duration = Duration::from_secs(60);
 /// Minimum time between two proofs. A process that was paused reads many heads and events at once.
 const PROOF_INTERVAL: Duration = Duration::from_millis(250);
@@ -49,11 +54,21 @@
         !self.is_distrusted(now) && self.proofs.iter().filter(is_recent).count() >= MIN_PROOFS
     }
 
+    /// Records a `gap` after a head that is no proof; true if the head was early and there was none for [`DISTRUST_TIME`].
+    fn record_gap(&mut self, wait: Duration, gap: Duration, now: Instant) -> bool {
+        if gap <= wait / MIN_DELAYED_RATIO {
+            self.proofs.drain(..DELAY_PENALTY.min(self.proofs.len()));
+            return false;
+        }
+        self.distrust(now)
+    }
+
+    /// Records an early head; true if there was none for [`DISTRUST_TIME`].
     fn distrust(&mut self, now: Instant) -> bool {
-        let was_trusted = self.is_trusted(now);
+        let is_new = !self.is_distrusted(now);
         self.proofs.clear();
         self.distrusted_until = Some(now + DISTRUST_TIME);
-        was_trusted
+        is_new
     }
 }
 
@@ -70,7 +85,8 @@
         Self::default()
     }
 
-    /// Records the first event of a stream that was requested at `sent_at`. True if the upstream has lost trust by it.
+    /// Records the first event of a stream that was requested at `sent_at`. True if its head was early and there
+    /// was no early one before.
     pub fn record_first_event(
         &mut self,
         upstream: &UpstreamId,
@@ -84,14 +100,14 @@
         let shortest = *history.shortest_wait.get_or_insert(wait);
         history.shortest_wait = Some(shortest.min(wait));
         if gap > MAX_EVENT_GAP || gap > wait {
-            return history.distrust(event_at);
+            return history.record_gap(wait, gap, event_at);
         }
         let has_queued = wait >= shortest + MIN_QUEUE_TIME && wait >= gap * MIN_WAIT_RATIO;
         let last = history.proofs.back();
         let is_apart =
             last.is_none_or(|last| event_at.saturating_duration_since(*last) >= PROOF_INTERVAL);
         if has_queued && is_apart && !history.is_distrusted(event_at) {
-            if history.proofs.len() >= MIN_PROOFS {
+            if history.proofs.len() >= MAX_PROOFS {
                 history.proofs.pop_front();
             }
             history.proofs.push_back(event_at);
@@ -99,16 +115,19 @@
         false
     }
 
-    /// Records that a stream has had no event from its head until `now`, when it ended or was given up. True if the upstream
-    /// has lost trust by it.
+    /// Records that a stream has had no event from its head until `now`, when it ended or was given up. True if its head
+    /// was early and there was no early one before.
     pub fn record_no_event(
         &mut self,
         upstream: &UpstreamId,
+        sent_at: Instant,
         head_at: Instant,
         now: Instant,
     ) -> bool {
-        now.saturating_duration_since(head_at) > MAX_EVENT_GAP
-            && self.upstreams.entry(upstream.clone()).or_default().distrust(now)
+        let wait = head_at.saturating_duration_since(sent_at);
+        let gap = now.saturating_duration_since(head_at);
+        gap > MAX_EVENT_GAP
+            && self.upstreams.entry(upstream.clone()).or_default().record_gap(wait, gap, now)
     }
 
     /// Time at which a request is cancelled whose head arrived at `head_at` and that was to be cancelled at `cancel_at`. It is
--- a/crates/gateway/src/entry/guards.rs
+++ b/crates/gateway/src/entry/guards.rs
@@ -76,12 +76,12 @@
     fn drop(&mut self) {
         let (upstream, now) = (self.upstream, self.shared.clock.now());
         let mut trust = self.shared.head_trust();
-        let has_lost_trust = if self.has_event {
+        let is_first_early = if self.has_event {
             trust.record_first_event(upstream, self.sent_at, self.head_at, now)
         } else {
-            trust.record_no_event(upstream, self.head_at, now)
+            trust.record_no_event(upstream, self.sent_at, self.head_at, now)
         };
-        if has_lost_trust {
+        if is_first_early {
             info!(
                 "event=heads_not_trusted upstream={upstream} wait_ms={} gap_ms={}",
                 self.head_at.saturating_duration_since(self.sent_at).as_millis(),
