--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -18,13 +18,14 @@
 };
 use log::info;
 use route::Fingerprint;
-use tokio::time::{timeout, timeout_at};
+use tokio::time::timeout_at;
 
 use super::{
     crashes::check_upstream,
+    error_body::collect_error,
     event_order::EventOrder,
     events::{EventReader, StreamPart, has_content},
-    guards::{AttemptGuard, AttemptMonitor, ConnectingGuard},
+    guards::{AttemptGuard, AttemptMonitor, ConnectingGuard, HeadMonitor},
     limits::log_limit_change,
     outcome::AttemptResult,
     pool::UpstreamConnection,
@@ -36,10 +37,6 @@
 
 /// Maximum size of a response that is buffered before it is forwarded.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
-/// Maximum size of a response that reports an error, and the maximum time from its head to its end. Upstreams send a
-/// short text at once.
-const MAX_ERROR_BYTES: usize = 64 << 10;
-const ERROR_BODY_TIMEOUT: Duration = Duration::from_millis(500);
 /// Factor on the latency target that gives the time to wait for an upstream's response before an idempotent request is
 /// sent to another upstream.
 const RESPONSE_TIMEOUT_FACTOR: u32 = 3;
@@ -182,7 +179,7 @@
                     guard.fail();
                     return AttemptResult::Failed(AttemptEnd::Lost, None);
                 }
-                Err(error) => return self.give_up(chosen, error, guard),
+                Err(error) => return self.give_up(chosen, error, guard, false),
             }
         };
         self.read_response(chosen, resume_after, response, connection, guard, wait).await
@@ -211,11 +208,12 @@
         chosen: &ChosenUpstream,
         error: WaitError,
         guard: AttemptGuard,
+        has_head: bool,
     ) -> AttemptResult {
         match error {
             WaitError::WeightsOutdated => {
                 info!(
-                    "event=attempt_cancelled request={} upstream={} cause=weights_outdated",
+                    "event=attempt_cancelled request={} upstream={} cause=weights_outdated head={has_head}",
                     self.meta.id, chosen.record.upstream
                 );
                 guard.finish(AttemptOutcome::Abandoned);
@@ -354,10 +352,16 @@
                 order.begin_run();
             }
             let mut reader = Box::new(EventReader::new(body, order));
+            let monitor = HeadMonitor::new(shared, &upstream.upstream, sent_at);
+            let cancel_at = wait.cancel_at.map(|at| monitor.defer_cancellation(at));
+            let wait = ResponseWait { cancel_at, ..wait };
             let first = match self.wait_for(reader.read_first(), &wait).await {
                 Ok(first) => first,
-                Err(error) => return self.give_up(chosen, error, guard),
+                Err(error) => return self.give_up(chosen, error, guard, true),
             };
+            if matches!(first, StreamPart::Events(_)) {
+                monitor.record_event();
+            }
             let fault = match &first {
                 StreamPart::Fault(fault) => Some((*fault).into()),
                 // An upstream without a length that crashes before the first event ends its body as well. A caller that
@@ -400,7 +404,10 @@
         }
         let body = match self.collect_body(head.status, body, &wait).await {
             // The connection of an upstream that crashed ends like that of one that sent a complete response.
-            Some(_) if !is_framed && !shared.pool.accepts_connections(upstream.address).await => {
+            Some(_)
+                if !is_framed
+                    && !shared.pool.accepts_connections(upstream.address, self.deadline).await =>
+            {
                 None
             }
             body => body,
@@ -440,9 +447,9 @@
         wait: &ResponseWait<'_>,
     ) -> Option<Bytes> {
         if !status.is_success() {
-            let body = Limited::new(body, MAX_ERROR_BYTES).collect();
-            let collected = timeout(ERROR_BODY_TIMEOUT, body);
-            return Some(collected.await.ok()?.ok()?.to_bytes());
+            // The request has ended, so that it cannot begin on outdated weights.
+            let wait = ResponseWait { cancel_at: None, ..*wait };
+            return self.wait_for(collect_error(body), &wait).await.ok()?;
         }
         let body = Limited::new(body, MAX_RESPONSE_BYTES).collect();
         let collected = self.wait_for(body, wait).await;
