Use an engine that has not accepted its load order

What callers see: 503 (no_upstream) although an engine still serves the older weights, before their bound.

(a) An order without a response is repeated with a check of the staged chunks; if one was spoilt, the engine stayed out of use until it had been fetched again. (b) An order that the engine refused, with a status other than 409, counted as one that may have been accepted, was repeated without pause, and held the staging area.

Change: only an order without a response may have been accepted, and no longer than 10 s later. After a refusal the engine is used for half a second before the next order, which is announced. While chunks are missing, a pending order does not take the engine out of use.

--- a/crates/gateway/src/agent/engine.rs
+++ b/crates/gateway/src/agent/engine.rs
@@ -1,6 +1,6 @@
 //! Reads the engine's state and sends it load orders.
 
-use std::sync::atomic::Ordering;
+use std::{sync::atomic::Ordering, time::Duration};
 
 use chunks::{ChunkIndex, LoadOrder, OrderReport, WeightsId};
 use log::{info, warn};
@@ -49,6 +49,9 @@
     }
 }
 
+/// Time after which the engine cannot receive an order any more that it has not responded to.
+const MAX_ORDER_DELAY: Duration = Duration::from_secs(10);
+
 /// True if `error` says nothing about a staged chunk, because the engine has not responded.
 pub(super) fn is_unanswered(error: &PlatformError) -> bool {
     matches!(
@@ -60,6 +63,11 @@
     )
 }
 
+/// True if the engine may have accepted an order that ended with `error`.
+fn may_be_accepted(error: &PlatformError) -> bool {
+    matches!(error, PlatformError::Broken { .. } | PlatformError::Timeout { .. })
+}
+
 /// Reads back every staged chunk; returns those that are missing or corrupt. `None` if the engine does not respond or the
 /// manifest is not known.
 pub(super) async fn find_corrupt_staged(
@@ -119,6 +127,8 @@
     let result = shared.ports.engine.load(weights, report.load_orders).await;
     shared.metrics.count("load_orders_total");
     let now = shared.clock.now();
+    let is_recent =
+        |order: &LoadOrder| now.saturating_duration_since(order.ordered_at()) < MAX_ORDER_DELAY;
     let order = previous.clone().unwrap_or_else(|| LoadOrder::new(weights.clone(), basis, now));
     match result {
         Ok(LoadOrderResult::Started | LoadOrderResult::AlreadyLoaded) => {
@@ -133,7 +143,14 @@
                 "event=load_conflict model={} version={} orders={}",
                 weights.model, weights.version, report.load_orders
             );
-            previous
+            previous.filter(is_recent)
+        }
+        Err(error) if !may_be_accepted(&error) => {
+            warn!(
+                "event=load_refused model={} version={} orders={} error=\"{error}\"",
+                weights.model, weights.version, report.load_orders
+            );
+            previous.filter(is_recent)
         }
         Err(error) => {
             // The engine may have accepted the order; its next reports show whether it did.
--- a/crates/gateway/src/agent/transfer.rs
+++ b/crates/gateway/src/agent/transfer.rs
@@ -52,6 +52,8 @@
     unannounced: HashSet<WeightsId>,
     /// Load order that the engine has accepted or may accept.
     pending_load: Option<LoadOrder>,
+    /// Time before which no load is ordered, after the engine has refused an order.
+    load_paused_until: Option<Instant>,
     /// Weights that are completely staged, and the time since which they are.
     staged: Option<(WeightsId, Instant)>,
     /// Times of the declarations of versions that are newer than the loaded one.
@@ -75,6 +77,7 @@
         last_query: None,
         unannounced: HashSet::new(),
         pending_load: None,
+        load_paused_until: None,
         staged: None,
         declarations: Vec::new(),
         has_seen_engine: false,
--- a/crates/gateway/src/agent/transfer/loading.rs
+++ b/crates/gateway/src/agent/transfer/loading.rs
@@ -7,7 +7,9 @@
 };
 
 use base::rendezvous_weight;
-use chunks::{DRAIN_TIME, LOAD_TIME, LoadPosition, LoadSchedule, OrderProgress, WeightsId};
+use chunks::{
+    DRAIN_TIME, LOAD_TIME, LoadPosition, LoadSchedule, OrderProgress, WeightsId, WeightsTransfer,
+};
 use log::info;
 use rand::RngExt;
 use tokio::time::sleep;
@@ -25,6 +27,8 @@
 const TRANSFER_FACTOR: f64 = 1.6;
 /// Delay between the announcement of a load and the load order, so that requests already in transit arrive first.
 const ANNOUNCE_DELAY: Duration = Duration::from_millis(40);
+/// Pause before the next load order after the engine has refused one, so that it is used in between.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(500);
 /// Minimum time between the announcement of the time of a load and the load order while requests may begin on the loaded
 /// version, so that requests that are queued at the engine can begin.
 const NOTICE_TIME: Duration = Duration::from_millis(300);
@@ -150,6 +154,9 @@
         if is_serving && declared_at.is_some_and(|at| staged_at < schedule.latest_start(at)) {
             start = start.max(staged_at + NOTICE_TIME);
         }
+        if let Some(paused_until) = self.load_paused_until {
+            start = start.max(paused_until);
+        }
         self.shared.set_next_load_at(is_serving.then_some(start));
         // An engine that carries out an order, which may be one of this agent's previous process, accepts no other one.
         let is_busy = self.shared.report().is_some_and(|report| report.busy);
@@ -200,7 +207,12 @@
                 return;
             }
             Some(_) => self.shared.transfers().hold_staging(weights),
-            None => self.shared.switching.store(false, Ordering::Relaxed),
+            None => {
+                self.shared.transfers().end_hold();
+                self.shared.switching.store(false, Ordering::Relaxed);
+                self.shared.wake_heartbeats.notify_one();
+                self.load_paused_until = Some(self.shared.clock.now() + REFUSAL_PAUSE);
+            }
         }
         let pause = Duration::from_millis(rand::rng().random_range(20..60));
         sleep(pause).await;
@@ -249,13 +261,22 @@
         let Some(order) = &self.pending_load else { return };
         let weights = order.weights().clone();
         let report = self.shared.report().map(|report| order_report(&report, &weights));
-        if self.shared.transfers().get(&weights).is_none() {
+        if report.is_none_or(|report| !order.is_unaccepted(&report)) {
+            return;
+        }
+        let is_staged = self.shared.transfers().get(&weights).map(WeightsTransfer::is_staged);
+        if is_staged == Some(true) {
+            self.load(&weights, loaded).await;
+            return;
+        }
+        if is_staged.is_none() {
             // Without the manifest, the staged chunks cannot be verified.
             self.pending_load = None;
             self.shared.transfers().end_hold();
-            self.shared.switching.store(false, Ordering::Relaxed);
-        } else if report.is_some_and(|report| order.is_unaccepted(&report)) {
-            self.load(&weights, loaded).await;
+        }
+        // Until the missing chunks are staged again, the engine serves the older version.
+        if self.shared.switching.swap(false, Ordering::Relaxed) {
+            self.shared.wake_heartbeats.notify_one();
         }
     }
 }
