Do not send a request whose deadline has passed while it connected

Cause (found by a review): a connection takes up to 0.25 s, and two are tried if an idle one has closed. Only the time by which the weights are outdated was checked afterwards, so a request was written with no time left and counted as one that may have run: 504 instead of 503, up to 0.25 s late, and work in vain.

Change: the deadline is checked beside it. By reading; no test shows it.

--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -138,7 +138,7 @@
                 return AttemptResult::Failed(AttemptEnd::NotSent, None);
             };
             let now = shared.clock.now();
-            if cancel_at.is_some_and(|at| at <= now) {
+            if cancel_at.is_some_and(|at| at <= now) || self.deadline <= now {
                 guard.finish(AttemptOutcome::Abandoned);
                 return AttemptResult::Failed(AttemptEnd::NotSent, None);
             }
