Keep a silent upstream if its backup has another token than the next, and unload models that are in the way

A backup took over with any line without an index or with a later one, or with an early end, which then broke the stream. Now only the next token or the end at the right count takes over.

A model was not unloaded while any wanted weights were missing, even if others were complete and the engine has no room for them. Now it stays only while none of the wanted weights that are not served is complete.

--- a/crates/node/src/entry/stream.rs
+++ b/crates/node/src/entry/stream.rs
@@ -86,8 +86,12 @@
                 let line = &buffer[searched..=searched + length];
                 let parsed: ResponseLine =
                     serde_json::from_slice(line).map_err(|_| AttemptFailure::INVALID_RESPONSE)?;
-                if parsed.done || parsed.index.is_none_or(|index| index >= offset) {
-                    return Ok(Self { response, buffer });
+                // Anything else than the next token or the end would break the stream that is still open.
+                let position = if parsed.done { parsed.count } else { parsed.index };
+                match position {
+                    Some(position) if position == offset => return Ok(Self { response, buffer }),
+                    Some(position) if position < offset && !parsed.done => {}
+                    _ => return Err(AttemptFailure::INVALID_RESPONSE),
                 }
                 searched += length + 1;
             }
--- a/crates/weights/src/activation.rs
+++ b/crates/weights/src/activation.rs
@@ -267,9 +267,13 @@
             return Some(self.send_order(now, OrderKind::Load, model, manifest));
         }
         // Until the weights of a wanted model have arrived, an unload frees nothing for it.
-        let awaits_weights = self.wanted.iter().any(|(model, manifest)| {
-            !engine.serves(model, *manifest) && !self.complete.contains(manifest)
-        });
+        let mut unserved = self
+            .wanted
+            .iter()
+            .filter(|(model, manifest)| !engine.serves(model, *manifest))
+            .peekable();
+        let awaits_weights = unserved.peek().is_some()
+            && !unserved.any(|(_, manifest)| self.complete.contains(manifest));
         if awaits_weights {
             return None;
         }
