--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -372,6 +372,7 @@
         // Upstreams that may refuse the request, because they are full or about to load other weights.
         let mut full: Vec<&UpstreamId> = Vec::new();
         let mut loading: Vec<&UpstreamId> = Vec::new();
+        // Engines that have just loaded weights, and that other entries use before this one.
         let mut starting: Vec<&UpstreamId> = Vec::new();
         let mut limited: Vec<&UpstreamId> = Vec::new();
         let mut shortest_wait: Option<Duration> = None;
@@ -433,11 +434,11 @@
                 _ => Placement::refuse(cause, rng),
             };
         }
-        let mut picked = self.pick(request, service, candidates, limited, now, rng);
-        if matches!(picked.0, Placement::Refused(_)) && !starting.is_empty() {
-            picked.0 = self.pick(request, service, starting, Vec::new(), now, rng).0;
+        let (mut placement, withheld) = self.pick(request, service, candidates, limited, now, rng);
+        if matches!(placement, Placement::Refused(_)) && !starting.is_empty() {
+            // An engine that other entries begin to use as well is better than a refusal.
+            placement = self.pick(request, service, starting, Vec::new(), now, rng).0;
         }
-        let (placement, withheld) = picked;
         if let Some(table) = self.speeds.get_mut(request.service) {
             table.record_choice(now);
         }
--- a/crates/gateway/src/entry/admit.rs
+++ b/crates/gateway/src/entry/admit.rs
@@ -60,7 +60,8 @@
 /// Route of a request, and the team that owns its key.
 pub(super) type Admitted = (Arc<RouteRecord>, Option<Arc<TeamRecord>>);
 
-/// Finds route and team of a request that arrived at `started`. While the fleet state may be out of date, nothing is rejected permanently.
+/// Finds route and team of a request that arrived at `started`. While the fleet state may be out of date, nothing is
+/// rejected permanently.
 pub(super) fn admit(
     shared: &EntryShared,
     view: &FleetView,
