--- a/review/standins/bodies.rs
+++ b/review/standins/bodies.rs
@@ -17,10 +17,11 @@
 
 use crate::{
     BROKEN, FAILED, HELD,
+    engine::{Engine, start_origin},
     http::{KeptConnection, Received, call, respond, serve},
     net::{
-        APP, CaseResult, FRONT, HOST, KEY, Net, STORE, STORE_HOST, client_request, config,
-        has_trouble, wait_until, worker_item,
+        APP, CaseResult, FRONT, HOST, KEY, MODEL, Net, ORIGIN, ORIGIN_HOST, STORE, STORE_HOST,
+        client_request, config, has_trouble, wait_until, worker_item,
     },
     store::Store,
 };
@@ -34,6 +35,7 @@
 /// Pause between the begins of two uploads: 53 a second.
 const UPLOAD_PAUSE: Duration = Duration::from_millis(19);
 const ENTRY: u8 = 1;
+const ENGINE: u8 = 11;
 const DESKS: [u8; 3] = [21, 22, 23];
 /// Other clients, each with a kept connection.
 const CLIENTS: u32 = 12;
@@ -51,8 +53,9 @@
 fn upload(net: &Net, id: &str, size: usize) -> std::io::Result<u16> {
     let mut stream = TcpStream::connect(net.at(ENTRY, FRONT))?;
     let head = format!(
-        "POST /book/2f HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nDeadline-Ms: 6000\r\n\
-         Authorization: Bearer {KEY}\r\nContent-Length: {size}\r\n\r\n"
+        "POST /draft/2f HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nDeadline-Ms: 6000\r\n\
+         Model: {MODEL}\r\nToken-Counts: 200,80\r\nAuthorization: Bearer {KEY}\r\n\
+         Content-Length: {size}\r\n\r\n"
     );
     stream.write_all(head.as_bytes())?;
     const STEPS: usize = 30;
@@ -63,13 +66,13 @@
     }
     stream.write_all(&vec![b'x'; size - part.len() * STEPS])?;
     let mut answer = [0; 16];
-    stream.set_read_timeout(Some(Duration::from_secs(6)))?;
+    stream.set_read_timeout(Some(Duration::from_millis(2_400)))?;
     stream.read_exact(&mut answer)?;
     Ok(String::from_utf8_lossy(&answer[9..12]).parse().unwrap_or(0))
 }
 
 pub fn run(folder: &str) -> CaseResult<i32> {
-    let net = Arc::new(Net::new(folder, &[1, 21, 22, 23])?);
+    let net = Arc::new(Net::new(folder, &[ENTRY, ENGINE, 21, 22, 23])?);
     let store = Store::start(net.at(STORE_HOST, STORE))?;
     store.put("op/config", &config(&net));
     let ran: Arc<Mutex<HashSet<String>>> = Arc::default();
@@ -87,7 +90,12 @@
         let item = worker_item("wuno96b", net.at(host, APP), 6, 0, 1_000 + u64::from(host));
         store.put(&format!("servers/i-{host}"), &item);
     }
+    start_origin(net.at(ORIGIN_HOST, ORIGIN))?;
+    let engine = Engine::new("i-11", 1_000, 1, false, Box::new(|_| {}), Box::new(|_| {}));
+    engine.start(net.at(ENGINE, APP))?;
+    store.put("servers/i-11", &worker_item("huvo11a", net.at(ENGINE, APP), 16, 1, 1_000));
     let entry = net.start("entry", ENTRY)?;
+    net.start("agent", ENGINE)?;
     net.wait_ready(ENTRY)?;
     let target = net.at(ENTRY, FRONT);
     let send = move |method: &str, id: &str| {
