--- a/review/standins/bodies.rs
+++ b/review/standins/bodies.rs
@@ -91,7 +91,7 @@
         store.put(&format!("servers/i-{host}"), &item);
     }
     start_origin(net.at(ORIGIN_HOST, ORIGIN))?;
-    let engine = Engine::new("i-11", 1_000, 1, false, Box::new(|_| {}), Box::new(|_| {}));
+    let engine = Engine::new("i-11", 1_000, 1, false, Box::new(|_| {}), Box::new(|_, _| {}));
     engine.start(net.at(ENGINE, APP))?;
     store.put("servers/i-11", &worker_item("huvo11a", net.at(ENGINE, APP), 16, 1, 1_000));
     let entry = net.start("entry", ENTRY)?;
@@ -114,7 +114,8 @@
                 let megabytes = resident_mb(entry);
                 peak.fetch_max(megabytes, Ordering::Relaxed);
                 if megabytes > MEMORY_MB {
-                    net.record.line(&format!("the entry holds {megabytes} MB: the platform kills it"));
+                    net.record
+                        .line(&format!("the entry holds {megabytes} MB: the platform kills it"));
                     net.end(entry);
                     return;
                 }
--- a/review/standins/engine.rs
+++ b/review/standins/engine.rs
@@ -29,7 +29,8 @@
     let mut state = version << 32 | u64::from(index) | 1 << 60;
     let mut bytes = Vec::with_capacity(CHUNK_BYTES);
     while bytes.len() < CHUNK_BYTES {
-        state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        state =
+            state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
         bytes.extend_from_slice(&state.to_le_bytes());
     }
     bytes.truncate(CHUNK_BYTES);
@@ -75,8 +76,8 @@
     is_unframed: bool,
     state: Mutex<EngineState>,
     say: Box<dyn Fn(&str) + Send + Sync>,
-    /// Called after a staged piece has been handed out.
-    on_read: Box<dyn Fn(u32) + Send + Sync>,
+    /// Called after a staged piece has been handed out, with its number and whether it is one of version 2.
+    on_read: Box<dyn Fn(u32, bool) + Send + Sync>,
 }
 
 impl Engine {
@@ -87,7 +88,7 @@
         version: u64,
         is_unframed: bool,
         say: Box<dyn Fn(&str) + Send + Sync>,
-        on_read: Box<dyn Fn(u32) + Send + Sync>,
+        on_read: Box<dyn Fn(u32, bool) + Send + Sync>,
     ) -> Arc<Self> {
         let staged = match version {
             0 => BTreeMap::new(),
@@ -114,11 +115,6 @@
         self.state.lock().unwrap().version
     }
 
-    pub fn staged_version(&self, version: u64) -> bool {
-        let state = self.state.lock().unwrap();
-        state.staged.len() == CHUNKS as usize && state.staged.get(&0) == Some(&chunk(version, 0))
-    }
-
     /// A staged piece turns bad.
     pub fn spoil(&self, index: u32) {
         let mut state = self.state.lock().unwrap();
@@ -180,11 +176,11 @@
             return respond(stream, 200, JSON, body.as_bytes());
         };
         let bytes = self.state.lock().unwrap().staged.get(&index).cloned();
-        let result = match bytes {
-            Some(bytes) => respond(stream, 200, "", &bytes),
+        let result = match &bytes {
+            Some(bytes) => respond(stream, 200, "", bytes),
             None => respond(stream, 404, "", b""),
         };
-        (self.on_read)(index);
+        (self.on_read)(index, bytes.is_some_and(|bytes| bytes == chunk(2, index)));
         result
     }
 
@@ -248,8 +244,7 @@
         if is_other || state.is_busy {
             drop(state);
             let status = if is_other { 421 } else { 503 };
-            let headers =
-                format!("{echo}Request-Not-Run: 1\r\nInstance-Id: {}\r\n", self.id);
+            let headers = format!("{echo}Request-Not-Run: 1\r\nInstance-Id: {}\r\n", self.id);
             return respond(stream, status, &headers, b"");
         }
         state.running += 1;
@@ -303,7 +298,7 @@
         version.parse()?,
         is_unframed == "1",
         Box::new(say),
-        Box::new(|_| {}),
+        Box::new(|_, _| {}),
     );
     engine.start(address.parse()?)?;
     loop {
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -131,12 +131,8 @@
     let target = words.nth(1).unwrap_or_default();
     let (path, query) = target.split_once('?').unwrap_or((target, ""));
     let headers = parse_headers(lines);
-    let mut request = Received {
-        path: path.into(),
-        query: query.into(),
-        headers,
-        body: Vec::new(),
-    };
+    let mut request =
+        Received { path: path.into(), query: query.into(), headers, body: Vec::new() };
     let length: usize = request.header("content-length").parse().unwrap_or(0);
     while buffer.len() < length {
         if !read_more(stream, buffer)? {
@@ -223,10 +219,8 @@
     let mut buffer = Vec::new();
     let more = |stream: &mut TcpStream, buffer: &mut Vec<u8>, answer: &mut Answer| {
         read_more(stream, buffer).inspect_err(|error| {
-            answer.is_abandoned = matches!(
-                error.kind(),
-                io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
-            );
+            answer.is_abandoned =
+                matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut);
         })
     };
     let end = loop {
--- a/review/standins/leaving.rs
+++ b/review/standins/leaving.rs
@@ -63,7 +63,8 @@
     while !stop.load(Ordering::Relaxed) {
         let id = format!("c{number}-{count}");
         count += 1;
-        let (method, path) = if count % 2 == 0 { ("POST", "/book/2f") } else { ("GET", "/look/2f") };
+        let (method, path) =
+            if count % 2 == 0 { ("POST", "/book/2f") } else { ("GET", "/look/2f") };
         let body: &[u8] = if count % 2 == 0 { b"{}" } else { b"" };
         let request = client_request(method, path, &id, 1_500, body);
         let answer = call(target, &request, Duration::from_millis(1_500));
--- a/review/standins/logs.rs
+++ b/review/standins/logs.rs
@@ -86,7 +86,8 @@
         net.wait_ready(host)?;
         let target = net.at(host, FRONT);
         wait_until("a booking is served", || {
-            let request = client_request("POST", "/book/2f", &format!("w{host}"), DEADLINE_MS, b"{}");
+            let request =
+                client_request("POST", "/book/2f", &format!("w{host}"), DEADLINE_MS, b"{}");
             call(target, &request, Duration::from_millis(1_500)).status == 200
         })?;
     }
@@ -108,14 +109,14 @@
                     clients.push(thread::spawn(move || {
                         let id = format!("e{entry}-{number}");
                         net.record.line(&format!("client sends {id} to entry {entry}"));
-                        let request =
-                            client_request("POST", "/book/2f", &id, DEADLINE_MS, b"{}");
+                        let request = client_request("POST", "/book/2f", &id, DEADLINE_MS, b"{}");
                         let started = Instant::now();
                         let patience = Duration::from_millis(u64::from(DEADLINE_MS));
                         let answer = call(net.at(entry, FRONT), &request, patience);
                         let (status, took) = (answer.status, started.elapsed());
                         let took_ms = took.as_millis();
-                        net.record.line(&format!("client of {id}: status {status} after {took_ms} ms"));
+                        net.record
+                            .line(&format!("client of {id}: status {status} after {took_ms} ms"));
                         sent.lock().unwrap().push(Sent { id, entry, during_stall, status, took });
                     }));
                     thread::sleep(PAUSE);
@@ -148,7 +149,8 @@
         long.iter().filter(|sent| !is_answered_by(sent, TIMEOUT + SLACK)).collect();
     let ran_in_vain = unanswered.iter().filter(|sent| sent.status == 0 && ran.contains(&sent.id));
     let ran_in_vain = ran_in_vain.count();
-    let by_entry = ENTRIES.map(|entry| unanswered.iter().filter(|sent| sent.entry == entry).count());
+    let by_entry =
+        ENTRIES.map(|entry| unanswered.iter().filter(|sent| sent.entry == entry).count());
     let stalled = sent.iter().filter(|sent| sent.during_stall && sent.entry == 1).count();
     net.record.line(&format!(
         "{} bookings, {stalled} of them sent to entry 1 during the stall; {} without an answer after \
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -12,7 +12,7 @@
 mod truncated;
 mod whole;
 
-use std::{env, process::exit};
+use std::{env, process::exit, thread};
 
 /// The rule held.
 pub const HELD: i32 = 0;
@@ -22,6 +22,13 @@
 pub const FAILED: i32 = 2;
 
 fn main() {
+    let case = thread::spawn(run);
+    let status = case.join().unwrap_or(FAILED);
+    net::clean_up();
+    exit(status);
+}
+
+fn run() -> i32 {
     let arguments: Vec<String> = env::args().skip(1).collect();
     let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
     let result = match words[..] {
@@ -36,11 +43,8 @@
         ["leaving", folder] => leaving::run(folder),
         _ => Err("usage: standins CASE FOLDER".into()),
     };
-    match result {
-        Ok(status) => exit(status),
-        Err(error) => {
-            eprintln!("the case could not run: {error}");
-            exit(FAILED);
-        }
-    }
+    result.unwrap_or_else(|error| {
+        eprintln!("the case could not run: {error}");
+        FAILED
+    })
 }
--- a/review/standins/net.rs
+++ b/review/standins/net.rs
@@ -8,7 +8,7 @@
     net::{Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{self, Child, Command, Stdio},
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, PoisonError},
     thread,
     time::{Duration, Instant},
 };
@@ -56,13 +56,15 @@
     env::var("TROUBLE").map_or(true, |value| value != "0")
 }
 
-/// Addresses of one run, its temporary folder and its processes, which are killed when it is dropped.
+/// Processes that this run has started.
+static CHILDREN: Mutex<Vec<Child>> = Mutex::new(Vec::new());
+
+/// Addresses of one run and its temporary folder.
 pub struct Net {
     subnet: (u8, u8),
     folder: PathBuf,
     binary: PathBuf,
     pub record: Record,
-    children: Mutex<Vec<Child>>,
 }
 
 impl Net {
@@ -86,17 +88,11 @@
                 ports.iter().all(|port| TcpListener::bind((ip, *port)).is_ok())
             })
         });
-        let folder = env::temp_dir().join(format!("review-{id}"));
+        let folder = temporary_folder();
         fs::create_dir_all(&folder)?;
         let file = File::create(Path::new(case_folder).join("record.txt"))?;
         let record = Record { start: Instant::now(), file: Arc::new(Mutex::new(file)) };
-        Ok(Self {
-            subnet: subnet.ok_or("no free loopback subnet")?,
-            folder,
-            binary,
-            record,
-            children: Mutex::default(),
-        })
+        Ok(Self { subnet: subnet.ok_or("no free loopback subnet")?, folder, binary, record })
     }
 
     pub fn at(&self, host: u8, port: u16) -> SocketAddr {
@@ -180,7 +176,7 @@
     /// Ends a process with this run; returns its id.
     pub fn keep(&self, child: Child) -> i32 {
         let pid = child.id() as i32;
-        self.children.lock().unwrap().push(child);
+        CHILDREN.lock().unwrap().push(child);
         pid
     }
 
@@ -190,7 +186,7 @@
 
     /// Sends a signal to a process that this run has started.
     pub fn signal(&self, pid: i32, signal: i32) {
-        let children = self.children.lock().unwrap();
+        let children = CHILDREN.lock().unwrap();
         if children.iter().any(|child| child.id() as i32 == pid) {
             // SAFETY: `kill` has no memory effects; the process is a child that has not been waited for.
             unsafe { kill(pid, signal) };
@@ -199,7 +195,7 @@
 
     /// Kills a process and waits for its end.
     pub fn end(&self, pid: i32) {
-        let mut children = self.children.lock().unwrap();
+        let mut children = CHILDREN.lock().unwrap();
         if let Some(index) = children.iter().position(|child| child.id() as i32 == pid) {
             let mut child = children.remove(index);
             let _ = child.kill();
@@ -217,20 +213,21 @@
     }
 }
 
-impl Drop for Net {
-    fn drop(&mut self) {
-        for child in self.children.lock().unwrap().iter_mut() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-        if env::var("KEEP_LOGS").is_err() {
-            let _ = fs::remove_dir_all(&self.folder);
-        } else {
-            eprintln!("logs: {}", self.folder.display());
-        }
+/// Kills all processes that this run has started and has not ended yet, and removes its temporary folder.
+pub fn clean_up() {
+    for mut child in CHILDREN.lock().unwrap_or_else(PoisonError::into_inner).drain(..) {
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+    if env::var("KEEP_LOGS").is_err() {
+        let _ = fs::remove_dir_all(temporary_folder());
     }
 }
 
+fn temporary_folder() -> PathBuf {
+    env::temp_dir().join(format!("review-{}", process::id()))
+}
+
 pub fn wait_until(what: &str, condition: impl Fn() -> bool) -> CaseResult<()> {
     let started = Instant::now();
     while !condition() {
@@ -248,7 +245,12 @@
 
 /// A configuration like that of the pages, with a route for streams, one for bookings and one for lookups.
 pub fn config(net: &Net) -> String {
-    let route = |name: &str, kind: &str, timeout: u32, target: u32, service: &str, attempts: u32| {
+    let route = |name: &str,
+                 kind: &str,
+                 timeout: u32,
+                 target: u32,
+                 service: &str,
+                 attempts: u32| {
         let is_stream = kind == "streaming";
         format!(
             "{{\"name\":\"r-{name}\",\"host\":\"{HOST}\",\"prefix\":\"/{name}/\",\"kind\":\"{kind}\",\
@@ -284,7 +286,13 @@
 }
 
 /// Item of a worker in the store.
-pub fn worker_item(service: &str, address: SocketAddr, slots: u32, version: u64, born: u64) -> String {
+pub fn worker_item(
+    service: &str,
+    address: SocketAddr,
+    slots: u32,
+    version: u64,
+    born: u64,
+) -> String {
     let models = match version {
         0 => String::new(),
         _ => format!("{{\"name\":\"{MODEL}\",\"version\":{version},\"adapters\":[]}}"),
@@ -297,7 +305,13 @@
 }
 
 /// Request of a client, ready to be sent.
-pub fn client_request(method: &str, path: &str, id: &str, deadline_ms: u32, body: &[u8]) -> Vec<u8> {
+pub fn client_request(
+    method: &str,
+    path: &str,
+    id: &str,
+    deadline_ms: u32,
+    body: &[u8],
+) -> Vec<u8> {
     let model = match path.starts_with("/draft/") {
         true => format!("Model: {MODEL}\r\nToken-Counts: 200,80\r\n"),
         false => String::new(),
--- a/review/standins/whole.rs
+++ b/review/standins/whole.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicI32, Ordering},
         mpsc,
     },
     thread,
@@ -37,13 +37,25 @@
     let store = Store::start(net.at(STORE_HOST, STORE))?;
     start_origin(net.at(ORIGIN_HOST, ORIGIN))?;
     store.put("op/config", &config(&net));
-    let (sender, reads) = mpsc::channel();
-    let reads_open = Arc::new(AtomicBool::new(false));
+    // Process id of the agent from the time at which it is to be frozen; 0 before.
+    let target_pid = Arc::new(AtomicI32::new(0));
+    let (sender, frozen) = mpsc::channel();
     let sender = Mutex::new(sender);
-    let is_open = reads_open.clone();
-    let on_read = move |index: u32| {
-        if is_open.load(Ordering::Relaxed) {
-            let _ = sender.lock().unwrap().send(index);
+    let on_read = {
+        let (net, target_pid) = (net.clone(), target_pid.clone());
+        move |index: u32, is_version_2: bool| {
+            if index != CHUNKS - 1 || !is_version_2 {
+                return;
+            }
+            let pid = target_pid.swap(0, Ordering::Relaxed);
+            if pid == 0 {
+                return;
+            }
+            net.record.line("the agent has read the last staged piece");
+            thread::sleep(FREEZE_DELAY);
+            net.signal(pid, SIGSTOP);
+            net.record.line("the agent's machine freezes");
+            let _ = sender.lock().unwrap().send(());
         }
     };
     let record = net.record.clone();
@@ -67,21 +79,14 @@
     wait_until("a stream is served", || send("warmup").is_complete)?;
 
     // The agent reads all staged pieces, in order, right before it orders the load.
-    reads_open.store(true, Ordering::Relaxed);
-    store.put(&format!("op/version/{MODEL}"), &format!("{{\"model\":\"{MODEL}\",\"version\":2}}"));
+    if has_trouble() {
+        target_pid.store(agent, Ordering::Relaxed);
+    }
+    let version = format!("{{\"model\":\"{MODEL}\",\"version\":2}}");
+    store.put(&format!("op/version/{MODEL}"), &version);
     net.record.line("version 2 is declared");
     if has_trouble() {
-        let started = Instant::now();
-        loop {
-            let left = Duration::from_secs(15).saturating_sub(started.elapsed());
-            if reads.recv_timeout(left)? == CHUNKS - 1 && engine.staged_version(2) {
-                break;
-            }
-        }
-        net.record.line("the agent has read the last staged piece");
-        thread::sleep(FREEZE_DELAY);
-        net.signal(agent, SIGSTOP);
-        net.record.line("the agent's machine freezes");
+        frozen.recv_timeout(Duration::from_secs(20))?;
         thread::sleep(SPOIL_DELAY);
         engine.spoil(SPOILT_PIECE);
         net.record.line(&format!("staged piece {SPOILT_PIECE} turns bad"));
@@ -120,5 +125,11 @@
             net.record.line(&format!("agent: {line}"));
         }
     }
-    Ok(if served == 0 { FAILED } else if is_broken { BROKEN } else { HELD })
+    Ok(if served == 0 {
+        FAILED
+    } else if is_broken {
+        BROKEN
+    } else {
+        HELD
+    })
 }
