--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -3,6 +3,7 @@
 
 mod bodies;
 mod engine;
+mod foreign;
 mod http;
 mod leaving;
 mod logs;
@@ -40,6 +41,7 @@
         ["logs", folder] => logs::run(folder),
         ["truncated", folder] => truncated::run(folder),
         ["whole", folder] => whole::run(folder),
+        ["foreign", folder] => foreign::run(folder),
         ["leaving", folder] => leaving::run(folder),
         _ => Err("usage: standins CASE FOLDER".into()),
     };
