Verify staged chunks again if the load order would be late

Callers got streams of an engine that had loaded a chunk which had been corrupt for 3.7 s: the agent was paused between its verification of the staged chunks and its load order, and sent the order on waking. An order cannot be withdrawn, and nothing bounded the age of the verification on which it rests. Pauses within the verification, several pauses too short to be detected, and a verification that is slow without any pause had the same result, so the detection of pauses alone was ruled out as the fix.

The order is now sent only if the first chunk was read at most 2 s ago, suspended time included, at the same process of the engine, and if the agent was not paused since its assignment was refreshed. Otherwise the agent begins again. load_ordered states the age of the verification.

--- a/crates/chunks/src/lib.rs
+++ b/crates/chunks/src/lib.rs
@@ -13,6 +13,7 @@
 mod search;
 mod swarm;
 mod transfers;
+mod verification;
 
 pub use crate::{
     fetch::{ChunkFetch, ChunkSource, FetchFailure, FetchId, SwarmOptions, SwarmPeer},
@@ -24,4 +25,5 @@
     search::{ManifestSearch, ManifestSource},
     swarm::ChunkSwarm,
     transfers::{TransferSet, WeightsTransfer},
+    verification::StagingVerification,
 };
--- a/crates/gateway/src/agent/engine.rs
+++ b/crates/gateway/src/agent/engine.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::atomic::Ordering, time::Duration};
 
-use chunks::{ChunkIndex, LoadOrder, OrderReport, WeightsId};
+use chunks::{ChunkIndex, LoadOrder, OrderReport, StagingVerification, WeightsId};
 use log::{info, warn};
 use ports::PlatformError;
 
@@ -68,13 +68,14 @@
     matches!(error, PlatformError::Broken { .. } | PlatformError::Timeout { .. })
 }
 
-/// Reads back every staged chunk; returns those that are missing or corrupt. `None` if the engine does not respond or the
-/// manifest is not known.
-pub(super) async fn find_corrupt_staged(
+/// Reads back every staged chunk; returns the verification and the chunks that are missing or corrupt. `None` if the
+/// engine does not respond or the manifest is not known.
+pub(super) async fn verify_staged(
     shared: &AgentShared,
     weights: &WeightsId,
-) -> Option<Vec<ChunkIndex>> {
+) -> Option<(StagingVerification, Vec<ChunkIndex>)> {
     let manifest = shared.transfers().get(weights)?.swarm.manifest().clone();
+    let verification = StagingVerification::new(shared.report()?.started_at_ms, &*shared.clock);
     let mut corrupt = Vec::new();
     for index in 0..manifest.len() {
         let is_valid = match shared.ports.engine.read_staged(&weights.model, index).await {
@@ -91,7 +92,23 @@
             corrupt.push(index);
         }
     }
-    Some(corrupt)
+    Some((verification, corrupt))
+}
+
+/// What became of the attempt to order a load.
+pub(super) enum OrderAttempt {
+    /// The engine has accepted the order or may accept it.
+    Pending(LoadOrder),
+    /// There is no order that the engine has accepted or may accept.
+    Refused,
+    /// Nothing was sent, because the staged chunks have to be verified again. Contains the earlier order.
+    Unverified(Option<LoadOrder>),
+}
+
+impl From<Option<LoadOrder>> for OrderAttempt {
+    fn from(order: Option<LoadOrder>) -> Self {
+        order.map_or(Self::Refused, Self::Pending)
+    }
 }
 
 /// What `report` states about orders to load `weights`.
@@ -106,24 +123,37 @@
 }
 
 /// Orders the engine to load the staged weights, unless it does so already or carries out another order. `previous` is
-/// an earlier order of these weights that the engine may have accepted. Returns the order that the engine has accepted or
-/// may accept; `None` if there is none.
+/// an earlier order of these weights that the engine may have accepted. The order cannot be withdrawn, so it is not sent
+/// if `verification` is outdated, or if the process was paused and does not know whether the weights are still wanted.
 pub(super) async fn order_load(
     shared: &AgentShared,
     weights: &WeightsId,
+    verification: &StagingVerification,
     previous: Option<LoadOrder>,
-) -> Option<LoadOrder> {
+) -> OrderAttempt {
     // The number of orders is read immediately before the order, so that the engine rejects an order that was delayed
     // while another one was accepted.
-    let Ok(report) = shared.ports.engine.report().await else { return previous };
+    let Ok(report) = shared.ports.engine.report().await else { return previous.into() };
     let basis = order_report(&report, weights);
     let may_order = match &previous {
         Some(previous) => previous.is_unaccepted(&basis),
         None => !basis.busy && basis.loaded < weights.version,
     };
     if !may_order {
-        return previous;
+        return previous.into();
+    }
+    let is_stale = shared.is_stale();
+    if is_stale || !verification.is_current(report.started_at_ms, &*shared.clock) {
+        info!(
+            "event=verification_outdated model={} version={} age_ms={} paused={is_stale} born={}",
+            weights.model,
+            weights.version,
+            verification.age(&*shared.clock).as_millis(),
+            report.started_at_ms
+        );
+        return OrderAttempt::Unverified(previous);
     }
+    let verified_ms = verification.age(&*shared.clock).as_millis();
     let result = shared.ports.engine.load(weights, report.load_orders).await;
     shared.metrics.count("load_orders_total");
     let now = shared.clock.now();
@@ -133,24 +163,24 @@
     match result {
         Ok(LoadOrderResult::Started | LoadOrderResult::AlreadyLoaded) => {
             info!(
-                "event=load_ordered model={} version={} orders={} running={} queued={}",
+                "event=load_ordered model={} version={} orders={} running={} queued={} verified_ms={verified_ms}",
                 weights.model, weights.version, report.load_orders, report.running, report.queued
             );
-            Some(order.with_acceptance(now))
+            OrderAttempt::Pending(order.with_acceptance(now))
         }
         Ok(LoadOrderResult::Conflict) => {
             info!(
                 "event=load_conflict model={} version={} orders={}",
                 weights.model, weights.version, report.load_orders
             );
-            previous.filter(is_recent)
+            previous.filter(is_recent).into()
         }
         Err(error) if !may_be_accepted(&error) => {
             warn!(
                 "event=load_refused model={} version={} orders={} error=\"{error}\"",
                 weights.model, weights.version, report.load_orders
             );
-            previous.filter(is_recent)
+            previous.filter(is_recent).into()
         }
         Err(error) => {
             // The engine may have accepted the order; its next reports show whether it did.
@@ -158,7 +188,7 @@
                 "event=load_unknown model={} version={} orders={} error=\"{error}\"",
                 weights.model, weights.version, report.load_orders
             );
-            Some(order)
+            OrderAttempt::Pending(order)
         }
     }
 }
--- a/crates/gateway/src/agent/transfer/loading.rs
+++ b/crates/gateway/src/agent/transfer/loading.rs
@@ -16,7 +16,7 @@
 
 use super::{
     super::{
-        engine::{find_corrupt_staged, order_load, order_report},
+        engine::{OrderAttempt, order_load, order_report, verify_staged},
         shared::AgentAssignment,
     },
     TransferTask,
@@ -179,7 +179,8 @@
 
     async fn load(&mut self, weights: &WeightsId, loaded: u64) {
         // Staged chunks may have become corrupt since they were verified, so they are verified again.
-        let Some(corrupt) = find_corrupt_staged(&self.shared, weights).await else { return };
+        let verified = verify_staged(&self.shared, weights).await;
+        let Some((verification, corrupt)) = verified else { return };
         if !corrupt.is_empty() {
             info!("event=pieces_spoilt model={} pieces={}", weights.model, corrupt.len());
             if let Some(transfer) = self.shared.transfers().get_mut(weights) {
@@ -199,25 +200,44 @@
         }
         self.shared.set_next_load_at(None);
         let previous = self.pending_load.take();
-        self.pending_load = order_load(&self.shared, weights, previous).await;
+        let attempt = order_load(&self.shared, weights, &verification, previous).await;
         self.shared.wake_heartbeats.notify_one();
-        match &self.pending_load {
-            Some(order) if order.is_accepted() => {
-                self.shared.transfers().release_staging(weights);
-                return;
+        match attempt {
+            OrderAttempt::Pending(order) => {
+                let is_accepted = order.is_accepted();
+                self.pending_load = Some(order);
+                if is_accepted {
+                    self.shared.transfers().release_staging(weights);
+                    return;
+                }
+                self.shared.transfers().hold_staging(weights);
             }
-            Some(_) => self.shared.transfers().hold_staging(weights),
-            None => {
+            OrderAttempt::Refused => {
                 self.shared.transfers().end_hold();
-                self.shared.switching.store(false, Ordering::Relaxed);
-                self.shared.wake_heartbeats.notify_one();
+                self.end_switch();
                 self.load_paused_until = Some(self.shared.clock.now() + REFUSAL_PAUSE);
             }
+            OrderAttempt::Unverified(previous) => {
+                // An engine that may still accept the earlier order stays unused.
+                if previous.is_none() {
+                    self.end_switch();
+                }
+                self.pending_load = previous;
+                self.shared.wake_transfer.notify_one();
+                return;
+            }
         }
         let pause = Duration::from_millis(rand::rng().random_range(20..60));
         sleep(pause).await;
     }
 
+    /// Records that the engine accepts requests, because no order to load other weights is under way.
+    fn end_switch(&self) {
+        if self.shared.switching.swap(false, Ordering::Relaxed) {
+            self.shared.wake_heartbeats.notify_one();
+        }
+    }
+
     /// Evaluates the engine's last report on the pending load order: whether the engine has accepted it, has loaded the
     /// weights or no longer carries the order out.
     pub(super) fn settle_load(&mut self, assignment: &AgentAssignment) {
@@ -250,8 +270,7 @@
                 );
                 self.pending_load = None;
                 self.shared.transfers().end_hold();
-                self.shared.switching.store(false, Ordering::Relaxed);
-                self.shared.wake_heartbeats.notify_one();
+                self.end_switch();
             }
         }
     }
@@ -275,8 +294,6 @@
             self.shared.transfers().end_hold();
         }
         // Until the missing chunks are staged again, the engine serves the older version.
-        if self.shared.switching.swap(false, Ordering::Relaxed) {
-            self.shared.wake_heartbeats.notify_one();
-        }
+        self.end_switch();
     }
 }
