Do not take one failed request for an outage of the store

Requests reached an upstream up to 2.45 s after its removal from the store (bound 2 s), and callers lost bookings that it was running when it exited. A cut watch counted as an outage, and an upstream that is removed around an outage is held for 2.4 s after it, because its registration may only have expired.

A single failure now leads to another request at once, which does not wait for changes. Only if that fails as well is the store unavailable (fleet::OutageDetector). A shorter hold was ruled out: upstreams have 2 s to register again. The handover of the role of a follower and the dates of declarations rested on the same failure and follow the same decision.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 mod era;
 mod item;
 mod lost_config;
+mod outage;
 mod period;
 mod record;
 mod region;
@@ -18,6 +19,7 @@
     era::{StoreEra, era_and_number, revision_in},
     item::{DecodeItem, FleetChange, ItemError, ItemKey, ItemSource, ItemValue, RawItem},
     lost_config::{ANNOUNCEMENT_WAIT, ConfigStamp},
+    outage::OutageDetector,
     period::{ReceivePeriod, WAIT_CHECK_INTERVAL, WatchTimer},
     record::{
         ClientLimits, EngineCosts, EngineModel, EngineRecord, LoadedWeights, OriginRecord,
--- a/crates/fleet/src/period.rs
+++ b/crates/fleet/src/period.rs
@@ -128,6 +128,14 @@
         self.earliest
     }
 
+    /// Records that the connection of the request was closed before a response arrived, while the store was available.
+    /// A change that was made while the watch was still waiting would have been returned.
+    pub fn record_cut(&mut self) {
+        if let Some(waiting) = self.waiting_at() {
+            self.earliest = self.earliest.max(earlier(waiting, CHANGE_DELAY));
+        }
+    }
+
     /// Records that the request failed, so that the store was unavailable after its start.
     pub fn record_failure(&mut self) {
         self.earliest = self.earliest.max(self.requested);
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -108,9 +108,9 @@
         self.head
     }
 
-    /// Records that the store is unavailable at `now`.
-    pub fn record_unavailable(&mut self, now: Instant) {
-        self.unavailable_at = Some(now);
+    /// Records that the store was unavailable at `at`, as shown by an [`OutageDetector`](crate::OutageDetector).
+    pub fn record_unavailable(&mut self, at: Instant) {
+        self.unavailable_at = Some(at);
     }
 
     /// Records that all changes which have not been received yet were made after `since`.
--- a/crates/fleet/tests/knowledge.rs
+++ b/crates/fleet/tests/knowledge.rs
@@ -1,8 +1,9 @@
 //! Guards against stale items that replace newer ones, removed items that reappear, and dropping upstreams that merely
 //! could not renew their registration.
 
+mod support;
+
 use std::{
-    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -10,48 +11,11 @@
 use bytes::Bytes;
 use fleet::{
     ClientLimits, DecodeItem, FleetState, ItemError, ItemSource, ItemValue, RawItem, ReceivePeriod,
-    RoutingConfig, UpstreamRecord, WatchTimer, WeightsLimits, WeightsState,
+    RoutingConfig, WatchTimer, WeightsLimits, WeightsState,
 };
 use proptest::prelude::*;
 
-/// Decodes "u:STATE" as an upstream at an address derived from its key, "u:STATE:BORN" as one at a common address,
-/// "w:N" as a declared version, and anything else as an error.
-struct TextDecoder;
-
-impl DecodeItem for TextDecoder {
-    fn decode(&self, key: &str, value: &Bytes) -> Result<ItemValue, ItemError> {
-        let text = std::str::from_utf8(value).map_err(|_| ItemError::new("value is not UTF-8"))?;
-        match text.split_once(':') {
-            Some(("u", state)) => {
-                let (state, started_ms) = state.split_once(':').unwrap_or((state, "0"));
-                let started_ms =
-                    started_ms.parse().map_err(|_| ItemError::new("start time is not a number"))?;
-                let host = if started_ms == 0 { key.as_bytes()[0] } else { 0 };
-                Ok(ItemValue::Upstream(Arc::new(UpstreamRecord {
-                    upstream: key.into(),
-                    service: "chat".into(),
-                    address: SocketAddr::from(([127, 0, 0, host], 80)),
-                    data_centre: "north".into(),
-                    slots: 4,
-                    draining: state == "draining",
-                    cold_for: Duration::ZERO,
-                    weights: Vec::new(),
-                    started_ms,
-                })))
-            }
-            Some(("w", version)) => Ok(ItemValue::Declared {
-                model: "m".into(),
-                version: version.parse().map_err(|_| ItemError::new("version is not a number"))?,
-            }),
-            _ => Err(ItemError::new("unknown")),
-        }
-    }
-}
-
-fn item(key: &str, value: Option<&str>, revision: u64) -> RawItem {
-    let value = value.map(|text| Bytes::from(text.to_owned()));
-    RawItem { key: key.into(), value, revision, age: None }
-}
+use crate::support::{TextDecoder, item};
 
 /// Period of items that arrive at the moment of their change.
 fn received_at(now: Instant) -> ReceivePeriod {
--- a/crates/gateway/src/entry/store.rs
+++ b/crates/gateway/src/entry/store.rs
@@ -7,8 +7,8 @@
 
 use bytes::Bytes;
 use fleet::{
-    FleetChange, ItemSource, RawItem, ReceivePeriod, WAIT_CHECK_INTERVAL, WatchTimer,
-    era_and_number,
+    FleetChange, ItemSource, OutageDetector, RawItem, ReceivePeriod, WAIT_CHECK_INTERVAL,
+    WatchTimer, era_and_number,
 };
 use log::{debug, info, warn};
 use member::EntryMember;
@@ -54,17 +54,20 @@
 pub(super) async fn follow_store(shared: Arc<EntryShared>) {
     let mut backoff = BACKOFF_RANGE.0;
     let mut is_failing = false;
+    let mut outage = OutageDetector::new();
     let mut timer = WatchTimer::new(shared.clock.now());
     let mut known_pauses = shared.pauses();
     let observer = StoreObserver { shared: shared.clone() };
     loop {
-        wait_until_needed(&shared, &mut timer, &mut known_pauses).await;
+        if !outage.is_suspected() {
+            wait_until_needed(&shared, &mut timer, &mut known_pauses).await;
+        }
         let after = shared.fleet_state().as_of();
         let pauses = shared.pauses();
         // After a pause of this process, the current state is needed at once, and a response from before the pause does
         // not confirm it.
         let wait = match () {
-            () if shared.is_stale_after_pause() => Duration::ZERO,
+            () if shared.is_stale_after_pause() || outage.is_suspected() => Duration::ZERO,
             () => WATCH_WAIT,
         };
         let store_request = async {
@@ -90,7 +93,8 @@
                     info!("event=store_regained as_of={}", listing.as_of);
                 }
                 (is_failing, backoff) = (false, BACKOFF_RANGE.0);
-                let has_changes = !listing.items.is_empty();
+                // The pause also bounds the rate of requests if the store cuts all watches.
+                let needs_pause = outage.record_response() || !listing.items.is_empty();
                 // A response may take long to arrive, and changes that were made meanwhile are not in it.
                 let (source, period, current_at) = match after {
                     None => (ItemSource::Listing, timer.record_listing(now), requested_at),
@@ -109,7 +113,7 @@
                     shared.wake_neighbours.notify_one();
                 }
                 shared.record_refreshed(pauses);
-                if has_changes {
+                if needs_pause {
                     tokio::select! {
                         () = sleep(WATCH_PAUSE) => {}
                         () = shared.wake_store.notified() => {}
@@ -117,6 +121,7 @@
                 }
             }
             Err(error @ (StoreError::Compacted | StoreError::TooManyChanges)) => {
+                outage.record_response();
                 let after = after.unwrap_or_default();
                 info!("event=store_history_lost after={after} error=\"{error}\"");
                 if let Err(error) = list_again(&shared, &mut timer, &observer).await {
@@ -129,12 +134,23 @@
                 }
             }
             Err(error) => {
+                shared.metrics.count("store_failures_total");
+                let Some(unavailable_at) = outage.record_failure(requested_at, now) else {
+                    if matches!(error, StoreError::Request { source: PlatformError::Broken { .. } })
+                    {
+                        timer.record_cut();
+                    }
+                    info!(
+                        "event=store_request_failed ms={} error=\"{error}\"",
+                        now.saturating_duration_since(requested_at).as_millis()
+                    );
+                    continue;
+                };
                 timer.record_failure();
-                shared.fleet_state().record_unavailable(now);
+                shared.fleet_state().record_unavailable(unavailable_at);
                 if after.is_some() {
                     shared.fleet_state().set_unseen_since(timer.unseen_since());
                 }
-                shared.metrics.count("store_failures_total");
                 if shared.record_store_failure() {
                     // Another entry of the region has to follow the store.
                     shared.wake_neighbours.notify_one();
