Limit the memory that all responses of upstreams take together

Faulty upstreams that send long bodies or events and then stall took all memory of an entry: with 160 callers and 16 such upstreams its peak was 1,246 MiB (bodies of 8 MB) and 160 MiB (events of 256 KiB), where hosts have 112 to 512 MB. An entry that is killed loses the requests of all its callers. Each response had a limit, their sum had none; a response without any limit of its own was ruled out by tests/endless.rs.

All bodies and incomplete events that an entry keeps share a budget of a fifth of limits.memory_mb. One that is larger than 16 KiB may grow only up to twice the bytes that are still free; past that, its attempt ends with the cause memory_limit. Request bodies use a budget of the same type instead of a fixed 48 MiB. The HTTP library reads at most 64 KiB ahead.

tests/memory.rs failed before with the figures above.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! With these types in one place, the crates that make decisions do not depend on one another.
 
+mod budget;
 mod clock;
 mod digest;
 mod outcome;
@@ -11,6 +12,7 @@
 use compact_str::CompactString;
 
 pub use crate::{
+    budget::{ByteBudget, ByteReservation},
     clock::{Clock, PauseDetector, SystemClock},
     digest::{ContentDigest, DigestError},
     outcome::{Outcome, RefusalReason},
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -10,7 +10,7 @@
 use base::UpstreamId;
 use bytes::Bytes;
 use fleet::UpstreamRecord;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::{
     Request, Response, StatusCode,
     body::{Body, Incoming},
@@ -26,6 +26,7 @@
     event_order::EventOrder,
     events::{EventReader, StreamPart, has_content},
     guards::{AttemptGuard, AttemptMonitor, ConnectingGuard, HeadMonitor},
+    held_body::HeldBody,
     limits::log_limit_change,
     outcome::AttemptResult,
     pool::UpstreamConnection,
@@ -351,7 +352,7 @@
             if resume_after.is_some() {
                 order.begin_run();
             }
-            let mut reader = Box::new(EventReader::new(body, order));
+            let mut reader = Box::new(EventReader::new(body, order, shared.response_bytes.clone()));
             let monitor = HeadMonitor::new(shared, &upstream.upstream, sent_at);
             let cancel_at = wait.cancel_at.map(|at| monitor.defer_cancellation(at));
             let wait = ResponseWait { cancel_at, ..wait };
@@ -404,23 +405,27 @@
         }
         let body = match self.collect_body(head.status, body, &wait).await {
             // The connection of an upstream that crashed ends like that of one that sent a complete response.
-            Some(_)
+            Ok(_)
                 if !is_framed
                     && !shared.pool.accepts_connections(upstream.address, self.deadline).await =>
             {
-                None
+                Err("upstream_gone")
             }
             body => body,
         };
-        let Some(body) = body else {
-            info!(
-                "event=answer_incomplete request={} upstream={} status={} framed={is_framed}",
-                self.meta.id,
-                upstream.upstream,
-                head.status.as_u16()
-            );
-            guard.fail();
-            return AttemptResult::Failed(AttemptEnd::Lost, None);
+        let body = match body {
+            Ok(body) => body,
+            Err(cause) => {
+                info!(
+                    "event=answer_incomplete request={} upstream={} status={} cause={cause} \
+                     framed={is_framed}",
+                    self.meta.id,
+                    upstream.upstream,
+                    head.status.as_u16()
+                );
+                guard.fail();
+                return AttemptResult::Failed(AttemptEnd::Lost, None);
+            }
         };
         if !meta.closes {
             shared.pool.put(&upstream.upstream, connection, meta.keep_alive);
@@ -439,21 +444,32 @@
         AttemptResult::Complete(head, body)
     }
 
-    /// Collects the body of a response that is forwarded as a whole; `None` if it is incomplete or exceeds a limit.
+    /// Collects the body of a response that is forwarded as a whole. Fails with the cause, as it is logged, if it is
+    /// incomplete or exceeds a limit.
     async fn collect_body(
         &self,
         status: StatusCode,
-        body: Incoming,
+        mut body: Incoming,
         wait: &ResponseWait<'_>,
-    ) -> Option<Bytes> {
-        if !status.is_success() {
+    ) -> Result<Bytes, &'static str> {
+        let budget = self.shared.response_bytes.clone();
+        let collected = if status.is_success() {
+            let mut held = HeldBody::new(budget, MAX_RESPONSE_BYTES);
+            let collect = async {
+                while let Some(frame) = body.frame().await {
+                    if let Ok(bytes) = frame.map_err(|_| "connection_lost")?.into_data() {
+                        held.push(&bytes)?;
+                    }
+                }
+                Ok(held.finish())
+            };
+            self.wait_for(collect, wait).await
+        } else {
             // The request has ended, so that it cannot begin on outdated weights.
             let wait = ResponseWait { cancel_at: None, ..*wait };
-            return self.wait_for(collect_error(body), &wait).await.ok()?;
-        }
-        let body = Limited::new(body, MAX_RESPONSE_BYTES).collect();
-        let collected = self.wait_for(body, wait).await;
-        Some(collected.ok()?.ok()?.to_bytes())
+            self.wait_for(collect_error(body, budget), &wait).await
+        };
+        collected.unwrap_or(Err("timeout"))
     }
 
     /// Records what a response states about its upstream. Only a signed response can end a limit, because another one may
--- a/crates/gateway/src/entry/error_body.rs
+++ b/crates/gateway/src/entry/error_body.rs
@@ -1,12 +1,15 @@
 //! Reads the body of an error within a bounded time and size.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use base::ByteBudget;
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout};
 
+use super::held_body::HeldBody;
+
 /// Maximum size of the body of an error. Upstreams send a short text.
 const MAX_ERROR_BYTES: usize = 64 << 10;
 /// Maximum time from the head of an error to its end, without the longest silence. Upstreams send it at once.
@@ -42,17 +45,19 @@
     }
 }
 
-/// Collects the body of an error; `None` if it is incomplete or exceeds a limit.
-pub(super) async fn collect_error(mut body: Incoming) -> Option<Bytes> {
-    let mut collected = BytesMut::new();
+/// Collects the body of an error. Fails with the cause, as it is logged, if it is incomplete or exceeds a limit.
+pub(super) async fn collect_error(
+    mut body: Incoming,
+    budget: Arc<ByteBudget>,
+) -> Result<Bytes, &'static str> {
+    let mut held = HeldBody::new(budget, MAX_ERROR_BYTES);
     let mut timer = BodyTimer::new(Instant::now());
-    while let Some(frame) = timeout(timer.allowed_silence(), body.frame()).await.ok()? {
+    loop {
+        let frame = timeout(timer.allowed_silence(), body.frame()).await.map_err(|_| "timeout")?;
+        let Some(frame) = frame else { return Ok(held.finish()) };
         timer.record_part(Instant::now());
-        let Ok(bytes) = frame.ok()?.into_data() else { continue };
-        if collected.len() + bytes.len() > MAX_ERROR_BYTES {
-            return None;
+        if let Ok(bytes) = frame.map_err(|_| "connection_lost")?.into_data() {
+            held.push(&bytes)?;
         }
-        collected.extend_from_slice(&bytes);
     }
-    Some(collected.freeze())
 }
--- a/crates/gateway/src/entry/events.rs
+++ b/crates/gateway/src/entry/events.rs
@@ -3,9 +3,11 @@
 use std::{
     future::poll_fn,
     pin::Pin,
+    sync::Arc,
     task::{Context, Poll, ready},
 };
 
+use base::{ByteBudget, ByteReservation};
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
 use hyper::body::{Body, Incoming};
@@ -107,6 +109,8 @@
     StreamTooLong,
     /// An event, with the comments before it, exceeds [`MAX_EVENT_BYTES`].
     EventTooLong,
+    /// The incomplete events of all streams, and the bodies of other responses, take too much memory.
+    MemoryLimit,
     /// What was sent is no event, or does not continue the stream. The cause is given as it is logged.
     NotTheStream(&'static str),
 }
@@ -126,6 +130,7 @@
             StreamFault::EventIncomplete => "event_incomplete",
             StreamFault::StreamTooLong => "stream_too_long",
             StreamFault::EventTooLong => "event_too_long",
+            StreamFault::MemoryLimit => "memory_limit",
             StreamFault::NotTheStream(cause) => cause,
         }
     }
@@ -152,13 +157,16 @@
     received: usize,
     /// Number of bytes received since the last event with content: comments, and a part of an event.
     without_event: usize,
+    /// Reservation for the bytes without an event, which are kept.
+    reservation: ByteReservation,
 }
 
 impl EventReader {
     /// Creates a reader of a response whose events must continue `order`.
-    pub(super) fn new(body: Incoming, order: EventOrder) -> Self {
+    pub(super) fn new(body: Incoming, order: EventOrder, budget: Arc<ByteBudget>) -> Self {
         let splitter = EventSplitter { order, ..EventSplitter::default() };
-        Self { body, splitter, received: 0, without_event: 0 }
+        let reservation = ByteReservation::new(budget);
+        Self { body, splitter, received: 0, without_event: 0, reservation }
     }
 
     /// Id of the last complete event, or of the event after which the response continues; `None` if the last event has
@@ -196,6 +204,9 @@
             if self.without_event > MAX_EVENT_BYTES {
                 return Poll::Ready(StreamPart::Fault(StreamFault::EventTooLong));
             }
+            if !self.reservation.try_resize(self.without_event) {
+                return Poll::Ready(StreamPart::Fault(StreamFault::MemoryLimit));
+            }
             match complete {
                 Some(events) if has_event => return Poll::Ready(StreamPart::Events(events)),
                 Some(comments) => return Poll::Ready(StreamPart::Comments(comments)),
--- a/crates/gateway/src/entry/guards.rs
+++ b/crates/gateway/src/entry/guards.rs
@@ -9,40 +9,35 @@
 };
 
 use balance::AttemptOutcome;
-use base::UpstreamId;
+use base::{ByteReservation, UpstreamId};
 use fleet::UpstreamRecord;
 use log::info;
 use tokio::sync::Notify;
 
 use super::{crashes::log_crashes, request::RequestContext, shared::EntryShared};
 
-/// Maximum total size of buffered request bodies, well below the memory of an entry's host.
-const MAX_HELD_BODIES: usize = 48 << 20;
-
 /// Counts a request as in flight until its response is complete.
 pub(crate) struct InFlightGuard {
     shared: Arc<EntryShared>,
-    body_bytes: usize,
+    body: ByteReservation,
 }
 
 impl InFlightGuard {
     pub(super) fn new(shared: Arc<EntryShared>) -> Self {
         shared.in_flight.fetch_add(1, Ordering::Relaxed);
-        Self { shared, body_bytes: 0 }
+        let body = ByteReservation::new(shared.request_bytes.clone());
+        Self { shared, body }
     }
 
-    /// Reserves memory for the body; false if the limit is exceeded.
+    /// Reserves memory for a body of `bytes`; false if the bodies of all requests exceed their limit.
     pub(super) fn reserve(&mut self, bytes: usize) -> bool {
-        let held = self.shared.body_bytes.fetch_add(bytes, Ordering::Relaxed);
-        self.body_bytes += bytes;
-        held + bytes <= MAX_HELD_BODIES
+        self.body.try_resize(bytes)
     }
 }
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
         self.shared.in_flight.fetch_sub(1, Ordering::Relaxed);
-        self.shared.body_bytes.fetch_sub(self.body_bytes, Ordering::Relaxed);
     }
 }
 
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -12,6 +12,7 @@
 mod events;
 mod guards;
 mod head_timer;
+mod held_body;
 mod http;
 mod limits;
 mod lost_config;
--- a/crates/gateway/src/entry/pool.rs
+++ b/crates/gateway/src/entry/pool.rs
@@ -17,7 +17,7 @@
 use log::{debug, info};
 use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
 
-use super::response_head::{HeadGate, LimitedStream};
+use super::response_head::{HeadGate, LimitedStream, MAX_HEAD_BYTES};
 use crate::frames::set_socket_options;
 
 /// Timeout for opening a connection; a live upstream accepts one within a few milliseconds, even from another region.
@@ -207,7 +207,7 @@
         set_socket_options(&stream);
         let head_gate = HeadGate::default();
         let stream = LimitedStream::new(stream, head_gate.clone());
-        match Builder::new().handshake(TokioIo::new(stream)).await {
+        match Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream)).await {
             Ok((sender, connection)) => {
                 let task = tokio::spawn(async move {
                     if let Err(error) = connection.await {
--- a/crates/gateway/src/entry/response_head.rs
+++ b/crates/gateway/src/entry/response_head.rs
@@ -23,7 +23,7 @@
 };
 
 /// Maximum number of bytes up to the end of a head, including informational responses; a usual head has about 300.
-const MAX_HEAD_BYTES: usize = 64 << 10;
+pub(super) const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Maximum time from the first byte of a head to its end. Upstreams send a head at once.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum number of informational responses before a response.
--- a/crates/gateway/src/entry/shared.rs
+++ b/crates/gateway/src/entry/shared.rs
@@ -14,7 +14,7 @@
 use balance::{
     CrashDetector, DurationTracker, HeadTrust, LoadBalancer, LoadBalancerOptions, RetryBudgetShare,
 };
-use base::{Clock, Incarnation, UpstreamId};
+use base::{ByteBudget, Clock, Incarnation, UpstreamId};
 use fleet::{ANNOUNCEMENT_WAIT, FleetState, FleetView, ReceivePeriod};
 use log::{info, warn};
 use member::{EntryMember, EntryMembership};
@@ -66,6 +66,10 @@
     }
 }
 
+/// Divisor of the memory of the process that gives the bytes of requests, and those of responses, which are kept at the
+/// same time. The rest is for buffers of connections and the state of the fleet.
+const HELD_SHARE: u64 = 5;
+
 /// State shared by the tasks of an entry.
 pub(crate) struct EntryShared {
     pub(crate) settings: EntrySettings,
@@ -80,8 +84,10 @@
     pub(crate) waiting: Arc<WaitingRooms>,
     /// Number of requests whose response is not yet complete.
     pub(crate) in_flight: AtomicUsize,
-    /// Total size of the buffered request bodies.
-    pub(crate) body_bytes: AtomicUsize,
+    /// Bytes of requests that are kept until they have been sent to an upstream, and may be sent to another one.
+    pub(crate) request_bytes: Arc<ByteBudget>,
+    /// Bytes of responses that are kept until they are complete, or until a stream has a complete event.
+    pub(crate) response_bytes: Arc<ByteBudget>,
     /// A stop has been requested.
     pub(crate) leaving: AtomicBool,
     /// Set when a stop has been requested.
@@ -147,6 +153,8 @@
         let mut fleet_state = FleetState::new();
         fleet_state.listen_until(now + ANNOUNCEMENT_WAIT);
         let incarnation: Incarnation = rand::random();
+        let held_bytes = settings.common.memory_bytes / HELD_SHARE;
+        let held_bytes = usize::try_from(held_bytes).unwrap_or(usize::MAX);
         let options = LoadBalancerOptions {
             regions: settings.common.regions.clone(),
             region: settings.common.region(),
@@ -162,7 +170,8 @@
             pool: ConnectionPool::new(clock.clone()),
             waiting: Arc::default(),
             in_flight: AtomicUsize::new(0),
-            body_bytes: AtomicUsize::new(0),
+            request_bytes: Arc::new(ByteBudget::new(held_bytes)),
+            response_bytes: Arc::new(ByteBudget::new(held_bytes)),
             leaving: AtomicBool::new(false),
             stop_times: OnceLock::new(),
             closing: CancellationToken::new(),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -30,6 +30,8 @@
     pub rollout_timeout: Duration,
     /// Bandwidth of the host's network link in bytes per second.
     pub link_bytes_per_s: u64,
+    /// Memory that the process may use, in bytes.
+    pub memory_bytes: u64,
     /// Listening address for metrics; `None` if they are not served.
     pub metrics: Option<SocketAddr>,
     /// Grace period between the request to stop and the forced end of the process.
