Refuse a request whose body is still arriving at the end of a stop

Operators of a similar system saw requests that came late in a planned stop being passed on and cut at its end. booking_taken_late_in_a_stop_is_ cut_off shows that this does not happen here: 40 callers send bookings until the entry is gone, while workers are slow, silent at the end, and break connections, and no request that was sent to a worker ends without an answer. The test fails if late requests are accepted and not answered at the end of the grace period (40 requests).

It does happen to a request whose body has not arrived completely by then: its connection was closed without an answer. It is refused with 503 now, because it has not run.

--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -128,11 +128,18 @@
         }
     };
     let id = meta.id.clone();
-    let body = match read_body(&shared, &mut in_flight, body).await {
+    let read = tokio::select! {
+        biased;
+        read = read_body(&shared, &mut in_flight, body) => read.map_err(|status| (status, "body")),
+        () = shared.end_of_grace_period() => Err((StatusCode::SERVICE_UNAVAILABLE, "stopping")),
+    };
+    let body = match read {
         Ok(body) => body,
-        Err(status) => {
-            info!("event=refused request={id} cause=body status={}", status.as_u16());
-            return local_response(&shared, &id, status, None);
+        Err((status, cause)) => {
+            info!("event=refused request={id} cause={cause} status={}", status.as_u16());
+            let retry_after =
+                (status == StatusCode::SERVICE_UNAVAILABLE).then_some(DEFAULT_RETRY_AFTER);
+            return local_response(&shared, &id, status, retry_after);
         }
     };
     let view = shared.view.load_full();
