Do not pass on a success with neither a length nor a body

Operators of a similar system saw empty successes after a worker had stopped in the middle of a head. Cut at each position, with each framing, closed or reset, on new and on reused connections, a head ends as 502 here. But a head that ends before its framing headers stands for a body that ends with the connection: plain requests got a 200 without a body.

Such a response counts as incomplete now, as a stream without events does. head_without_framing_and_body_is_taken_for_complete failed before with status 200; the three tests that cut heads passed before and after.

--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -404,6 +404,8 @@
             return AttemptResult::Stream(head, stream);
         }
         let body = match self.collect_body(head.status, body, &wait).await {
+            // The upstream may have stopped before the headers that announce the body.
+            Ok(body) if !is_framed && body.is_empty() && head.status.is_success() => Err("no_body"),
             // The connection of an upstream that crashed ends like that of one that sent a complete response.
             Ok(_)
                 if !is_framed
