Count the bodies of requests while they arrive

A burst of 80 requests with bodies of 4 MiB took an entry beyond its memory; it was killed and the bookings of its other callers were lost. The limit on held bodies counted only complete ones.

Bodies are collected within the budget of all of them, as responses are.

--- a/crates/gateway/src/entry/admit.rs
+++ b/crates/gateway/src/entry/admit.rs
@@ -8,14 +8,17 @@
 use base::ServiceId;
 use bytes::Bytes;
 use fleet::{FleetView, RouteMatch, RouteRecord, TeamRecord};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::{
     StatusCode,
     body::{Body, Incoming},
 };
 use rand::RngExt;
 
-use super::{guards::InFlightGuard, shared::EntryShared};
+use super::{
+    held_body::{HeldBody, HoldError},
+    shared::EntryShared,
+};
 use crate::port::RequestMeta;
 
 /// Maximum body size until a configuration is known.
@@ -31,30 +34,38 @@
 /// Temporary rejection of a request that a newer configuration may treat in another way.
 const STALE_KNOWLEDGE: (StatusCode, &str) = (StatusCode::SERVICE_UNAVAILABLE, "stale_knowledge");
 
-/// Reads a body within the limits; the error is the status to return to the caller.
+/// Reads a body within the limits; the error is the status to return to the caller. A body that is known not to fit into
+/// memory is refused before it arrives.
 pub(super) async fn read_body(
     shared: &EntryShared,
-    in_flight: &mut InFlightGuard,
-    body: Incoming,
+    mut body: Incoming,
 ) -> Result<Bytes, StatusCode> {
     let limit =
         shared.view.load().limits().map_or(DEFAULT_MAX_BODY_BYTES, |limits| limits.max_body_bytes);
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    if body.size_hint().lower() > limit as u64 {
+    let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if announced > limit {
         return Err(StatusCode::PAYLOAD_TOO_LARGE);
     }
-    let collected = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await;
-    let body = match collected {
-        Ok(Ok(collected)) => collected.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            return Err(StatusCode::PAYLOAD_TOO_LARGE);
+    if !shared.request_bytes.has_room(announced) {
+        return Err(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let mut held = HeldBody::new(shared.request_bytes.clone(), limit);
+    let collect = async {
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| StatusCode::BAD_REQUEST)?;
+            let Ok(bytes) = frame.into_data() else { continue };
+            held.push(&bytes).map_err(|error| match error {
+                HoldError::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+                HoldError::MemoryLimit => StatusCode::SERVICE_UNAVAILABLE,
+            })?;
         }
-        Ok(Err(_)) => return Err(StatusCode::BAD_REQUEST),
-        Err(_) => return Err(StatusCode::REQUEST_TIMEOUT),
+        Ok(held.finish())
     };
-    if in_flight.reserve(body.len()) { Ok(body) } else { Err(StatusCode::SERVICE_UNAVAILABLE) }
+    let collected = tokio::time::timeout(BODY_TIMEOUT, collect).await;
+    collected.unwrap_or(Err(StatusCode::REQUEST_TIMEOUT))
 }
 
 /// Route of a request, and the team that owns its key.
--- a/crates/gateway/src/entry/guards.rs
+++ b/crates/gateway/src/entry/guards.rs
@@ -9,7 +9,7 @@
 };
 
 use balance::AttemptOutcome;
-use base::{ByteReservation, UpstreamId};
+use base::UpstreamId;
 use fleet::UpstreamRecord;
 use log::info;
 use tokio::sync::Notify;
@@ -19,19 +19,12 @@
 /// Counts a request as in flight until its response is complete.
 pub(crate) struct InFlightGuard {
     shared: Arc<EntryShared>,
-    body: ByteReservation,
 }
 
 impl InFlightGuard {
     pub(super) fn new(shared: Arc<EntryShared>) -> Self {
         shared.in_flight.fetch_add(1, Ordering::Relaxed);
-        let body = ByteReservation::new(shared.request_bytes.clone());
-        Self { shared, body }
-    }
-
-    /// Reserves memory for a body of `bytes`; false if the bodies of all requests exceed their limit.
-    pub(super) fn reserve(&mut self, bytes: usize) -> bool {
-        self.body.try_resize(bytes)
+        Self { shared }
     }
 }
 
--- a/crates/gateway/src/entry/held_body.rs
+++ b/crates/gateway/src/entry/held_body.rs
@@ -1,10 +1,29 @@
-//! Body of a response that is kept until it is complete.
+//! Body of a request or a response that is kept until it is complete.
 
 use std::sync::Arc;
 
 use base::{ByteBudget, ByteReservation};
 use bytes::{Bytes, BytesMut};
 
+/// Reason for which no more of a body can be kept.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum HoldError {
+    /// The body exceeds its own limit.
+    TooLong,
+    /// The bodies of all requests, or of all responses, take too much memory.
+    MemoryLimit,
+}
+
+impl From<HoldError> for &'static str {
+    /// Name of the reason in logs.
+    fn from(error: HoldError) -> Self {
+        match error {
+            HoldError::TooLong => "too_long",
+            HoldError::MemoryLimit => "memory_limit",
+        }
+    }
+}
+
 /// Collects a body within its own limit and within the budget of all bodies.
 pub(super) struct HeldBody {
     buffer: BytesMut,
@@ -12,7 +31,7 @@
     max_bytes: usize,
 }
 
-/// Complete body with the reservation for its bytes, which ends when the caller has received it.
+/// Complete body with the reservation for its bytes, which ends when the last reference to them is dropped.
 struct ReservedBytes {
     bytes: Bytes,
     _reservation: ByteReservation,
@@ -30,16 +49,16 @@
         Self { buffer: BytesMut::new(), reservation, max_bytes }
     }
 
-    /// Adds a part of the body. The error is the cause, as it is logged, for which no more can be kept.
-    pub(super) fn push(&mut self, part: &[u8]) -> Result<(), &'static str> {
+    /// Adds a part of the body.
+    pub(super) fn push(&mut self, part: &[u8]) -> Result<(), HoldError> {
         if self.buffer.len() + part.len() > self.max_bytes {
-            return Err("too_long");
+            return Err(HoldError::TooLong);
         }
         self.buffer.extend_from_slice(part);
         if self.reservation.try_resize(self.buffer.capacity()) {
             Ok(())
         } else {
-            Err("memory_limit")
+            Err(HoldError::MemoryLimit)
         }
     }
 
--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -118,7 +118,7 @@
 /// Handles a caller's request and returns the response.
 pub(crate) async fn handle(shared: Arc<EntryShared>, request: Request<Incoming>) -> CallerResponse {
     let started = shared.clock.now();
-    let mut in_flight = InFlightGuard::new(shared.clone());
+    let in_flight = InFlightGuard::new(shared.clone());
     let (head, body) = request.into_parts();
     let meta = match shared.ports.codec.read_request(&head) {
         Ok(meta) => meta,
@@ -130,7 +130,7 @@
     let id = meta.id.clone();
     let read = tokio::select! {
         biased;
-        read = read_body(&shared, &mut in_flight, body) => read.map_err(|status| (status, "body")),
+        read = read_body(&shared, body) => read.map_err(|status| (status, "body")),
         () = shared.end_of_grace_period() => Err((StatusCode::SERVICE_UNAVAILABLE, "stopping")),
     };
     let body = match read {
--- a/crates/gateway/src/entry/shared.rs
+++ b/crates/gateway/src/entry/shared.rs
@@ -84,7 +84,7 @@
     pub(crate) waiting: Arc<WaitingRooms>,
     /// Number of requests whose response is not yet complete.
     pub(crate) in_flight: AtomicUsize,
-    /// Bytes of requests that are kept until they have been sent to an upstream, and may be sent to another one.
+    /// Bytes of requests that are arriving, or are kept because they may be sent to another upstream.
     pub(crate) request_bytes: Arc<ByteBudget>,
     /// Bytes of responses that are kept until they are complete, or until a stream has a complete event.
     pub(crate) response_bytes: Arc<ByteBudget>,
