Write the log in a thread of its own

An entry answered nothing, and did not react to SIGTERM, while nobody read its standard output: a task of the thread that serves traffic wrote the buffered lines, and blocked once the pipe was full. Agents did the same.

A separate thread writes them now. While it is blocked, lines beyond the buffer are dropped and counted, and the end of the process waits for it 0.1 s at most. entry_whose_log_is_not_read_stops_answering failed before (a booking without an answer after 10 s) and passes now.

--- a/crates/gateway/src/agent/mod.rs
+++ b/crates/gateway/src/agent/mod.rs
@@ -57,9 +57,10 @@
         settings.common.name, settings.common.data_centre, settings.engine, settings.service
     );
     let runtime = Builder::new_current_thread().enable_all().build().context(ThreadSnafu)?;
-    let result = runtime.block_on(run(settings, ports, clock, logs.clone()));
+    let logs = logs.start_writer(LOG_INTERVAL).context(ThreadSnafu)?;
+    let result = runtime.block_on(run(settings, ports, clock));
     info!("event=stop");
-    logs.write_buffered();
+    logs.finish();
     result
 }
 
@@ -67,7 +68,6 @@
     settings: AgentSettings,
     ports: AgentPorts,
     clock: Arc<dyn Clock>,
-    logs: LogSink,
 ) -> Result<(), NodeError> {
     let mut signals = ProcessSignals::new()?;
     let peer = settings.common.peer;
@@ -83,7 +83,6 @@
         let status = Arc::new(move || status_json(&status_source));
         tokio::spawn(serve_metrics(address, shared.metrics.clone(), status));
     }
-    tokio::spawn(logs.flush_forever(LOG_INTERVAL));
     let (state, receiver) = (shared.clone(), socket.clone());
     keep_running("notices", move || heartbeats::receive(state.clone(), receiver.clone()));
     let (state, sender) = (shared.clone(), socket.clone());
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -120,14 +120,15 @@
         let builder = thread::Builder::new().name("control".to_owned());
         builder.spawn(run_control).context(ThreadSnafu)?
     };
-    let result = runtime.block_on(run_traffic(&shared, signals, control_failure, logs.clone()));
+    let logs = logs.start_writer(LOG_INTERVAL).context(ThreadSnafu)?;
+    let result = runtime.block_on(run_traffic(&shared, signals, control_failure));
     info!("event=stop in_flight={}", shared.in_flight.load(Ordering::Relaxed));
     // The control thread ends when the sender is dropped.
     drop(stop);
     if control.join().is_err() {
         error!("event=control_failed error=\"the thread panicked\"");
     }
-    logs.write_buffered();
+    logs.finish();
     result
 }
 
@@ -135,9 +136,7 @@
     shared: &Arc<EntryShared>,
     signals: ProcessSignals,
     control_failure: oneshot::Receiver<NodeError>,
-    logs: LogSink,
 ) -> Result<(), NodeError> {
-    let log_task = tokio::spawn(logs.flush_forever(LOG_INTERVAL));
     let state = shared.clone();
     let waiting_task = keep_running("waiting", move || run_rooms(state.clone()));
     let mut serving = pin!(http::serve(shared.clone()));
@@ -159,7 +158,6 @@
             Err(error)
         }
     };
-    log_task.abort();
     waiting_task.abort();
     served
 }
--- a/crates/gateway/src/log_sink.rs
+++ b/crates/gateway/src/log_sink.rs
@@ -1,13 +1,21 @@
-//! Log output that never blocks: lines are collected in a bounded buffer and written in batches.
+//! Log output that never blocks: lines are collected in a bounded buffer, which a thread of its own writes in batches.
 
 use std::{
     io::{self, Write},
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, PoisonError,
+        mpsc::{Receiver, RecvTimeoutError, Sender, channel},
+    },
+    thread,
     time::Duration,
 };
 
 /// Maximum number of buffered bytes; further lines are dropped and counted.
 const MAX_BUFFERED_BYTES: usize = 256 << 10;
+/// Time for which the end of a process waits for the last write. The reader of the output may have stopped.
+const FINISH_TIMEOUT: Duration = Duration::from_millis(100);
+/// Stack of the thread that writes; it calls nothing that needs more.
+const STACK_BYTES: usize = 128 << 10;
 
 #[derive(Debug, Default)]
 struct LogBuffer {
@@ -28,16 +36,28 @@
         Self::default()
     }
 
-    /// Writes the buffered lines to standard output at each interval, until the task is dropped.
-    pub(crate) async fn flush_forever(self, interval: Duration) {
-        loop {
-            tokio::time::sleep(interval).await;
-            self.write_buffered();
-        }
+    /// Starts to write the buffered lines to standard output at each `interval`.
+    ///
+    /// # Errors
+    /// Fails if the thread cannot be started.
+    pub fn start_writer(&self, interval: Duration) -> io::Result<LogWriter> {
+        let (stop, stopped) = channel::<()>();
+        let (report, finished) = channel();
+        let sink = self.clone();
+        let write = move || {
+            while stopped.recv_timeout(interval) == Err(RecvTimeoutError::Timeout) {
+                sink.write_buffered();
+            }
+            sink.write_buffered();
+            // Fails only if the process no longer waits.
+            let _ = report.send(());
+        };
+        thread::Builder::new().name("logs".to_owned()).stack_size(STACK_BYTES).spawn(write)?;
+        Ok(LogWriter { stop, finished })
     }
 
     /// Writes the buffered lines to standard output, followed by the number of dropped lines if there are any.
-    pub fn write_buffered(&self) {
+    fn write_buffered(&self) {
         let (lines, dropped) = {
             let mut buffer = self.buffer.lock().unwrap_or_else(PoisonError::into_inner);
             (std::mem::take(&mut buffer.lines), std::mem::take(&mut buffer.dropped))
@@ -55,6 +75,22 @@
     }
 }
 
+/// Thread that writes the lines of a [`LogSink`]. It alone is blocked while the reader of the output takes nothing.
+#[derive(Debug)]
+pub struct LogWriter {
+    stop: Sender<()>,
+    finished: Receiver<()>,
+}
+
+impl LogWriter {
+    /// Writes the remaining lines, unless that takes long.
+    pub fn finish(self) {
+        drop(self.stop);
+        // After the timeout, the remaining lines are lost.
+        let _ = self.finished.recv_timeout(FINISH_TIMEOUT);
+    }
+}
+
 impl Write for LogSink {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
         let mut buffer = self.buffer.lock().unwrap_or_else(PoisonError::into_inner);
