Ignore items of unknown services when choosing the newest upstream

An item of a service that the configuration does not name, at the address of a sound upstream and with a later start, took that upstream out of use; callers got 503. Only the upstream that was started last at an address is used, and the item took part in that comparison.

--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -424,7 +424,11 @@
                 | None => {}
             }
         }
-        view.set_upstreams(newest_per_address(upstreams));
+        let is_known = |service: &str| {
+            let config = self.config.active.as_ref();
+            config.is_none_or(|config| config.index.has_service(service))
+        };
+        view.set_upstreams(newest_per_address(upstreams, is_known));
         for (model, state) in self.declared.states() {
             view.weights.insert(model.clone(), state);
         }
@@ -474,11 +478,17 @@
 type ListedUpstream = (Arc<UpstreamRecord>, Option<Instant>, Revision);
 
 /// Keeps only the upstream that was started last at each address. After a crash, the registration of the previous
-/// process stays in the store until it expires, although that process cannot be running any more.
-fn newest_per_address(listed: Vec<ListedUpstream>) -> Vec<(Arc<UpstreamRecord>, Option<Instant>)> {
+/// process stays in the store until it expires, although that process cannot be running any more. An item of a service
+/// that is not known names no upstream, so it replaces none.
+fn newest_per_address(
+    listed: Vec<ListedUpstream>,
+    is_known: impl Fn(&str) -> bool,
+) -> Vec<(Arc<UpstreamRecord>, Option<Instant>)> {
     let mut newest: HashMap<SocketAddr, ListedUpstream> = HashMap::new();
     for upstream in listed {
-        let recency = |(record, _, revision): &ListedUpstream| (record.started_ms, *revision);
+        let recency = |(record, _, revision): &ListedUpstream| {
+            (is_known(&record.service), record.started_ms, *revision)
+        };
         let address = upstream.0.address;
         if newest.get(&address).is_none_or(|known| recency(known) < recency(&upstream)) {
             newest.insert(address, upstream);
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -116,6 +116,11 @@
 }
 
 impl RoutingIndex {
+    /// True if the configuration names the service.
+    pub(crate) fn has_service(&self, service: &str) -> bool {
+        self.services.contains_key(service)
+    }
+
     /// Builds the lookup tables of a configuration.
     #[must_use]
     pub fn new(config: Arc<RoutingConfig>) -> Self {
