Read all held bodies with one loop

The bodies of requests, responses and errors were each read with a loop of their own, with the same handling of frames and three kinds of error. HeldBody takes the frames itself and collects a whole body, and BodyError names every reason, which admit.rs maps to a status. Limits, statuses and logged causes are unchanged.

--- a/crates/gateway/src/entry/admit.rs
+++ b/crates/gateway/src/entry/admit.rs
@@ -8,7 +8,6 @@
 use base::ServiceId;
 use bytes::Bytes;
 use fleet::{FleetView, RouteMatch, RouteRecord, TeamRecord};
-use http_body_util::BodyExt;
 use hyper::{
     StatusCode,
     body::{Body, Incoming},
@@ -16,7 +15,7 @@
 use rand::RngExt;
 
 use super::{
-    held_body::{HeldBody, HoldError},
+    held_body::{BodyError, HeldBody},
     shared::EntryShared,
 };
 use crate::port::RequestMeta;
@@ -36,10 +35,7 @@
 
 /// Reads a body within the limits; the error is the status to return to the caller. A body that is known not to fit into
 /// memory is refused before it arrives.
-pub(super) async fn read_body(
-    shared: &EntryShared,
-    mut body: Incoming,
-) -> Result<Bytes, StatusCode> {
+pub(super) async fn read_body(shared: &EntryShared, body: Incoming) -> Result<Bytes, StatusCode> {
     let limit =
         shared.view.load().limits().map_or(DEFAULT_MAX_BODY_BYTES, |limits| limits.max_body_bytes);
     if body.is_end_stream() {
@@ -52,20 +48,14 @@
     if !shared.request_bytes.has_room(announced) {
         return Err(StatusCode::SERVICE_UNAVAILABLE);
     }
-    let mut held = HeldBody::new(shared.request_bytes.clone(), limit);
-    let collect = async {
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|_| StatusCode::BAD_REQUEST)?;
-            let Ok(bytes) = frame.into_data() else { continue };
-            held.push(&bytes).map_err(|error| match error {
-                HoldError::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
-                HoldError::MemoryLimit => StatusCode::SERVICE_UNAVAILABLE,
-            })?;
-        }
-        Ok(held.finish())
-    };
+    let collect = HeldBody::new(shared.request_bytes.clone(), limit).collect(body);
     let collected = tokio::time::timeout(BODY_TIMEOUT, collect).await;
-    collected.unwrap_or(Err(StatusCode::REQUEST_TIMEOUT))
+    collected.unwrap_or(Err(BodyError::TimedOut)).map_err(|error| match error {
+        BodyError::ConnectionLost => StatusCode::BAD_REQUEST,
+        BodyError::MemoryLimit => StatusCode::SERVICE_UNAVAILABLE,
+        BodyError::TimedOut => StatusCode::REQUEST_TIMEOUT,
+        BodyError::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+    })
 }
 
 /// Route of a request, and the team that owns its key.
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -10,7 +10,7 @@
 use base::UpstreamId;
 use bytes::Bytes;
 use fleet::UpstreamRecord;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::{
     Request, Response, StatusCode,
     body::{Body, Incoming},
@@ -26,7 +26,7 @@
     event_order::EventOrder,
     events::{EventReader, StreamPart, has_content},
     guards::{AttemptGuard, AttemptMonitor, ConnectingGuard, HeadMonitor},
-    held_body::HeldBody,
+    held_body::{BodyError, HeldBody},
     limits::log_limit_change,
     outcome::AttemptResult,
     pool::UpstreamConnection,
@@ -451,27 +451,18 @@
     async fn collect_body(
         &self,
         status: StatusCode,
-        mut body: Incoming,
+        body: Incoming,
         wait: &ResponseWait<'_>,
     ) -> Result<Bytes, &'static str> {
         let budget = self.shared.response_bytes.clone();
         let collected = if status.is_success() {
-            let mut held = HeldBody::new(budget, MAX_RESPONSE_BYTES);
-            let collect = async {
-                while let Some(frame) = body.frame().await {
-                    if let Ok(bytes) = frame.map_err(|_| "connection_lost")?.into_data() {
-                        held.push(&bytes)?;
-                    }
-                }
-                Ok(held.finish())
-            };
-            self.wait_for(collect, wait).await
+            self.wait_for(HeldBody::new(budget, MAX_RESPONSE_BYTES).collect(body), wait).await
         } else {
             // The request has ended, so that it cannot begin on outdated weights.
             let wait = ResponseWait { cancel_at: None, ..*wait };
             self.wait_for(collect_error(body, budget), &wait).await
         };
-        collected.unwrap_or(Err("timeout"))
+        collected.unwrap_or(Err(BodyError::TimedOut)).map_err(Into::into)
     }
 
     /// Records what a response states about its upstream. Only a signed response can end a limit, because another one may
--- a/crates/gateway/src/entry/error_body.rs
+++ b/crates/gateway/src/entry/error_body.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout};
 
-use super::held_body::HeldBody;
+use super::held_body::{BodyError, HeldBody};
 
 /// Maximum size of the body of an error. Upstreams send a short text.
 const MAX_ERROR_BYTES: usize = 64 << 10;
@@ -45,19 +45,17 @@
     }
 }
 
-/// Collects the body of an error. Fails with the cause, as it is logged, if it is incomplete or exceeds a limit.
+/// Collects the body of an error; fails if it is incomplete or exceeds a limit.
 pub(super) async fn collect_error(
     mut body: Incoming,
     budget: Arc<ByteBudget>,
-) -> Result<Bytes, &'static str> {
+) -> Result<Bytes, BodyError> {
     let mut held = HeldBody::new(budget, MAX_ERROR_BYTES);
     let mut timer = BodyTimer::new(Instant::now());
     loop {
-        let frame = timeout(timer.allowed_silence(), body.frame()).await.map_err(|_| "timeout")?;
-        let Some(frame) = frame else { return Ok(held.finish()) };
+        let frame = timeout(timer.allowed_silence(), body.frame()).await;
+        let Some(frame) = frame.map_err(|_| BodyError::TimedOut)? else { return Ok(held.finish()) };
         timer.record_part(Instant::now());
-        if let Ok(bytes) = frame.map_err(|_| "connection_lost")?.into_data() {
-            held.push(&bytes)?;
-        }
+        held.push(frame)?;
     }
 }
--- a/crates/gateway/src/entry/held_body.rs
+++ b/crates/gateway/src/entry/held_body.rs
@@ -4,22 +4,30 @@
 
 use base::{ByteBudget, ByteReservation};
 use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Frame, Incoming};
 
-/// Reason for which no more of a body can be kept.
+/// Reason for which a body is not kept.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum HoldError {
-    /// The body exceeds its own limit.
-    TooLong,
+pub(super) enum BodyError {
+    /// The connection was lost before the end of the body.
+    ConnectionLost,
     /// The bodies of all requests, or of all responses, take too much memory.
     MemoryLimit,
+    /// The body took too long to arrive.
+    TimedOut,
+    /// The body exceeds its own limit.
+    TooLong,
 }
 
-impl From<HoldError> for &'static str {
+impl From<BodyError> for &'static str {
     /// Name of the reason in logs.
-    fn from(error: HoldError) -> Self {
+    fn from(error: BodyError) -> Self {
         match error {
-            HoldError::TooLong => "too_long",
-            HoldError::MemoryLimit => "memory_limit",
+            BodyError::ConnectionLost => "connection_lost",
+            BodyError::MemoryLimit => "memory_limit",
+            BodyError::TimedOut => "timeout",
+            BodyError::TooLong => "too_long",
         }
     }
 }
@@ -49,17 +57,31 @@
         Self { buffer: BytesMut::new(), reservation, max_bytes }
     }
 
-    /// Adds a part of the body.
-    pub(super) fn push(&mut self, part: &[u8]) -> Result<(), HoldError> {
+    /// Adds what was read from the body.
+    pub(super) fn push(
+        &mut self,
+        frame: Result<Frame<Bytes>, hyper::Error>,
+    ) -> Result<(), BodyError> {
+        let Ok(part) = frame.map_err(|_| BodyError::ConnectionLost)?.into_data() else {
+            return Ok(());
+        };
         if self.buffer.len() + part.len() > self.max_bytes {
-            return Err(HoldError::TooLong);
+            return Err(BodyError::TooLong);
         }
-        self.buffer.extend_from_slice(part);
+        self.buffer.extend_from_slice(&part);
         if self.reservation.try_resize(self.buffer.capacity()) {
             Ok(())
         } else {
-            Err(HoldError::MemoryLimit)
+            Err(BodyError::MemoryLimit)
+        }
+    }
+
+    /// Collects the whole body.
+    pub(super) async fn collect(mut self, mut body: Incoming) -> Result<Bytes, BodyError> {
+        while let Some(frame) = body.frame().await {
+            self.push(frame)?;
         }
+        Ok(self.finish())
     }
 
     pub(super) fn finish(self) -> Bytes {
