--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -115,6 +115,11 @@
     view.config().map(Arc::downgrade).unwrap_or_default()
 }
 
+/// Retry delay of a refusal with `status`; `None` if the caller should not repeat the request.
+fn default_retry_after(status: StatusCode) -> Option<Duration> {
+    (status == StatusCode::SERVICE_UNAVAILABLE).then_some(DEFAULT_RETRY_AFTER)
+}
+
 /// Handles a caller's request and returns the response.
 pub(crate) async fn handle(shared: Arc<EntryShared>, request: Request<Incoming>) -> CallerResponse {
     let started = shared.clock.now();
@@ -137,17 +142,13 @@
         Ok(body) => body,
         Err((status, cause)) => {
             info!("event=refused request={id} cause={cause} status={}", status.as_u16());
-            let retry_after =
-                (status == StatusCode::SERVICE_UNAVAILABLE).then_some(DEFAULT_RETRY_AFTER);
-            return local_response(&shared, &id, status, retry_after);
+            return local_response(&shared, &id, status, default_retry_after(status));
         }
     };
     let view = shared.view.load_full();
     let (route, team) = match admit(&shared, &view, &meta, head.uri.path(), started) {
         Ok(admitted) => admitted,
         Err((status, cause)) => {
-            let retry_after =
-                (status == StatusCode::SERVICE_UNAVAILABLE).then_some(DEFAULT_RETRY_AFTER);
             info!(
                 "event=refused request={id} cause={cause} status={} revision={} age_ms={}",
                 status.as_u16(),
@@ -155,7 +156,7 @@
                 shared.fleet_state_age().map_or(-1, |age| age.as_millis() as i64)
             );
             shared.metrics.count(&format!("requests_total{{result=\"{cause}\"}}"));
-            return local_response(&shared, &id, status, retry_after);
+            return local_response(&shared, &id, status, default_retry_after(status));
         }
     };
     let service = pick_service(&route);
@@ -582,9 +583,7 @@
             }
             RequestResult::Rejected(status, cause) => {
                 self.log_end(cause, Some(status.as_u16()));
-                let is_temporary = status == StatusCode::SERVICE_UNAVAILABLE;
-                let retry_after = is_temporary.then_some(DEFAULT_RETRY_AFTER);
-                local_response(&self.shared, id, status, retry_after)
+                local_response(&self.shared, id, status, default_retry_after(status))
             }
             RequestResult::Failed(FinalStatus::NotRun)
             | RequestResult::Expired(FinalStatus::NotRun) => {
