--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -116,11 +116,6 @@
 }
 
 impl RoutingIndex {
-    /// True if the configuration names the service.
-    pub(crate) fn has_service(&self, service: &str) -> bool {
-        self.services.contains_key(service)
-    }
-
     /// Builds the lookup tables of a configuration.
     #[must_use]
     pub fn new(config: Arc<RoutingConfig>) -> Self {
@@ -146,6 +141,11 @@
         Self { config, routes, services, teams }
     }
 
+    /// True if the configuration names the service.
+    pub(crate) fn has_service(&self, service: &str) -> bool {
+        self.services.contains_key(service)
+    }
+
     /// Configuration from which the tables were built.
     #[must_use]
     pub fn config(&self) -> &Arc<RoutingConfig> {
--- a/crates/gateway/src/agent/engine.rs
+++ b/crates/gateway/src/agent/engine.rs
@@ -143,17 +143,14 @@
         return previous.into();
     }
     let is_stale = shared.is_stale();
+    let verified_ms = verification.age(&*shared.clock).as_millis();
     if is_stale || !verification.is_current(report.started_at_ms, &*shared.clock) {
         info!(
-            "event=verification_outdated model={} version={} age_ms={} paused={is_stale} born={}",
-            weights.model,
-            weights.version,
-            verification.age(&*shared.clock).as_millis(),
-            report.started_at_ms
+            "event=verification_outdated model={} version={} age_ms={verified_ms} paused={is_stale} born={}",
+            weights.model, weights.version, report.started_at_ms
         );
         return OrderAttempt::Unverified(previous);
     }
-    let verified_ms = verification.age(&*shared.clock).as_millis();
     let result = shared.ports.engine.load(weights, report.load_orders).await;
     shared.metrics.count("load_orders_total");
     let now = shared.clock.now();
