Add the verification of a load to heartbeats and assignments

An agent cannot say yet whether it has verified the weights that its engine serves, and cannot ask an entry what an earlier process of the agent said of them. The fields are added; nothing reads or sets them yet, so that the parts that do can be built side by side. Older processes ignore them.

--- a/crates/gateway/src/agent/heartbeats.rs
+++ b/crates/gateway/src/agent/heartbeats.rs
@@ -110,6 +110,8 @@
         slowdown_percent: (report.slowdown.min(MAX_SLOWDOWN) * 100.0) as u32,
         change_in_ms: shared.next_load_at().map(|at| millis_until(at, now)),
         weights_in_ms: shared.weights_at().map(|at| millis_until(at, now)),
+        engine_started_ms: None,
+        unverified_version: 0,
     }
 }
 
--- a/crates/gateway/src/agent/transfer.rs
+++ b/crates/gateway/src/agent/transfer.rs
@@ -251,6 +251,7 @@
         };
         let request = Payload::BriefRequest(BriefRequest {
             service: self.shared.settings.service.to_string(),
+            upstream: self.shared.settings.engine.to_string(),
         });
         let requested = self.shared.clock.now();
         match self.shared.client.call(entry, request, ASSIGNMENT_TIMEOUT).await {
--- a/crates/gateway/src/entry/assignment.rs
+++ b/crates/gateway/src/entry/assignment.rs
@@ -44,6 +44,7 @@
         origin_data_centre: origin.map(|origin| origin.data_centre.to_string()).unwrap_or_default(),
         agents,
         earlier: earlier.map(|(version, at)| DatedVersion { version, age_ms: age(at) }).collect(),
+        verified: None,
     };
     assignment.digest = digest(&assignment);
     Some(assignment)
--- a/crates/gateway/src/entry/dating.rs
+++ b/crates/gateway/src/entry/dating.rs
@@ -44,8 +44,10 @@
                 models.iter().any(|known| known.model == model)
             });
             let Some(service) = service else { continue };
-            let request =
-                Payload::BriefRequest(BriefRequest { service: service.service.to_string() });
+            let request = Payload::BriefRequest(BriefRequest {
+                service: service.service.to_string(),
+                ..BriefRequest::default()
+            });
             let timer = shared.start_request();
             match client.call(peer, request, DATE_TIMEOUT).await {
                 Ok(Payload::BriefReply(reply))
--- a/crates/wire/src/message/fleet.rs
+++ b/crates/wire/src/message/fleet.rs
@@ -118,7 +118,7 @@
     /// Number of waiting requests.
     #[prost(uint32, tag = "4")]
     pub queued: u32,
-    /// Version of the weights that the upstream serves; 0 if none.
+    /// Version of the weights that the upstream serves and whose load was verified; 0 if none.
     #[prost(uint64, tag = "5")]
     pub version: u64,
     /// True while the engine accepts no requests because it is switching to other weights.
@@ -141,6 +141,13 @@
     /// serves it already, if the time is unknown, or if the sender does not know this field.
     #[prost(uint32, optional, tag = "11")]
     pub weights_in_ms: Option<u32>,
+    /// Start time of the engine in Unix milliseconds; absent if the engine does not respond, and from older processes.
+    #[prost(uint64, optional, tag = "12")]
+    pub engine_started_ms: Option<u64>,
+    /// Version of the weights that the engine has loaded but whose load the sender has not verified yet; 0 if none. It may
+    /// have been verified by an earlier process of the agent.
+    #[prost(uint64, tag = "13")]
+    pub unverified_version: u64,
 }
 
 /// Set of chunks that an agent holds, sent to other agents.
@@ -274,6 +281,20 @@
     /// Service to which the agent's upstream belongs.
     #[prost(string, tag = "1")]
     pub service: String,
+    /// Address of the agent's upstream; empty if the sender is no agent or an older process.
+    #[prost(string, tag = "2")]
+    pub upstream: String,
+}
+
+/// Load of weights that an agent has verified.
+#[derive(Clone, Copy, Message, PartialEq)]
+pub struct VerifiedLoad {
+    /// Start time of the engine in Unix milliseconds.
+    #[prost(uint64, tag = "1")]
+    pub engine_started_ms: u64,
+    /// Version of the weights.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
 }
 
 /// An agent of the service.
@@ -334,6 +355,9 @@
     /// Last declarations before that of `version`, as far as their dates are known; absent from older processes.
     #[prost(message, repeated, tag = "11")]
     pub earlier: Vec<DatedVersion>,
+    /// Last load of the upstream of the request that an agent verified, as far as this entry knows.
+    #[prost(message, optional, tag = "12")]
+    pub verified: Option<VerifiedLoad>,
 }
 
 /// Requests a chunk by model, version and index.
