Log whether the chunks of an accepted load were valid

An agent logged the age of its verification when it sent a load order, but neither which chunks were valid once the engine had accepted the order, nor whether a load was its own.

Change: the agent reads the staged chunks again after each acceptance, and for weights that the engine serves without an order of this process, and logs load_unverified (with inherited= for loads from before its start), load_verified or load_corrupt with the chunks. chunks::LoadVerification keeps the verdict; chunks that were written at about the time of the acceptance count as corrupt. Nothing depends on the verdict yet.

--- a/crates/chunks/src/lib.rs
+++ b/crates/chunks/src/lib.rs
@@ -5,6 +5,7 @@
 //! sending it to another agent, and again right before it orders the engine to load.
 
 mod fetch;
+mod load;
 mod manifest;
 mod neighbours;
 mod order;
@@ -17,6 +18,7 @@
 
 pub use crate::{
     fetch::{ChunkFetch, ChunkSource, FetchFailure, FetchId, SwarmOptions, SwarmPeer},
+    load::{EngineLoad, LoadVerdict, LoadVerification},
     manifest::{ChunkDigest, ChunkIndex, ChunkManifest, ChunkSet, WeightsId, verify_chunk},
     neighbours::choose_neighbours,
     order::{LoadOrder, OrderProgress, OrderReport},
--- a/crates/chunks/src/manifest.rs
+++ b/crates/chunks/src/manifest.rs
@@ -104,6 +104,12 @@
         }
     }
 
+    /// Chunks in the set, in ascending order.
+    pub fn iter(&self) -> impl Iterator<Item = ChunkIndex> {
+        let end = u32::try_from(self.bits.len() * 8).unwrap_or(u32::MAX);
+        (0..end).filter(|index| self.contains(*index))
+    }
+
     /// Number of chunks in the set.
     #[must_use]
     pub fn count(&self) -> u32 {
--- a/crates/chunks/src/order.rs
+++ b/crates/chunks/src/order.rs
@@ -9,7 +9,7 @@
 use fleet::WeightsVersion;
 use serde::{Deserialize, Serialize};
 
-use crate::manifest::WeightsId;
+use crate::{load::EngineLoad, manifest::WeightsId};
 
 /// Time after an accepted order within which the engine reports that it carries the order out.
 const ORDER_REPORT_TIME: Duration = Duration::from_secs(1);
@@ -84,6 +84,16 @@
         self.accepted_at.is_some()
     }
 
+    /// Load that follows from the order; `None` unless the engine is known to have accepted it.
+    #[must_use]
+    pub fn load(&self) -> Option<EngineLoad> {
+        self.is_accepted().then(|| EngineLoad {
+            weights: self.weights.clone(),
+            started_at_ms: self.basis.started_at_ms,
+            load_orders: self.basis.load_orders + 1,
+        })
+    }
+
     /// True if `report` shows that the engine has not accepted the order.
     #[must_use]
     pub fn is_unaccepted(&self, report: &OrderReport) -> bool {
--- a/crates/gateway/src/agent/downloads.rs
+++ b/crates/gateway/src/agent/downloads.rs
@@ -30,8 +30,8 @@
     results: mpsc::UnboundedSender<DownloadResult>,
     tasks: HashMap<WeightsId, JoinSet<()>>,
     mismatches: HashMap<ChunkIndex, u32>,
-    /// Search for the manifest of the wanted version, while it is missing.
-    search: Option<ManifestSearch>,
+    /// Searches for the manifests of the versions that are wanted or have to be verified, while they are missing.
+    searches: Vec<ManifestSearch>,
 }
 
 impl DownloadTasks {
@@ -39,13 +39,19 @@
         shared: Arc<AgentShared>,
         results: mpsc::UnboundedSender<DownloadResult>,
     ) -> Self {
-        Self { shared, results, tasks: HashMap::new(), mismatches: HashMap::new(), search: None }
+        Self {
+            shared,
+            results,
+            tasks: HashMap::new(),
+            mismatches: HashMap::new(),
+            searches: Vec::new(),
+        }
     }
 
     /// Next time after `now` at which a call that was put off may be made; `None` if there is none.
     pub(super) fn next_at(&self, now: Instant) -> Option<Instant> {
-        let search = self.search.as_ref().map(ManifestSearch::next_at).filter(|at| *at > now);
-        search.into_iter().chain(self.shared.transfers().next_at(now)).min()
+        let searches = self.searches.iter().map(ManifestSearch::next_at).filter(|at| *at > now);
+        searches.chain(self.shared.transfers().next_at(now)).min()
     }
 
     /// Starts to fetch a chunk.
@@ -64,25 +70,32 @@
         });
     }
 
-    /// Requests the manifest of the wanted version from the next source, if it is time to do so.
-    pub(super) fn search_manifest(&mut self, assignment: &Arc<AgentAssignment>, now: Instant) {
-        let weights = &assignment.weights;
-        if self.search.as_ref().is_none_or(|search| search.weights() != weights) {
-            let gate = match &self.search {
+    /// Requests the manifest of `weights` from the next source, if it is time to do so.
+    pub(super) fn search_manifest(
+        &mut self,
+        assignment: &AgentAssignment,
+        weights: &WeightsId,
+        now: Instant,
+    ) {
+        if self.searches.iter().all(|search| search.weights() != weights) {
+            let gate = match self.searches.last() {
                 Some(previous) => previous.gate(),
                 None => self.shared.transfers().gate(),
             };
-            self.search =
-                Some(ManifestSearch::new(weights.clone(), self.shared.own_peer(), gate, now));
+            let own = self.shared.own_peer();
+            self.searches.push(ManifestSearch::new(weights.clone(), own, gate, now));
         }
-        let Some(search) = &mut self.search else { return };
+        let mut searches = self.searches.iter_mut();
+        let Some(search) = searches.find(|search| search.weights() == weights) else { return };
         let data_centre = assignment.origin.as_ref().map(|(_, data_centre)| data_centre);
         search.update_peers(&assignment.agents, data_centre);
         let Some(source) = search.next_source(now, &mut rand::rng()) else { return };
-        let (shared, assignment) = (self.shared.clone(), assignment.clone());
-        self.spawn(&assignment.weights.clone(), async move {
-            let manifest = fetch_manifest(&shared, &assignment, source).await;
-            DownloadResult::Manifest { weights: assignment.weights.clone(), source, manifest }
+        let (shared, weights) = (self.shared.clone(), weights.clone());
+        let (origin, count) =
+            (assignment.origin.as_ref().map(|(origin, _)| *origin), assignment.chunk_count);
+        self.spawn(&weights.clone(), async move {
+            let manifest = fetch_manifest(&shared, &weights, count, source, origin).await;
+            DownloadResult::Manifest { weights, source, manifest }
         });
     }
 
@@ -95,14 +108,15 @@
         manifest: Option<ChunkManifest>,
         now: Instant,
     ) -> Option<(ChunkManifest, chunks::OriginGate)> {
-        let search = self.search.as_mut().filter(|search| search.weights() == weights)?;
+        let index = self.searches.iter().position(|search| search.weights() == weights)?;
+        let search = &mut self.searches[index];
         let Some(manifest) = manifest else {
             search.record_failed(source, now, &mut rand::rng());
             return None;
         };
         search.record_found(source, now);
         let gate = search.gate();
-        self.search = None;
+        self.searches.remove(index);
         self.mismatches.clear();
         Some((manifest, gate))
     }
@@ -146,13 +160,15 @@
         has_arrived
     }
 
-    /// Cancels the tasks of all versions that are neither transferred nor wanted.
-    pub(super) fn cancel_unwanted(&mut self, wanted: &WeightsId) {
+    /// Cancels the tasks of all versions that are neither transferred, nor `wanted`, nor to be verified.
+    pub(super) fn cancel_unwanted(&mut self, wanted: &WeightsId, unverified: Option<&WeightsId>) {
+        let is_searched = |weights: &WeightsId| weights == wanted || Some(weights) == unverified;
+        self.searches.retain(|search| is_searched(search.weights()));
         let shared = self.shared.clone();
         let transfers = shared.transfers();
         self.tasks.retain(|weights, tasks| {
             while tasks.try_join_next().is_some() {}
-            let is_needed = weights == wanted || transfers.get(weights).is_some();
+            let is_needed = is_searched(weights) || transfers.get(weights).is_some();
             if !is_needed && !tasks.is_empty() {
                 info!(
                     "event=fetches_cancelled model={} version={} fetches={}",
--- a/crates/gateway/src/agent/engine.rs
+++ b/crates/gateway/src/agent/engine.rs
@@ -2,15 +2,16 @@
 
 use std::{sync::atomic::Ordering, time::Duration};
 
-use chunks::{ChunkIndex, LoadOrder, OrderReport, StagingVerification, WeightsId};
+use chunks::{ChunkIndex, ChunkManifest, LoadOrder, StagingVerification, WeightsId};
 use log::{info, warn};
 use ports::PlatformError;
 
-use super::shared::AgentShared;
-use crate::port::{EngineReport, LoadOrderResult};
+use super::shared::{AgentShared, order_report};
+use crate::port::LoadOrderResult;
 
 /// Reads the engine's state. `is_engine_lost` is true if the previous read failed, and is updated by this one.
 pub(super) async fn read_report(shared: &AgentShared, is_engine_lost: &mut bool) {
+    let requested_at = shared.clock.now();
     match shared.ports.engine.report().await {
         Ok(report) => {
             if std::mem::take(is_engine_lost) {
@@ -35,7 +36,7 @@
                     shared.settings.engine, report.loaded, report.load_orders
                 );
             }
-            shared.set_report(Some(report));
+            shared.set_report(Some(report), requested_at);
             if has_changed || has_restarted {
                 shared.wake_transfer.notify_one();
             }
@@ -44,7 +45,7 @@
             if !std::mem::replace(is_engine_lost, true) {
                 warn!("event=engine_lost address={} error=\"{error}\"", shared.settings.engine);
             }
-            shared.set_report(None);
+            shared.set_report(None, requested_at);
         }
     }
 }
@@ -76,9 +77,18 @@
 ) -> Option<(StagingVerification, Vec<ChunkIndex>)> {
     let manifest = shared.transfers().get(weights)?.swarm.manifest().clone();
     let verification = StagingVerification::new(shared.report()?.started_at_ms, &*shared.clock);
+    Some((verification, read_corrupt(shared, &manifest).await?))
+}
+
+/// Reads every staged chunk; returns those that are missing or corrupt. `None` if the engine does not respond.
+pub(super) async fn read_corrupt(
+    shared: &AgentShared,
+    manifest: &ChunkManifest,
+) -> Option<Vec<ChunkIndex>> {
+    let model = &manifest.name.model;
     let mut corrupt = Vec::new();
     for index in 0..manifest.len() {
-        let is_valid = match shared.ports.engine.read_staged(&weights.model, index).await {
+        let is_valid = match shared.ports.engine.read_staged(model, index).await {
             Ok(bytes) => manifest.verify(index, &bytes),
             Err(error) => {
                 warn!("event=staged_unreadable piece={index} error=\"{error}\"");
@@ -92,7 +102,7 @@
             corrupt.push(index);
         }
     }
-    Some((verification, corrupt))
+    Some(corrupt)
 }
 
 /// What became of the attempt to order a load.
@@ -111,17 +121,6 @@
     }
 }
 
-/// What `report` states about orders to load `weights`.
-pub(super) fn order_report(report: &EngineReport, weights: &WeightsId) -> OrderReport {
-    let versions = report.loaded.iter().filter(|(model, _)| *model == weights.model);
-    OrderReport {
-        started_at_ms: report.started_at_ms,
-        load_orders: report.load_orders,
-        busy: report.busy,
-        loaded: versions.map(|(_, version)| *version).max().unwrap_or(0),
-    }
-}
-
 /// Orders the engine to load the staged weights, unless it does so already or carries out another order. `previous` is
 /// an earlier order of these weights that the engine may have accepted. The order cannot be withdrawn, so it is not sent
 /// if `verification` is outdated, or if the process was paused and does not know whether the weights are still wanted.
@@ -133,8 +132,10 @@
 ) -> OrderAttempt {
     // The number of orders is read immediately before the order, so that the engine rejects an order that was delayed
     // while another one was accepted.
+    let requested_at = shared.clock.now();
     let Ok(report) = shared.ports.engine.report().await else { return previous.into() };
-    let basis = order_report(&report, weights);
+    shared.observe_report(&report, requested_at);
+    let basis = order_report(&report, &weights.model);
     let may_order = match &previous {
         Some(previous) => previous.is_unaccepted(&basis),
         None => !basis.busy && basis.loaded < weights.version,
--- a/crates/gateway/src/agent/fetch.rs
+++ b/crates/gateway/src/agent/fetch.rs
@@ -8,7 +8,7 @@
 use tokio::time::timeout;
 use wire::{ChunkListRequest, IndexedChunkRequest, Payload};
 
-use super::shared::{AgentAssignment, AgentShared};
+use super::shared::AgentShared;
 
 const MANIFEST_TIMEOUT: Duration = Duration::from_millis(700);
 /// Timeout for reading the manifest from the origin. Four readers of a manifest of 6 kilobytes take 50 ms on an origin of
@@ -25,18 +25,18 @@
     Mismatch,
 }
 
-/// Fetches the manifest, which lists the digests of all chunks, from one source.
+/// Fetches the manifest, which lists the digests of all `chunk_count` chunks, from one source.
 pub(super) async fn fetch_manifest(
     shared: &AgentShared,
-    assignment: &AgentAssignment,
+    weights: &WeightsId,
+    chunk_count: u32,
     source: ManifestSource,
+    origin: Option<SocketAddr>,
 ) -> Option<ChunkManifest> {
-    let weights = &assignment.weights;
     let digests = match source {
         ManifestSource::Origin => {
-            let (origin, _) = assignment.origin.as_ref()?;
             shared.metrics.count("origin_manifests_total");
-            let read = shared.ports.origin.digests(*origin, weights);
+            let read = shared.ports.origin.digests(origin?, weights);
             match timeout(ORIGIN_MANIFEST_TIMEOUT, read).await {
                 Ok(Ok(digests)) => digests,
                 Ok(Err(error)) => {
@@ -68,9 +68,9 @@
             }
         }
     };
-    if digests.len() != assignment.chunk_count as usize || digests.is_empty() {
-        let (pieces, expected) = (digests.len(), assignment.chunk_count);
-        warn!("event=list_refused pieces={pieces} expected={expected}");
+    if digests.len() != chunk_count as usize || digests.is_empty() {
+        let pieces = digests.len();
+        warn!("event=list_refused pieces={pieces} expected={chunk_count}");
         return None;
     }
     Some(ChunkManifest { name: weights.clone(), digests })
--- a/crates/gateway/src/agent/shared.rs
+++ b/crates/gateway/src/agent/shared.rs
@@ -9,8 +9,10 @@
     time::{Duration, Instant},
 };
 
-use base::{Clock, DataCentreId, Incarnation};
-use chunks::{SwarmPeer, TransferSet, WeightsId};
+use base::{Clock, DataCentreId, Incarnation, ModelId};
+use chunks::{
+    EngineLoad, LoadVerdict, LoadVerification, OrderReport, SwarmPeer, TransferSet, WeightsId,
+};
 use fleet::WeightsVersion;
 use member::EntryMembership;
 use tokio::sync::Notify;
@@ -62,6 +64,7 @@
     seeds: Mutex<Vec<SocketAddr>>,
     pauses: PauseTracker,
     report: Mutex<Option<EngineReport>>,
+    loads: Mutex<LoadVerification>,
     transfers: Mutex<TransferSet>,
 }
 
@@ -85,6 +88,7 @@
             seeds: Mutex::new(settings.common.seeds.clone()),
             pauses: PauseTracker::new(),
             report: Mutex::default(),
+            loads: Mutex::default(),
             transfers: Mutex::default(),
             settings,
             ports,
@@ -122,10 +126,39 @@
         self.report.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
-    pub(super) fn set_report(&self, report: Option<EngineReport>) {
+    /// Sets the last report of the engine, which was requested at `requested_at`.
+    pub(super) fn set_report(&self, report: Option<EngineReport>, requested_at: Instant) {
+        if let Some(report) = &report {
+            self.observe_report(report, requested_at);
+        }
         *self.report.lock().unwrap_or_else(PoisonError::into_inner) = report;
     }
 
+    /// Records what a report that was requested at `requested_at` states about load orders.
+    pub(super) fn observe_report(&self, report: &EngineReport, requested_at: Instant) {
+        let Some(model) = self.served_model(report) else { return };
+        self.loads().observe(&order_report(report, &model), &model, requested_at);
+    }
+
+    pub(super) fn loads(&self) -> MutexGuard<'_, LoadVerification> {
+        self.loads.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Model that the agent has to load or, before it knows that, the one that the engine has loaded.
+    fn served_model(&self, report: &EngineReport) -> Option<ModelId> {
+        let wanted = self.assignment().map(|assignment| assignment.weights.model.clone());
+        wanted.or_else(|| report.loaded.first().map(|(model, _)| model.clone()))
+    }
+
+    /// Load whose weights the engine serves, and the verdict on it; `None` if it serves none or does not respond.
+    pub(super) fn served_load(&self) -> Option<(EngineLoad, LoadVerdict)> {
+        let report = self.report()?;
+        let model = self.served_model(&report)?;
+        let load = EngineLoad::of_report(&model, &order_report(&report, &model))?;
+        let verdict = self.loads().verdict(&load);
+        Some((load, verdict))
+    }
+
     /// Time at which the engine will be ordered to load other weights; `None` if no load is planned.
     pub(super) fn next_load_at(&self) -> Option<Instant> {
         *self.next_load_at.lock().unwrap_or_else(PoisonError::into_inner)
@@ -225,15 +258,17 @@
 
     /// Version of the wanted model that the engine has loaded; 0 if there is none.
     pub(super) fn loaded_version(&self) -> u64 {
-        let Some(report) = self.report() else { return 0 };
-        let assignment = self.assignment();
-        let model = assignment.as_ref().map(|assignment| &assignment.weights.model);
-        report
-            .loaded
-            .iter()
-            .filter(|(loaded, _)| model.is_none_or(|model| model == loaded))
-            .map(|(_, version)| *version)
-            .max()
-            .unwrap_or(0)
+        self.served_load().map_or(0, |(load, _)| load.weights.version)
+    }
+}
+
+/// What `report` states about orders to load weights of `model`.
+pub(super) fn order_report(report: &EngineReport, model: &ModelId) -> OrderReport {
+    let versions = report.loaded.iter().filter(|(loaded, _)| loaded == model);
+    OrderReport {
+        started_at_ms: report.started_at_ms,
+        load_orders: report.load_orders,
+        busy: report.busy,
+        loaded: versions.map(|(_, version)| *version).max().unwrap_or(0),
     }
 }
--- a/crates/gateway/src/agent/transfer.rs
+++ b/crates/gateway/src/agent/transfer.rs
@@ -1,6 +1,7 @@
 //! Transfers the declared weights to the staging area and orders the engine to load them.
 
 mod loading;
+mod verifying;
 
 use std::{
     collections::HashSet,
@@ -10,8 +11,8 @@
 };
 
 use chunks::{
-    ChunkManifest, ChunkSet, ChunkSwarm, LoadOrder, OriginGate, SwarmOptions, WeightsId,
-    WeightsTransfer,
+    ChunkManifest, ChunkSet, ChunkSwarm, EngineLoad, LoadOrder, OriginGate, SwarmOptions,
+    WeightsId, WeightsTransfer,
 };
 use log::{info, warn};
 use rand::seq::IndexedRandom;
@@ -63,6 +64,10 @@
     applied: Option<Arc<AgentAssignment>>,
     /// Position of this agent in the order in which the engines load a version, and the assignment it is based on.
     load_position: Option<(Arc<AgentAssignment>, WeightsId, u32)>,
+    /// Manifest of the weights that the engine serves or was ordered to load.
+    load_manifest: Option<Arc<ChunkManifest>>,
+    /// Load that waits for its verification, and the time since which it does.
+    unverified: Option<(EngineLoad, Instant)>,
 }
 
 /// Runs the transfer task until it is dropped.
@@ -83,6 +88,8 @@
         has_seen_engine: false,
         applied: None,
         load_position: None,
+        load_manifest: None,
+        unverified: None,
     };
     loop {
         tokio::select! {
@@ -108,10 +115,11 @@
         self.has_seen_engine |= has_report;
         let loaded = self.shared.loaded_version();
         self.settle_load(&assignment);
+        self.verify_load(&assignment).await;
         let now = self.shared.clock.now();
         // Older transfers continue while the manifest is being searched.
         if self.shared.transfers().get(&assignment.weights).is_none() {
-            self.downloads.search_manifest(&assignment, now);
+            self.downloads.search_manifest(&assignment, &assignment.weights, now);
         }
         let chunk_time = self.shared.chunk_time(&assignment);
         {
@@ -122,7 +130,8 @@
                 info!("event=transfer_superseded model={model} version={version}");
             }
         }
-        self.downloads.cancel_unwanted(&assignment.weights);
+        let verified = self.unverified.as_ref().map(|(load, _)| &load.weights);
+        self.downloads.cancel_unwanted(&assignment.weights, verified);
         if self.shared.report().is_some() {
             self.read_staging(loaded).await;
             self.stage();
@@ -161,15 +170,11 @@
 
     /// Writes chunks to the staging area, with no more concurrent writes than the engine's host can copy quickly.
     fn stage(&self) {
-        let Some((weights, chunks)) = self
-            .shared
-            .transfers()
-            .staging()
-            .map(|transfer| (transfer.swarm.name().clone(), transfer.next_to_stage()))
-        else {
-            return;
-        };
-        for (index, bytes) in chunks {
+        let weights = self.shared.transfers().staging().map(|item| item.swarm.name().clone());
+        let Some(weights) = weights else { return };
+        let chunks = self.shared.transfers().get_mut(&weights).map(WeightsTransfer::next_to_stage);
+        for (index, bytes) in chunks.into_iter().flatten() {
+            self.shared.loads().record_write(&weights, index);
             let (shared, weights) = (self.shared.clone(), weights.clone());
             tokio::spawn(async move {
                 let staged =
@@ -179,6 +184,7 @@
                     Ok(Err(error)) => Some(error.to_string()),
                     Err(_) => Some("timeout".to_owned()),
                 };
+                shared.loads().record_written(&weights, index, shared.clock.now());
                 if let Some(error) = &error {
                     warn!("event=stage_failed piece={index} error=\"{error}\"");
                 }
@@ -355,6 +361,9 @@
                 let now = self.shared.clock.now();
                 let found = self.downloads.record_manifest(&weights, source, manifest, now);
                 if let Some((manifest, gate)) = found {
+                    if self.unverified.as_ref().is_some_and(|(load, _)| load.weights == weights) {
+                        self.load_manifest = Some(Arc::new(manifest.clone()));
+                    }
                     self.begin(manifest, gate).await;
                 }
             }
--- a/crates/gateway/src/agent/transfer/loading.rs
+++ b/crates/gateway/src/agent/transfer/loading.rs
@@ -16,8 +16,8 @@
 
 use super::{
     super::{
-        engine::{OrderAttempt, order_load, order_report, verify_staged},
-        shared::AgentAssignment,
+        engine::{OrderAttempt, order_load, verify_staged},
+        shared::{AgentAssignment, order_report},
     },
     TransferTask,
 };
@@ -200,6 +200,9 @@
         }
         self.shared.set_next_load_at(None);
         let previous = self.pending_load.take();
+        let manifest =
+            self.shared.transfers().get(weights).map(|item| item.swarm.manifest().clone());
+        self.load_manifest = manifest;
         let attempt = order_load(&self.shared, weights, &verification, previous).await;
         self.shared.wake_heartbeats.notify_one();
         match attempt {
@@ -245,7 +248,7 @@
         let report = self.shared.report();
         let Some(order) = &mut self.pending_load else { return };
         let weights = order.weights().clone();
-        let report = report.map(|report| order_report(&report, &weights));
+        let report = report.map(|report| order_report(&report, &weights.model));
         let elapsed = now.saturating_duration_since(order.ordered_at());
         let progress = order.progress(report.as_ref(), now);
         match progress {
@@ -279,7 +282,7 @@
     async fn repeat_order(&mut self, loaded: u64) {
         let Some(order) = &self.pending_load else { return };
         let weights = order.weights().clone();
-        let report = self.shared.report().map(|report| order_report(&report, &weights));
+        let report = self.shared.report().map(|report| order_report(&report, &weights.model));
         if report.is_none_or(|report| !order.is_unaccepted(&report)) {
             return;
         }
