State weights as served only after their load was verified

Cause: the verification of the staged chunks bounds their age when the load order is sent, but the engine takes them when it accepts the order, which may be any time later. Nothing verified the load afterwards, and the agent stated the version as served as soon as the engine reported it.

Change: a heartbeat states a version only if the chunks were valid when they were read after the acceptance. A corrupt chunk stays corrupt until it is written again and only the agent writes chunks, so the time of the order, of the acceptance and of pauses no longer matters. For that, chunks of weights whose load is not verified or is known to be corrupt are not written to the staging area, and newer weights stay out of it until the load has been verified, at most 3 s if that cannot be done. An agent that has restarted states the version as unverified, and takes over what an entry knows of its engine's load from before.

--- a/crates/gateway/src/agent/heartbeats.rs
+++ b/crates/gateway/src/agent/heartbeats.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use chunks::{ChunkSet, WeightsId};
+use chunks::{ChunkSet, LoadVerdict, WeightsId};
 use tokio::time::{MissedTickBehavior, interval};
 use wire::{AgentHeartbeat, ChunkNotice, Notice};
 
@@ -52,14 +52,21 @@
         let has_changed = last.as_ref().is_none_or(|(sent, at)| {
             sequence - at >= IDLE_TICKS
                 || heartbeat.change_in_ms.is_some_and(|change_in| change_in < LOAD_NOTICE_MS)
-                || (sent.running, sent.queued, sent.version, sent.switching, sent.slowdown_percent)
-                    != (
-                        heartbeat.running,
-                        heartbeat.queued,
-                        heartbeat.version,
-                        heartbeat.switching,
-                        heartbeat.slowdown_percent,
-                    )
+                || (
+                    sent.running,
+                    sent.queued,
+                    sent.version,
+                    sent.unverified_version,
+                    sent.switching,
+                    sent.slowdown_percent,
+                ) != (
+                    heartbeat.running,
+                    heartbeat.queued,
+                    heartbeat.version,
+                    heartbeat.unverified_version,
+                    heartbeat.switching,
+                    heartbeat.slowdown_percent,
+                )
         });
         if !has_changed && !is_urgent {
             continue;
@@ -90,7 +97,9 @@
 }
 
 fn make_heartbeat(shared: &AgentShared, sequence: u64, now: Instant) -> AgentHeartbeat {
+    let engine_started_ms = shared.report().map(|report| report.started_at_ms);
     let report = shared.report().unwrap_or_default();
+    let (version, unverified_version) = stated_versions(shared);
     let contacts = if sequence % CONTACT_TICKS == 1 {
         let mut membership = shared.membership();
         membership.expire(now);
@@ -103,15 +112,27 @@
         upstream: shared.settings.engine.to_string(),
         running: report.running,
         queued: report.queued,
-        version: shared.loaded_version(),
+        version,
         switching: shared.is_switching() || report.busy,
         incarnation: shared.incarnation,
         contacts,
         slowdown_percent: (report.slowdown.min(MAX_SLOWDOWN) * 100.0) as u32,
         change_in_ms: shared.next_load_at().map(|at| millis_until(at, now)),
         weights_in_ms: shared.weights_at().map(|at| millis_until(at, now)),
-        engine_started_ms: None,
-        unverified_version: 0,
+        engine_started_ms,
+        unverified_version,
+    }
+}
+
+/// Version that the engine serves from a verified load, and the one that an earlier process of this agent may have
+/// verified; 0 if there is none.
+fn stated_versions(shared: &AgentShared) -> (u64, u64) {
+    match shared.served_load() {
+        Some((load, LoadVerdict::Verified)) => (load.weights.version, 0),
+        Some((load, LoadVerdict::Unverified)) if shared.loads().is_inherited(&load) => {
+            (0, load.weights.version)
+        }
+        _ => (0, 0),
     }
 }
 
--- a/crates/gateway/src/agent/mod.rs
+++ b/crates/gateway/src/agent/mod.rs
@@ -108,6 +108,7 @@
         "report": shared.report(),
         "wanted": assignment.as_ref().map(|assignment| assignment.weights.version),
         "revision": assignment.as_ref().map(|assignment| assignment.revision),
+        "verified": shared.served_load().map(|(_, verdict)| verdict),
         "switching": shared.is_switching(),
         "weights_in_ms": shared.weights_at().map(|at| {
             at.saturating_duration_since(shared.clock.now()).as_millis() as u64
--- a/crates/gateway/src/agent/shared.rs
+++ b/crates/gateway/src/agent/shared.rs
@@ -16,7 +16,7 @@
 use fleet::WeightsVersion;
 use member::EntryMembership;
 use tokio::sync::Notify;
-use wire::{BriefReply, FleetKey};
+use wire::{BriefReply, FleetKey, VerifiedLoad};
 
 use super::AgentPorts;
 use crate::{
@@ -35,6 +35,8 @@
     pub(super) earlier: Vec<(WeightsVersion, Instant)>,
     pub(super) chunk_count: u32,
     pub(super) chunk_bytes: u32,
+    /// Last load of the engine that an agent has verified, as far as the entry knows.
+    pub(super) verified: Option<VerifiedLoad>,
     pub(super) origin: Option<(SocketAddr, DataCentreId)>,
     /// All other agents of the service.
     pub(super) agents: Vec<SwarmPeer>,
@@ -237,6 +239,7 @@
                 .collect(),
             chunk_count: reply.pieces,
             chunk_bytes: reply.piece_bytes,
+            verified: reply.verified,
             origin,
             agents,
         };
--- a/crates/gateway/src/agent/transfer.rs
+++ b/crates/gateway/src/agent/transfer.rs
@@ -171,7 +171,7 @@
     /// Writes chunks to the staging area, with no more concurrent writes than the engine's host can copy quickly.
     fn stage(&self) {
         let weights = self.shared.transfers().staging().map(|item| item.swarm.name().clone());
-        let Some(weights) = weights else { return };
+        let Some(weights) = weights.filter(|weights| self.may_stage(weights)) else { return };
         let chunks = self.shared.transfers().get_mut(&weights).map(WeightsTransfer::next_to_stage);
         for (index, bytes) in chunks.into_iter().flatten() {
             self.shared.loads().record_write(&weights, index);
--- a/crates/gateway/src/agent/transfer/loading.rs
+++ b/crates/gateway/src/agent/transfer/loading.rs
@@ -8,7 +8,8 @@
 
 use base::rendezvous_weight;
 use chunks::{
-    DRAIN_TIME, LOAD_TIME, LoadPosition, LoadSchedule, OrderProgress, WeightsId, WeightsTransfer,
+    DRAIN_TIME, LOAD_TIME, LoadPosition, LoadSchedule, LoadVerdict, OrderProgress, WeightsId,
+    WeightsTransfer,
 };
 use log::info;
 use rand::RngExt;
@@ -142,6 +143,8 @@
             Some((known, at)) if is_staged && *known == weights => Some(*at),
             _ => remaining.map(|remaining| now + remaining),
         };
+        // Entries do not use weights from corrupt chunks, so nothing is lost if they are replaced at once.
+        let loaded = if self.serves_corrupt_weights() { 0 } else { loaded };
         let is_serving = loaded != 0;
         let Some(staged_at) = staged_at else {
             self.shared.set_next_load_at(None);
@@ -209,11 +212,11 @@
             OrderAttempt::Pending(order) => {
                 let is_accepted = order.is_accepted();
                 self.pending_load = Some(order);
+                self.shared.transfers().hold_staging(weights);
                 if is_accepted {
-                    self.shared.transfers().release_staging(weights);
+                    self.shared.wake_transfer.notify_one();
                     return;
                 }
-                self.shared.transfers().hold_staging(weights);
             }
             OrderAttempt::Refused => {
                 self.shared.transfers().end_hold();
@@ -260,7 +263,6 @@
                     weights.version,
                     elapsed.as_millis()
                 );
-                self.shared.transfers().release_staging(&weights);
             }
             OrderProgress::Loaded | OrderProgress::Failed => {
                 info!(
@@ -272,7 +274,13 @@
                     assignment.weights.version
                 );
                 self.pending_load = None;
-                self.shared.transfers().end_hold();
+                let awaits_verification = matches!(
+                    self.shared.served_load(),
+                    Some((load, LoadVerdict::Unverified)) if load.weights == weights
+                );
+                if !awaits_verification {
+                    self.shared.transfers().end_hold();
+                }
                 self.end_switch();
             }
         }
--- a/crates/gateway/src/agent/transfer/verifying.rs
+++ b/crates/gateway/src/agent/transfer/verifying.rs
@@ -1,6 +1,9 @@
 //! Verifies the loads of the engine.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use chunks::{ChunkManifest, ChunkSet, EngineLoad, LoadOrder, LoadVerdict, WeightsId};
 use log::{info, warn};
@@ -10,10 +13,15 @@
     TransferTask,
 };
 
+/// Maximum time for which newer weights are kept out of the staging area because the chunks there have to be verified. The
+/// manifest of the loaded weights may not exist any more.
+const MAX_VERIFICATION_WAIT: Duration = Duration::from_secs(3);
+
 impl TransferTask {
     /// Verifies the load of the accepted order or of the weights that the engine serves, unless that has been done. The
     /// chunks are read after the engine has taken them, so the result does not depend on the time of the order.
     pub(super) async fn verify_load(&mut self, assignment: &AgentAssignment) {
+        self.adopt_verified(assignment);
         let Some(load) = self.load_to_verify() else {
             self.unverified = None;
             return;
@@ -41,12 +49,14 @@
         }
         let verdict = self.shared.loads().record_read(load.clone(), corrupt_chunks);
         self.unverified = None;
-        self.log_verdict(&load, &verdict, now);
+        self.apply_verdict(&load, &verdict, now);
+        self.shared.wake_heartbeats.notify_one();
     }
 
-    fn log_verdict(&self, load: &EngineLoad, verdict: &LoadVerdict, begun_at: Instant) {
+    fn apply_verdict(&mut self, load: &EngineLoad, verdict: &LoadVerdict, begun_at: Instant) {
         let EngineLoad { weights, load_orders, .. } = load;
         let now = self.shared.clock.now();
+        let mut transfers = self.shared.transfers();
         match verdict {
             LoadVerdict::Corrupt(corrupt) => {
                 let chunks: Vec<u32> = corrupt.iter().collect();
@@ -55,6 +65,10 @@
                     weights.model, weights.version
                 );
                 self.shared.metrics.count("corrupt_loads_total");
+                transfers.end_hold();
+                if let Some(transfer) = transfers.get_mut(weights) {
+                    chunks.into_iter().for_each(|index| transfer.record_corrupt(index, now));
+                }
             }
             LoadVerdict::Verified | LoadVerdict::Unverified => {
                 info!(
@@ -63,10 +77,23 @@
                     weights.version,
                     now.saturating_duration_since(begun_at).as_millis()
                 );
+                transfers.release_staging(weights);
             }
         }
     }
 
+    /// Takes over what an earlier process of this agent has told an entry.
+    fn adopt_verified(&self, assignment: &AgentAssignment) {
+        let Some(verified) = assignment.verified else { return };
+        let Some((load, LoadVerdict::Unverified)) = self.shared.served_load() else { return };
+        if (load.started_at_ms, load.weights.version)
+            == (verified.engine_started_ms, verified.version)
+        {
+            self.shared.loads().record_verified(load);
+            self.shared.wake_heartbeats.notify_one();
+        }
+    }
+
     fn load_to_verify(&self) -> Option<EngineLoad> {
         let ordered = self.pending_load.as_ref().and_then(LoadOrder::load);
         let ordered =
@@ -83,4 +110,37 @@
         let transferred = transfers.get(weights).map(|transfer| transfer.swarm.manifest());
         known.or(transferred).cloned()
     }
+
+    /// True if the engine serves weights that it took from corrupt chunks.
+    pub(super) fn serves_corrupt_weights(&self) -> bool {
+        matches!(self.shared.served_load(), Some((_, LoadVerdict::Corrupt(_))))
+    }
+
+    /// True if chunks of `weights` may be written to the staging area. The chunks that a load was taken from show whether it
+    /// is valid, so they stay as they are until that is known, and corrupt ones until the engine no longer holds the layers.
+    pub(super) fn may_stage(&self, weights: &WeightsId) -> bool {
+        let ordered = self.pending_load.as_ref().and_then(LoadOrder::load);
+        let is_busy = self.shared.report().is_some_and(|report| report.busy);
+        let is_free = match &ordered {
+            Some(load) => match self.shared.loads().verdict(load) {
+                LoadVerdict::Unverified => false,
+                LoadVerdict::Verified => true,
+                LoadVerdict::Corrupt(_) => load.weights != *weights,
+            },
+            // The engine carries out an order of an earlier process of this agent.
+            None => !is_busy,
+        };
+        is_free
+            && match self.shared.served_load() {
+                Some((load, LoadVerdict::Corrupt(_))) => load.weights != *weights,
+                Some((load, LoadVerdict::Unverified)) => {
+                    let now = self.shared.clock.now();
+                    let has_waited =
+                        |since| now.saturating_duration_since(since) >= MAX_VERIFICATION_WAIT;
+                    load.weights != *weights
+                        && self.unverified.as_ref().is_some_and(|(_, since)| has_waited(*since))
+                }
+                Some((_, LoadVerdict::Verified)) | None => true,
+            }
+    }
 }
