--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -503,13 +503,14 @@
             .map(|(_, state)| state.record.upstream.clone());
         let placement = match best {
             Some((_, delay, state)) => {
-                let version = state.version(now);
+                let (version, evidence) = state.version_with_evidence(now).unzip();
                 let time_left = request.time_left(state, now);
                 let is_newest = request.weights.is_some() && time_left.is_none();
                 Placement::Upstream {
                     record: state.record.clone(),
                     delay,
                     version,
+                    evidence,
                     cancel_at: time_left.map(|left| {
                         now + left.saturating_sub(Self::cancel_margin(service, request, state, now))
                     }),
--- a/crates/balance/src/placement.rs
+++ b/crates/balance/src/placement.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     refusal::{PlacementRefusal, RefusalCause},
-    upstream::{AgentReport, UpstreamState},
+    upstream::{AgentReport, UpstreamState, WeightsEvidence},
 };
 
 /// Properties of a request that determine the choice of its upstream.
@@ -87,6 +87,8 @@
         delay: Duration,
         /// Version of the weights that the upstream has loaded; `None` if it serves no model.
         version: Option<WeightsVersion>,
+        /// On what `version` rests; `None` if the upstream serves no model.
+        evidence: Option<WeightsEvidence>,
         /// Time at which the request must be cancelled if the upstream has not begun to run it, because the weights are
         /// then outdated; `None` if no newer version is declared.
         cancel_at: Option<Instant>,
--- a/crates/balance/src/upstream.rs
+++ b/crates/balance/src/upstream.rs
@@ -66,6 +66,26 @@
     }
 }
 
+/// On what the version of an upstream's weights rests.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum WeightsEvidence {
+    /// A current report of the upstream's agent.
+    Report,
+    /// The store's list of upstreams.
+    List,
+}
+
+impl WeightsEvidence {
+    /// Name in logs.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Report => "report",
+            Self::List => "list",
+        }
+    }
+}
+
 /// How an attempt ended, as evidence of the upstream's health.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum AttemptOutcome {
@@ -196,11 +216,22 @@
     /// Newest version of the weights that is completely loaded, according to the last report or, without one, to the
     /// upstream's registration.
     pub(crate) fn version(&self, now: Instant) -> Option<WeightsVersion> {
+        self.version_with_evidence(now).map(|(version, _)| version)
+    }
+
+    /// The same with its evidence.
+    pub(crate) fn version_with_evidence(
+        &self,
+        now: Instant,
+    ) -> Option<(WeightsVersion, WeightsEvidence)> {
         match self.report(now) {
-            Some(report) => (report.version > 0).then_some(report.version),
+            Some(report) => {
+                (report.version > 0).then_some((report.version, WeightsEvidence::Report))
+            }
             None => {
                 let complete = self.record.weights.iter().filter(|weights| weights.complete);
-                complete.map(|weights| weights.version).max()
+                let listed = complete.map(|weights| weights.version).max();
+                listed.map(|version| (version, WeightsEvidence::List))
             }
         }
     }
--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -7,7 +7,7 @@
 
 use balance::{
     AttemptEnd, AttemptLog, CrashRefusal, FinalStatus, Placement, PlacementRefusal,
-    PlacementRequest, RefusalCause,
+    PlacementRequest, RefusalCause, WeightsEvidence,
 };
 use base::{ServiceId, UpstreamId};
 use bytes::Bytes;
@@ -104,6 +104,8 @@
     /// the upstream was chosen.
     version: Option<WeightsVersion>,
     version_time_left: Option<Duration>,
+    /// On what that version rests.
+    evidence: Option<WeightsEvidence>,
     /// The end of the request has been logged.
     is_logged: bool,
     /// Time for which the request was queued at this entry.
@@ -176,6 +178,7 @@
             predicted: None,
             version: None,
             version_time_left: None,
+            evidence: None,
             is_logged: false,
             waited: Duration::ZERO,
         }),
@@ -523,10 +526,19 @@
     ) -> Result<ChosenUpstream, PlacementRefusal> {
         let view = self.shared.view.load();
         match placement {
-            Placement::Upstream { record, delay, version, cancel_at, expected_version, .. } => {
+            Placement::Upstream {
+                record,
+                delay,
+                version,
+                evidence,
+                cancel_at,
+                expected_version,
+                ..
+            } => {
                 let mut progress = self.progress();
                 progress.predicted.get_or_insert(delay);
                 progress.version = version;
+                progress.evidence = evidence;
                 progress.version_time_left =
                     version.and_then(|version| self.weights_limits(&view)?.time_left(version, now));
                 Ok(ChosenUpstream { record, delay, cancel_at, expected_version })
@@ -622,8 +634,8 @@
         let view = self.shared.view.load();
         info!(
             "event=request_ended request={} result={result} status={} route={} team={} upstream={} sends={} \
-             tried={} ms={} first_ms={} predicted_ms={} waited_ms={} pause_ms={} version={} version_left_ms={} revision={} \
-             config={}",
+             tried={} ms={} first_ms={} predicted_ms={} waited_ms={} pause_ms={} version={} version_left_ms={} weights_from={} \
+             revision={} config={}",
             self.meta.id,
             status.unwrap_or(0),
             self.route.name,
@@ -638,6 +650,7 @@
             progress.longest_pause.as_millis(),
             progress.version.unwrap_or(0),
             progress.version_time_left.map_or(-1, |left| left.as_millis() as i64),
+            progress.evidence.map_or("none", WeightsEvidence::as_str),
             view.revision,
             view.config().map_or(0, |config| config.version)
         );
