Use engines only for versions whose load an agent has verified

Cause at the entries: the version that the store lists was enough to use an engine without a current report, and a request named a version only if it was the newest, so that an engine that had loaded something else meanwhile ran it.

The balancer keeps the last load that an agent has verified, with the start time of the engine. With a current report, the version is the verified one of the report, or the known one if a restarted agent has not verified the same load of the same start yet. Without, it is the known one, while the store lists the same start and version. An agent that finds the load corrupt, another version or another start ends it; an engine that does not respond states nothing. Capacity, forecast, slow start and status ask the same function. Requests always name the version; one whose version was withdrawn while its connection was opened is not sent. Assignments state the verified load of the upstream that asks, outside the digest.

An engine that no agent has reported is not used, which is intended. Reports of agents that do not state the start time of their engine count while they are current, and are not remembered.

Three changed: board.rs asserted that a request to outdated weights names no version, since the engine might have loaded a newer one; it now asserts that it names the version, because nobody has verified what the engine loads until then. board.rs, capacity.rs and the simulation of shed relied on the list alone: their agents now report once, and are silent when the old tests begin. An upstream that is listed again, or has started again, reports once more there.

Not tested: the check right before the request is sent, and the verified load in assignments.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -27,7 +27,7 @@
     send_log::SendLog,
     share::{ColdLimiter, MIN_ENTRIES, SharedLimits},
     subset::EngineSubset,
-    upstream::{AgentReport, AttemptOutcome, UpstreamState},
+    upstream::{AgentReport, AttemptOutcome, UpstreamState, VerifiedLoad},
 };
 
 /// Number of randomly chosen upstreams that are compared for a request. Comparing all of them would make every entry
@@ -243,6 +243,14 @@
         state.is_some_and(|state| state.report(now).is_some())
     }
 
+    /// Last load of the upstream at `address` that an agent has verified; `None` if there is none, or if an agent has
+    /// contradicted it since.
+    #[must_use]
+    pub fn verified_load(&self, address: SocketAddr) -> Option<VerifiedLoad> {
+        let state = self.by_address.get(&address).and_then(|id| self.upstreams.get(id))?;
+        state.verified()
+    }
+
     /// Load of an upstream at `now`; the default if the upstream is unknown.
     #[must_use]
     pub fn load_of(&self, upstream: &str, now: Instant) -> UpstreamLoad {
@@ -252,6 +260,7 @@
         };
         UpstreamLoad {
             report: state.report(now),
+            version: state.version(now),
             in_flight: state.in_flight,
             cold_for: state.cold_for(now),
             ejected: !remaining(state.ejected_until).is_zero(),
@@ -503,18 +512,16 @@
             .map(|(_, state)| state.record.upstream.clone());
         let placement = match best {
             Some((_, delay, state)) => {
-                let (version, evidence) = state.version_with_evidence(now).unzip();
+                let (expected_version, evidence) = state.version_with_evidence(now).unzip();
                 let time_left = request.time_left(state, now);
-                let is_newest = request.weights.is_some() && time_left.is_none();
                 Placement::Upstream {
                     record: state.record.clone(),
                     delay,
-                    version,
+                    expected_version,
                     evidence,
                     cancel_at: time_left.map(|left| {
                         now + left.saturating_sub(Self::cancel_margin(service, request, state, now))
                     }),
-                    expected_version: version.filter(|_| is_newest),
                     is_certain: self.is_certain(service, request, state, now),
                 }
             }
--- a/crates/balance/src/capacity.rs
+++ b/crates/balance/src/capacity.rs
@@ -38,7 +38,7 @@
         let (mut engines, mut delay, mut refused_fraction) = (0_u32, 0.0, 1.0);
         for state in service.subset.upstreams.iter().filter_map(|id| self.upstreams.get(id)) {
             let Some(report) = state.report(now) else { continue };
-            if state.record.draining || report.switching || report.version == 0 {
+            if state.record.draining || report.switching || state.version(now).is_none() {
                 continue;
             }
             let load = state.engine_load(state.occupancy(now, users), now);
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -38,6 +38,6 @@
     send_log::SendLog,
     share::{ColdLimiter, RetryBudgetShare, SharedLimits},
     subset::{EngineCandidate, EngineSubset, choose_engines},
-    upstream::{AgentReport, AttemptOutcome, WeightsEvidence},
+    upstream::{AgentReport, AttemptOutcome, VerifiedLoad, WeightsEvidence},
     writing::WritingProof,
 };
--- a/crates/balance/src/placement.rs
+++ b/crates/balance/src/placement.rs
@@ -57,6 +57,9 @@
 pub struct UpstreamLoad {
     /// Last report of the upstream's agent; `None` if there is none or it is stale.
     pub report: Option<AgentReport>,
+    /// Version of the weights that requests may run on; `None` if there is none or the upstream serves no model.
+    #[serde(default)]
+    pub version: Option<WeightsVersion>,
     /// Requests that this entry has in flight at the upstream.
     pub in_flight: u32,
     /// Time until the upstream is no longer cold.
@@ -85,16 +88,14 @@
         record: Arc<UpstreamRecord>,
         /// Predicted time until the response, or until the first event of a stream.
         delay: Duration,
-        /// Version of the weights that the upstream has loaded; `None` if it serves no model.
-        version: Option<WeightsVersion>,
-        /// On what `version` rests; `None` if the upstream serves no model.
+        /// Version of the weights that an agent has verified at the upstream, which the upstream must still have when the
+        /// request arrives; `None` if it serves no model.
+        expected_version: Option<WeightsVersion>,
+        /// On what `expected_version` rests; `None` if the upstream serves no model.
         evidence: Option<WeightsEvidence>,
         /// Time at which the request must be cancelled if the upstream has not begun to run it, because the weights are
         /// then outdated; `None` if no newer version is declared.
         cancel_at: Option<Instant>,
-        /// Version that the upstream must still have when the request arrives; `None` if it may load a newer one until
-        /// then, which may also serve the request.
-        expected_version: Option<WeightsVersion>,
         /// True if the upstream is expected to begin the request: it is not about to load other weights, and at an engine
         /// that resumes a stream, a slot is free. Nothing that still works may be given up for an upstream for which this is
         /// false.
--- a/crates/balance/src/upstream.rs
+++ b/crates/balance/src/upstream.rs
@@ -39,8 +39,14 @@
     pub running: u32,
     /// Number of requests that wait.
     pub queued: u32,
-    /// Version of the weights that is completely loaded; 0 if there is none.
+    /// Version of the weights that the engine serves and whose load the agent has verified; 0 if there is none.
     pub version: WeightsVersion,
+    /// Version that the engine has loaded but whose load this process of the agent has not verified; 0 if there is none.
+    #[serde(default)]
+    pub unverified_version: WeightsVersion,
+    /// Start time of the engine in Unix milliseconds; `None` if it does not respond.
+    #[serde(default)]
+    pub engine_started_ms: Option<u64>,
     /// True while the engine does not accept requests because it was ordered to switch weights.
     pub switching: bool,
     /// Time from the report until the engine stops accepting requests to switch weights; `None` if no switch is scheduled.
@@ -60,19 +66,46 @@
         self.running.saturating_add(self.queued)
     }
 
+    /// Version of the weights that requests may run on; `verified` is the last load that an agent has verified.
+    fn usable_version(
+        &self,
+        verified: Option<VerifiedLoad>,
+    ) -> Option<(WeightsVersion, WeightsEvidence)> {
+        if self.version > 0 {
+            return Some((self.version, WeightsEvidence::Report));
+        }
+        let known = verified.filter(|known| self.is_load(*known))?;
+        Some((known.version, WeightsEvidence::Memory))
+    }
+
+    /// True if the engine still has this load, which this process of the agent has not verified.
+    fn is_load(&self, load: VerifiedLoad) -> bool {
+        self.engine_started_ms == Some(load.engine_started_ms)
+            && self.unverified_version == load.version
+    }
+
     /// True if the engine accepts requests.
-    fn is_serving(&self) -> bool {
-        self.version > 0 && !self.switching
+    fn is_serving(&self, verified: Option<VerifiedLoad>) -> bool {
+        self.usable_version(verified).is_some() && !self.switching
     }
 }
 
+/// Load of weights that an agent has verified.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct VerifiedLoad {
+    /// Start time of the engine in Unix milliseconds.
+    pub engine_started_ms: u64,
+    /// Version of the weights.
+    pub version: WeightsVersion,
+}
+
 /// On what the version of an upstream's weights rests.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum WeightsEvidence {
-    /// A current report of the upstream's agent.
+    /// A current report of the upstream's agent, which has verified the load.
     Report,
-    /// The store's list of upstreams.
-    List,
+    /// An earlier report of the same load by an agent that is silent now or has restarted.
+    Memory,
 }
 
 impl WeightsEvidence {
@@ -81,7 +114,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Report => "report",
-            Self::List => "list",
+            Self::Memory => "memory",
         }
     }
 }
@@ -109,6 +142,8 @@
     /// End of the cold period that a response stated, and the time of that response.
     stated_cold: Option<(Instant, Instant)>,
     report: Option<(AgentReport, Instant)>,
+    /// Last load that an agent has verified; `None` once an agent has found another one, or a corrupt one.
+    verified: Option<VerifiedLoad>,
     /// Occupancy according to the reports within [`PREFILL_WINDOW`].
     occupancy_history: VecDeque<(Instant, u32)>,
     /// Send times of own requests that the last report does not include yet.
@@ -131,6 +166,7 @@
             cold_until: None,
             stated_cold: None,
             report: None,
+            verified: None,
             occupancy_history: VecDeque::new(),
             unreported: VecDeque::new(),
             dither: 0.0,
@@ -182,8 +218,9 @@
         {
             self.unreported.pop_front();
         }
-        let has_loaded = self.report.is_some_and(|(known, _)| !known.is_serving());
-        if has_loaded && report.is_serving() {
+        let has_loaded = self.report.is_some_and(|(known, _)| !known.is_serving(self.verified));
+        self.record_verification(&report);
+        if has_loaded && report.is_serving(self.verified) {
             self.used_from = Some(now + SLOW_START.mul_f64(dither));
         }
         self.report = Some((report, now));
@@ -197,6 +234,20 @@
         }
     }
 
+    /// Applies what a report states about the load. One of an engine that does not respond states nothing.
+    fn record_verification(&mut self, report: &AgentReport) {
+        let Some(engine_started_ms) = report.engine_started_ms else { return };
+        self.verified = match report.version {
+            0 => self.verified.filter(|known| report.is_load(*known)),
+            version => Some(VerifiedLoad { engine_started_ms, version }),
+        };
+    }
+
+    /// Last load that an agent has verified, unless an agent has contradicted it since.
+    pub(crate) fn verified(&self) -> Option<VerifiedLoad> {
+        self.verified
+    }
+
     /// Estimated number of requests whose prefill is pending: own requests that no report includes yet, and the
     /// increase of the occupancy within [`PREFILL_WINDOW`].
     pub(crate) fn pending_prefills(&self, now: Instant) -> f64 {
@@ -213,8 +264,8 @@
         (now.saturating_duration_since(taken) <= MAX_REPORT_AGE).then_some(report)
     }
 
-    /// Newest version of the weights that is completely loaded, according to the last report or, without one, to the
-    /// upstream's registration.
+    /// Version of the weights that requests may run on: one whose load an agent has verified. What the engine or the store
+    /// lists does not suffice, because the engine may have loaded corrupt chunks.
     pub(crate) fn version(&self, now: Instant) -> Option<WeightsVersion> {
         self.version_with_evidence(now).map(|(version, _)| version)
     }
@@ -225,13 +276,15 @@
         now: Instant,
     ) -> Option<(WeightsVersion, WeightsEvidence)> {
         match self.report(now) {
-            Some(report) => {
-                (report.version > 0).then_some((report.version, WeightsEvidence::Report))
-            }
+            Some(report) => report.usable_version(self.verified),
             None => {
                 let complete = self.record.weights.iter().filter(|weights| weights.complete);
                 let listed = complete.map(|weights| weights.version).max();
-                listed.map(|version| (version, WeightsEvidence::List))
+                let known = self.verified.filter(|known| {
+                    known.engine_started_ms == self.record.started_ms
+                        && listed == Some(known.version)
+                })?;
+                Some((known.version, WeightsEvidence::Memory))
             }
         }
     }
--- a/crates/balance/tests/board.rs
+++ b/crates/balance/tests/board.rs
@@ -24,6 +24,9 @@
 /// Time within which declared weights must be in use.
 const ROLLOUT_TIMEOUT: Duration = Duration::from_secs(8);
 
+/// Age at which a report is no longer current.
+const SILENCE: Duration = Duration::from_secs(2);
+
 static CHAT: ServiceId = ServiceId::const_new("chat");
 static ANY_REGION: RegionPolicy = RegionPolicy::UNRESTRICTED;
 
@@ -92,7 +95,17 @@
         let mut balancer = LoadBalancer::new(options);
         balancer.set_view(&view, now);
         balancer.set_live_entries(9);
-        Self { balancer, view, now, rng: ChaCha8Rng::seed_from_u64(7) }
+        let mut fixture = Self { balancer, view, now, rng: ChaCha8Rng::seed_from_u64(7) };
+        (0..upstreams).for_each(|index| fixture.verify(index, 1));
+        fixture
+    }
+
+    /// The agent has verified version 1 in the process of the engine that started at `started_ms`, and is silent since.
+    fn verify(&mut self, index: u8, started_ms: u64) {
+        let report = AgentReport { engine_started_ms: Some(started_ms), ..report(1, 100) };
+        let mut rng = ChaCha8Rng::seed_from_u64(0);
+        self.balancer.record_report(address(index), report, self.now, &mut rng);
+        self.now += SILENCE;
     }
 
     fn change(&mut self, index: u8, change: impl Fn(&mut UpstreamRecord)) {
@@ -176,6 +189,8 @@
         running: 0,
         queued: 0,
         version,
+        unverified_version: 0,
+        engine_started_ms: Some(1),
         switching: false,
         change_in: None,
         weights_in: None,
@@ -315,7 +330,11 @@
     assert_eq!(place(&mut fixture, &newest), (None, Some(1)));
     let outdated = declared_versions(&[(1, Some(declared)), (2, Some(declared))]);
     let (cancel_at, expected_version) = place(&mut fixture, &outdated);
-    assert_eq!(expected_version, None, "the engine may load version 2 before the request arrives");
+    assert_eq!(
+        expected_version,
+        Some(1),
+        "nothing has verified what the engine may load until then"
+    );
     let wait = cancel_at.expect("the wait is limited") - declared;
     let forecast = EngineForecast::new(&engine());
     let prefill = forecast.delay(EngineLoad::default(), 1_000);
@@ -587,12 +606,14 @@
     fixture.now += Duration::from_secs(30);
     fixture.view.set_upstreams(records);
     fixture.balancer.set_view(&fixture.view, fixture.now);
+    fixture.verify(0, 1);
     for _ in 0..50 {
         assert_eq!(placed(&mut fixture), Ok(name(1)));
     }
     fixture.change(1, |record| record.draining = true);
     assert!(matches!(placed(&mut fixture), Err((RefusalCause::NoUpstream, _))));
     fixture.change(0, |record| record.started_ms += 1);
+    fixture.verify(0, 2);
     assert_eq!(placed(&mut fixture), Ok(name(0)));
 }
 
--- a/crates/balance/tests/capacity.rs
+++ b/crates/balance/tests/capacity.rs
@@ -93,6 +93,8 @@
         running: 3,
         queued: 0,
         version: 1,
+        unverified_version: 0,
+        engine_started_ms: Some(1),
         switching: false,
         change_in: None,
         weights_in: None,
@@ -102,9 +104,14 @@
 
 #[test]
 fn capacity_follows_the_reports() {
-    let now = Instant::now();
+    let verified_at = Instant::now();
     let mut rng = ChaCha8Rng::seed_from_u64(1);
-    let mut balancer = balancer(now);
+    let mut balancer = balancer(verified_at);
+    (0..4).for_each(|index| {
+        balancer.record_report(address(index), report(), verified_at, &mut rng);
+    });
+    // The agents are silent.
+    let now = verified_at + Duration::from_secs(2);
     let share = 1.0 / EngineForecast::new(&engine()).mean_cost().as_secs_f64() / ENTRIES as f64;
     let is_close = |left: f64, right: f64| (left - right).abs() < 1e-6;
     let capacity = balancer.capacity("chat", now).expect("the costs are known");
--- a/crates/balance/tests/learned/engines.rs
+++ b/crates/balance/tests/learned/engines.rs
@@ -110,6 +110,8 @@
                 running: 4,
                 queued: 0,
                 version: 1,
+                unverified_version: 0,
+                engine_started_ms: Some(1),
                 switching: false,
                 change_in,
                 weights_in: None,
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -143,6 +143,14 @@
                 guard.finish(AttemptOutcome::Abandoned);
                 return AttemptResult::Failed(AttemptEnd::NotSent, None);
             }
+            if !self.is_version_usable(chosen, now) {
+                info!(
+                    "event=attempt_cancelled request={} upstream={} cause=weights_unverified head=false",
+                    self.meta.id, upstream.upstream
+                );
+                guard.finish(AttemptOutcome::Abandoned);
+                return AttemptResult::Failed(AttemptEnd::NotSent, None);
+            }
             let request = self.upstream_request(chosen, resume_after, now);
             connection.carried_ids.record(&self.meta.id);
             connection.head_gate.begin();
@@ -186,6 +194,14 @@
         self.read_response(chosen, resume_after, response, connection, guard, wait).await
     }
 
+    /// False if an agent has withdrawn the version of the upstream since the upstream was chosen: a connection takes up to
+    /// seconds.
+    fn is_version_usable(&self, chosen: &ChosenUpstream, now: Instant) -> bool {
+        chosen.expected_version.is_none()
+            || self.shared.balancer().load_of(&chosen.record.upstream, now).version
+                == chosen.expected_version
+    }
+
     /// Logs a connection on which nothing of the request could be sent. If it was idle and its end had not been noticed,
     /// connections are kept for a shorter time.
     fn log_unusable(
--- a/crates/gateway/src/entry/control.rs
+++ b/crates/gateway/src/entry/control.rs
@@ -21,7 +21,7 @@
 };
 use wire::{
     AgentHeartbeat, CompressionError, CrashNotice, EntryContact, EntryHeartbeat, FleetItem,
-    ItemsRequest, ItemsResponse, Notice, Payload,
+    ItemsRequest, ItemsResponse, Notice, Payload, VerifiedLoad,
 };
 
 use super::{
@@ -370,6 +370,8 @@
         running: heartbeat.running,
         queued: heartbeat.queued,
         version: heartbeat.version,
+        unverified_version: heartbeat.unverified_version,
+        engine_started_ms: heartbeat.engine_started_ms,
         switching: heartbeat.switching,
         slowdown_percent: heartbeat.slowdown_percent,
         change_in: heartbeat.change_in_ms.map(|span| Duration::from_millis(span.into())),
@@ -488,6 +490,12 @@
     Ok(RawItem { key, value: item.into_value()?, revision, age })
 }
 
+/// Last load of the upstream at `address` that an agent has verified, as far as this entry knows.
+fn verified_load(shared: &EntryShared, address: &str) -> Option<VerifiedLoad> {
+    let load = shared.balancer().verified_load(address.parse().ok()?)?;
+    Some(VerifiedLoad { engine_started_ms: load.engine_started_ms, version: load.version })
+}
+
 /// Handles the frames of other processes.
 struct EntryFrameHandler {
     shared: Arc<EntryShared>,
@@ -513,7 +521,9 @@
             Payload::ConfigRequest(request) => Some(config_response(&self.shared, request)),
             Payload::BriefRequest(request) => {
                 let assignment = make_assignment(&self.shared.view.load(), &request.service, now);
-                Some(Payload::BriefReply(assignment.unwrap_or_default()))
+                let mut assignment = assignment.unwrap_or_default();
+                assignment.verified = verified_load(&self.shared, &request.upstream);
+                Some(Payload::BriefReply(assignment))
             }
             _ => None,
         };
--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -527,20 +527,14 @@
         let view = self.shared.view.load();
         match placement {
             Placement::Upstream {
-                record,
-                delay,
-                version,
-                evidence,
-                cancel_at,
-                expected_version,
-                ..
+                record, delay, expected_version, evidence, cancel_at, ..
             } => {
                 let mut progress = self.progress();
                 progress.predicted.get_or_insert(delay);
-                progress.version = version;
+                progress.version = expected_version;
                 progress.evidence = evidence;
-                progress.version_time_left =
-                    version.and_then(|version| self.weights_limits(&view)?.time_left(version, now));
+                progress.version_time_left = expected_version
+                    .and_then(|version| self.weights_limits(&view)?.time_left(version, now));
                 Ok(ChosenUpstream { record, delay, cancel_at, expected_version })
             }
             Placement::Refused(refusal) => Err(refusal),
--- a/crates/gateway/src/entry/status.rs
+++ b/crates/gateway/src/entry/status.rs
@@ -71,7 +71,8 @@
     pub address: SocketAddr,
     /// True if the upstream is stopping.
     pub draining: bool,
-    /// Version of the weights that the upstream serves; `None` if it serves none or needs none.
+    /// Version of the weights that requests may run on at the upstream; `None` if an agent has verified none or none is
+    /// needed.
     pub version: Option<WeightsVersion>,
     /// Numbers of running and queued requests in the agent's last report; `None` without a current report.
     pub load: Option<(u32, u32)>,
@@ -123,16 +124,13 @@
         .upstreams()
         .map(|(record, _)| {
             let load = balancer.load_of(&record.upstream, now);
-            let listed = record.weights.iter().map(|weights| weights.version).max();
             UpstreamStatus {
                 upstream: record.upstream.clone(),
                 service: record.service.clone(),
                 data_centre: record.data_centre.clone(),
                 address: record.address,
                 draining: record.draining,
-                version: load
-                    .report
-                    .map_or(listed, |report| (report.version > 0).then_some(report.version)),
+                version: load.version,
                 load: load.report.map(|report| (report.running, report.queued)),
                 in_flight: load.in_flight,
                 cold_ms: millis(load.cold_for),
--- a/crates/shed/tests/common/simulation.rs
+++ b/crates/shed/tests/common/simulation.rs
@@ -23,6 +23,8 @@
 
 /// Targets of the ranks 0, 1 and 2 in milliseconds.
 pub const TARGETS_MS: [u64; 3] = [400, 400, 1_000];
+/// Age at which a report is no longer current.
+const SILENCE: Duration = Duration::from_secs(2);
 const STEP: Duration = Duration::from_millis(5);
 const SLOTS: usize = 16;
 const TOKENS: u32 = 106;
@@ -223,6 +225,20 @@
     table
 }
 
+fn report(running: u32, queued: u32) -> AgentReport {
+    AgentReport {
+        running,
+        queued,
+        version: 1,
+        unverified_version: 0,
+        engine_started_ms: Some(1),
+        switching: false,
+        change_in: None,
+        weights_in: None,
+        slowdown_percent: 100,
+    }
+}
+
 fn new_entry(options: &FleetOptions, view: &FleetView, seed: u64, now: Instant) -> Entry {
     let mut balancer = LoadBalancer::new(LoadBalancerOptions {
         regions: [("north".into(), "r".into())].into(),
@@ -232,6 +248,11 @@
     balancer.set_view(view, now);
     balancer.set_live_entries(options.entries);
     balancer.set_local_entries(options.entries);
+    // The agents have verified the weights; entries that get no more reports know nothing of the load.
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    for index in 0..options.engines {
+        balancer.record_report(address(index), report(0, 0), now - SILENCE, &mut rng);
+    }
     let mut control = ShedControl::with_seed(seed);
     if options.is_shedding {
         control.set_contention(&contention(), now);
@@ -372,15 +393,7 @@
             }
             // Each agent reports every 100 ms, not all at the same time.
             if (millis + index as u64 * 35) % 100 < STEP.as_millis() as u64 {
-                let report = AgentReport {
-                    running: engine.running.len() as u32,
-                    queued: engine.queue.len() as u32,
-                    version: 1,
-                    switching: false,
-                    change_in: None,
-                    weights_in: None,
-                    slowdown_percent: 100,
-                };
+                let report = report(engine.running.len() as u32, engine.queue.len() as u32);
                 for entry in entries.iter_mut().skip(options.blind_entries) {
                     if rng.random_range(0.0..1.0) >= options.lost_reports {
                         entry.balancer.record_report(address(index), report, now, &mut rng);
--- a/crates/standin/src/measure/load/policy.rs
+++ b/crates/standin/src/measure/load/policy.rs
@@ -122,6 +122,8 @@
             running: load.0,
             queued: load.1,
             version: 1,
+            unverified_version: 0,
+            engine_started_ms: Some(1),
             switching: false,
             change_in: None,
             weights_in: None,
