Have an engine give up layers that it loaded from corrupt chunks

Cause: an engine whose load was not valid is not used, but it does not load a version again that it serves: a repeated order gets status 200 and changes nothing. It stayed unused until a newer version or its restart.

Change: the agent orders it to keep only the longest range of layers without a corrupt chunk, never the first layer. The engine then counts as incomplete for everyone, also after a restart of the agent; corrupt chunks may be staged again, and the usual order loads the missing layers, which are verified like any load. Assignments state the number of layers.

A property test checks that no layer of a corrupt chunk is kept.

--- a/crates/chunks/src/lib.rs
+++ b/crates/chunks/src/lib.rs
@@ -18,7 +18,7 @@
 
 pub use crate::{
     fetch::{ChunkFetch, ChunkSource, FetchFailure, FetchId, SwarmOptions, SwarmPeer},
-    load::{EngineLoad, LoadVerdict, LoadVerification},
+    load::{EngineLoad, LoadVerdict, LoadVerification, kept_layers},
     manifest::{ChunkDigest, ChunkIndex, ChunkManifest, ChunkSet, WeightsId, verify_chunk},
     neighbours::choose_neighbours,
     order::{LoadOrder, OrderProgress, OrderReport},
--- a/crates/chunks/src/load.rs
+++ b/crates/chunks/src/load.rs
@@ -7,6 +7,7 @@
 
 use std::{
     collections::{HashMap, HashSet},
+    ops::Range,
     time::Instant,
 };
 
@@ -197,3 +198,25 @@
         })
     }
 }
+
+/// Layers that an engine keeps when it gives up those that were loaded from the `corrupt` ones of `chunks` chunks: the
+/// longest range of other layers without the first layer, because an engine that lacks the first layer counts as
+/// incomplete everywhere. Empty if there is no such layer.
+#[must_use]
+pub fn kept_layers(corrupt: &ChunkSet, chunks: u32, layers: u32) -> Range<u32> {
+    let is_valid = |layer: u32| {
+        let (chunks, layers, layer) = (u64::from(chunks), u64::from(layers), u64::from(layer));
+        let needed = layer * chunks / layers..((layer + 1) * chunks).div_ceil(layers);
+        !needed.into_iter().any(|index| u32::try_from(index).is_ok_and(|i| corrupt.contains(i)))
+    };
+    let mut best = 0..0;
+    let mut start = 1;
+    for layer in 1..layers {
+        if !is_valid(layer) {
+            start = layer + 1;
+        } else if layer + 1 - start > best.end - best.start {
+            best = start..layer + 1;
+        }
+    }
+    best
+}
--- a/crates/chunks/tests/load_verification.rs
+++ b/crates/chunks/tests/load_verification.rs
@@ -3,7 +3,10 @@
 use std::time::{Duration, Instant};
 
 use base::ModelId;
-use chunks::{ChunkSet, EngineLoad, LoadVerdict, LoadVerification, OrderReport, WeightsId};
+use chunks::{
+    ChunkSet, EngineLoad, LoadVerdict, LoadVerification, OrderReport, WeightsId, kept_layers,
+};
+use proptest::prelude::*;
 
 const MODEL: ModelId = ModelId::const_new("m");
 const TICK: Duration = Duration::from_millis(100);
@@ -117,3 +120,27 @@
     loads.record_verified(load(2, 3));
     assert_eq!(loads.verdict(&load(2, 3)), LoadVerdict::Unverified);
 }
+
+/// Layers that depend on a chunk, as the platform assigns them.
+fn needs(layer: u32, index: u32, chunks: u32, layers: u32) -> bool {
+    let first = layer * chunks / layers;
+    let end = ((layer + 1) * chunks).div_ceil(layers);
+    (first..end).contains(&index)
+}
+
+proptest! {
+    /// Guards against layers that stay loaded although a corrupt chunk is part of them.
+    #[test]
+    fn layer_of_a_corrupt_chunk_is_kept(
+        chunks in 1_u32..100,
+        layers in 1_u32..40,
+        corrupt in prop::collection::vec(0_u32..100, 1..8),
+    ) {
+        let corrupt = chunk_set(&corrupt);
+        let kept = kept_layers(&corrupt, chunks, layers);
+        let is_valid = |layer| corrupt.iter().all(|index| !needs(layer, index, chunks, layers));
+        prop_assert!(kept.is_empty() || kept.start > 0 && kept.end <= layers);
+        prop_assert!(kept.clone().all(is_valid));
+        prop_assert_eq!(kept.is_empty(), !(1..layers).any(is_valid));
+    }
+}
--- a/crates/gateway/src/agent/shared.rs
+++ b/crates/gateway/src/agent/shared.rs
@@ -35,6 +35,8 @@
     pub(super) earlier: Vec<(WeightsVersion, Instant)>,
     pub(super) chunk_count: u32,
     pub(super) chunk_bytes: u32,
+    /// Number of layers of the model; 0 if unknown.
+    pub(super) layers: u32,
     /// Last load of the engine that an agent has verified, as far as the entry knows.
     pub(super) verified: Option<VerifiedLoad>,
     pub(super) origin: Option<(SocketAddr, DataCentreId)>,
@@ -239,6 +241,7 @@
                 .collect(),
             chunk_count: reply.pieces,
             chunk_bytes: reply.piece_bytes,
+            layers: reply.layers,
             verified: reply.verified,
             origin,
             agents,
--- a/crates/gateway/src/agent/transfer.rs
+++ b/crates/gateway/src/agent/transfer.rs
@@ -68,6 +68,8 @@
     load_manifest: Option<Arc<ChunkManifest>>,
     /// Load that waits for its verification, and the time since which it does.
     unverified: Option<(EngineLoad, Instant)>,
+    /// Time before which the engine is not ordered again to give up layers.
+    repair_paused_until: Option<Instant>,
 }
 
 /// Runs the transfer task until it is dropped.
@@ -90,6 +92,7 @@
         load_position: None,
         load_manifest: None,
         unverified: None,
+        repair_paused_until: None,
     };
     loop {
         tokio::select! {
@@ -116,6 +119,7 @@
         let loaded = self.shared.loaded_version();
         self.settle_load(&assignment);
         self.verify_load(&assignment).await;
+        self.repair_load(&assignment).await;
         let now = self.shared.clock.now();
         // Older transfers continue while the manifest is being searched.
         if self.shared.transfers().get(&assignment.weights).is_none() {
--- a/crates/gateway/src/agent/transfer/verifying.rs
+++ b/crates/gateway/src/agent/transfer/verifying.rs
@@ -1,21 +1,26 @@
-//! Verifies the loads of the engine.
+//! Verifies the loads of the engine, and has it load again what it took from corrupt chunks.
 
 use std::{
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use chunks::{ChunkManifest, ChunkSet, EngineLoad, LoadOrder, LoadVerdict, WeightsId};
+use chunks::{ChunkManifest, ChunkSet, EngineLoad, LoadOrder, LoadVerdict, WeightsId, kept_layers};
 use log::{info, warn};
 
 use super::{
-    super::{engine::read_corrupt, shared::AgentAssignment},
+    super::{
+        engine::read_corrupt,
+        shared::{AgentAssignment, order_report},
+    },
     TransferTask,
 };
 
 /// Maximum time for which newer weights are kept out of the staging area because the chunks there have to be verified. The
 /// manifest of the loaded weights may not exist any more.
 const MAX_VERIFICATION_WAIT: Duration = Duration::from_secs(3);
+/// Pause between two orders to give up layers.
+const REPAIR_PAUSE: Duration = Duration::from_millis(500);
 
 impl TransferTask {
     /// Verifies the load of the accepted order or of the weights that the engine serves, unless that has been done. The
@@ -143,4 +148,32 @@
                 Some((_, LoadVerdict::Verified)) | None => true,
             }
     }
+
+    /// Has the engine give up the layers that it loaded from corrupt chunks, after which it loads them like any missing
+    /// ones. Weights that a newer version replaces anyway are left as they are.
+    pub(super) async fn repair_load(&mut self, assignment: &AgentAssignment) {
+        let Some((load, LoadVerdict::Corrupt(corrupt))) = self.shared.served_load() else { return };
+        let now = self.shared.clock.now();
+        if load.weights != assignment.weights
+            || self.pending_load.is_some()
+            || self.repair_paused_until.is_some_and(|until| now < until)
+        {
+            return;
+        }
+        self.repair_paused_until = Some(now + REPAIR_PAUSE);
+        let layers = kept_layers(&corrupt, assignment.chunk_count, assignment.layers);
+        let Ok(report) = self.shared.ports.engine.report().await else { return };
+        self.shared.observe_report(&report, now);
+        let known = order_report(&report, &load.weights.model);
+        if report.busy || EngineLoad::of_report(&load.weights.model, &known) != Some(load.clone()) {
+            return;
+        }
+        let engine = &self.shared.ports.engine;
+        let result = engine.keep_layers(&load.weights, layers.clone(), report.load_orders).await;
+        self.shared.metrics.count("load_orders_total");
+        info!(
+            "event=layers_given_up model={} version={} orders={} kept={layers:?} result={result:?}",
+            load.weights.model, load.weights.version, report.load_orders
+        );
+    }
 }
--- a/crates/gateway/src/entry/assignment.rs
+++ b/crates/gateway/src/entry/assignment.rs
@@ -45,6 +45,7 @@
         agents,
         earlier: earlier.map(|(version, at)| DatedVersion { version, age_ms: age(at) }).collect(),
         verified: None,
+        layers: engine.layers,
     };
     assignment.digest = digest(&assignment);
     Some(assignment)
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -1,6 +1,6 @@
 //! Traits and types through which the processes access the platform.
 
-use std::{error::Error, net::SocketAddr, time::Duration};
+use std::{error::Error, net::SocketAddr, ops::Range, time::Duration};
 
 use balance::LimitStatement;
 use base::{ModelId, PromptPartId, Revision};
@@ -293,6 +293,15 @@
         weights: &'a WeightsId,
         load_orders: u64,
     ) -> BoxFuture<'a, Result<LoadOrderResult, PlatformError>>;
+
+    /// Orders the engine to give up all layers of its weights except `layers`, which may be empty. The next load takes the
+    /// others from the staging area again. Like [`load`](Self::load), the order is only accepted after `load_orders` orders.
+    fn keep_layers<'a>(
+        &'a self,
+        weights: &'a WeightsId,
+        layers: Range<u32>,
+        load_orders: u64,
+    ) -> BoxFuture<'a, Result<LoadOrderResult, PlatformError>>;
 }
 
 /// Server from which weights are fetched if no agent has them.
--- a/crates/wire/src/message/fleet.rs
+++ b/crates/wire/src/message/fleet.rs
@@ -358,6 +358,9 @@
     /// Last load of the upstream of the request that an agent verified, as far as this entry knows.
     #[prost(message, optional, tag = "12")]
     pub verified: Option<VerifiedLoad>,
+    /// Number of layers of the model; 0 if unknown.
+    #[prost(uint32, tag = "13")]
+    pub layers: u32,
 }
 
 /// Requests a chunk by model, version and index.
