Upload weights again to an engine that does not hold them

Callers saw an upstream that never served its model again: an unload order of the agent's earlier process, or one of this process before the model was wanted again, had removed weights that the agent had uploaded. The agent took them as uploaded until the engine restarted. Every load order got status 404, which counted as an unknown outcome, and was sent again after 30 s.

A load order with status 404 now makes the agent upload the weights again.

Before the change, weights_unloaded_by_a_late_order_are_not_uploaded_again, unloaded_weights_are_not_uploaded_again and, with unload orders among its events and an engine that loses its weights with them, the property test any_sequence_of_events_activates_only_complete_weights failed; all 11 tests of the file pass now.

--- a/crates/cli/tests/processes.rs
+++ b/crates/cli/tests/processes.rs
@@ -162,3 +162,14 @@
     assert!(paused.is_ok_and(|response| response.status == 200 || response.status == 504));
     assert_eq!(fleet.count_runs("visit-5"), 1);
 }
+
+/// Engines whose weights had been unloaded by an order of an earlier process refused all later load orders, and the weights
+/// were not uploaded again.
+#[tokio::test(flavor = "multi_thread")]
+async fn unloaded_weights_are_not_uploaded_again() {
+    let fleet = ProcessFleet::start("unloaded-weights").await;
+    fleet.generate_until_complete(0, "warm-up", 1, RESPONSE_TIMEOUT).await;
+    fleet.unload().await;
+    let response = fleet.generate_until_complete(0, "after the unload", 5, RESPONSE_TIMEOUT).await;
+    assert!(response.is_expected(&fleet.manifest(), "after the unload", 5), "{response:?}");
+}
--- a/crates/cli/tests/support/fleet.rs
+++ b/crates/cli/tests/support/fleet.rs
@@ -271,6 +271,19 @@
         records.iter().filter(|record| record.reference == reference).count()
     }
 
+    /// Orders all engines to unload the model, as an earlier process of their agents may have done.
+    pub async fn unload(&self) {
+        let order = json!({
+            "model": "routes", "manifest": self.manifest(),
+            "fencing": {"revision": self.config.revision, "incarnation": u64::MAX - 1},
+        });
+        for engine in &self.engines {
+            let order = order.to_string().into();
+            let response = send(engine.address(), Method::POST, "/v1/unload", &[], order).await;
+            assert_eq!(response.status, 202, "{response:?}");
+        }
+    }
+
     /// Sends a generate request from a background task.
     pub fn start_generate(
         &self,
--- a/crates/node/src/weights/activate.rs
+++ b/crates/node/src/weights/activate.rs
@@ -8,7 +8,7 @@
 use base::PauseDetector;
 use config::{AgentSettings, FencingMode};
 use log::{info, warn};
-use ports::{EngineStatus, FencingNumber, LoadOrder, ModelEngine};
+use ports::{EngineStatus, FencingNumber, LoadOrder, ModelEngine, PlatformError};
 use tokio::sync::mpsc;
 use weights::{
     ActivationAction, ActivationControl, ActivationEvent, ActivationOptions, EngineView, LiveLoad,
@@ -234,6 +234,10 @@
     match response {
         Ok(true) => OrderOutcome::Accepted,
         Ok(false) => OrderOutcome::Refused,
+        Err(PlatformError::Status { status: 404 }) if kind == OrderKind::Load => {
+            warn!("event=order_failed model={model} manifest={manifest} error=\"not uploaded\"");
+            OrderOutcome::NotUploaded
+        }
         Err(error) => {
             warn!("event=order_failed model={model} manifest={manifest} error=\"{error}\"");
             OrderOutcome::Unknown
--- a/crates/weights/src/activation.rs
+++ b/crates/weights/src/activation.rs
@@ -349,6 +349,10 @@
             OrderOutcome::Refused => {
                 self.pending.remove(position);
             }
+            OrderOutcome::NotUploaded => {
+                let order = self.pending.remove(position);
+                self.uploaded.remove(&order.manifest);
+            }
         }
         self.engine = None;
         self.next_read = Some(now);
--- a/crates/weights/src/fencing.rs
+++ b/crates/weights/src/fencing.rs
@@ -29,6 +29,9 @@
     Accepted,
     /// The engine refused the order because its fencing number is older than that of an accepted one.
     Refused,
+    /// The engine refused the order because it does not hold the weights. An order of an earlier process may have removed
+    /// them.
+    NotUploaded,
     /// No response was received; the order may still arrive.
     Unknown,
 }
--- a/crates/weights/tests/activation.rs
+++ b/crates/weights/tests/activation.rs
@@ -18,6 +18,8 @@
     now: Instant,
     mode: FencingMode,
     engine: EngineView,
+    /// Weights that the engine holds.
+    held: Vec<ContentDigest>,
     uploaded: Vec<ContentDigest>,
     complete: Vec<ContentDigest>,
     revision: u64,
@@ -39,6 +41,7 @@
             now: Instant::now(),
             mode,
             engine: EngineView { incarnation: 1, ..EngineView::default() },
+            held: Vec::new(),
             uploaded: Vec::new(),
             complete: Vec::new(),
             revision: 0,
@@ -80,6 +83,7 @@
                 ActivationAction::PutWeights { manifest } => {
                     assert!(self.complete.contains(&manifest), "upload of incomplete weights");
                     self.uploaded.push(manifest);
+                    self.held.push(manifest);
                     let done = ActivationEvent::PutFinished { manifest, complete: true };
                     self.control.handle(self.now, done);
                 }
@@ -131,14 +135,25 @@
         if self.mode == FencingMode::Checked && is_old {
             return OrderOutcome::Refused;
         }
+        if kind == OrderKind::Load && !self.held.contains(&manifest) {
+            return OrderOutcome::NotUploaded;
+        }
         self.engine.last_order = Some(fencing);
         self.engine.loaded.retain(|(loaded, _)| *loaded != model);
-        if kind == OrderKind::Load {
-            self.engine.loaded.push((model, manifest));
+        match kind {
+            OrderKind::Load => self.engine.loaded.push((model, manifest)),
+            OrderKind::Unload => self.held.retain(|held| *held != manifest),
         }
         OrderOutcome::Accepted
     }
 
+    /// Restarts the engine, which loses its weights.
+    fn restart_engine(&mut self) {
+        let incarnation = self.engine.incarnation + 1;
+        self.engine = EngineView { incarnation, ..EngineView::default() };
+        self.held.clear();
+    }
+
     fn run_until_settled(&mut self) {
         for _ in 0..40 {
             self.step();
@@ -236,6 +251,7 @@
     harness.set_complete(&["v2"]);
     harness.run_until_settled();
     let old = FencingNumber { revision: 4, incarnation: 99 };
+    harness.held.push(digest("v1"));
     harness.receive_order(OrderKind::Load, digest("v1"), old);
     assert!(harness.serves("v1"));
     harness.run_until_settled();
@@ -248,6 +264,7 @@
 fn restarted_agent_uses_a_higher_fencing_number_than_its_predecessor() {
     let mut harness = Harness::new(FencingMode::Checked);
     let old = FencingNumber { revision: 3, incarnation: u64::MAX / 2 };
+    harness.held.push(digest("v1"));
     harness.receive_order(OrderKind::Load, digest("v1"), old);
     harness.want(3, "v2");
     harness.set_complete(&["v2"]);
@@ -261,6 +278,7 @@
 #[test]
 fn process_with_an_outdated_revision_refreshes_first() {
     let mut harness = Harness::new(FencingMode::Ignored);
+    harness.held.push(digest("v9"));
     harness.receive_order(
         OrderKind::Load,
         digest("v9"),
@@ -282,12 +300,44 @@
     harness.want(1, "v1");
     harness.set_complete(&["v1"]);
     harness.run_until_settled();
-    harness.engine = EngineView { incarnation: 2, ..EngineView::default() };
+    harness.restart_engine();
     harness.run_until_settled();
     assert!(harness.serves("v1"));
     assert_eq!(harness.uploaded.len(), 2);
 }
 
+/// An engine stayed without weights after a late order of an earlier process had unloaded them: every load order was
+/// refused, and the weights were not uploaded again.
+#[test]
+fn weights_unloaded_by_a_late_order_are_not_uploaded_again() {
+    let mut harness = Harness::new(FencingMode::Ignored);
+    harness.want(5, "v1");
+    harness.set_complete(&["v1"]);
+    harness.run_until_settled();
+    let old = FencingNumber { revision: 4, incarnation: 99 };
+    harness.receive_order(OrderKind::Unload, digest("v1"), old);
+    assert!(!harness.serves("v1"));
+    harness.run_until_settled();
+    assert!(harness.serves("v1"), "{:?}", harness.sent);
+    assert_eq!(harness.uploaded.len(), 2);
+}
+
+/// Weights that an engine had unloaded were not uploaded again when the model was wanted again.
+#[test]
+fn unloaded_weights_are_not_uploaded_again() {
+    let mut harness = Harness::new(FencingMode::Checked);
+    harness.want(1, "v1");
+    harness.set_complete(&["v1"]);
+    harness.run_until_settled();
+    harness.want_model(2, "other", "v2");
+    harness.set_complete(&["v1", "v2"]);
+    harness.run_until_settled();
+    assert!(!harness.serves("v1"));
+    harness.want(3, "v1");
+    harness.run_until_settled();
+    assert!(harness.serves("v1"), "{:?}", harness.sent);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(200))]
 
@@ -296,7 +346,7 @@
     #[test]
     fn any_sequence_of_events_activates_only_complete_weights(
         checked in any::<bool>(),
-        events in proptest::collection::vec((0_u8..9, 0_usize..3), 1..80),
+        events in proptest::collection::vec((0_u8..10, 0_usize..3), 1..80),
     ) {
         let mode = if checked { FencingMode::Checked } else { FencingMode::Ignored };
         let mut harness = Harness::new(mode);
@@ -306,13 +356,11 @@
                 0 => harness.want(harness.revision + 1, versions[version]),
                 1 => harness.set_complete(&versions[..version]),
                 2 => harness.now += Duration::from_secs(5),
-                3 => harness.engine = EngineView {
-                    incarnation: harness.engine.incarnation + 1,
-                    ..EngineView::default()
-                },
-                4 => {
+                3 => harness.restart_engine(),
+                4 | 9 => {
                     let old = FencingNumber { revision: 0, incarnation: version as u64 };
-                    harness.receive_order(OrderKind::Load, digest(versions[version]), old);
+                    let order = if kind == 4 { OrderKind::Load } else { OrderKind::Unload };
+                    harness.receive_order(order, digest(versions[version]), old);
                 }
                 5 => {
                     // The response is lost; the order itself may have arrived.
