Send no unsafe request that was admitted before a pause

Callers' unsafe requests ran by a configuration and a key from before a pause of the entry: a request whose first worker could not be reached was sent to another one afterwards. Only new requests and those that leave the queue were checked for a pause; the choice of another upstream and the end of the connection were not.

An attempt now ends unsent if the process was paused since the request was admitted or checked again. This is decided in one place, after the connection is open and right before the write, which all attempts cross.

unsafe_request_is_sent_to_another_worker_after_a_pause, with real processes, failed before: requests that were admitted 2.1 s earlier ran at the second worker although the key had been revoked during the pause.

Not shown to be a fault: a pause while the connection is being opened.

--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -139,7 +139,12 @@
                 return AttemptResult::Failed(AttemptEnd::NotSent, None);
             };
             let now = shared.clock.now();
-            if cancel_at.is_some_and(|at| at <= now) || self.deadline <= now {
+            let is_late = cancel_at.is_some_and(|at| at <= now) || self.deadline <= now;
+            if is_late || !self.is_admission_current() {
+                info!(
+                    "event=attempt_withdrawn request={} upstream={} late={is_late}",
+                    self.meta.id, upstream.upstream
+                );
                 guard.finish(AttemptOutcome::Abandoned);
                 return AttemptResult::Failed(AttemptEnd::NotSent, None);
             }
--- a/crates/gateway/src/entry/request.rs
+++ b/crates/gateway/src/entry/request.rs
@@ -93,6 +93,8 @@
     regions: RegionPolicy,
     /// Configuration that was last applied to `regions`.
     regions_config: Weak<RoutingConfig>,
+    /// Number of pauses of this process when the request was admitted, or checked again.
+    pub(super) pauses: u64,
     /// Upstream of the last attempt.
     pub(super) last: Option<UpstreamId>,
     /// Time until the first event of a stream, and the longest pause between two events.
@@ -147,6 +149,7 @@
             return local_response(&shared, &id, status, default_retry_after(status));
         }
     };
+    let pauses = shared.pauses();
     let view = shared.view.load_full();
     let (route, team) = match admit(&shared, &view, &meta, head.uri.path(), started) {
         Ok(admitted) => admitted,
@@ -172,6 +175,7 @@
             tried: Vec::new(),
             regions: RegionPolicy::new(Some(&route), team.as_deref()),
             regions_config: downgrade_config(&view),
+            pauses,
             last: None,
             first_event: None,
             longest_pause: Duration::ZERO,
@@ -361,6 +365,15 @@
         );
     }
 
+    /// False if the request may run only once and the process was paused since it was admitted: the configuration that it
+    /// was admitted by may be outdated.
+    pub(super) fn is_admission_current(&self) -> bool {
+        self.route.repeat.is_retryable() || {
+            self.shared.is_stale_after_pause();
+            self.shared.pauses() == self.progress().pauses
+        }
+    }
+
     /// Reason why the request may not run at another upstream because of crashes; `None` if it may.
     pub(super) fn crash_refusal(&self, now: Instant) -> Option<CrashRefusal> {
         let crashes = self.shared.crashes();
--- a/crates/gateway/src/entry/waiting.rs
+++ b/crates/gateway/src/entry/waiting.rs
@@ -154,12 +154,14 @@
     /// Repeats the checks of a new request, because the configuration may have changed while the request was queued.
     /// The region restrictions are checked with each choice of an upstream.
     fn check_again(&self, now: Instant) -> Result<(), WaitEnd> {
+        let pauses = self.shared.pauses();
         let view = self.shared.view.load();
         let (route, _) = admit(&self.shared, &view, &self.meta, self.uri.path(), self.started)
             .map_err(|(status, cause)| WaitEnd::Rejected(status, cause))?;
         if !route.backends.iter().any(|backend| backend.service == self.service) {
             return Err(WaitEnd::Rejected(StatusCode::SERVICE_UNAVAILABLE, "route_changed"));
         }
+        self.progress().pauses = pauses;
         self.crash_refusal(now).map_or(Ok(()), |refusal| {
             Err(WaitEnd::Rejected(StatusCode::SERVICE_UNAVAILABLE, refusal.as_str()))
         })
