Compute turns for load orders that engines have refused

Each agent announces its next order for 0.5 s after the refused one. The intervals are nearly equal, so two agents whose orders came within 0.2 s of each other stay that close, and before each pair a request is predicted to begin at neither engine in time.

LoadSchedule::retry_start gives each engine a turn of its own within 0.8 s, from its position in the order of loads and the time of the declaration, which all agents know.

The new property test draws fleets of 2 to 79 engines, refused at any time.

--- a/crates/chunks/src/schedule.rs
+++ b/crates/chunks/src/schedule.rs
@@ -20,6 +20,9 @@
 /// predicted time to the first event, which is usually 0.1 to 0.2 s.
 const LAST_BEGIN_TIME: Duration = Duration::from_millis(500);
 
+/// Interval at which an engine that refuses load orders is ordered again, so that it is used in between.
+const RETRY_INTERVAL: Duration = Duration::from_millis(800);
+
 /// Inputs that determine when an engine loads.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LoadPosition {
@@ -78,6 +81,23 @@
         earliest + window.mul_f64(fraction.min(1.0))
     }
 
+    /// Earliest time from `earliest` on at which an engine that has refused a load order is ordered again. The engines of a
+    /// fleet take turns within [`RETRY_INTERVAL`], because each one is unused for a while before its order.
+    #[must_use]
+    pub fn retry_start(
+        &self,
+        engine: &LoadPosition,
+        declared_at: Option<Instant>,
+        earliest: Instant,
+    ) -> Instant {
+        let Some(declared_at) = declared_at else { return earliest };
+        let fraction = f64::from(engine.position) / f64::from(engine.agents.max(1));
+        let turn = declared_at + RETRY_INTERVAL.mul_f64(fraction.min(1.0));
+        let overdue = earliest.saturating_duration_since(turn).as_nanos();
+        let turns = overdue.div_ceil(RETRY_INTERVAL.as_nanos());
+        turn + RETRY_INTERVAL * u32::try_from(turns).unwrap_or(u32::MAX)
+    }
+
     /// Latest time at which an engine is ordered to load a version declared at `declared_at`: until then, requests can begin
     /// on the older weights. The time of the switch is not subtracted, because running requests may end after the bound, and
     /// because a shorter window has more engines out of service at once.
--- a/crates/chunks/tests/load_schedule.rs
+++ b/crates/chunks/tests/load_schedule.rs
@@ -85,3 +85,39 @@
         }
     }
 }
+
+proptest! {
+    /// Guards against engines that refuse load orders and are ordered again at the same time, so that none is used shortly
+    /// before.
+    #[test]
+    fn refused_orders_of_several_engines_are_repeated_at_the_same_time(
+        agents in 2_u32..80,
+        refused in prop::collection::vec(0_u64..20_000, 2..80),
+        rounds in 1_usize..10,
+    ) {
+        const INTERVAL: Duration = Duration::from_millis(800);
+        let declared = Instant::now();
+        let schedule = LoadSchedule::new(Duration::from_secs(8), TRANSFER_TIME);
+        let mut turns = Vec::new();
+        for (position, refused) in (0..agents).zip(refused) {
+            let engine = LoadPosition { loaded: 1, declared: 3, position, agents };
+            let mut earliest = declared + Duration::from_millis(refused);
+            for _ in 0..rounds {
+                let start = schedule.retry_start(&engine, Some(declared), earliest);
+                prop_assert!(start >= earliest && start < earliest + INTERVAL * 2);
+                turns.push((position, (start - declared).as_nanos() % INTERVAL.as_nanos()));
+                earliest = start + Duration::from_millis(600);
+            }
+        }
+        // The engines are spread evenly over the interval; a nanosecond is lost to rounding.
+        let gap = INTERVAL.as_nanos() / u128::from(agents);
+        for (left, left_turn) in &turns {
+            for (right, right_turn) in &turns {
+                let distance = left_turn.abs_diff(*right_turn);
+                let distance = distance.min(INTERVAL.as_nanos() - distance);
+                let is_apart = if left == right { distance == 0 } else { distance + 2 >= gap };
+                prop_assert!(is_apart, "engines {left} and {right} are {distance} ns apart");
+            }
+        }
+    }
+}
