Let engines that refuse load orders take turns

Change: the agent takes the time of the next order from LoadSchedule::retry_start, which gives each engine its own turn.

The first orders of two engines may still coincide once.

--- a/crates/gateway/src/agent/transfer/loading.rs
+++ b/crates/gateway/src/agent/transfer/loading.rs
@@ -158,7 +158,8 @@
             start = start.max(staged_at + NOTICE_TIME);
         }
         if let Some(paused_until) = self.load_paused_until {
-            start = start.max(paused_until);
+            let retry_start = schedule.retry_start(&load_position, declared_at, paused_until);
+            start = start.max(retry_start);
         }
         self.shared.set_next_load_at(is_serving.then_some(start));
         // An engine that carries out an order, which may be one of this agent's previous process, accepts no other one.
