--- a/crates/gateway/src/agent/transfer.rs
+++ b/crates/gateway/src/agent/transfer.rs
@@ -134,8 +134,8 @@
                 info!("event=transfer_superseded model={model} version={version}");
             }
         }
-        let verified = self.unverified.as_ref().map(|(load, _)| &load.weights);
-        self.downloads.cancel_unwanted(&assignment.weights, verified);
+        let unverified = self.unverified.as_ref().map(|(load, _)| &load.weights);
+        self.downloads.cancel_unwanted(&assignment.weights, unverified);
         if self.shared.report().is_some() {
             self.read_staging(loaded).await;
             self.stage();
