Keep verified loads while the registration of an engine has expired

When registrations expired during an outage and came back while the agents were silent, engines stayed unused until their agents reported; work_at_a_silent_host_goes_on of platform/tests/calm_day.rs failed. The balancer keeps the loads by the address of the engine, applies the reports of engines that are not listed as well, so that no verdict is missed, and forgets unlisted engines ten minutes after their last report.

--- a/crates/balance/src/availability.rs
+++ b/crates/balance/src/availability.rs
@@ -11,7 +11,7 @@
 
 /// Time for which the statements of an upstream that is no longer listed are remembered; far longer than an outage of the
 /// store in which registrations expire.
-const FORGET_TIMEOUT: Duration = Duration::from_secs(600);
+pub(crate) const FORGET_TIMEOUT: Duration = Duration::from_secs(600);
 /// Longest time for which an upstream may ask for no requests. A longer one is an error.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(600);
 
--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -19,7 +19,7 @@
 use self::subset_choice::subset_of;
 pub use self::{capacity::ServiceCapacity, learned::ForecastCheck};
 use crate::{
-    availability::AvailabilityTable,
+    availability::{AvailabilityTable, FORGET_TIMEOUT},
     forecast::{EngineForecast, EngineLoad},
     placement::{Placement, PlacementRequest, UpstreamLoad},
     rate_limit::{LIMIT_WINDOW, LimitChange, LimitStatement, LimitUsage, RateLimiter},
@@ -112,6 +112,9 @@
     speeds: HashMap<ServiceId, SpeedTable>,
     evacuated: HashSet<DataCentreId>,
     by_address: HashMap<SocketAddr, UpstreamId>,
+    /// Last load that an agent has verified, by the address of its engine, and the time of the last report. The agents of
+    /// engines that are not listed count as well, because a registration may expire and return.
+    verified: HashMap<SocketAddr, (VerifiedLoad, Instant)>,
     /// Addresses on which live entries serve callers.
     entry_addresses: HashSet<SocketAddr>,
 }
@@ -134,6 +137,7 @@
             speeds: HashMap::new(),
             evacuated: HashSet::new(),
             by_address: HashMap::new(),
+            verified: HashMap::new(),
             entry_addresses: HashSet::new(),
         }
     }
@@ -161,6 +165,7 @@
                 .entry(record.upstream.clone())
                 .or_insert_with(|| UpstreamState::new(record.clone()));
             state.set_record(record.clone());
+            state.verified = self.verified.get(&record.address).map(|(load, _)| *load);
             let was_cold = !state.cold_for(now).is_zero();
             state.set_cold(record.cold_for, *changed, now);
             if !was_cold && !state.cold_for(now).is_zero() {
@@ -172,6 +177,11 @@
             }
         }
         self.upstreams.retain(|upstream, _| view.upstream(upstream).is_some());
+        let by_address = &self.by_address;
+        self.verified.retain(|address, (_, reported)| {
+            by_address.contains_key(address)
+                || now.saturating_duration_since(*reported) < FORGET_TIMEOUT
+        });
         for service in self.services.values_mut() {
             service.upstreams.sort_unstable();
             service.subset = subset_of(service, &self.upstreams, &self.evacuated, &self.options);
@@ -230,9 +240,14 @@
         now: Instant,
         rng: &mut impl Rng,
     ) {
+        let known = self.verified.remove(&address).map(|(load, _)| load);
+        let verified = VerifiedLoad::after_report(known, &report);
+        if let Some(load) = verified {
+            self.verified.insert(address, (load, now));
+        }
         let state = self.by_address.get(&address).and_then(|id| self.upstreams.get_mut(id));
         if let Some(state) = state {
-            state.record_report(report, rng.random(), now);
+            state.record_report(report, verified, rng.random(), now);
         }
     }
 
@@ -247,8 +262,7 @@
     /// contradicted it since.
     #[must_use]
     pub fn verified_load(&self, address: SocketAddr) -> Option<VerifiedLoad> {
-        let state = self.by_address.get(&address).and_then(|id| self.upstreams.get(id))?;
-        state.verified()
+        self.verified.get(&address).map(|(load, _)| *load)
     }
 
     /// Load of an upstream at `now`; the default if the upstream is unknown.
--- a/crates/balance/src/upstream.rs
+++ b/crates/balance/src/upstream.rs
@@ -99,6 +99,18 @@
     pub version: WeightsVersion,
 }
 
+impl VerifiedLoad {
+    /// Last verified load after a report; `known` is the one before. A report of an engine that does not respond states
+    /// nothing; one of another load, or of a corrupt one, ends what was known.
+    pub(crate) fn after_report(known: Option<Self>, report: &AgentReport) -> Option<Self> {
+        let Some(engine_started_ms) = report.engine_started_ms else { return known };
+        match report.version {
+            0 => known.filter(|known| report.is_load(*known)),
+            version => Some(Self { engine_started_ms, version }),
+        }
+    }
+}
+
 /// On what the version of an upstream's weights rests.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum WeightsEvidence {
@@ -142,8 +154,8 @@
     /// End of the cold period that a response stated, and the time of that response.
     stated_cold: Option<(Instant, Instant)>,
     report: Option<(AgentReport, Instant)>,
-    /// Last load that an agent has verified; `None` once an agent has found another one, or a corrupt one.
-    verified: Option<VerifiedLoad>,
+    /// Last load at its address that an agent has verified; see [`VerifiedLoad::after_report`].
+    pub(crate) verified: Option<VerifiedLoad>,
     /// Occupancy according to the reports within [`PREFILL_WINDOW`].
     occupancy_history: VecDeque<(Instant, u32)>,
     /// Send times of own requests that the last report does not include yet.
@@ -209,7 +221,14 @@
         until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
-    pub(crate) fn record_report(&mut self, report: AgentReport, dither: f64, now: Instant) {
+    /// Records a report, after which `verified` is the last load that an agent has verified.
+    pub(crate) fn record_report(
+        &mut self,
+        report: AgentReport,
+        verified: Option<VerifiedLoad>,
+        dither: f64,
+        now: Instant,
+    ) {
         self.dither = dither;
         while self
             .unreported
@@ -219,7 +238,7 @@
             self.unreported.pop_front();
         }
         let has_loaded = self.report.is_some_and(|(known, _)| !known.is_serving(self.verified));
-        self.record_verification(&report);
+        self.verified = verified;
         if has_loaded && report.is_serving(self.verified) {
             self.used_from = Some(now + SLOW_START.mul_f64(dither));
         }
@@ -234,20 +253,6 @@
         }
     }
 
-    /// Applies what a report states about the load. One of an engine that does not respond states nothing.
-    fn record_verification(&mut self, report: &AgentReport) {
-        let Some(engine_started_ms) = report.engine_started_ms else { return };
-        self.verified = match report.version {
-            0 => self.verified.filter(|known| report.is_load(*known)),
-            version => Some(VerifiedLoad { engine_started_ms, version }),
-        };
-    }
-
-    /// Last load that an agent has verified, unless an agent has contradicted it since.
-    pub(crate) fn verified(&self) -> Option<VerifiedLoad> {
-        self.verified
-    }
-
     /// Estimated number of requests whose prefill is pending: own requests that no report includes yet, and the
     /// increase of the occupancy within [`PREFILL_WINDOW`].
     pub(crate) fn pending_prefills(&self, now: Instant) -> f64 {
