Keep the doubt about a load across restarts of the agent and reloads

* A chunk that is written at about the time of the acceptance counts as corrupt, but only in memory: an agent that was restarted before the repair read valid chunks.
The agent now overwrites such a chunk with nothing before it reads, so that every later process finds it corrupt.
* A verified version counted as verified again after the engine had given up its layers and loaded them on another order.
A report without weights now ends that.

Overwriting has no test of its own: the order of events needs a write within the 0.1 s between two reports.

--- a/crates/chunks/src/load.rs
+++ b/crates/chunks/src/load.rs
@@ -3,7 +3,7 @@
 //! An engine takes the staged chunks when it accepts a load order, which may be any time after the order was sent. A chunk
 //! that has become corrupt stays corrupt until it is written again, and only the agent writes chunks. Chunks that are
 //! valid when they are read after the acceptance were therefore valid when the engine took them, however long the order, the
-//! engine or the agent took, unless the agent has written them in between.
+//! engine or the agent took, unless a process of the agent has written them in between.
 
 use std::{
     collections::{HashMap, HashSet},
@@ -79,7 +79,7 @@
     /// one is under way.
     writes: HashMap<(WeightsId, ChunkIndex), Option<Instant>>,
     /// Chunks that were written before or after the engine accepted the last of these orders: which of both is unknown.
-    suspects: HashSet<(WeightsId, ChunkIndex)>,
+    possibly_replaced: HashSet<(WeightsId, ChunkIndex)>,
 }
 
 impl LoadVerification {
@@ -99,7 +99,7 @@
                 }
                 if load_orders > known_orders {
                     self.accepted_after = Some(at);
-                    self.suspects = self.writes.keys().cloned().collect();
+                    self.possibly_replaced = self.writes.keys().cloned().collect();
                 } else {
                     // Chunks written before this report are not taken by the order that is accepted next.
                     let is_recent = |at: &Option<Instant>| at.is_none_or(|at| at >= requested_at);
@@ -109,11 +109,15 @@
             _ => {
                 self.accepted_after = None;
                 self.writes.clear();
-                self.suspects.clear();
+                self.possibly_replaced.clear();
             }
         }
         self.observed = Some((started_at_ms, load_orders, requested_at));
-        let Some(served) = EngineLoad::of_report(model, report) else { return };
+        let Some(served) = EngineLoad::of_report(model, report) else {
+            // What the engine serves next is another load, also if it is of the same version.
+            self.known.iter_mut().for_each(|known| known.is_served = false);
+            return;
+        };
         self.known.retain(|known| {
             let is_older = known.load.weights.version < served.weights.version;
             known.load.started_at_ms == started_at_ms && !is_older
@@ -148,12 +152,8 @@
     /// of `load`. Chunks that were written at about the time of the acceptance count as corrupt, because the engine may
     /// have taken what was there before.
     pub fn record_read(&mut self, load: EngineLoad, mut corrupt: ChunkSet) -> LoadVerdict {
-        let is_observed = self.is_observed(&load);
-        let suspects = self.suspects.iter().filter(|_| is_observed);
-        for (weights, index) in suspects.chain(self.writes.keys().filter(|_| !is_observed)) {
-            if *weights == load.weights {
-                corrupt.insert(*index);
-            }
+        for index in self.possibly_replaced(&load) {
+            corrupt.insert(index);
         }
         let verdict = match corrupt.count() {
             0 => LoadVerdict::Verified,
@@ -163,12 +163,24 @@
         verdict
     }
 
-    /// Records that an earlier process of the agent has verified `load`, which the engine serves. What this process has
-    /// read goes first.
-    pub fn record_verified(&mut self, load: EngineLoad) {
-        if self.verdict(&load) == LoadVerdict::Unverified && self.is_inherited(&load) {
+    /// Chunks of a load that this process wrote before or after the engine took them: which of both is unknown.
+    #[must_use]
+    pub fn possibly_replaced(&self, load: &EngineLoad) -> Vec<ChunkIndex> {
+        let is_observed = self.is_observed(load);
+        let replaced = self.possibly_replaced.iter().filter(|_| is_observed);
+        let written = self.writes.keys().filter(|_| !is_observed);
+        let chunks = replaced.chain(written).filter(|(weights, _)| *weights == load.weights);
+        chunks.map(|(_, index)| *index).collect()
+    }
+
+    /// Records that an earlier process of the agent has verified `load`, which the engine serves; true if that is news. What
+    /// this process has read takes precedence.
+    pub fn record_verified(&mut self, load: EngineLoad) -> bool {
+        let is_news = self.verdict(&load) == LoadVerdict::Unverified && self.is_inherited(&load);
+        if is_news {
             self.known.push(KnownLoad { load, verdict: LoadVerdict::Verified, is_served: true });
         }
+        is_news
     }
 
     /// Verdict on a load.
--- a/crates/chunks/tests/load_verification.rs
+++ b/crates/chunks/tests/load_verification.rs
@@ -92,9 +92,22 @@
     assert_eq!(verdict, LoadVerdict::Corrupt(chunk_set(&[5])));
 }
 
+/// Weights that were loaded again after the engine had given them up counted as verified, because their version had been.
+#[test]
+fn reload_of_a_verified_version_is_used_unverified() {
+    let now = Instant::now();
+    let mut loads = LoadVerification::new();
+    loads.observe(&report(1, 0), &MODEL, now);
+    loads.record_read(load(1, 2), ChunkSet::new());
+    loads.observe(&report(1, 2), &MODEL, now + TICK);
+    loads.observe(&report(2, 0), &MODEL, now + TICK * 2);
+    loads.observe(&report(3, 2), &MODEL, now + TICK * 3);
+    assert_eq!(loads.verdict(&load(3, 2)), LoadVerdict::Unverified);
+}
+
 /// Guards against loads that are doubted because of writes that had ended before the engine can have accepted the order.
 #[test]
-fn write_before_the_order_casts_doubt_on_the_load() {
+fn chunk_written_before_the_order_counts_as_corrupt() {
     let now = Instant::now();
     let mut loads = LoadVerification::new();
     loads.observe(&report(0, 1), &MODEL, now);
--- a/crates/gateway/src/agent/transfer/loading.rs
+++ b/crates/gateway/src/agent/transfer/loading.rs
@@ -143,8 +143,8 @@
             Some((known, at)) if is_staged && *known == weights => Some(*at),
             _ => remaining.map(|remaining| now + remaining),
         };
-        // Entries do not use weights from corrupt chunks, so nothing is lost if they are replaced at once.
-        let loaded = if self.serves_corrupt_weights() { 0 } else { loaded };
+        // Nothing is lost if weights that entries do not use are replaced at once.
+        let loaded = if self.serves_unusable_weights() { 0 } else { loaded };
         let is_serving = loaded != 0;
         let Some(staged_at) = staged_at else {
             self.shared.set_next_load_at(None);
--- a/crates/gateway/src/agent/transfer/verifying.rs
+++ b/crates/gateway/src/agent/transfer/verifying.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
 use chunks::{ChunkManifest, ChunkSet, EngineLoad, LoadOrder, LoadVerdict, WeightsId, kept_layers};
 use log::{info, warn};
 
@@ -43,10 +44,17 @@
                 self.shared.loads().is_inherited(&load)
             );
         }
+        let may_be_taken = self.pending_load.as_ref().is_some_and(|order| !order.is_accepted());
+        if self.has_waited_for_verification() && !may_be_taken {
+            self.shared.transfers().end_hold();
+        }
         let Some(manifest) = self.manifest_of(&weights) else {
             self.downloads.search_manifest(assignment, &weights, now);
             return;
         };
+        if !self.mark_replaced(&load).await {
+            return;
+        }
         let Some(corrupt) = read_corrupt(&self.shared, &manifest).await else { return };
         let mut corrupt_chunks = ChunkSet::new();
         for index in corrupt {
@@ -58,6 +66,20 @@
         self.shared.wake_heartbeats.notify_one();
     }
 
+    /// Overwrites the chunks that may have been replaced after the engine took them, so that a later process of this agent
+    /// finds the load corrupt as well; false if the engine does not respond.
+    async fn mark_replaced(&self, load: &EngineLoad) -> bool {
+        let replaced = self.shared.loads().possibly_replaced(load);
+        for index in replaced {
+            let staged = self.shared.ports.engine.stage(&load.weights.model, index, Bytes::new());
+            if let Err(error) = staged.await {
+                warn!("event=stage_failed piece={index} error=\"{error}\"");
+                return false;
+            }
+        }
+        true
+    }
+
     fn apply_verdict(&mut self, load: &EngineLoad, verdict: &LoadVerdict, begun_at: Instant) {
         let EngineLoad { weights, load_orders, .. } = load;
         let now = self.shared.clock.now();
@@ -93,8 +115,8 @@
         let Some((load, LoadVerdict::Unverified)) = self.shared.served_load() else { return };
         if (load.started_at_ms, load.weights.version)
             == (verified.engine_started_ms, verified.version)
+            && self.shared.loads().record_verified(load)
         {
-            self.shared.loads().record_verified(load);
             self.shared.wake_heartbeats.notify_one();
         }
     }
@@ -116,9 +138,22 @@
         known.or(transferred).cloned()
     }
 
-    /// True if the engine serves weights that it took from corrupt chunks.
-    pub(super) fn serves_corrupt_weights(&self) -> bool {
-        matches!(self.shared.served_load(), Some((_, LoadVerdict::Corrupt(_))))
+    /// True if a load could not be verified within [`MAX_VERIFICATION_WAIT`].
+    fn has_waited_for_verification(&self) -> bool {
+        let now = self.shared.clock.now();
+        self.unverified.as_ref().is_some_and(|(_, since)| {
+            now.saturating_duration_since(*since) >= MAX_VERIFICATION_WAIT
+        })
+    }
+
+    /// True if entries do not use the weights that the engine serves, because they are from corrupt chunks or cannot be
+    /// verified.
+    pub(super) fn serves_unusable_weights(&self) -> bool {
+        match self.shared.served_load() {
+            Some((_, LoadVerdict::Corrupt(_))) => true,
+            Some((_, LoadVerdict::Unverified)) => self.has_waited_for_verification(),
+            Some((_, LoadVerdict::Verified)) | None => false,
+        }
     }
 
     /// True if chunks of `weights` may be written to the staging area. The chunks that a load was taken from show whether it
@@ -139,11 +174,7 @@
             && match self.shared.served_load() {
                 Some((load, LoadVerdict::Corrupt(_))) => load.weights != *weights,
                 Some((load, LoadVerdict::Unverified)) => {
-                    let now = self.shared.clock.now();
-                    let has_waited =
-                        |since| now.saturating_duration_since(since) >= MAX_VERIFICATION_WAIT;
-                    load.weights != *weights
-                        && self.unverified.as_ref().is_some_and(|(_, since)| has_waited(*since))
+                    load.weights != *weights && self.has_waited_for_verification()
                 }
                 Some((_, LoadVerdict::Verified)) | None => true,
             }
