Tell two loads of a version and late statements of agents apart

Three orders of events from the same review, by which an entry relied on a statement about another load:

* A load was known by the start of the engine and the version, so a second load of the version on a later order counted as the verified one.
The number of load orders is part of it now, and a version that the store stopped listing is forgotten.
* A report that was delayed until the engine had started again counted as current.
Reports of an earlier start are ignored.
* After a pause of the entry, what agents had stated before it was relied on, and checked against an equally old list.

Not closed: datagrams that wait in the socket of a paused entry are taken as new when it goes on.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -164,6 +164,10 @@
                 .upstreams
                 .entry(record.upstream.clone())
                 .or_insert_with(|| UpstreamState::new(record.clone()));
+            let known = self.verified.get(&record.address).map(|(load, _)| *load);
+            if known.is_some_and(|load| state.is_given_up(load, record)) {
+                self.verified.remove(&record.address);
+            }
             state.set_record(record.clone());
             state.verified = self.verified.get(&record.address).map(|(load, _)| *load);
             let was_cold = !state.cold_for(now).is_zero();
@@ -240,6 +244,10 @@
         now: Instant,
         rng: &mut impl Rng,
     ) {
+        let state = self.by_address.get(&address).and_then(|id| self.upstreams.get(id));
+        if state.is_some_and(|state| state.is_delayed(&report)) {
+            return;
+        }
         let known = self.verified.remove(&address).map(|(load, _)| load);
         let verified = VerifiedLoad::after_report(known, &report);
         if let Some(load) = verified {
@@ -258,6 +266,12 @@
         state.is_some_and(|state| state.report(now).is_some())
     }
 
+    /// Forgets what the agents have stated, because this process was paused meanwhile.
+    pub fn forget_reports(&mut self) {
+        self.verified.clear();
+        self.upstreams.values_mut().for_each(UpstreamState::forget_report);
+    }
+
     /// Last load of the upstream at `address` that an agent has verified; `None` if there is none, or if an agent has
     /// contradicted it since.
     #[must_use]
--- a/crates/balance/src/upstream.rs
+++ b/crates/balance/src/upstream.rs
@@ -47,6 +47,9 @@
     /// Start time of the engine in Unix milliseconds; `None` if it does not respond.
     #[serde(default)]
     pub engine_started_ms: Option<u64>,
+    /// Number of load orders that the engine has accepted since its start.
+    #[serde(default)]
+    pub load_orders: u64,
     /// True while the engine does not accept requests because it was ordered to switch weights.
     pub switching: bool,
     /// Time from the report until the engine stops accepting requests to switch weights; `None` if no switch is scheduled.
@@ -82,6 +85,7 @@
     fn is_load(&self, load: VerifiedLoad) -> bool {
         self.engine_started_ms == Some(load.engine_started_ms)
             && self.unverified_version == load.version
+            && self.load_orders == load.load_orders
     }
 
     /// True if the engine accepts requests.
@@ -97,6 +101,8 @@
     pub engine_started_ms: u64,
     /// Version of the weights.
     pub version: WeightsVersion,
+    /// Number of load orders that the engine had accepted when an agent stated this.
+    pub load_orders: u64,
 }
 
 impl VerifiedLoad {
@@ -106,7 +112,7 @@
         let Some(engine_started_ms) = report.engine_started_ms else { return known };
         match report.version {
             0 => known.filter(|known| report.is_load(*known)),
-            version => Some(Self { engine_started_ms, version }),
+            version => Some(Self { engine_started_ms, version, load_orders: report.load_orders }),
         }
     }
 }
@@ -221,6 +227,29 @@
         until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
+    /// True if a report was delayed and is from before the last known start of the engine.
+    pub(crate) fn is_delayed(&self, report: &AgentReport) -> bool {
+        let known = self.report.and_then(|(known, _)| known.engine_started_ms);
+        let latest_start = self.record.started_ms.max(known.unwrap_or(0));
+        report.engine_started_ms.is_some_and(|started_ms| started_ms < latest_start)
+    }
+
+    /// True if the record listed the weights of a load completely and `record` no longer does. If they are listed again later,
+    /// they are another load.
+    pub(crate) fn is_given_up(&self, load: VerifiedLoad, record: &UpstreamRecord) -> bool {
+        let lists = |record: &UpstreamRecord| {
+            let mut complete = record.weights.iter().filter(|weights| weights.complete);
+            record.started_ms == load.engine_started_ms
+                && complete.any(|weights| weights.version == load.version)
+        };
+        lists(&self.record) && !lists(record)
+    }
+
+    /// Forgets the last report, which may be outdated after a pause of this process.
+    pub(crate) fn forget_report(&mut self) {
+        (self.report, self.verified) = (None, None);
+    }
+
     /// Records a report, after which `verified` is the last load that an agent has verified.
     pub(crate) fn record_report(
         &mut self,
--- a/crates/balance/tests/board.rs
+++ b/crates/balance/tests/board.rs
@@ -191,6 +191,7 @@
         version,
         unverified_version: 0,
         engine_started_ms: Some(1),
+        load_orders: 0,
         switching: false,
         change_in: None,
         weights_in: None,
--- a/crates/balance/tests/capacity.rs
+++ b/crates/balance/tests/capacity.rs
@@ -95,6 +95,7 @@
         version: 1,
         unverified_version: 0,
         engine_started_ms: Some(1),
+        load_orders: 0,
         switching: false,
         change_in: None,
         weights_in: None,
--- a/crates/balance/tests/learned/engines.rs
+++ b/crates/balance/tests/learned/engines.rs
@@ -112,6 +112,7 @@
                 version: 1,
                 unverified_version: 0,
                 engine_started_ms: Some(1),
+                load_orders: 0,
                 switching: false,
                 change_in,
                 weights_in: None,
--- a/crates/balance/tests/verified_loads.rs
+++ b/crates/balance/tests/verified_loads.rs
@@ -83,6 +83,7 @@
         version,
         unverified_version: 0,
         engine_started_ms: Some(engine_started_ms),
+        load_orders: 1,
         switching: false,
         change_in: None,
         weights_in: None,
@@ -226,7 +227,7 @@
         assert_eq!(fixture.used(), Some((1, WeightsEvidence::Memory)));
         assert_eq!(
             fixture.balancer.verified_load(address(0)),
-            Some(VerifiedLoad { engine_started_ms: 1, version: 1 })
+            Some(VerifiedLoad { engine_started_ms: 1, version: 1, load_orders: 1 })
         );
         fixture.list([(0, 1, 1), (1, 1, 1)]);
         fixture.report(1, AgentReport { running: 10, ..verified(1, 1) });
@@ -343,11 +344,14 @@
 }
 
 fn step() -> impl Strategy<Value = Step> {
-    let (start, version) = (1_u64..3, 1_u64..3);
+    let (start, version, orders) = (1_u64..3, 1_u64..3, 1_u64..3);
     prop_oneof![
-        3 => (start.clone(), version).prop_map(|(start, version)| Step::Report(verified(start, version))),
-        3 => (start.clone(), 0_u64..3)
-            .prop_map(|(start, version)| Step::Report(unverified(start, version))),
+        3 => (start.clone(), version, orders.clone()).prop_map(|(start, version, load_orders)| {
+            Step::Report(AgentReport { load_orders, ..verified(start, version) })
+        }),
+        3 => (start.clone(), 0_u64..3, orders).prop_map(|(start, version, load_orders)| {
+            Step::Report(AgentReport { load_orders, ..unverified(start, version) })
+        }),
         1 => Just(Step::Report(engine_lost())),
         2 => (start, 0_u64..3).prop_map(|(start, version)| Step::List(start, version)),
         1 => Just(Step::Unlist),
@@ -361,12 +365,50 @@
     let statements = reports.iter().rev().filter_map(|report| {
         let started_ms = report.engine_started_ms?;
         let is_same_start = started_ms == load.engine_started_ms;
-        let is_open = report.version == 0 && report.unverified_version == load.version;
+        let is_open = report.version == 0
+            && (report.unverified_version, report.load_orders) == (load.version, load.load_orders);
         (!is_same_start || !is_open).then_some(is_same_start && report.version == load.version)
     });
     statements.into_iter().next().unwrap_or(false)
 }
 
+/// A report that was delayed until the engine had started again counted as one of the new start.
+#[test]
+fn delayed_report_of_an_earlier_start_is_believed() {
+    let mut fixture = EngineFixture::new(1);
+    fixture.report(0, verified(1, 1));
+    fixture.list([(0, 2, 1)]);
+    fixture.report(0, unverified(2, 0));
+    fixture.report(0, verified(1, 1));
+    assert_eq!(fixture.used(), None);
+}
+
+/// A version that the engine had given up and loaded again counted as verified while its agent was silent.
+#[test]
+fn reloaded_version_is_used_because_an_earlier_load_was_verified() {
+    let mut fixture = EngineFixture::new(1);
+    fixture.report(0, verified(1, 1));
+    fixture.be_silent();
+    fixture.list([(0, 1, 0)]);
+    fixture.list([(0, 1, 1)]);
+    assert_eq!(fixture.used(), None);
+    let reloaded = AgentReport { load_orders: 3, ..unverified(1, 1) };
+    fixture.report(0, verified(1, 1));
+    fixture.report(0, reloaded);
+    assert_eq!(fixture.used(), None);
+}
+
+/// What agents had stated before a pause of the entry was relied on after it.
+#[test]
+fn statements_from_before_a_pause_are_relied_on() {
+    let mut fixture = EngineFixture::new(1);
+    fixture.report(0, verified(1, 1));
+    fixture.balancer.forget_reports();
+    assert_eq!(fixture.used(), None);
+    fixture.report(0, unverified(1, 1));
+    assert_eq!(fixture.used(), None);
+}
+
 proptest! {
     /// Guards against any order of reports, restarts, silences and changes of the list after which an engine is used for a
     /// load that no agent vouches for, and against one after which a verified engine is not used.
@@ -377,24 +419,33 @@
         let mut fixture = EngineFixture::new(1);
         let mut reports = Vec::new();
         let (mut listed, mut current) = (Some((1, 1)), None);
+        // Start of the engine in the last report since it was listed, or in the list if that is later.
+        let mut latest_start = 1;
         for step in steps {
             match step {
                 Step::Report(report) => {
                     fixture.report(0, report);
-                    reports.push(report);
-                    current = listed.is_some().then_some(report);
+                    // One of an earlier start was late and states nothing.
+                    if report.engine_started_ms.is_none_or(|started_ms| started_ms >= latest_start) {
+                        let listed_start = listed.map_or(0, |(started_ms, _)| started_ms);
+                        latest_start = report.engine_started_ms.unwrap_or(0).max(listed_start);
+                        reports.push(report);
+                        current = listed.is_some().then_some(report);
+                        latest_start = if listed.is_some() { latest_start } else { 0 };
+                    }
                 }
                 Step::List(started_ms, version) => {
                     // A new start ends what is known of the earlier one.
                     if listed.is_none_or(|(known, _)| known != started_ms) {
                         current = None;
+                        latest_start = started_ms;
                     }
                     listed = Some((started_ms, version));
                     fixture.list([(0, started_ms, version)]);
                 }
                 Step::Unlist => {
                     fixture.list([]);
-                    (listed, current) = (None, None);
+                    (listed, current, latest_start) = (None, None, 0);
                 }
                 Step::Silence => {
                     fixture.be_silent();
@@ -407,10 +458,13 @@
                 None => listed.map(|(started_ms, _)| started_ms),
             };
             if let Some((version, evidence)) = used {
-                let load = VerifiedLoad {
-                    engine_started_ms: started_ms.expect("the engine responds"),
-                    version,
+                let engine_started_ms = started_ms.expect("the engine responds");
+                let stated = reports.iter().rfind(|report| report.version > 0);
+                let load_orders = match current {
+                    Some(report) => report.load_orders,
+                    None => stated.expect("an agent has vouched for it").load_orders,
                 };
+                let load = VerifiedLoad { engine_started_ms, version, load_orders };
                 prop_assert!(is_vouched_for(&reports, load), "{load:?}");
                 let listed_version = listed.map(|(_, version)| version);
                 prop_assert!(current.is_some() || listed_version == Some(version));
--- a/crates/gateway/src/agent/heartbeats.rs
+++ b/crates/gateway/src/agent/heartbeats.rs
@@ -121,6 +121,7 @@
         weights_in_ms: shared.weights_at().map(|at| millis_until(at, now)),
         engine_started_ms,
         unverified_version,
+        load_orders: report.load_orders,
     }
 }
 
--- a/crates/gateway/src/agent/transfer/verifying.rs
+++ b/crates/gateway/src/agent/transfer/verifying.rs
@@ -115,6 +115,7 @@
         let Some((load, LoadVerdict::Unverified)) = self.shared.served_load() else { return };
         if (load.started_at_ms, load.weights.version)
             == (verified.engine_started_ms, verified.version)
+            && load.load_orders == verified.load_orders
             && self.shared.loads().record_verified(load)
         {
             self.shared.wake_heartbeats.notify_one();
--- a/crates/gateway/src/entry/control.rs
+++ b/crates/gateway/src/entry/control.rs
@@ -372,6 +372,7 @@
         version: heartbeat.version,
         unverified_version: heartbeat.unverified_version,
         engine_started_ms: heartbeat.engine_started_ms,
+        load_orders: heartbeat.load_orders,
         switching: heartbeat.switching,
         slowdown_percent: heartbeat.slowdown_percent,
         change_in: heartbeat.change_in_ms.map(|span| Duration::from_millis(span.into())),
@@ -493,7 +494,11 @@
 /// Last load of the upstream at `address` that an agent has verified, as far as this entry knows.
 fn verified_load(shared: &EntryShared, address: &str) -> Option<VerifiedLoad> {
     let load = shared.balancer().verified_load(address.parse().ok()?)?;
-    Some(VerifiedLoad { engine_started_ms: load.engine_started_ms, version: load.version })
+    Some(VerifiedLoad {
+        engine_started_ms: load.engine_started_ms,
+        version: load.version,
+        load_orders: load.load_orders,
+    })
 }
 
 /// Handles the frames of other processes.
--- a/crates/gateway/src/entry/shared.rs
+++ b/crates/gateway/src/entry/shared.rs
@@ -269,6 +269,7 @@
     /// Detects pauses of this process. True from the end of a pause until the fleet state has been refreshed.
     pub(crate) fn is_stale_after_pause(&self) -> bool {
         if self.pauses.tick(&*self.clock) {
+            self.balancer().forget_reports();
             self.wake_store.notify_one();
         }
         self.pauses.is_stale()
--- a/crates/shed/tests/common/simulation.rs
+++ b/crates/shed/tests/common/simulation.rs
@@ -232,6 +232,7 @@
         version: 1,
         unverified_version: 0,
         engine_started_ms: Some(1),
+        load_orders: 0,
         switching: false,
         change_in: None,
         weights_in: None,
--- a/crates/standin/src/measure/load/policy.rs
+++ b/crates/standin/src/measure/load/policy.rs
@@ -124,6 +124,7 @@
             version: 1,
             unverified_version: 0,
             engine_started_ms: Some(1),
+            load_orders: 0,
             switching: false,
             change_in: None,
             weights_in: None,
--- a/crates/wire/src/message/fleet.rs
+++ b/crates/wire/src/message/fleet.rs
@@ -148,6 +148,9 @@
     /// have been verified by an earlier process of the agent.
     #[prost(uint64, tag = "13")]
     pub unverified_version: u64,
+    /// Number of load orders that the engine has accepted since its start.
+    #[prost(uint64, tag = "14")]
+    pub load_orders: u64,
 }
 
 /// Set of chunks that an agent holds, sent to other agents.
@@ -295,6 +298,9 @@
     /// Version of the weights.
     #[prost(uint64, tag = "2")]
     pub version: u64,
+    /// Number of load orders that the engine had accepted when this was stated.
+    #[prost(uint64, tag = "3")]
+    pub load_orders: u64,
 }
 
 /// An agent of the service.
