Log one event with a cause for attempts that are not sent

One check after the connection is open now decides and names the cause. The documents of the staging area's hold say that it lasts until the load is verified. No behaviour changes.

--- a/crates/chunks/src/transfers.rs
+++ b/crates/chunks/src/transfers.rs
@@ -262,7 +262,8 @@
     }
 
     /// Keeps a version, and its chunks in the staging area, until [`release_staging`](Self::release_staging) or
-    /// [`end_hold`](Self::end_hold): the engine may still accept the order to load it, and takes what is staged then.
+    /// [`end_hold`](Self::end_hold): the engine may still accept the order to load it and takes what is staged then, and the
+    /// staged chunks show whether the load is valid.
     pub fn hold_staging(&mut self, weights: &WeightsId) {
         self.held = Some(weights.clone());
     }
@@ -272,7 +273,7 @@
         self.held = None;
     }
 
-    /// Frees the staging area for a newer version once the engine has accepted the order to load the older version.
+    /// Frees the staging area for a newer version once the load of the older version has been verified.
     pub fn release_staging(&mut self, weights: &WeightsId) {
         self.held = None;
         if self.transfers.len() > 1 {
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -139,18 +139,9 @@
                 return AttemptResult::Failed(AttemptEnd::NotSent, None);
             };
             let now = shared.clock.now();
-            let is_late = cancel_at.is_some_and(|at| at <= now) || self.deadline <= now;
-            if is_late || !self.is_admission_current() {
+            if let Some(cause) = self.withdrawal_cause(chosen, cancel_at, now) {
                 info!(
-                    "event=attempt_withdrawn request={} upstream={} late={is_late}",
-                    self.meta.id, upstream.upstream
-                );
-                guard.finish(AttemptOutcome::Abandoned);
-                return AttemptResult::Failed(AttemptEnd::NotSent, None);
-            }
-            if !self.is_version_usable(chosen, now) {
-                info!(
-                    "event=attempt_cancelled request={} upstream={} cause=weights_unverified head=false",
+                    "event=attempt_withdrawn request={} upstream={} cause={cause}",
                     self.meta.id, upstream.upstream
                 );
                 guard.finish(AttemptOutcome::Abandoned);
@@ -199,12 +190,26 @@
         self.read_response(chosen, resume_after, response, connection, guard, wait).await
     }
 
-    /// False if an agent has withdrawn the version of the upstream since the upstream was chosen: a connection takes up to
-    /// seconds.
-    fn is_version_usable(&self, chosen: &ChosenUpstream, now: Instant) -> bool {
-        chosen.expected_version.is_none()
-            || self.shared.balancer().load_of(&chosen.record.upstream, now).version
-                == chosen.expected_version
+    /// Reason why the request may no longer be sent to the chosen upstream, which is asked once the connection is open; `None`
+    /// if it may.
+    fn withdrawal_cause(
+        &self,
+        chosen: &ChosenUpstream,
+        cancel_at: Option<Instant>,
+        now: Instant,
+    ) -> Option<&'static str> {
+        let version = || self.shared.balancer().load_of(&chosen.record.upstream, now).version;
+        if self.deadline <= now {
+            Some("deadline")
+        } else if cancel_at.is_some_and(|at| at <= now) {
+            Some("weights_outdated")
+        } else if !self.is_admission_current() {
+            Some("paused")
+        } else if chosen.expected_version.is_some() && version() != chosen.expected_version {
+            Some("weights_unverified")
+        } else {
+            None
+        }
     }
 
     /// Logs a connection on which nothing of the request could be sent. If it was idle and its end had not been noticed,
