Read the report of a heartbeat once and return corrupt chunks as a set

A heartbeat took the engine's start from one read of the last report and everything else from a second one. read_corrupt returned a list, which one of its two callers copied into a set.

--- a/crates/gateway/src/agent/engine.rs
+++ b/crates/gateway/src/agent/engine.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::atomic::Ordering, time::Duration};
 
-use chunks::{ChunkIndex, ChunkManifest, LoadOrder, StagingVerification, WeightsId};
+use chunks::{ChunkManifest, ChunkSet, LoadOrder, StagingVerification, WeightsId};
 use log::{info, warn};
 use ports::PlatformError;
 
@@ -74,7 +74,7 @@
 pub(super) async fn verify_staged(
     shared: &AgentShared,
     weights: &WeightsId,
-) -> Option<(StagingVerification, Vec<ChunkIndex>)> {
+) -> Option<(StagingVerification, ChunkSet)> {
     let manifest = shared.transfers().get(weights)?.swarm.manifest().clone();
     let verification = StagingVerification::new(shared.report()?.started_at_ms, &*shared.clock);
     Some((verification, read_corrupt(shared, &manifest).await?))
@@ -84,9 +84,9 @@
 pub(super) async fn read_corrupt(
     shared: &AgentShared,
     manifest: &ChunkManifest,
-) -> Option<Vec<ChunkIndex>> {
+) -> Option<ChunkSet> {
     let model = &manifest.name.model;
-    let mut corrupt = Vec::new();
+    let mut corrupt = ChunkSet::new();
     for index in 0..manifest.len() {
         let is_valid = match shared.ports.engine.read_staged(model, index).await {
             Ok(bytes) => manifest.verify(index, &bytes),
@@ -99,7 +99,7 @@
             }
         };
         if !is_valid {
-            corrupt.push(index);
+            corrupt.insert(index);
         }
     }
     Some(corrupt)
--- a/crates/gateway/src/agent/heartbeats.rs
+++ b/crates/gateway/src/agent/heartbeats.rs
@@ -97,8 +97,9 @@
 }
 
 fn make_heartbeat(shared: &AgentShared, sequence: u64, now: Instant) -> AgentHeartbeat {
-    let engine_started_ms = shared.report().map(|report| report.started_at_ms);
-    let report = shared.report().unwrap_or_default();
+    let report = shared.report();
+    let engine_started_ms = report.as_ref().map(|report| report.started_at_ms);
+    let report = report.unwrap_or_default();
     let (version, unverified_version) = stated_versions(shared);
     let contacts = if sequence % CONTACT_TICKS == 1 {
         let mut membership = shared.membership();
--- a/crates/gateway/src/agent/transfer/loading.rs
+++ b/crates/gateway/src/agent/transfer/loading.rs
@@ -185,11 +185,11 @@
         // Staged chunks may have become corrupt since they were verified, so they are verified again.
         let verified = verify_staged(&self.shared, weights).await;
         let Some((verification, corrupt)) = verified else { return };
-        if !corrupt.is_empty() {
-            info!("event=pieces_spoilt model={} pieces={}", weights.model, corrupt.len());
+        if corrupt.count() > 0 {
+            info!("event=pieces_spoilt model={} pieces={}", weights.model, corrupt.count());
             if let Some(transfer) = self.shared.transfers().get_mut(weights) {
                 let now = self.shared.clock.now();
-                corrupt.into_iter().for_each(|index| transfer.record_corrupt(index, now));
+                corrupt.iter().for_each(|index| transfer.record_corrupt(index, now));
             }
             self.shared.wake_transfer.notify_one();
             return;
--- a/crates/gateway/src/agent/transfer/verifying.rs
+++ b/crates/gateway/src/agent/transfer/verifying.rs
@@ -6,7 +6,7 @@
 };
 
 use bytes::Bytes;
-use chunks::{ChunkManifest, ChunkSet, EngineLoad, LoadOrder, LoadVerdict, WeightsId, kept_layers};
+use chunks::{ChunkManifest, EngineLoad, LoadOrder, LoadVerdict, WeightsId, kept_layers};
 use log::{info, warn};
 
 use super::{
@@ -56,11 +56,7 @@
             return;
         }
         let Some(corrupt) = read_corrupt(&self.shared, &manifest).await else { return };
-        let mut corrupt_chunks = ChunkSet::new();
-        for index in corrupt {
-            corrupt_chunks.insert(index);
-        }
-        let verdict = self.shared.loads().record_read(load.clone(), corrupt_chunks);
+        let verdict = self.shared.loads().record_read(load.clone(), corrupt);
         self.unverified = None;
         self.apply_verdict(&load, &verdict, now);
         self.shared.wake_heartbeats.notify_one();
