--- a/review/standins-2/poison.py
+++ b/review/standins-2/poison.py
@@ -14,6 +14,7 @@
     """Crashes as soon as it begins to run the request for POISON."""
 
     on_crash = None
+    has_crashed = False
 
     async def answer(self, writer, ident, target):
         if target == POISON:
@@ -29,6 +30,7 @@
         self.fleet = Fleet(folder, ZONES)
         self.record = self.fleet.record
         self.started, self.stopped, self.away = {}, {}, set()
+        # Runs of the request, each of which crashes its worker, and all attempts with entry and time.
         self.crashes, self.attempts, self.lost = [], {}, []
         self.background = set()
 
@@ -65,6 +67,9 @@
         entry, _ = self.attempts[ident]
         self.record.add(f"worker {worker.ident} begins to run {ident} (sent to entry {entry}) and crashes: "
                         f"crash {len(self.crashes)}")
+        if worker.has_crashed:
+            return
+        worker.has_crashed = True
         worker.server.close()
         for writer in list(worker.connections):
             writer.transport.abort()
--- a/review/standins-2/standin.py
+++ b/review/standins-2/standin.py
@@ -260,8 +260,8 @@
 class Proxy:
     """Forwards TCP connections. While `silent`, nothing passes in either direction and connections stay open."""
 
-    def __init__(self, target):
-        self.target = target
+    def __init__(self, target, on_data=None):
+        self.target, self.on_data = target, on_data
         self.open = asyncio.Event()
         self.open.set()
 
@@ -288,6 +288,8 @@
                 while True:
                     data = await source.read(65536)
                     await self.open.wait()
+                    if self.on_data and source is reader:
+                        self.on_data(data)
                     if not data:
                         break
                     sink.write(data)
@@ -297,7 +299,10 @@
             finally:
                 sink.close()
 
-        await asyncio.gather(pump(reader, far_writer), pump(far_reader, writer))
+        try:
+            await asyncio.gather(pump(reader, far_writer), pump(far_reader, writer))
+        except asyncio.CancelledError:
+            pass
 
 
 # --- Entries -------------------------------------------------------------------------------------------------------
@@ -321,6 +326,8 @@
         self.record = Record(folder)
         self.store = Store()
         self.workers, self.entries, self.processes, self.proxies = {}, [], {}, {}
+        # Time of the last request of each entry that waits for changes of the store.
+        self.watched = {}
         self.temporary = tempfile.mkdtemp(prefix="wigeonhaven-review-")
 
     def ip(self, host):
@@ -376,7 +383,7 @@
         for number in self.entries:
             address = (self.ip(200), PORTS["store"])
             if proxied:
-                proxy = Proxy(address)
+                proxy = Proxy(address, lambda data, number=number: self.note_watch(number, data))
                 address = (self.ip(100 + number), PORTS["store"])
                 await proxy.serve(*address)
                 self.proxies[number] = proxy
@@ -387,6 +394,10 @@
         for number in self.entries:
             await self.wait_ready(number)
 
+    def note_watch(self, number, data):
+        if b"GET /v1/kv-watch" in data:
+            self.watched[number] = now()
+
     def start_entry(self, number):
         path = os.path.join(self.temporary, f"entry-{number}.conf")
         log = open(os.path.join(self.temporary, f"entry-{number}.log"), "ab")
@@ -462,15 +473,16 @@
 def main(run, folder):
     """Runs a case: exit status 1 if it returns True (the rule was broken), 0 if the rule held, 2 if it could not run."""
     async def guarded():
-        fleet = None
-        try:
-            async with asyncio.timeout(115):
-                return await run(os.environ.get("TROUBLE", "1") != "0", folder)
-        finally:
-            del fleet
+        task = asyncio.current_task()
+        for ending in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            # The processes are stopped also if the case is broken off.
+            asyncio.get_running_loop().add_signal_handler(ending, task.cancel)
+        async with asyncio.timeout(115):
+            return await run(os.environ.get("TROUBLE", "1") != "0", folder)
+
     try:
         broken = asyncio.run(guarded())
-    except (CannotRun, TimeoutError, OSError) as error:
+    except (CannotRun, TimeoutError, OSError, asyncio.CancelledError) as error:
         print(f"could not run: {error!r}")
         sys.exit(2)
     sys.exit(1 if broken else 0)
