--- a/review/standins-2/poison.py
+++ b/review/standins-2/poison.py
@@ -6,18 +6,20 @@
 POISON = "/book/poison"
 BODY = b'{"visit":"2026-03-07T06:00","household":1187}'
 CONTACT = 3.0
+BOOKINGS_PER_S = 64
 # A worker is back after this time; its registration expires after three heartbeat intervals of 1.2 s.
 DOWN, EXPIRY = 5.0, 3.6
 
 
 class CrashingWorker(Worker):
-    """Crashes as soon as it begins to run the request for POISON."""
+    """Crashes at the end of its work on the request for POISON."""
 
     on_crash = None
     has_crashed = False
 
     async def answer(self, writer, ident, target):
         if target == POISON:
+            await asyncio.sleep(self.work)
             self.on_crash(self, ident)
             raise ConnectionResetError
         await super().answer(writer, ident, target)
@@ -65,7 +67,7 @@
     def crash(self, worker, ident):
         self.crashes.append((now(), worker.ident, ident))
         entry, _ = self.attempts[ident]
-        self.record.add(f"worker {worker.ident} begins to run {ident} (sent to entry {entry}) and crashes: "
+        self.record.add(f"worker {worker.ident} runs {ident} (sent to entry {entry}) and crashes: "
                         f"crash {len(self.crashes)}")
         if worker.has_crashed:
             return
@@ -104,12 +106,12 @@
         self.record.add(f"{ident} to entry {entry}: answer {status}, Retry-After {headers.get('retry-after')}")
 
     async def bookings(self):
-        """Sound requests of other callers, one each 50 ms."""
+        """Sound requests of other callers, as many a second as the site has bookings."""
         number = 0
         while True:
             number += 1
             self.spawn(self.book(number, f"book-{number}"))
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(1 / BOOKINGS_PER_S)
 
     async def book(self, number, ident):
         ready = self.ready()
